--- /dev/null
+++ b/src/base/hash.cpp
@@ -0,0 +1,68 @@
+#include "base/hash.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace cicadagap {
+
+namespace {
+
+// 128 bits of the signature, in hexadecimal.
+constexpr std::size_t SignatureCharacters = 32;
+
+} // namespace
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+std::string signature(std::string_view key, std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int length = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &length);
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string hex;
+    for (std::size_t i = 0; i < SignatureCharacters / 2; ++i) {
+        hex.push_back(Digits[digest.at(i) >> 4U]);
+        hex.push_back(Digits[digest.at(i) & 15U]);
+    }
+    return hex;
+}
+
+bool equalConstantTime(std::string_view left, std::string_view right)
+{
+    if (left.size() != right.size())
+        return false;
+    return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates)
+{
+    const std::uint64_t seed = hash64(key);
+    std::sort(candidates.begin(), candidates.end(),
+              [seed](const std::string &left, const std::string &right) {
+                  const std::uint64_t leftWeight = hash64(left, seed);
+                  const std::uint64_t rightWeight = hash64(right, seed);
+                  return leftWeight != rightWeight ? leftWeight > rightWeight : left < right;
+              });
+    return candidates;
+}
+
+std::uint64_t Random::next()
+{
+    m_state += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t mixed = m_state;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+    return mixed ^ (mixed >> 31U);
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/base/millis.h
@@ -0,0 +1,73 @@
+// The project's one type for time: a count of milliseconds.
+//
+// The same type serves instants and durations. Instants come from a Clock and are comparable only
+// with instants of the same process. Decision code receives instants as arguments and never reads
+// a clock.
+//
+//     Millis deadline = now + Millis(250);
+//     if (now >= deadline)
+//         expire();
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace cicadagap {
+
+// A signed count of milliseconds.
+class Millis
+{
+public:
+    constexpr Millis() = default;
+    constexpr explicit Millis(std::int64_t count)
+        : m_count(count)
+    {
+    }
+
+    constexpr std::int64_t count() const { return m_count; }
+    constexpr auto operator<=>(const Millis &) const = default;
+    constexpr Millis operator+(Millis other) const { return Millis(m_count + other.m_count); }
+    constexpr Millis operator-(Millis other) const { return Millis(m_count - other.m_count); }
+    constexpr Millis operator*(std::int64_t factor) const { return Millis(m_count * factor); }
+    constexpr Millis operator/(std::int64_t divisor) const { return Millis(m_count / divisor); }
+
+private:
+    std::int64_t m_count = 0;
+};
+
+// A source of instants. Thread-safe in every implementation.
+class Clock
+{
+public:
+    Clock() = default;
+    Clock(const Clock &) = delete;
+    Clock &operator=(const Clock &) = delete;
+    virtual ~Clock() = default;
+
+    virtual Millis now() const = 0;
+};
+
+// The host's monotonic clock. It is unrelated to the time of day and to other hosts' clocks.
+class SteadyClock : public Clock
+{
+public:
+    Millis now() const override
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::milliseconds;
+        const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+        return Millis(duration_cast<milliseconds>(sinceStart).count());
+    }
+};
+
+// The time of day in milliseconds since 1970, for logs, expiry dates and incarnation numbers only.
+inline Millis timeOfDay()
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Millis(duration_cast<milliseconds>(sinceEpoch).count());
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/connection/gateway.cpp
@@ -0,0 +1,704 @@
+#include "connection/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr int MaxOpening = 2;          // Connections opened at a time.
+constexpr int UnpinnedConnections = 2; // Never given to transactions.
+constexpr Millis FirstOpenBackoff(20);
+constexpr Millis StatusRetry(50);
+constexpr Millis SampleRetry(50); // Between fetches of the primary's position.
+constexpr double ServiceSmoothing = 0.1;
+constexpr std::string_view LedgerRan = "ran";
+constexpr std::string_view LedgerCancelled = "cancelled";
+
+// The ledger holds "<expiry in milliseconds since 1970> <outcome>".
+std::string_view ledgerOutcome(std::string_view value)
+{
+    const std::size_t space = value.find(' ');
+    return space == std::string_view::npos ? value : value.substr(space + 1);
+}
+
+} // namespace
+
+Gateway::Gateway(Options options)
+    : m_options(std::move(options))
+    , m_queue(m_options.queue)
+    , m_confirmation(m_options.groupSize)
+{
+}
+
+GatewayActions Gateway::submit(Millis now, Work work)
+{
+    const std::uint64_t id = work.id;
+    const Cause cause = refusal(now, work);
+    WorkState &state = m_works[id];
+    state.work = std::move(work);
+    state.arrived = now;
+    if (cause != Cause::None) {
+        refuse(id, cause);
+        return takeActions();
+    }
+    if (!state.work.transaction.empty()) {
+        continueTransaction(now, state.work);
+        return takeActions();
+    }
+    if (state.work.maxAge)
+        refreshSample(now, *state.work.maxAge);
+    if (hasData(now, state.work))
+        enqueue(now, id);
+    else
+        waitForData(now, &state);
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onOpened(Millis now, std::uint64_t connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        m_actions.emplace_back(CloseConnection{connection});
+        return takeActions();
+    }
+    m_openBackoff = Millis();
+    found->second.state = ConnectionState::Idle;
+    found->second.idleSince = now;
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onOpenFailed(Millis now, std::uint64_t connection)
+{
+    m_connections.erase(connection);
+    m_openBackoff = std::clamp(m_openBackoff * 2, FirstOpenBackoff, m_options.maxOpenBackoff);
+    m_openAfter = now + m_openBackoff;
+    const bool anyLive = std::any_of(m_connections.begin(), m_connections.end(), [](const auto &c) {
+        return c.second.state != ConnectionState::Opening;
+    });
+    if (!anyLive) {
+        m_actions.emplace_back(ReportFailure{});
+        for (const QueueEntry &entry : m_queue.takeAll())
+            refuse(entry.id, Cause::Unreachable);
+    }
+    return takeActions();
+}
+
+GatewayActions Gateway::onAnswer(Millis now, std::uint64_t connection, const TargetAnswer &answer)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return takeActions();
+    Connection &state = found->second;
+    m_known = std::max(m_known, answer.position);
+    if (state.state == ConnectionState::Pinging)
+        start(now, connection, state.work);
+    else if (state.state == ConnectionState::Running)
+        finishStep(now, connection, answer);
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onBroken(Millis now, std::uint64_t connection, bool sent)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end())
+        return takeActions();
+    const Connection state = found->second;
+    discard(connection);
+    m_actions.emplace_back(ReportFailure{});
+    if (state.state == ConnectionState::Pinging) {
+        enqueue(now, state.work); // Nothing of the work was sent.
+    } else if (state.state == ConnectionState::Running) {
+        const WorkKind kind = m_works.at(state.work).work.kind;
+        if (kind == WorkKind::Continue)
+            refuse(state.work, Cause::NoTransaction);
+        else if (kind == WorkKind::Rollback)
+            reply(state.work, {.verdict = Verdict::Ran}); // The target rolls back on its own.
+        else if (kind == WorkKind::Begin || !sent)
+            refuse(state.work, Cause::Unreachable);
+        else
+            reply(state.work, {.verdict = Verdict::MayHaveRun, .cause = Cause::ConnectionLost});
+    }
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onStatus(Millis now, Millis sentAt, const InstanceReport &report)
+{
+    m_polling = false;
+    m_known = std::max(m_known, report.last);
+    m_leaving = m_leaving || report.leaving;
+    m_confirmation.observe(report.name, report.term, report.last);
+    std::vector<Millis> heard;
+    for (const ReplicaSummary &replica : report.replicas) {
+        m_confirmation.observe(replica.name, replica.term, replica.last);
+        if (replica.term == report.term)
+            heard.push_back(replica.heardAgo);
+    }
+    // A majority, the primary included, was still in the term this long before the answer.
+    const std::size_t others = m_options.groupSize / 2;
+    if (report.primary && heard.size() >= others) {
+        std::sort(heard.begin(), heard.end());
+        const Millis age = others == 0 ? Millis() : heard[others - 1];
+        m_freshness.addSample(sentAt - age, report.last);
+    }
+    releaseConfirmed();
+    if (!report.primary && report.term > m_term)
+        failHeld(report.term);
+    retryWaiting(now);
+    if (!m_held.empty())
+        poll(m_options.pollInterval);
+    else if (!m_waiting.empty())
+        poll(m_options.pollInterval * 2);
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onStatusFailed(Millis)
+{
+    m_polling = false;
+    m_actions.emplace_back(ReportFailure{});
+    if (!m_held.empty() || !m_waiting.empty())
+        poll(StatusRetry);
+    return takeActions();
+}
+
+GatewayActions Gateway::onSample(Millis now, Millis at, Position primaryLast)
+{
+    m_freshness.addSample(at, primaryLast);
+    retryWaiting(now);
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::onSampleWanted(Millis now)
+{
+    const std::optional<Millis> newest = m_freshness.newestSample();
+    if (!newest || now - *newest >= SampleRetry)
+        poll(Millis());
+    return takeActions();
+}
+
+GatewayActions Gateway::onTick(Millis now)
+{
+    expire(now);
+    retryWaiting(now);
+    closeSurplus(now);
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::setRole(Millis now, std::uint64_t term, bool primary, bool leaving)
+{
+    if (term < m_term)
+        return takeActions();
+    const bool lostLead = m_primary && !primary;
+    m_leaving = leaving;
+    m_primary = primary;
+    if (term > m_term) {
+        m_term = term;
+        failHeld(term);
+    }
+    if (lostLead) {
+        for (const QueueEntry &entry : m_queue.takeAll()) {
+            if (m_works.at(entry.id).work.replica)
+                enqueue(now, entry.id);
+            else
+                refuse(entry.id, Cause::NotPrimary);
+        }
+    }
+    pump(now);
+    return takeActions();
+}
+
+GatewayActions Gateway::setQuota(Millis now, int quota)
+{
+    m_options.quota = quota;
+    closeSurplus(now);
+    pump(now);
+    return takeActions();
+}
+
+Gateway::Counters Gateway::counters() const
+{
+    return {m_queue.size(), busy(), m_connections.size(), m_transactions.size(), m_held.size()};
+}
+
+Cause Gateway::refusal(Millis now, const Work &work) const
+{
+    if (now >= work.deadline)
+        return Cause::Timeout;
+    if (!work.transaction.empty()) {
+        const auto found = m_transactions.find(work.transaction);
+        if (found == m_transactions.end())
+            return Cause::NoTransaction;
+        const Connection &connection = m_connections.at(found->second);
+        return connection.state == ConnectionState::Pinned ? Cause::None : Cause::Busy;
+    }
+    if (m_leaving || m_draining)
+        return Cause::Leaving;
+    if (!work.replica && (!m_primary || work.required.term > m_term))
+        return Cause::NotPrimary;
+    return tooLate(now, work) ? Cause::Overloaded : Cause::None;
+}
+
+bool Gateway::tooLate(Millis now, const Work &work) const
+{
+    const double ahead = static_cast<double>(m_queue.ahead(work.priorityClass));
+    const double wait = ahead * m_serviceMs / m_options.slots;
+    return wait > static_cast<double>((work.deadline - now).count());
+}
+
+bool Gateway::hasData(Millis now, const Work &work) const
+{
+    if (work.replica && !m_known.covers(work.required))
+        return false;
+    if (!work.maxAge)
+        return true;
+    const std::optional<Millis> age = m_freshness.age(now, m_known);
+    return age && *age <= *work.maxAge;
+}
+
+void Gateway::waitForData(Millis now, WorkState *state)
+{
+    state->waitingForData = true;
+    state->waitUntil = std::min(state->work.deadline, now + m_options.replicaWait);
+    m_waiting.insert(state->work.id);
+    poll(Millis());
+}
+
+void Gateway::refreshSample(Millis now, Millis maxAge)
+{
+    // Half the accepted age is left for the fetch, so that reads seldom wait for it.
+    const std::optional<Millis> newest = m_freshness.newestSample();
+    const bool due = !newest || now - *newest >= maxAge / 2;
+    if (!due || now < m_nextFetch)
+        return;
+    m_nextFetch = now + SampleRetry;
+    if (m_primary)
+        poll(Millis());
+    else
+        m_actions.emplace_back(FetchSample{});
+}
+
+void Gateway::enqueue(Millis now, std::uint64_t id)
+{
+    const WorkState &state = m_works.at(id);
+    const QueueEntry entry{id, state.arrived, state.work.deadline};
+    if (now >= state.work.deadline)
+        refuse(id, Cause::Timeout);
+    else if (!m_queue.push(state.work.priorityClass, entry))
+        refuse(id, Cause::Overloaded);
+}
+
+void Gateway::pump(Millis now)
+{
+    const auto slots = static_cast<std::size_t>(m_options.slots);
+    const auto reserved = static_cast<std::size_t>(m_options.reservedSlots);
+    while (m_queue.size() > 0 && busy() < slots) {
+        std::uint64_t connection = 0;
+        if (!idleConnection(&connection))
+            break;
+        const bool topOnly = busy() + reserved >= slots;
+        const std::optional<QueueEntry> next = m_queue.pop(now, topOnly);
+        if (!next)
+            break;
+        const bool pins = m_works.at(next->id).work.kind == WorkKind::Begin;
+        const int free = m_options.quota - static_cast<int>(m_transactions.size());
+        if (pins && free <= UnpinnedConnections)
+            refuse(next->id, Cause::Overloaded);
+        else
+            assign(now, connection, next->id);
+    }
+    openMore(now);
+}
+
+Gateway::Connection *Gateway::idleConnection(std::uint64_t *id)
+{
+    // The one used last is the least likely to have gone silent.
+    Connection *newest = nullptr;
+    for (auto &entry : m_connections) {
+        Connection &connection = entry.second;
+        if (connection.state != ConnectionState::Idle)
+            continue;
+        if (!newest || connection.idleSince > newest->idleSince) {
+            newest = &connection;
+            *id = entry.first;
+        }
+    }
+    return newest;
+}
+
+void Gateway::openMore(Millis now)
+{
+    if (now < m_openAfter)
+        return;
+    int opening = 0;
+    int pinned = 0;
+    for (const auto &entry : m_connections) {
+        opening += entry.second.state == ConnectionState::Opening ? 1 : 0;
+        pinned += entry.second.transaction.empty() ? 0 : 1;
+    }
+    // Enough for every slot besides the pinned ones; the rest of the quota is for transactions.
+    const bool wanted = m_primary || !m_works.empty() || !m_connections.empty();
+    const int target = wanted ? std::min(m_options.quota, m_options.slots + pinned) : 0;
+    while (opening < MaxOpening && static_cast<int>(m_connections.size()) < target) {
+        const std::uint64_t id = ++m_lastConnection;
+        m_connections[id] = Connection{};
+        m_actions.emplace_back(OpenConnection{id});
+        ++opening;
+    }
+}
+
+void Gateway::assign(Millis now, std::uint64_t connection, std::uint64_t work)
+{
+    Connection &state = m_connections.at(connection);
+    state.work = work;
+    if (now - state.idleSince < m_options.idlePing) {
+        start(now, connection, work);
+        return;
+    }
+    state.state = ConnectionState::Pinging;
+    TargetCall ping;
+    ping.connection = connection;
+    ping.step = TargetStep::Ping;
+    ping.timeout = m_options.pingTimeout;
+    m_actions.emplace_back(std::move(ping));
+}
+
+void Gateway::start(Millis now, std::uint64_t connection, std::uint64_t work)
+{
+    const Work &started = m_works.at(work).work;
+    if (now >= started.deadline) {
+        refuse(work, Cause::Timeout);
+        release(now, connection);
+        return;
+    }
+    TargetStep step = TargetStep::Execute;
+    if (started.kind == WorkKind::Begin)
+        step = TargetStep::Begin;
+    m_startedAt[connection] = now;
+    call(now, connection, step, started);
+}
+
+void Gateway::call(Millis now, std::uint64_t connection, TargetStep step, const Work &work)
+{
+    Connection &state = m_connections.at(connection);
+    state.state = ConnectionState::Running;
+    state.step = step;
+    state.work = work.id;
+    TargetCall call;
+    call.connection = connection;
+    call.step = step;
+    call.term = m_term;
+    call.readOnly = work.replica;
+    call.operations = work.operations;
+    call.requestId = work.requestId;
+    const bool writesLedger = step == TargetStep::Execute || step == TargetStep::Commit;
+    if (writesLedger && !work.requestId.empty())
+        call.ledgerValue = work.kind == WorkKind::Outcome ? LedgerCancelled : LedgerRan;
+    call.timeout = std::max(Millis(1), work.deadline - now);
+    m_actions.emplace_back(std::move(call));
+}
+
+void Gateway::continueTransaction(Millis now, const Work &work)
+{
+    const std::uint64_t connection = m_transactions.at(work.transaction);
+    TargetStep step = TargetStep::Execute;
+    if (work.kind == WorkKind::Commit)
+        step = TargetStep::Commit;
+    if (work.kind == WorkKind::Rollback)
+        step = TargetStep::Rollback;
+    m_startedAt[connection] = now;
+    call(now, connection, step, work);
+}
+
+void Gateway::finishStep(Millis now, std::uint64_t connection, const TargetAnswer &answer)
+{
+    const Connection &state = m_connections.at(connection);
+    const std::uint64_t work = state.work;
+    const auto started = m_startedAt.find(connection);
+    if (started != m_startedAt.end()) {
+        const auto took = static_cast<double>((now - started->second).count());
+        m_serviceMs += ServiceSmoothing * (std::max(took, 1.0) - m_serviceMs);
+        m_startedAt.erase(started);
+    }
+    if (state.step == TargetStep::ReadLedger) {
+        finishLedger(work, answer);
+        release(now, connection);
+        return;
+    }
+    const bool inTransaction = m_works.at(work).work.kind == WorkKind::Continue;
+    if (answer.cause == Cause::Conflict && answer.ledgerConflict && inTransaction) {
+        m_connections.at(connection).state = ConnectionState::Pinned;
+        m_connections.at(connection).idleSince = now;
+        refuse(work, Cause::Duplicate);
+        return;
+    }
+    if (answer.cause == Cause::Conflict && answer.ledgerConflict) {
+        // Somebody was first under this request id; the ledger tells what became of it.
+        call(now, connection, TargetStep::ReadLedger, m_works.at(work).work);
+        return;
+    }
+    if (answer.cause != Cause::None)
+        finishFailed(connection, work, answer);
+    else
+        finishExecuted(now, connection, work, answer);
+}
+
+void Gateway::finishFailed(std::uint64_t connection, std::uint64_t work, const TargetAnswer &answer)
+{
+    if (answer.cause == Cause::Leaving)
+        m_leaving = true;
+    const WorkKind kind = m_works.at(work).work.kind;
+    refuse(work, answer.cause);
+    // A failed statement leaves its transaction open; anything else that fails leaves the
+    // connection in a state that is not known.
+    const bool statement = answer.cause == Cause::Conflict || answer.cause == Cause::Invalid;
+    if (kind == WorkKind::Continue && statement) {
+        m_connections.at(connection).state = ConnectionState::Pinned;
+        return;
+    }
+    const bool transactional = kind != WorkKind::Execute && kind != WorkKind::Outcome;
+    if (transactional) {
+        discard(connection);
+        m_actions.emplace_back(CloseConnection{connection});
+    } else {
+        m_connections.at(connection).state = ConnectionState::Idle;
+    }
+}
+
+void Gateway::finishExecuted(Millis now, std::uint64_t connection, std::uint64_t work,
+                             const TargetAnswer &answer)
+{
+    const Work &finished = m_works.at(work).work;
+    WorkReply result{.verdict = Verdict::Ran, .results = answer.results};
+    result.position = answer.position;
+    switch (finished.kind) {
+    case WorkKind::Begin:
+        pin(connection, work, answer);
+        return;
+    case WorkKind::Continue:
+        m_connections.at(connection).state = ConnectionState::Pinned;
+        m_connections.at(connection).idleSince = now;
+        reply(work, std::move(result));
+        return;
+    case WorkKind::Rollback:
+        reply(work, std::move(result));
+        break;
+    case WorkKind::Commit:
+        holdOrReply(work, result);
+        break;
+    case WorkKind::Outcome:
+        result = {.verdict = Verdict::NotRun, .cause = Cause::Cancelled};
+        result.position = answer.position;
+        holdOrReply(work, result);
+        break;
+    case WorkKind::Execute:
+        if (finished.write)
+            holdOrReply(work, result);
+        else
+            finishRead(now, work, answer);
+        break;
+    }
+    release(now, connection);
+}
+
+void Gateway::finishRead(Millis now, std::uint64_t work, const TargetAnswer &answer)
+{
+    const Work &finished = m_works.at(work).work;
+    if (!answer.position.covers(finished.required)) {
+        refuse(work, m_primary ? Cause::NotPrimary : Cause::Behind);
+        return;
+    }
+    if (finished.maxAge) {
+        const std::optional<Millis> age = m_freshness.age(now, answer.position);
+        if (!age || *age > *finished.maxAge) {
+            refuse(work, Cause::TooOld);
+            return;
+        }
+    }
+    WorkReply result{.verdict = Verdict::Ran, .results = answer.results};
+    result.position = answer.position;
+    reply(work, std::move(result));
+}
+
+void Gateway::finishLedger(std::uint64_t work, const TargetAnswer &answer)
+{
+    if (answer.cause != Cause::None || answer.ledgerValue.empty()) {
+        reply(work, {.verdict = Verdict::MayHaveRun, .cause = answer.cause});
+        return;
+    }
+    // The row may not be acknowledged yet, so even an old outcome waits for the majority.
+    WorkReply result;
+    result.position = answer.position;
+    result.duplicate = true;
+    if (ledgerOutcome(answer.ledgerValue) == LedgerRan) {
+        result.verdict = Verdict::Ran;
+    } else {
+        result.verdict = Verdict::NotRun;
+        result.cause = Cause::Cancelled;
+    }
+    holdOrReply(work, result);
+}
+
+void Gateway::pin(std::uint64_t connection, std::uint64_t work, const TargetAnswer &answer)
+{
+    const std::string id = m_options.transactionPrefix + std::to_string(++m_lastTransaction);
+    Connection &state = m_connections.at(connection);
+    state.state = ConnectionState::Pinned;
+    state.transaction = id;
+    state.idleSince = m_works.at(work).arrived;
+    m_transactions[id] = connection;
+    WorkReply result{.verdict = Verdict::Ran, .transaction = id};
+    result.position = answer.position;
+    reply(work, std::move(result));
+}
+
+void Gateway::release(Millis now, std::uint64_t connection)
+{
+    Connection &state = m_connections.at(connection);
+    m_transactions.erase(state.transaction);
+    state.transaction.clear();
+    state.state = ConnectionState::Idle;
+    state.idleSince = now;
+}
+
+void Gateway::discard(std::uint64_t connection)
+{
+    const auto found = m_connections.find(connection);
+    m_transactions.erase(found->second.transaction);
+    m_startedAt.erase(connection);
+    m_connections.erase(found);
+}
+
+void Gateway::holdOrReply(std::uint64_t work, const WorkReply &reply)
+{
+    if (m_confirmation.confirms(reply.position)) {
+        this->reply(work, reply);
+        return;
+    }
+    m_works.at(work).held = reply;
+    m_held.insert(work);
+    poll(Millis());
+}
+
+void Gateway::releaseConfirmed()
+{
+    const std::set<std::uint64_t> held = m_held;
+    for (const std::uint64_t work : held) {
+        const WorkReply waiting = *m_works.at(work).held;
+        if (m_confirmation.confirms(waiting.position))
+            reply(work, waiting);
+    }
+}
+
+void Gateway::failHeld(std::uint64_t belowTerm)
+{
+    const std::set<std::uint64_t> held = m_held;
+    for (const std::uint64_t work : held) {
+        const Position position = m_works.at(work).held->position;
+        if (position.term < belowTerm)
+            reply(work, {.verdict = Verdict::MayHaveRun, .cause = Cause::NotPrimary});
+    }
+}
+
+void Gateway::reply(std::uint64_t work, WorkReply reply)
+{
+    m_held.erase(work);
+    m_waiting.erase(work);
+    m_works.erase(work);
+    m_actions.emplace_back(SendReply{work, std::move(reply)});
+}
+
+void Gateway::refuse(std::uint64_t work, Cause cause)
+{
+    reply(work, {.verdict = Verdict::NotRun, .cause = cause, .position = m_known});
+}
+
+void Gateway::retryWaiting(Millis now)
+{
+    const std::set<std::uint64_t> waiting = m_waiting;
+    for (const std::uint64_t id : waiting) {
+        WorkState &state = m_works.at(id);
+        if (hasData(now, state.work)) {
+            state.waitingForData = false;
+            m_waiting.erase(id);
+            enqueue(now, id);
+        } else if (now >= state.waitUntil) {
+            const bool behind = !m_known.covers(state.work.required);
+            refuse(id, behind ? Cause::Behind : Cause::TooOld);
+        }
+    }
+}
+
+void Gateway::expire(Millis now)
+{
+    for (const QueueEntry &entry : m_queue.takeExpired(now))
+        refuse(entry.id, Cause::Timeout);
+    const std::set<std::uint64_t> held = m_held;
+    for (const std::uint64_t work : held) {
+        if (now >= m_works.at(work).work.deadline)
+            reply(work, {.verdict = Verdict::MayHaveRun, .cause = Cause::Timeout});
+    }
+    std::vector<std::uint64_t> abandoned;
+    for (const auto &entry : m_connections) {
+        const Connection &connection = entry.second;
+        const bool idle = now - connection.idleSince >= m_options.transactionIdle;
+        if (connection.state == ConnectionState::Pinned && idle)
+            abandoned.push_back(entry.first);
+    }
+    for (const std::uint64_t connection : abandoned) {
+        discard(connection);
+        m_actions.emplace_back(CloseConnection{connection});
+    }
+}
+
+void Gateway::closeSurplus(Millis now)
+{
+    std::vector<std::uint64_t> surplus;
+    auto count = static_cast<int>(m_connections.size());
+    for (const auto &entry : m_connections) {
+        const Connection &connection = entry.second;
+        if (connection.state != ConnectionState::Idle)
+            continue;
+        const bool unused = now - connection.idleSince >= m_options.idleClose && !m_primary;
+        if (count > m_options.quota || unused) {
+            surplus.push_back(entry.first);
+            --count;
+        }
+    }
+    for (const std::uint64_t connection : surplus) {
+        discard(connection);
+        m_actions.emplace_back(CloseConnection{connection});
+    }
+}
+
+void Gateway::poll(Millis delay)
+{
+    if (m_polling)
+        return;
+    m_polling = true;
+    m_actions.emplace_back(PollStatus{delay});
+}
+
+std::size_t Gateway::busy() const
+{
+    std::size_t count = 0;
+    for (const auto &entry : m_connections) {
+        const ConnectionState state = entry.second.state;
+        count += state == ConnectionState::Running || state == ConnectionState::Pinging ? 1 : 0;
+    }
+    return count;
+}
+
+GatewayActions Gateway::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/connection/gateway.h
@@ -0,0 +1,288 @@
+// The gateway of one group instance: the only place on a host that decides which work goes to that
+// instance, on which connection, and when its answer may be given.
+//
+// It owns the instance's queue, its connections (as identities; the driver owns the sockets), the
+// transactions pinned to them, the ledger protocol of requests that must not be repeated, and the
+// wait for acknowledgement. Events go in, actions come out; the driver carries the actions out in
+// order.
+//
+//     Gateway gateway({.instance = "t1", .groupSize = 3, ...});
+//     run(gateway.submit(now, work));
+//     run(gateway.onAnswer(now, connection, answer));
+//
+// Pure and not thread-safe.
+#pragma once
+
+#include "base/millis.h"
+#include "base/position.h"
+#include "base/verdict.h"
+#include "connection/classqueue.h"
+#include "connection/confirmation.h"
+#include "process/groupwatch.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cicadagap {
+
+enum class WorkKind {
+    Execute, // One statement in a transaction of its own.
+    Begin,
+    Continue, // A statement inside a transaction.
+    Commit,
+    Rollback,
+    Outcome, // What became of a request id? Cancels the id if it has not run.
+};
+
+inline constexpr NameTable<WorkKind, 6> WorkKindNames{{{
+    {WorkKind::Execute, "execute"},
+    {WorkKind::Begin, "begin"},
+    {WorkKind::Continue, "continue"},
+    {WorkKind::Commit, "commit"},
+    {WorkKind::Rollback, "rollback"},
+    {WorkKind::Outcome, "outcome"},
+}}};
+
+// One piece of work for an instance.
+struct Work
+{
+    std::uint64_t id = 0; // Chosen by the driver; unique in the gateway.
+    WorkKind kind = WorkKind::Execute;
+    std::size_t priorityClass = 0;
+    bool write = false;
+    bool replica = false;         // A read that a replica may serve.
+    std::string operations;       // Opaque to the gateway.
+    std::string requestId;        // Set if the work must not be repeated, and with Outcome.
+    Position required;            // The data read must cover this.
+    std::optional<Millis> maxAge; // The data read may be this old.
+    Millis deadline;
+    std::string transaction; // With Continue, Commit and Rollback.
+};
+
+struct WorkReply
+{
+    Verdict verdict = Verdict::NotRun;
+    Cause cause = Cause::None;
+    std::string results;     // Opaque.
+    Position position;       // Of the acknowledged write, or of the data read.
+    std::string transaction; // With Begin.
+    bool duplicate = false;  // The ledger answered; the work ran earlier.
+};
+
+enum class TargetStep {
+    Execute,
+    Begin,
+    Commit,
+    Rollback,
+    ReadLedger,
+    Ping,
+};
+
+// One call to the instance on an open connection.
+struct TargetCall
+{
+    std::uint64_t connection = 0;
+    TargetStep step = TargetStep::Execute;
+    std::uint64_t term = 0;
+    bool readOnly = false;
+    std::string operations;
+    std::string requestId;   // The ledger's key, with a non-empty ledgerValue or ReadLedger.
+    std::string ledgerValue; // Written under requestId in the same transaction.
+    Millis timeout;
+};
+
+// The instance's answer to a call.
+struct TargetAnswer
+{
+    Cause cause = Cause::None;
+    bool ledgerConflict = false; // With Cause::Conflict: the request id is in the ledger already.
+    std::string results;
+    Position position;       // The instance's last entry when it answered.
+    std::string ledgerValue; // With ReadLedger.
+};
+
+struct OpenConnection
+{
+    std::uint64_t connection = 0;
+};
+
+struct CloseConnection
+{
+    std::uint64_t connection = 0;
+};
+
+struct SendReply
+{
+    std::uint64_t work = 0;
+    WorkReply reply;
+};
+
+// Fetch the instance's status after `delay`, on the gateway's status connection.
+struct PollStatus
+{
+    Millis delay;
+};
+
+// Fetch the primary's position from its gateway.
+struct FetchSample
+{
+};
+
+// Tell the steward that the instance could not be reached.
+struct ReportFailure
+{
+};
+
+using GatewayAction = std::variant<OpenConnection, CloseConnection, TargetCall, SendReply,
+                                   PollStatus, FetchSample, ReportFailure>;
+using GatewayActions = std::vector<GatewayAction>;
+
+class Gateway
+{
+public:
+    struct Options
+    {
+        std::string instance;
+        std::size_t groupSize = 3;
+        int slots = 3;
+        int quota = 8;         // Connections this gateway may have.
+        int reservedSlots = 0; // Of `slots`, kept for top classes.
+        ClassQueue::Options queue;
+        std::string transactionPrefix; // Makes transaction ids unique among all gateways.
+        Millis transactionIdle = Millis(5000);
+        Millis replicaWait = Millis(20);
+        Millis idlePing = Millis(1000); // Idle connections are pinged after this long.
+        Millis pingTimeout = Millis(250);
+        Millis idleClose = Millis(60'000);
+        Millis pollInterval = Millis(2); // Between status polls while answers wait.
+        Millis maxOpenBackoff = Millis(1000);
+    };
+
+    struct Counters
+    {
+        std::size_t queued = 0;
+        std::size_t busy = 0;
+        std::size_t connections = 0;
+        std::size_t transactions = 0;
+        std::size_t awaiting = 0;
+    };
+
+    explicit Gateway(Options options);
+
+    GatewayActions submit(Millis now, Work work);
+    GatewayActions onOpened(Millis now, std::uint64_t connection);
+    GatewayActions onOpenFailed(Millis now, std::uint64_t connection);
+    GatewayActions onAnswer(Millis now, std::uint64_t connection, const TargetAnswer &answer);
+    // The connection failed. `sent` is false if the call in progress never left this host.
+    GatewayActions onBroken(Millis now, std::uint64_t connection, bool sent);
+    // The status fetched by a poll sent at `sentAt`.
+    GatewayActions onStatus(Millis now, Millis sentAt, const InstanceReport &report);
+    GatewayActions onStatusFailed(Millis now);
+    // The primary's last entry as of `at`, on this process's clock.
+    GatewayActions onSample(Millis now, Millis at, Position primaryLast);
+    // A replica's gateway wants the newest sample; polls if the one here is old.
+    GatewayActions onSampleWanted(Millis now);
+    GatewayActions onTick(Millis now);
+    // What the host knows of the instance: whether it leads `term`, and whether it is leaving.
+    GatewayActions setRole(Millis now, std::uint64_t term, bool primary, bool leaving);
+    GatewayActions setQuota(Millis now, int quota);
+    // Graceful shutdown: takes no new work; what is here ends normally.
+    void drain() { m_draining = true; }
+
+    // The newest sample of a primary, for the gateways of its replicas.
+    const Freshness &freshness() const { return m_freshness; }
+    Counters counters() const;
+    bool idle() const { return m_works.empty() && m_transactions.empty(); }
+
+private:
+    enum class ConnectionState {
+        Opening,
+        Idle,
+        Pinging, // Checked before `work` is sent.
+        Running,
+        Pinned, // Idle inside a transaction.
+    };
+
+    struct Connection
+    {
+        ConnectionState state = ConnectionState::Opening;
+        std::uint64_t work = 0;
+        TargetStep step = TargetStep::Execute;
+        std::string transaction; // Non-empty while pinned.
+        Millis idleSince;
+    };
+
+    struct WorkState
+    {
+        Work work;
+        Millis arrived;
+        std::optional<WorkReply> held; // Waits for acknowledgement.
+        bool waitingForData = false;   // For the replica to catch up, or for a sample.
+        Millis waitUntil;
+    };
+
+    Cause refusal(Millis now, const Work &work) const;
+    bool tooLate(Millis now, const Work &work) const;
+    bool hasData(Millis now, const Work &work) const;
+    void waitForData(Millis now, WorkState *state);
+    void refreshSample(Millis now, Millis maxAge);
+    void enqueue(Millis now, std::uint64_t id);
+    void pump(Millis now);
+    Connection *idleConnection(std::uint64_t *id);
+    void openMore(Millis now);
+    void assign(Millis now, std::uint64_t connection, std::uint64_t work);
+    void start(Millis now, std::uint64_t connection, std::uint64_t work);
+    void call(Millis now, std::uint64_t connection, TargetStep step, const Work &work);
+    void continueTransaction(Millis now, const Work &work);
+    void finishStep(Millis now, std::uint64_t connection, const TargetAnswer &answer);
+    void finishFailed(std::uint64_t connection, std::uint64_t work, const TargetAnswer &answer);
+    void finishExecuted(Millis now, std::uint64_t connection, std::uint64_t work,
+                        const TargetAnswer &answer);
+    void finishRead(Millis now, std::uint64_t work, const TargetAnswer &answer);
+    void finishLedger(std::uint64_t work, const TargetAnswer &answer);
+    void pin(std::uint64_t connection, std::uint64_t work, const TargetAnswer &answer);
+    void release(Millis now, std::uint64_t connection);
+    void discard(std::uint64_t connection);
+    void holdOrReply(std::uint64_t work, const WorkReply &reply);
+    void releaseConfirmed();
+    void failHeld(std::uint64_t belowTerm);
+    void reply(std::uint64_t work, WorkReply reply);
+    void refuse(std::uint64_t work, Cause cause);
+    void retryWaiting(Millis now);
+    void expire(Millis now);
+    void closeSurplus(Millis now);
+    void poll(Millis delay);
+    std::size_t busy() const;
+    GatewayActions takeActions();
+
+    Options m_options;
+    ClassQueue m_queue;
+    Confirmation m_confirmation;
+    Freshness m_freshness;
+    std::map<std::uint64_t, Connection> m_connections;
+    std::map<std::uint64_t, WorkState> m_works;
+    std::map<std::string, std::uint64_t> m_transactions; // To connections.
+    std::set<std::uint64_t> m_held;                      // Works with a held reply.
+    std::set<std::uint64_t> m_waiting;                   // Works that wait for data.
+    GatewayActions m_actions;
+    std::uint64_t m_lastConnection = 0;
+    std::uint64_t m_lastTransaction = 0;
+    std::uint64_t m_term = 0;
+    bool m_primary = false;
+    bool m_leaving = false;
+    bool m_draining = false;
+    bool m_polling = false;
+    Position m_known;       // The instance's last entry, as last heard.
+    double m_serviceMs = 1; // Moving average of a statement's time at the instance.
+    std::map<std::uint64_t, Millis> m_startedAt; // Running statements by connection.
+    Millis m_nextFetch;
+    Millis m_openBackoff;
+    Millis m_openAfter;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/connection/http.cpp
@@ -0,0 +1,509 @@
+#include "connection/http.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+#include <atomic>
+#include <charconv>
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
+// Unacknowledged data for this long closes a connection that has gone silent.
+constexpr int UserTimeoutMs = 10'000;
+
+void setSocketOptions(tcp::socket *socket)
+{
+    error_code ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket->set_option(UserTimeout(UserTimeoutMs), ignored);
+}
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    for (char &c : lower)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return lower;
+}
+
+template <typename Message> HttpHeaders headersOf(const Message &message)
+{
+    HttpHeaders headers;
+    for (const auto &field : message.base())
+        headers[lowerCase(field.name_string())] = std::string(field.value());
+    return headers;
+}
+
+class ServerImpl;
+
+class ServerSession : public std::enable_shared_from_this<ServerSession>
+{
+public:
+    ServerSession(tcp::socket socket, std::shared_ptr<ServerImpl> server, std::uint64_t id);
+    ~ServerSession();
+    ServerSession(const ServerSession &) = delete;
+    ServerSession &operator=(const ServerSession &) = delete;
+
+    void start();
+    void closeWhenIdle();
+
+private:
+    void read();
+    void onRead(const error_code &error);
+    void write(HttpResponse response);
+    void close();
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<http::request_parser<http::string_body>> m_parser;
+    std::shared_ptr<ServerImpl> m_server;
+    std::uint64_t m_id;
+    bool m_handling = false;
+    bool m_closing = false;
+};
+
+class ServerImpl : public HttpServer, public std::enable_shared_from_this<ServerImpl>
+{
+public:
+    ServerImpl(EventLoop *loop, HttpHandler handler)
+        : m_loop(loop)
+        , m_acceptor(asio::make_strand(*loop->context()))
+        , m_handler(std::move(handler))
+    {
+    }
+
+    bool bind(const Endpoint &endpoint, Reason *reason)
+    {
+        error_code error;
+        const auto address = asio::ip::make_address(endpoint.address, error);
+        const tcp::endpoint local(address, endpoint.port);
+        if (!error)
+            m_acceptor.open(local.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(local, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error) {
+            setReason(reason, "cannot listen on " + endpoint.text() + ": " + error.message());
+            return false;
+        }
+        m_endpoint = {endpoint.address, m_acceptor.local_endpoint().port()};
+        return true;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept(
+            asio::make_strand(*m_loop->context()),
+            [self = shared_from_this()](const error_code &error, tcp::socket socket) {
+                if (!self->m_acceptor.is_open())
+                    return;
+                if (!error)
+                    self->startSession(std::move(socket));
+                self->accept();
+            });
+    }
+
+    Endpoint endpoint() const override { return m_endpoint; }
+    void onClosed(std::function<void(std::uint64_t)> function) override
+    {
+        m_onClosed = std::move(function);
+    }
+    void stopAccepting() override
+    {
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->m_acceptor.close(ignored);
+            for (const auto &session : self->m_sessions) {
+                if (auto live = session.second.lock())
+                    live->closeWhenIdle();
+            }
+        });
+    }
+    int activeRequests() const override { return m_active; }
+    int connections() const override { return m_open; }
+
+    void handle(const HttpRequest &request, Respond respond)
+    {
+        m_handler(request, std::move(respond));
+    }
+    void requestStarted() { ++m_active; }
+    void requestFinished() { --m_active; }
+    void sessionClosed(std::uint64_t id)
+    {
+        --m_open;
+        if (m_onClosed)
+            m_onClosed(id);
+        asio::post(m_acceptor.get_executor(),
+                   [self = shared_from_this(), id] { self->m_sessions.erase(id); });
+    }
+
+private:
+    void startSession(tcp::socket socket)
+    {
+        setSocketOptions(&socket);
+        const std::uint64_t id = ++m_lastId;
+        auto session = std::make_shared<ServerSession>(std::move(socket), shared_from_this(), id);
+        m_sessions[id] = session;
+        ++m_open;
+        session->start();
+    }
+
+    EventLoop *m_loop;
+    tcp::acceptor m_acceptor;
+    HttpHandler m_handler;
+    Endpoint m_endpoint;
+    std::function<void(std::uint64_t)> m_onClosed;
+    std::map<std::uint64_t, std::weak_ptr<ServerSession>> m_sessions; // On the acceptor's strand.
+    std::uint64_t m_lastId = 0;
+    std::atomic<int> m_active = 0;
+    std::atomic<int> m_open = 0;
+};
+
+// Keeps a listening server alive for its owner and shuts it down with it.
+class ServerHandle : public HttpServer
+{
+public:
+    explicit ServerHandle(std::shared_ptr<ServerImpl> impl)
+        : m_impl(std::move(impl))
+    {
+    }
+    ~ServerHandle() override { m_impl->stopAccepting(); }
+    ServerHandle(const ServerHandle &) = delete;
+    ServerHandle &operator=(const ServerHandle &) = delete;
+
+    Endpoint endpoint() const override { return m_impl->endpoint(); }
+    void onClosed(std::function<void(std::uint64_t)> function) override
+    {
+        m_impl->onClosed(std::move(function));
+    }
+    void stopAccepting() override { m_impl->stopAccepting(); }
+    int activeRequests() const override { return m_impl->activeRequests(); }
+    int connections() const override { return m_impl->connections(); }
+
+private:
+    std::shared_ptr<ServerImpl> m_impl;
+};
+
+ServerSession::ServerSession(tcp::socket socket, std::shared_ptr<ServerImpl> server,
+                             std::uint64_t id)
+    : m_stream(std::move(socket))
+    , m_server(std::move(server))
+    , m_id(id)
+{
+}
+
+ServerSession::~ServerSession()
+{
+    m_server->sessionClosed(m_id);
+}
+
+void ServerSession::start()
+{
+    asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->read(); });
+}
+
+void ServerSession::closeWhenIdle()
+{
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+        self->m_closing = true;
+        // A request may be arriving; the read is cut only if nothing of it is here yet.
+        if (!self->m_handling && self->m_buffer.size() == 0)
+            self->close();
+    });
+}
+
+void ServerSession::read()
+{
+    m_parser = std::make_unique<http::request_parser<http::string_body>>();
+    m_parser->body_limit(MaxBodyBytes);
+    http::async_read(
+        m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](const error_code &error, std::size_t) { self->onRead(error); });
+}
+
+void ServerSession::onRead(const error_code &error)
+{
+    if (error) {
+        close();
+        return;
+    }
+    auto &message = m_parser->get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = headersOf(message);
+    request.body = std::move(message.body());
+    request.connection = m_id;
+    m_closing = m_closing || !message.keep_alive();
+    m_handling = true;
+    m_server->requestStarted();
+    m_server->handle(request, [self = shared_from_this()](HttpResponse response) {
+        asio::post(self->m_stream.get_executor(), [self, response = std::move(response)]() mutable {
+            self->write(std::move(response));
+        });
+    });
+}
+
+void ServerSession::write(HttpResponse response)
+{
+    m_closing = m_closing || response.close;
+    auto message = std::make_shared<http::response<http::string_body>>();
+    message->version(11);
+    message->result(static_cast<unsigned>(response.status));
+    message->set(http::field::content_type, "application/json");
+    for (const auto &header : response.headers)
+        message->set(header.first, header.second);
+    message->body() = std::move(response.body);
+    message->keep_alive(!m_closing);
+    message->prepare_payload();
+    http::async_write(m_stream, *message,
+                      [self = shared_from_this(), message](const error_code &error, std::size_t) {
+                          self->m_server->requestFinished();
+                          self->m_handling = false;
+                          if (error || self->m_closing)
+                              self->close();
+                          else
+                              self->read();
+                      });
+}
+
+void ServerSession::close()
+{
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    m_stream.socket().close(ignored);
+}
+
+class ConnectionImpl : public HttpConnection, public std::enable_shared_from_this<ConnectionImpl>
+{
+public:
+    ConnectionImpl(EventLoop *loop, Endpoint endpoint)
+        : m_stream(asio::make_strand(*loop->context()))
+        , m_endpoint(std::move(endpoint))
+    {
+    }
+
+    void connect(Millis timeout, Opened opened)
+    {
+        error_code error;
+        const auto address = asio::ip::make_address(m_endpoint.address, error);
+        if (error) {
+            Reason reason;
+            reason.set(m_endpoint.address + " is not an IP address");
+            opened(nullptr, reason);
+            return;
+        }
+        m_stream.expires_after(std::chrono::milliseconds(timeout.count()));
+        m_stream.async_connect(
+            tcp::endpoint(address, m_endpoint.port),
+            [self = shared_from_this(), opened = std::move(opened)](const error_code &e) {
+                Reason reason;
+                if (e) {
+                    reason.set("cannot connect to " + self->m_endpoint.text() + ": " + e.message());
+                    opened(nullptr, reason);
+                    return;
+                }
+                setSocketOptions(&self->m_stream.socket());
+                opened(self, reason);
+            });
+    }
+
+    void call(const HttpRequest &request, Millis timeout, CallDone done) override
+    {
+        auto message = std::make_shared<http::request<http::string_body>>();
+        message->version(11);
+        message->method_string(request.method);
+        message->target(request.target);
+        message->set(http::field::host, m_endpoint.text());
+        message->set(http::field::content_type, "application/json");
+        for (const auto &header : request.headers)
+            message->set(header.first, header.second);
+        message->body() = request.body;
+        message->keep_alive(true);
+        message->prepare_payload();
+        // Posted, so that `done` never runs inside the caller's call().
+        asio::post(m_stream.get_executor(),
+                   [self = shared_from_this(), message, timeout, done = std::move(done)]() mutable {
+                       self->write(message, timeout, std::move(done));
+                   });
+    }
+
+    void close() override
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->m_stream.socket().close(ignored);
+        });
+    }
+
+private:
+    using Message = std::shared_ptr<http::request<http::string_body>>;
+
+    void write(const Message &message, Millis timeout, CallDone done)
+    {
+        if (!m_stream.socket().is_open()) {
+            done(std::nullopt, {.sent = false, .text = "the connection is closed"});
+            return;
+        }
+        m_stream.expires_after(std::chrono::milliseconds(timeout.count()));
+        http::async_write(m_stream, *message,
+                          [self = shared_from_this(), message,
+                           done = std::move(done)](const error_code &error, std::size_t) mutable {
+                              if (error)
+                                  self->fail(error, done);
+                              else
+                                  self->read(std::move(done));
+                          });
+    }
+
+    void read(CallDone done)
+    {
+        auto parser = std::make_shared<http::response_parser<http::string_body>>();
+        parser->body_limit(MaxBodyBytes);
+        http::async_read(m_stream, m_buffer, *parser,
+                         [self = shared_from_this(), parser,
+                          done = std::move(done)](const error_code &error, std::size_t) {
+                             if (error) {
+                                 self->fail(error, done);
+                                 return;
+                             }
+                             self->finish(&parser->get(), done);
+                         });
+    }
+
+    void finish(http::response<http::string_body> *message, const CallDone &done)
+    {
+        m_stream.expires_never();
+        HttpResponse response;
+        response.status = static_cast<int>(message->result_int());
+        response.headers = headersOf(*message);
+        response.body = std::move(message->body());
+        if (!message->keep_alive()) {
+            error_code ignored;
+            m_stream.socket().close(ignored);
+        }
+        done(std::move(response), {});
+    }
+
+    void fail(const error_code &error, const CallDone &done)
+    {
+        error_code ignored;
+        m_stream.socket().close(ignored);
+        const bool timeout = error == beast::error::timeout;
+        done(std::nullopt, {.sent = true, .timeout = timeout, .text = error.message()});
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    Endpoint m_endpoint;
+};
+
+} // namespace
+
+std::string_view targetPath(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::optional<std::string> queryValue(std::string_view target, std::string_view name)
+{
+    std::size_t start = target.find('?');
+    while (start != std::string_view::npos) {
+        const std::size_t end = target.find('&', start + 1);
+        const std::string_view pair = target.substr(start + 1, end - start - 1);
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            std::string value;
+            for (std::size_t i = equals + 1; i < pair.size(); ++i) {
+                int code = 0;
+                if (pair[i] == '%' && i + 2 < pair.size()) {
+                    std::from_chars(pair.data() + i + 1, pair.data() + i + 3, code, 16);
+                    value.push_back(static_cast<char>(code));
+                    i += 2;
+                } else {
+                    value.push_back(pair[i]);
+                }
+            }
+            return value;
+        }
+        start = end;
+    }
+    return std::nullopt;
+}
+
+std::string percentEncode(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view Unreserved = "-_.~";
+    std::string encoded;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) || Unreserved.find(c) != std::string_view::npos) {
+            encoded.push_back(c);
+            continue;
+        }
+        encoded.push_back('%');
+        encoded.push_back(Digits[byte >> 4U]);
+        encoded.push_back(Digits[byte & 15U]);
+    }
+    return encoded;
+}
+
+std::unique_ptr<HttpServer> HttpServer::listen(EventLoop *loop, const Endpoint &endpoint,
+                                               HttpHandler handler, Reason *reason)
+{
+    auto impl = std::make_shared<ServerImpl>(loop, std::move(handler));
+    if (!impl->bind(endpoint, reason))
+        return nullptr;
+    impl->accept();
+    return std::make_unique<ServerHandle>(impl);
+}
+
+void HttpConnection::open(EventLoop *loop, const Endpoint &endpoint, Millis timeout, Opened opened)
+{
+    std::make_shared<ConnectionImpl>(loop, endpoint)->connect(timeout, std::move(opened));
+}
+
+void callOnce(EventLoop *loop, const Endpoint &endpoint, const HttpRequest &request, Millis timeout,
+              CallDone done)
+{
+    const SteadyClock clock;
+    const Millis deadline = clock.now() + timeout;
+    HttpConnection::open(loop, endpoint, timeout,
+                         [request, deadline, done = std::move(done)](
+                             const std::shared_ptr<HttpConnection> &opened, const Reason &reason) {
+                             if (!opened) {
+                                 done(std::nullopt, {.sent = false, .text = reason.text()});
+                                 return;
+                             }
+                             const Millis left
+                                 = std::max(Millis(1), deadline - SteadyClock().now());
+                             opened->call(request, left,
+                                          [opened, done](std::optional<HttpResponse> response,
+                                                         const CallFailure &f) {
+                                              opened->close();
+                                              done(std::move(response), f);
+                                          });
+                         });
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/connection/targetlink.cpp
@@ -0,0 +1,217 @@
+#include "connection/targetlink.h"
+
+#include "base/mutex.h"
+#include "connection/http.h"
+#include "connection/wire.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <map>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+const char *pathOf(TargetStep step)
+{
+    switch (step) {
+    case TargetStep::Begin:
+        return "/begin";
+    case TargetStep::Commit:
+        return "/commit";
+    case TargetStep::Rollback:
+        return "/rollback";
+    case TargetStep::Ping:
+        return "/ping";
+    case TargetStep::Execute:
+    case TargetStep::ReadLedger:
+        return "/execute";
+    }
+    return "/execute";
+}
+
+HttpRequest post(const std::string &from, const std::string &path, std::string body)
+{
+    return {
+        .method = "POST", .target = path, .headers = {{"x-from", from}}, .body = std::move(body)};
+}
+
+class ConnectionImpl : public TargetConnection
+{
+public:
+    ConnectionImpl(std::shared_ptr<HttpConnection> connection, std::string from)
+        : m_connection(std::move(connection))
+        , m_from(std::move(from))
+    {
+    }
+
+    void call(const TargetCall &call, Millis ledgerRetention, Done done) override
+    {
+        const std::string body = encodeTargetCall(call, timeOfDay() + ledgerRetention);
+        m_connection->call(post(m_from, pathOf(call.step), body), call.timeout,
+                           [call, done = std::move(done)](
+                               const std::optional<HttpResponse> &response, const CallFailure &f) {
+                               if (!response) {
+                                   done(std::nullopt, f.sent);
+                                   return;
+                               }
+                               done(decodeTargetAnswer(call, response->body, nullptr), true);
+                           });
+    }
+
+    void close() override { m_connection->close(); }
+
+private:
+    std::shared_ptr<HttpConnection> m_connection;
+    std::string m_from;
+};
+
+class LinkImpl : public TargetLink, public std::enable_shared_from_this<LinkImpl>
+{
+public:
+    LinkImpl(EventLoop *loop, std::string from)
+        : m_loop(loop)
+        , m_from(std::move(from))
+    {
+    }
+
+    void open(const Endpoint &endpoint, Millis timeout,
+              std::function<void(std::shared_ptr<TargetConnection>)> opened) override
+    {
+        HttpConnection::open(
+            m_loop, endpoint, timeout,
+            [from = m_from, timeout, opened = std::move(opened)](
+                const std::shared_ptr<HttpConnection> &connection, const Reason &) {
+                if (!connection) {
+                    opened(nullptr);
+                    return;
+                }
+                connection->call(
+                    post(from, "/connect", ""), timeout,
+                    [from, connection, opened](const std::optional<HttpResponse> &response,
+                                               const CallFailure &) {
+                        const bool admitted = response && response->status == 200;
+                        if (!admitted)
+                            connection->close();
+                        opened(admitted ? std::make_shared<ConnectionImpl>(connection, from)
+                                        : nullptr);
+                    });
+            });
+    }
+
+    void status(const Endpoint &endpoint, bool fresh, Millis timeout,
+                std::function<void(const std::optional<InstanceReport> &)> done) override
+    {
+        const HttpRequest request{.target = "/status", .headers = {{"x-from", m_from}}};
+        const auto finish = [done = std::move(done)](const std::optional<HttpResponse> &response,
+                                                     const CallFailure &) {
+            const bool ok = response && response->status == 200;
+            done(ok ? decodeReport(response->body, nullptr) : std::nullopt);
+        };
+        const std::shared_ptr<HttpConnection> kept = fresh ? nullptr : takeKept(endpoint);
+        if (kept) {
+            callAndKeep(endpoint, kept, request, timeout, finish);
+            return;
+        }
+        HttpConnection::open(m_loop, endpoint, timeout,
+                             [self = shared_from_this(), endpoint, request, timeout, finish](
+                                 const std::shared_ptr<HttpConnection> &opened, const Reason &) {
+                                 if (opened)
+                                     self->callAndKeep(endpoint, opened, request, timeout, finish);
+                                 else
+                                     finish(std::nullopt, {});
+                             });
+    }
+
+    void follow(const Endpoint &endpoint, std::uint64_t term, const std::string &primary,
+                Millis timeout,
+                std::function<void(const std::optional<SealAnswer> &)> done) override
+    {
+        boost::json::object body{{"term", term}};
+        if (!primary.empty())
+            body["primary"] = primary;
+        callOnce(m_loop, endpoint, post(m_from, "/follow", boost::json::serialize(body)), timeout,
+                 [done = std::move(done)](const std::optional<HttpResponse> &response,
+                                          const CallFailure &) {
+                     const auto object
+                         = response ? parseObject(response->body, nullptr) : std::nullopt;
+                     if (!object || response->status != 200) {
+                         done(std::nullopt);
+                         return;
+                     }
+                     SealAnswer answer;
+                     answer.accepted = flagMember(*object, "accepted");
+                     answer.term = static_cast<std::uint64_t>(numberMember(*object, "term"));
+                     answer.last = decodePosition(*object, "last");
+                     done(answer);
+                 });
+    }
+
+    void promote(const Endpoint &endpoint, std::uint64_t term, Millis timeout,
+                 std::function<void(const std::optional<bool> &)> done) override
+    {
+        const boost::json::object body{{"term", term}};
+        callOnce(m_loop, endpoint, post(m_from, "/promote", boost::json::serialize(body)), timeout,
+                 [done = std::move(done)](const std::optional<HttpResponse> &response,
+                                          const CallFailure &) {
+                     const auto object
+                         = response ? parseObject(response->body, nullptr) : std::nullopt;
+                     if (!object || response->status != 200)
+                         done(std::nullopt);
+                     else
+                         done(flagMember(*object, "accepted"));
+                 });
+    }
+
+private:
+    using Finish = std::function<void(const std::optional<HttpResponse> &, const CallFailure &)>;
+
+    std::shared_ptr<HttpConnection> takeKept(const Endpoint &endpoint)
+    {
+        MutexLock lock(&m_mutex);
+        const auto found = m_kept.find(endpoint);
+        if (found == m_kept.end())
+            return nullptr;
+        auto connection = std::move(found->second);
+        m_kept.erase(found);
+        return connection;
+    }
+
+    void callAndKeep(const Endpoint &endpoint, const std::shared_ptr<HttpConnection> &connection,
+                     const HttpRequest &request, Millis timeout, const Finish &finish)
+    {
+        connection->call(request, timeout,
+                         [self = shared_from_this(), endpoint, connection, finish](
+                             const std::optional<HttpResponse> &response, const CallFailure &f) {
+                             if (response)
+                                 self->keep(endpoint, connection);
+                             finish(response, f);
+                         });
+    }
+
+    void keep(const Endpoint &endpoint, const std::shared_ptr<HttpConnection> &connection)
+    {
+        MutexLock lock(&m_mutex);
+        std::shared_ptr<HttpConnection> &kept = m_kept[endpoint];
+        if (kept)
+            connection->close();
+        else
+            kept = connection;
+    }
+
+    EventLoop *m_loop;
+    std::string m_from;
+    Mutex m_mutex;
+    // One idle status connection to each instance.
+    std::map<Endpoint, std::shared_ptr<HttpConnection>> m_kept CICADAGAP_GUARDED_BY(m_mutex);
+};
+
+} // namespace
+
+std::shared_ptr<TargetLink> HttpTargetLink::create(EventLoop *loop, const std::string &from)
+{
+    return std::make_shared<LinkImpl>(loop, from);
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/connection/wire.cpp
@@ -0,0 +1,500 @@
+#include "connection/wire.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+const json::array &arrayMember(const json::object &object, std::string_view key)
+{
+    static const json::array none;
+    const json::value *member = object.if_contains(key);
+    const json::array *array = member ? member->if_array() : nullptr;
+    return array ? *array : none;
+}
+
+const json::object &objectMember(const json::object &object, std::string_view key)
+{
+    static const json::object none;
+    const json::value *member = object.if_contains(key);
+    const json::object *inner = member ? member->if_object() : nullptr;
+    return inner ? *inner : none;
+}
+
+std::uint64_t unsignedMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    if (!member)
+        return 0;
+    if (member->is_uint64())
+        return member->get_uint64();
+    return member->is_int64() ? static_cast<std::uint64_t>(member->get_int64()) : 0;
+}
+
+// 64-bit hashes travel as hexadecimal text, because JSON numbers lose bits elsewhere.
+std::string hexadecimal(std::uint64_t value)
+{
+    std::array<char, 16> buffer{};
+    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, 16).ptr;
+    return {buffer.data(), end};
+}
+
+std::uint64_t fromHexadecimal(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    return value;
+}
+
+std::string_view textOf(const json::value &value)
+{
+    const json::string *text = value.if_string();
+    return text ? std::string_view(text->data(), text->size()) : std::string_view();
+}
+
+// The JSON text of an operations array, or of "no operations".
+std::string_view orEmptyArray(const std::string &text)
+{
+    return text.empty() ? std::string_view("[]") : std::string_view(text);
+}
+
+std::string serializedMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    return member ? json::serialize(*member) : std::string();
+}
+
+json::object ledgerOperation(std::string_view kind, const std::string &id, const std::string &value)
+{
+    return {{"op", kind}, {"table", "cicadagap_ledger"}, {"key", id}, {"value", value}};
+}
+
+// Puts `operation` in front of the operations in `text`, which is a JSON array.
+std::string withFirst(const json::object &operation, std::string_view text)
+{
+    std::string joined = "[" + json::serialize(operation);
+    const std::string_view rest = text.substr(text.find('[') + 1);
+    const bool empty = rest.find_first_not_of(" \t\r\n") == rest.find(']');
+    return joined + (empty ? "" : ",") + std::string(rest);
+}
+
+} // namespace
+
+std::optional<json::object> parseObject(std::string_view text, Reason *reason)
+{
+    json::error_code error;
+    json::value value = json::parse(text, error);
+    if (error) {
+        setReason(reason, "not JSON: " + error.message());
+        return std::nullopt;
+    }
+    if (!value.is_object()) {
+        setReason(reason, "expected a JSON object");
+        return std::nullopt;
+    }
+    return std::move(value.as_object());
+}
+
+std::string textMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    return member ? std::string(textOf(*member)) : std::string();
+}
+
+std::int64_t numberMember(const json::object &object, std::string_view key, std::int64_t fallback)
+{
+    const json::value *member = object.if_contains(key);
+    return member && member->is_int64() ? member->get_int64() : fallback;
+}
+
+bool flagMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    return member && member->is_bool() && member->get_bool();
+}
+
+json::object encodePosition(Position position)
+{
+    return {{"term", position.term}, {"index", position.index}};
+}
+
+Position decodePosition(const json::object &object, std::string_view key)
+{
+    const json::object &position = objectMember(object, key);
+    return {unsignedMember(position, "term"), unsignedMember(position, "index")};
+}
+
+std::optional<InstanceReport> decodeReport(std::string_view text, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    InstanceReport report;
+    report.name = textMember(*object, "name");
+    report.primary = flagMember(*object, "primary");
+    report.leaving = flagMember(*object, "leaving");
+    report.term = unsignedMember(*object, "term");
+    report.following = textMember(*object, "following");
+    report.last = decodePosition(*object, "last");
+    for (const json::value &value : arrayMember(*object, "replicas")) {
+        if (!value.is_object())
+            continue;
+        const json::object &replica = value.get_object();
+        report.replicas.push_back({textMember(replica, "name"), unsignedMember(replica, "term"),
+                                   decodePosition(replica, "last"),
+                                   Millis(numberMember(replica, "heardMsAgo"))});
+    }
+    if (report.name.empty()) {
+        setReason(reason, "the status lacks a name");
+        return std::nullopt;
+    }
+    return report;
+}
+
+std::string encodeReport(const InstanceReport &report)
+{
+    json::array replicas;
+    for (const ReplicaSummary &replica : report.replicas) {
+        replicas.push_back(json::object{{"name", replica.name},
+                                        {"term", replica.term},
+                                        {"last", encodePosition(replica.last)},
+                                        {"heardMsAgo", replica.heardAgo.count()}});
+    }
+    return json::serialize(json::object{{"name", report.name},
+                                        {"primary", report.primary},
+                                        {"leaving", report.leaving},
+                                        {"term", report.term},
+                                        {"following", report.following},
+                                        {"last", encodePosition(report.last)},
+                                        {"replicas", std::move(replicas)}});
+}
+
+std::string encodeTargetCall(const TargetCall &call, Millis ledgerExpiry)
+{
+    std::string operations(orEmptyArray(call.operations));
+    if (call.step == TargetStep::ReadLedger)
+        operations = "[" + json::serialize(ledgerOperation("get", call.requestId, "")) + "]";
+    if (!call.ledgerValue.empty()) {
+        const std::string value = std::to_string(ledgerExpiry.count()) + " " + call.ledgerValue;
+        operations = withFirst(ledgerOperation("insert", call.requestId, value), operations);
+    }
+    return "{\"term\":" + std::to_string(call.term)
+        + ",\"readOnly\":" + (call.readOnly ? "true" : "false") + ",\"ops\":" + operations + "}";
+}
+
+std::optional<TargetAnswer> decodeTargetAnswer(const TargetCall &call, std::string_view text,
+                                               Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    TargetAnswer answer;
+    const std::string cause = textMember(*object, "cause");
+    if (!cause.empty())
+        answer.cause = CauseNames.value(cause).value_or(Cause::Invalid);
+    answer.position = decodePosition(*object, "last");
+    answer.ledgerConflict = answer.cause == Cause::Conflict && !call.ledgerValue.empty()
+        && numberMember(*object, "operation", -1) == 0;
+    if (answer.cause != Cause::None)
+        return answer;
+    if (call.step == TargetStep::ReadLedger) {
+        const json::array &results = arrayMember(*object, "results");
+        if (!results.empty() && results[0].is_object()) {
+            const json::array &values = arrayMember(results[0].get_object(), "values");
+            answer.ledgerValue = values.empty() ? "" : std::string(textOf(values[0]));
+        }
+        return answer;
+    }
+    if (call.ledgerValue.empty()) {
+        answer.results = serializedMember(*object, "results");
+        return answer;
+    }
+    // The ledger's own result is not the caller's.
+    json::array results = arrayMember(*object, "results");
+    if (!results.empty())
+        results.erase(results.begin());
+    answer.results = json::serialize(results);
+    return answer;
+}
+
+std::string encodeRoutedWork(const RoutedWork &routed)
+{
+    const Work &work = routed.work;
+    json::object object{{"team", routed.team},
+                        {"group", routed.group},
+                        {"instance", routed.instance},
+                        {"request", routed.request},
+                        {"budgetMs", routed.budget.count()},
+                        {"class", routed.className},
+                        {"kind", WorkKindNames.name(work.kind)}};
+    if (work.write)
+        object["write"] = true;
+    if (work.replica)
+        object["replica"] = true;
+    if (!work.operations.empty())
+        object["ops"] = work.operations;
+    if (!work.requestId.empty())
+        object["requestId"] = work.requestId;
+    if (work.required != Position{})
+        object["required"] = encodePosition(work.required);
+    if (work.maxAge)
+        object["maxAgeMs"] = work.maxAge->count();
+    if (!work.transaction.empty())
+        object["transaction"] = work.transaction;
+    return json::serialize(object);
+}
+
+std::optional<RoutedWork> decodeRoutedWork(std::string_view text, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    const auto kind = WorkKindNames.value(textMember(*object, "kind"));
+    if (!kind) {
+        setReason(reason, "the work lacks a kind");
+        return std::nullopt;
+    }
+    RoutedWork routed;
+    routed.team = textMember(*object, "team");
+    routed.group = textMember(*object, "group");
+    routed.instance = textMember(*object, "instance");
+    routed.request = textMember(*object, "request");
+    routed.budget = Millis(numberMember(*object, "budgetMs"));
+    routed.className = textMember(*object, "class");
+    routed.work.kind = *kind;
+    routed.work.write = flagMember(*object, "write");
+    routed.work.replica = flagMember(*object, "replica");
+    routed.work.operations = textMember(*object, "ops");
+    routed.work.requestId = textMember(*object, "requestId");
+    routed.work.required = decodePosition(*object, "required");
+    if (object->contains("maxAgeMs"))
+        routed.work.maxAge = Millis(numberMember(*object, "maxAgeMs"));
+    routed.work.transaction = textMember(*object, "transaction");
+    return routed;
+}
+
+std::string encodeReply(const WorkReply &reply)
+{
+    json::object object{{"verdict", VerdictNames.name(reply.verdict)},
+                        {"cause", CauseNames.name(reply.cause)},
+                        {"position", encodePosition(reply.position)}};
+    if (!reply.results.empty())
+        object["results"] = reply.results;
+    if (!reply.transaction.empty())
+        object["transaction"] = reply.transaction;
+    if (reply.duplicate)
+        object["duplicate"] = true;
+    return json::serialize(object);
+}
+
+std::optional<WorkReply> decodeReply(std::string_view text, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    const auto verdict = VerdictNames.value(textMember(*object, "verdict"));
+    const auto cause = CauseNames.value(textMember(*object, "cause"));
+    if (!verdict || !cause) {
+        setReason(reason, "the reply lacks a verdict or a cause");
+        return std::nullopt;
+    }
+    WorkReply reply;
+    reply.verdict = *verdict;
+    reply.cause = *cause;
+    reply.results = textMember(*object, "results");
+    reply.position = decodePosition(*object, "position");
+    reply.transaction = textMember(*object, "transaction");
+    reply.duplicate = flagMember(*object, "duplicate");
+    return reply;
+}
+
+json::object encodeRecord(const Record &record)
+{
+    return {{"key", record.key}, {"version", record.version}, {"body", record.body}};
+}
+
+std::optional<Record> decodeRecord(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    if (!object)
+        return std::nullopt;
+    Record record;
+    record.key = textMember(*object, "key");
+    record.version = unsignedMember(*object, "version");
+    record.body = textMember(*object, "body");
+    if (record.key.empty())
+        return std::nullopt;
+    return record;
+}
+
+std::string encodeGossip(const std::string &from, const GossipMessage &message)
+{
+    json::object object{{"from", from},
+                        {"kind", GossipKindNames.name(message.kind)},
+                        {"hash", hexadecimal(message.hash)}};
+    if (message.digest) {
+        json::array digest;
+        for (const std::uint64_t bucket : *message.digest)
+            digest.emplace_back(hexadecimal(bucket));
+        object["digest"] = std::move(digest);
+    }
+    if (!message.ids.empty()) {
+        json::array ids;
+        for (const RecordId &id : message.ids)
+            ids.push_back(json::array{id.key, id.version});
+        object["ids"] = std::move(ids);
+    }
+    if (!message.records.empty()) {
+        json::array records;
+        for (const Record &record : message.records)
+            records.push_back(encodeRecord(record));
+        object["records"] = std::move(records);
+    }
+    return json::serialize(object);
+}
+
+std::optional<GossipMessage> decodeGossip(std::string_view text, std::string *from, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    const auto kind = GossipKindNames.value(textMember(*object, "kind"));
+    *from = textMember(*object, "from");
+    if (!kind || from->empty()) {
+        setReason(reason, "the message lacks a kind or a sender");
+        return std::nullopt;
+    }
+    GossipMessage message;
+    message.kind = *kind;
+    message.hash = fromHexadecimal(textMember(*object, "hash"));
+    const json::array &digest = arrayMember(*object, "digest");
+    if (digest.size() == RecordStore::BucketCount) {
+        message.digest.emplace();
+        for (std::size_t i = 0; i < digest.size(); ++i)
+            message.digest->at(i) = fromHexadecimal(textOf(digest[i]));
+    }
+    for (const json::value &value : arrayMember(*object, "ids")) {
+        const json::array *pair = value.if_array();
+        if (pair && pair->size() == 2 && (*pair)[1].is_number())
+            message.ids.push_back(
+                {std::string(textOf((*pair)[0])), (*pair)[1].to_number<std::uint64_t>()});
+    }
+    for (const json::value &value : arrayMember(*object, "records")) {
+        if (auto record = decodeRecord(value))
+            message.records.push_back(std::move(*record));
+    }
+    return message;
+}
+
+std::string encodeHost(const HostInfo &host)
+{
+    return json::serialize(json::object{{"name", host.name},
+                                        {"dataCentre", host.dataCentre},
+                                        {"callers", host.callers},
+                                        {"peers", host.peers},
+                                        {"steward", host.steward},
+                                        {"incarnation", host.incarnation},
+                                        {"state", HostStateNames.name(host.state)}});
+}
+
+std::optional<HostInfo> decodeHost(std::string_view text, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    HostInfo host;
+    host.name = textMember(*object, "name");
+    host.dataCentre = textMember(*object, "dataCentre");
+    host.callers = textMember(*object, "callers");
+    host.peers = textMember(*object, "peers");
+    host.steward = textMember(*object, "steward");
+    host.incarnation = unsignedMember(*object, "incarnation");
+    host.state = HostStateNames.value(textMember(*object, "state")).value_or(HostState::Alive);
+    if (host.name.empty()) {
+        setReason(reason, "the host lacks a name");
+        return std::nullopt;
+    }
+    return host;
+}
+
+std::string primaryKey(const std::string &team, const std::string &group)
+{
+    return "primary/" + team + "/" + group;
+}
+
+std::string encodePrimary(const std::string &instance)
+{
+    return json::serialize(json::object{{"instance", instance}});
+}
+
+std::string decodePrimary(std::string_view text)
+{
+    const auto object = parseObject(text, nullptr);
+    return object ? textMember(*object, "instance") : std::string();
+}
+
+std::string settingsKey(const std::string &team)
+{
+    return "settings/" + team;
+}
+
+std::string leavingKey(const std::string &team, const std::string &instance)
+{
+    return "leaving/" + team + "/" + instance;
+}
+
+std::string encodeLeaving(bool leaving)
+{
+    return json::serialize(json::object{{"leaving", leaving}});
+}
+
+bool decodeLeaving(std::string_view text)
+{
+    const auto object = parseObject(text, nullptr);
+    return object && flagMember(*object, "leaving");
+}
+
+std::string encodeViewPush(const ViewPush &push)
+{
+    json::array records;
+    for (const Record &record : push.records)
+        records.push_back(encodeRecord(record));
+    return json::serialize(json::object{{"hash", hexadecimal(push.hash)},
+                                        {"settingsAgeMs", push.settingsAge.count()},
+                                        {"records", std::move(records)}});
+}
+
+std::optional<ViewPush> decodeViewPush(std::string_view text, Reason *reason)
+{
+    const auto object = parseObject(text, reason);
+    if (!object)
+        return std::nullopt;
+    ViewPush push;
+    push.hash = fromHexadecimal(textMember(*object, "hash"));
+    push.settingsAge = Millis(numberMember(*object, "settingsAgeMs"));
+    for (const json::value &value : arrayMember(*object, "records")) {
+        if (auto record = decodeRecord(value))
+            push.records.push_back(std::move(*record));
+    }
+    return push;
+}
+
+std::string encodeHash(std::uint64_t hash)
+{
+    return json::serialize(json::object{{"hash", hexadecimal(hash)}});
+}
+
+std::uint64_t decodeHash(std::string_view text)
+{
+    const auto object = parseObject(text, nullptr);
+    return object ? fromHexadecimal(textMember(*object, "hash")) : 0;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/process/log.h
@@ -0,0 +1,66 @@
+// Structured logs: one JSON object a line on standard error, through log4cplus.
+//
+//     logEvent(LogLevel::Info, "statement.answered", {{"request", id}, {"verdict", "ran"}});
+//
+// prints
+//
+//     {"at":1764825731000,"level":"info","program":"cicadagapd","host":"a1","event":...}
+#pragma once
+
+#include "base/names.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace cicadagap {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+inline constexpr NameTable<LogLevel, 4> LogLevelNames{{{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}}};
+
+struct LogOptions
+{
+    std::string program;
+    std::string host;
+    LogLevel level = LogLevel::Info;
+};
+
+// One member of a log line.
+struct LogField
+{
+    LogField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(boost::json::string_view(text.data(), text.size()))
+    {
+    }
+    LogField(std::string_view fieldName, std::int64_t number)
+        : name(fieldName)
+        , value(number)
+    {
+    }
+
+    std::string_view name;
+    boost::json::value value;
+};
+
+// Starts logging. Call once, before any thread logs.
+void startLog(const LogOptions &options);
+
+// Writes one line. `event` is a stable dotted name; docs/OPERATING.md lists them. Thread-safe.
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,188 @@
+#include "process/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr std::uint64_t StatesPerIncarnation = 4;
+
+} // namespace
+
+std::string hostKey(const std::string &name)
+{
+    return "host/" + name;
+}
+
+std::uint64_t hostVersion(const HostInfo &host)
+{
+    return host.incarnation * StatesPerIncarnation + static_cast<std::uint64_t>(host.state);
+}
+
+Membership::Membership(Options options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+{
+}
+
+std::optional<HostInfo> Membership::onHost(Millis now, const HostInfo &host)
+{
+    HostInfo &self = m_options.self;
+    if (host.name == self.name) {
+        if (hostVersion(host) <= hostVersion(self))
+            return std::nullopt;
+        self.incarnation = host.incarnation + 1;
+        return self;
+    }
+    const auto found = m_hosts.find(host.name);
+    if (found == m_hosts.end()) {
+        // A death of a host never heard of is old news; taking it would keep it alive for ever.
+        if (host.state != HostState::Dead)
+            m_hosts[host.name] = Entry{host, 0, Millis()};
+        return std::nullopt;
+    }
+    Entry &entry = found->second;
+    if (hostVersion(host) <= hostVersion(entry.host))
+        return std::nullopt;
+    if (host.state == HostState::Dead && entry.host.state != HostState::Dead)
+        entry.deadSince = now;
+    entry.host = host;
+    entry.failures = 0;
+    return std::nullopt;
+}
+
+std::vector<HostInfo> Membership::onPlatformList(Millis now, const std::vector<HostInfo> &listed)
+{
+    std::vector<HostInfo> publish;
+    for (const HostInfo &host : listed) {
+        if (host.name == m_options.self.name)
+            continue;
+        const auto found = m_hosts.find(host.name);
+        if (found == m_hosts.end()) {
+            onHost(now, host);
+            continue;
+        }
+        // The list lags, so it never revives a host; it may announce that one is leaving.
+        HostInfo &known = found->second.host;
+        if (host.state == HostState::Leaving && known.state == HostState::Alive) {
+            known.state = HostState::Leaving;
+            publish.push_back(known);
+        }
+    }
+    return publish;
+}
+
+std::optional<HostInfo> Membership::onProbe(Millis now, const ProbeRequest &probe, bool reached)
+{
+    const auto found = m_hosts.find(probe.target);
+    if (found == m_hosts.end() || found->second.host.state == HostState::Dead)
+        return std::nullopt;
+    Entry &entry = found->second;
+    if (reached) {
+        entry.failures = 0;
+        return std::nullopt;
+    }
+    ++entry.failures;
+    const bool confirmed = !probe.via.empty() || secondOpinion(probe.target).empty();
+    if (entry.failures <= m_options.failuresBeforeSecondOpinion || !confirmed)
+        return std::nullopt;
+    entry.host.state = HostState::Dead;
+    entry.deadSince = now;
+    return entry.host;
+}
+
+std::vector<ProbeRequest> Membership::onTick(Millis now)
+{
+    for (auto it = m_hosts.begin(); it != m_hosts.end();) {
+        const Entry &entry = it->second;
+        const bool dead = entry.host.state == HostState::Dead;
+        if (dead && now - entry.deadSince >= m_options.forgetDeadAfter) {
+            m_forgotten.push_back(it->first);
+            it = m_hosts.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    if (now < m_nextProbe)
+        return {};
+    m_nextProbe = now + m_options.probeInterval;
+    std::vector<ProbeRequest> probes;
+    for (const std::string &target : neighbours()) {
+        const bool doubtful = m_hosts.at(target).failures >= m_options.failuresBeforeSecondOpinion;
+        probes.push_back({target, doubtful ? secondOpinion(target) : std::string()});
+    }
+    return probes;
+}
+
+HostInfo Membership::leave()
+{
+    m_options.self.state = HostState::Leaving;
+    return m_options.self;
+}
+
+std::vector<HostInfo> Membership::hosts() const
+{
+    std::vector<HostInfo> hosts{m_options.self};
+    for (const auto &entry : m_hosts) {
+        if (entry.second.host.state != HostState::Dead)
+            hosts.push_back(entry.second.host);
+    }
+    std::sort(hosts.begin(), hosts.end(),
+              [](const HostInfo &left, const HostInfo &right) { return left.name < right.name; });
+    return hosts;
+}
+
+std::vector<std::string> Membership::aliveIn(const std::string &dataCentre) const
+{
+    std::vector<std::string> names;
+    for (const HostInfo &host : hosts()) {
+        if (host.state == HostState::Alive && host.dataCentre == dataCentre)
+            names.push_back(host.name);
+    }
+    return names;
+}
+
+const HostInfo *Membership::find(const std::string &name) const
+{
+    if (name == m_options.self.name)
+        return &m_options.self;
+    const auto found = m_hosts.find(name);
+    return found == m_hosts.end() ? nullptr : &found->second.host;
+}
+
+std::vector<std::string> Membership::takeForgotten()
+{
+    return std::exchange(m_forgotten, {});
+}
+
+std::vector<std::string> Membership::neighbours() const
+{
+    std::vector<std::string> ring;
+    for (const auto &entry : m_hosts) {
+        const HostInfo &host = entry.second.host;
+        if (host.state != HostState::Dead && host.dataCentre == m_options.self.dataCentre)
+            ring.push_back(host.name);
+    }
+    // The ring is in name order; it starts behind this host.
+    const auto start = std::upper_bound(ring.begin(), ring.end(), m_options.self.name);
+    std::rotate(ring.begin(), start, ring.end());
+    if (ring.size() > static_cast<std::size_t>(m_options.neighbours))
+        ring.resize(static_cast<std::size_t>(m_options.neighbours));
+    return ring;
+}
+
+std::string Membership::secondOpinion(const std::string &target)
+{
+    std::vector<std::string> candidates;
+    for (const auto &entry : m_hosts) {
+        const HostInfo &host = entry.second.host;
+        if (host.state == HostState::Alive && host.name != target && entry.second.failures == 0
+            && host.dataCentre == m_options.self.dataCentre)
+            candidates.push_back(host.name);
+    }
+    return candidates.empty() ? std::string() : candidates[m_random.below(candidates.size())];
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap-load/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/programs/cicadagap-steward/main.cpp
@@ -0,0 +1,77 @@
+// cicadagap-steward: control on one host: settings, hosts, primaries.
+#include "process/log.h"
+#include "steward.h"
+#include "version/settingsreader.h"
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+using namespace cicadagap;
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitFailed = 1;
+constexpr Millis LeaveNotice(300); // Time for the news of leaving to go out.
+
+int run(const std::string &file)
+{
+    std::ifstream input(file);
+    if (!input) {
+        std::cerr << file << ": cannot be read\n";
+        return ExitFailed;
+    }
+    const std::string text(std::istreambuf_iterator<char>(input), {});
+    Problems problems;
+    const auto settings = readHostSettings(text, file, &problems);
+    for (const Problem &problem : problems)
+        std::cerr << problem.text() << '\n';
+    if (!settings)
+        return ExitUsage;
+    startLog({.program = "cicadagap-steward",
+              .host = settings->host,
+              .level = *LogLevelNames.value(settings->logLevel)});
+    EventLoop loop({.threads = 1});
+    Steward steward(&loop, *settings);
+    Reason reason;
+    if (!steward.start(&reason)) {
+        std::cerr << reason.text() << '\n';
+        return ExitFailed;
+    }
+    loop.onSignal([&loop, &steward] {
+        steward.leave();
+        loop.after(LeaveNotice, [&loop] { loop.stop(); });
+    });
+    logEvent(LogLevel::Info, "steward.started", {{"listen", steward.endpoint().text()}});
+    loop.run();
+    logEvent(LogLevel::Info, "steward.stopped", {});
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        cxxopts::Options options(
+            "cicadagap-steward",
+            "Control on one host: learns settings, hosts and primaries, and "
+            "changes primaries that fail.\n"
+            "Exit codes: 0 stopped, 1 cannot start, 2 wrong usage or settings.");
+        auto add = options.add_options();
+        add("settings", "The host's settings file", cxxopts::value<std::string>());
+        add("help", "Print this text");
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help();
+            return 0;
+        }
+        return run(arguments["settings"].as<std::string>());
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << "; try --help\n";
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -0,0 +1,658 @@
+#include "steward.h"
+
+#include "base/hash.h"
+#include "process/log.h"
+#include "version/settingsreader.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis TickInterval(20);
+constexpr Millis CallTimeout(700);
+constexpr Millis PlatformTimeout(2000);
+constexpr Millis PushInterval(500); // Of an unchanged view, to find out what the daemon missed.
+constexpr Millis HostListInterval(2000);
+constexpr Millis SeedInterval(1000);
+constexpr std::size_t ReadersPerDataCentre = 2;
+constexpr std::size_t RecordsPerPush = 500;
+constexpr int ScanLimit = 200;
+constexpr Millis ProbePerWatched(30); // Stretches the probe interval with the number of groups.
+constexpr Millis MinProbeInterval(200);
+
+HostInfo selfInfo(const HostSettings &settings)
+{
+    HostInfo self;
+    self.name = settings.host;
+    self.dataCentre = settings.dataCentre;
+    self.callers = settings.callers;
+    self.peers = settings.peers;
+    self.steward = settings.steward;
+    self.incarnation = static_cast<std::uint64_t>(timeOfDay().count());
+    return self;
+}
+
+std::uint64_t seedOf(const HostSettings &settings)
+{
+    return hash64(settings.host, static_cast<std::uint64_t>(timeOfDay().count()));
+}
+
+std::string groupKey(const std::string &team, const std::string &group)
+{
+    return team + "/" + group;
+}
+
+} // namespace
+
+Steward::Steward(EventLoop *loop, HostSettings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_membership({.self = selfInfo(m_settings)}, seedOf(m_settings))
+    , m_gossip({.self = m_settings.host}, &m_records, seedOf(m_settings) + 1)
+    , m_feed({})
+{
+}
+
+bool Steward::start(Reason *reason)
+{
+    const auto listen = parseEndpoint(m_settings.steward, reason);
+    m_platform = HttpTableStore::create(m_loop, *parseEndpoint(m_settings.platform, reason));
+    m_targets = HttpTargetLink::create(m_loop, m_settings.host);
+    m_daemon = PeerLink::create(m_loop, *parseEndpoint(m_settings.peers, reason));
+    m_server = PeerServer::listen(
+        m_loop, *listen,
+        [this](const PeerRequest &request, const PeerRespond &respond) {
+            onCall(request, respond);
+        },
+        reason);
+    if (!m_server)
+        return false;
+    publishHost(m_membership.self());
+    m_loop->every(TickInterval, [this] { tick(); });
+    return true;
+}
+
+void Steward::leave()
+{
+    logEvent(LogLevel::Info, "host.leaving", {});
+    publishHost(m_membership.leave());
+}
+
+void Steward::onCall(const PeerRequest &request, const PeerRespond &respond)
+{
+    if (request.path == "/probe") {
+        probeFor(request.body, respond);
+        return;
+    }
+    if (request.path == "/gossip")
+        onGossip(request.body);
+    else if (request.path == "/vote")
+        onVote(request.body);
+    else if (request.path == "/hint")
+        onHint(request.body);
+    else if (request.path == "/leaving")
+        leave();
+    // Each answer tells how fresh this host's settings are, so the few readers' word travels.
+    respond(json::serialize(json::object{{"settingsAgeMs", settingsAge().count()}}));
+}
+
+void Steward::onGossip(const std::string &body)
+{
+    std::string from;
+    Reason reason;
+    const auto message = decodeGossip(body, &from, &reason);
+    if (!message) {
+        logEvent(LogLevel::Warning, "gossip.malformed", {{"reason", reason.text()}});
+        return;
+    }
+    std::vector<Record> changed;
+    const std::vector<GossipSend> answers = m_gossip.onMessage(from, *message, &changed);
+    for (const Record &record : changed)
+        onChanged(record);
+    sendGossip(answers);
+}
+
+void Steward::onVote(const std::string &body)
+{
+    const auto object = parseObject(body, nullptr);
+    if (!object)
+        return;
+    const std::string key = textMember(*object, "group");
+    const auto found = m_watched.find(key);
+    if (found == m_watched.end())
+        return;
+    run(key,
+        found->second.watch.onVote(m_clock.now(), textMember(*object, "dataCentre"),
+                                   static_cast<std::uint64_t>(numberMember(*object, "term")),
+                                   flagMember(*object, "suspect")));
+}
+
+void Steward::onHint(const std::string &body)
+{
+    const auto object = parseObject(body, nullptr);
+    if (!object)
+        return;
+    const std::string key = groupKey(textMember(*object, "team"), textMember(*object, "group"));
+    const auto found = m_watched.find(key);
+    if (found != m_watched.end()) {
+        run(key, found->second.watch.onHint(m_clock.now(), textMember(*object, "instance")));
+        return;
+    }
+    // Passed on once to the watchers; they may not have met the failure themselves.
+    const auto team = m_teams.find(textMember(*object, "team"));
+    if (team == m_teams.end() || flagMember(*object, "passed"))
+        return;
+    json::object passed = *object;
+    passed["passed"] = true;
+    const auto group = team->second.groups.find(textMember(*object, "group"));
+    if (group == team->second.groups.end())
+        return;
+    std::set<std::string> dataCentres;
+    for (const auto &instance : group->second.instances)
+        dataCentres.insert(instance.second.dataCentre);
+    for (const std::string &dataCentre : dataCentres) {
+        const auto order = rendezvousOrder(key, m_membership.aliveIn(dataCentre));
+        if (!order.empty())
+            send(order.front(), {"/hint", json::serialize(passed)}, nullptr);
+    }
+}
+
+void Steward::probeFor(const std::string &body, const PeerRespond &respond)
+{
+    const auto object = parseObject(body, nullptr);
+    const std::string target = object ? textMember(*object, "target") : std::string();
+    send(target, {"/ping", "{}"}, [respond](const std::optional<json::object> &answer) {
+        respond(json::serialize(json::object{{"reached", answer.has_value()}}));
+    });
+}
+
+void Steward::tick()
+{
+    const Millis now = m_clock.now();
+    probeNeighbours();
+    for (const std::string &name : m_membership.takeForgotten())
+        m_records.remove(hostKey(name));
+    if (m_assign) {
+        m_assign = false;
+        assignGroups();
+    }
+    runFeed(m_feed.onTick(now, readsPlatform()));
+    if (now >= m_nextHostList)
+        readHostList();
+    if (m_membership.hosts().size() == 1 && now >= m_nextSeeds)
+        askSeeds();
+    std::vector<std::string> keys;
+    for (const auto &entry : m_watched)
+        keys.push_back(entry.first);
+    for (const std::string &key : keys)
+        run(key, m_watched.at(key).watch.onTick(now));
+    sendGossip(m_gossip.onTick(now));
+    if (!m_toDaemon.empty() || now >= m_nextPush)
+        pushView();
+}
+
+void Steward::sendGossip(const std::vector<GossipSend> &sends)
+{
+    for (const GossipSend &item : sends)
+        send(item.to, {"/gossip", encodeGossip(m_settings.host, item.message)}, nullptr);
+}
+
+void Steward::send(const std::string &host, const PeerRequest &request, Answered answered)
+{
+    const std::shared_ptr<PeerLink> peer = link(host);
+    if (!peer) {
+        if (answered)
+            answered(std::nullopt);
+        return;
+    }
+    const Millis sentAt = m_clock.now();
+    peer->call(request, CallTimeout, [this, sentAt, answered](const PeerReply &reply) {
+        // Links run on their own strands of the same single thread, so no lock is needed.
+        const auto object
+            = reply.verdict == Verdict::Ran ? parseObject(reply.body, nullptr) : std::nullopt;
+        if (object && object->contains("settingsAgeMs")) {
+            const Millis confirmed = sentAt - Millis(numberMember(*object, "settingsAgeMs"));
+            m_settingsConfirmedAt = std::max(m_settingsConfirmedAt.value_or(confirmed), confirmed);
+        }
+        if (answered)
+            answered(object);
+    });
+}
+
+std::shared_ptr<PeerLink> Steward::link(const std::string &host)
+{
+    const HostInfo *info = m_membership.find(host);
+    return info ? linkTo(info->steward) : nullptr;
+}
+
+std::shared_ptr<PeerLink> Steward::linkTo(const std::string &address)
+{
+    std::shared_ptr<PeerLink> &peer = m_links[address];
+    if (!peer) {
+        const auto endpoint = parseEndpoint(address, nullptr);
+        if (endpoint)
+            peer = PeerLink::create(m_loop, *endpoint);
+    }
+    return peer;
+}
+
+void Steward::publish(const Record &record)
+{
+    if (m_gossip.publish(record))
+        onChanged(record);
+}
+
+void Steward::publishHost(const HostInfo &host)
+{
+    publish({hostKey(host.name), hostVersion(host), encodeHost(host)});
+}
+
+void Steward::onChanged(const Record &record)
+{
+    m_toDaemon.push_back(record);
+    if (record.key.starts_with("host/")) {
+        learnHost(record);
+    } else if (record.key.starts_with(SettingsPrefix)) {
+        Problems problems;
+        auto team = readTeamSettings(record.body, record.key, &problems);
+        for (const Problem &problem : problems)
+            logEvent(LogLevel::Error, "settings.rejected", {{"problem", problem.text()}});
+        if (team) {
+            const std::string name = team->team;
+            m_teams[name] = std::move(*team);
+            logEvent(LogLevel::Info, "settings.learnt",
+                     {{"team", name}, {"version", static_cast<std::int64_t>(record.version)}});
+        }
+        m_assign = true;
+    } else if (record.key.starts_with("primary/")) {
+        const std::string key = record.key.substr(record.key.find('/') + 1);
+        const std::string primary = decodePrimary(record.body);
+        const auto found = m_watched.find(key);
+        if (found != m_watched.end())
+            found->second.watch.onAnnounced(m_clock.now(), record.version, primary);
+    }
+}
+
+void Steward::learnHost(const Record &record)
+{
+    const auto host = decodeHost(record.body, nullptr);
+    if (!host)
+        return;
+    const auto refutation = m_membership.onHost(m_clock.now(), *host);
+    if (refutation)
+        publishHost(*refutation);
+    std::vector<std::string> peers;
+    for (const HostInfo &known : m_membership.hosts())
+        peers.push_back(known.name);
+    m_gossip.setPeers(std::move(peers));
+    m_assign = true;
+}
+
+void Steward::probeNeighbours()
+{
+    for (const ProbeRequest &request : m_membership.onTick(m_clock.now())) {
+        const auto settle = [this, request](bool reached) {
+            const auto dead = m_membership.onProbe(m_clock.now(), request, reached);
+            if (!dead)
+                return;
+            logEvent(LogLevel::Warning, "host.dead", {{"name", dead->name}});
+            publishHost(*dead);
+        };
+        if (request.via.empty()) {
+            send(request.target, {"/ping", "{}"},
+                 [settle](const std::optional<json::object> &answer) {
+                     settle(answer.has_value());
+                 });
+            continue;
+        }
+        const std::string body = json::serialize(json::object{{"target", request.target}});
+        send(request.via, {"/probe", body}, [settle](const std::optional<json::object> &answer) {
+            if (answer)
+                settle(flagMember(*answer, "reached"));
+        });
+    }
+}
+
+void Steward::askSeeds()
+{
+    m_nextSeeds = m_clock.now() + SeedInterval;
+    GossipMessage message;
+    message.records.push_back({hostKey(m_settings.host), hostVersion(m_membership.self()),
+                               encodeHost(m_membership.self())});
+    const std::string body = encodeGossip(m_settings.host, message);
+    for (const std::string &seed : m_settings.seeds) {
+        if (const auto peer = linkTo(seed); peer && seed != m_settings.steward)
+            peer->call({"/gossip", body}, CallTimeout, [](const PeerReply &) {});
+    }
+}
+
+void Steward::readHostList()
+{
+    // Only readers ask for the list; the others hear of hosts from them.
+    const bool alone = m_membership.hosts().size() == 1;
+    m_nextHostList = m_clock.now() + HostListInterval;
+    if (m_readingHosts || !(alone || readsPlatform()))
+        return;
+    m_readingHosts = true;
+    m_platform->hosts(PlatformTimeout, [this](const std::optional<PlatformHosts> &list) {
+        m_readingHosts = false;
+        takeHostList(list);
+    });
+}
+
+void Steward::takeHostList(const std::optional<PlatformHosts> &list)
+{
+    if (!list)
+        return;
+    for (const HostInfo &host : m_membership.onPlatformList(m_clock.now(), list->hosts))
+        publishHost(host);
+    std::vector<std::string> peers;
+    for (const HostInfo &known : m_membership.hosts())
+        peers.push_back(known.name);
+    m_gossip.setPeers(std::move(peers));
+    const std::set<std::string> leaving(list->leavingTargets.begin(), list->leavingTargets.end());
+    for (const auto &team : m_teams) {
+        for (const auto &group : team.second.groups) {
+            for (const auto &instance : group.second.instances) {
+                const std::string key = leavingKey(team.first, instance.first);
+                const Record *known = m_records.find(key);
+                if (leaving.contains(instance.first) && !(known && decodeLeaving(known->body)))
+                    publish({key, static_cast<std::uint64_t>(timeOfDay().count()),
+                             encodeLeaving(true)});
+            }
+        }
+    }
+}
+
+bool Steward::readsPlatform() const
+{
+    const auto order = rendezvousOrder("settings", m_membership.aliveIn(m_settings.dataCentre));
+    const std::size_t readers = std::min(order.size(), ReadersPerDataCentre);
+    const bool chosen
+        = std::find(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(readers),
+                    m_settings.host)
+        != order.begin() + static_cast<std::ptrdiff_t>(readers);
+    return chosen || m_teams.empty();
+}
+
+void Steward::runFeed(const std::vector<FeedAction> &actions)
+{
+    for (const FeedAction &action : actions) {
+        switch (action.step) {
+        case FeedStep::ReadHead:
+            m_platform->row(action.key, PlatformTimeout,
+                            [this](const std::optional<TableRow> &row) {
+                                std::optional<std::uint64_t> head;
+                                if (row) {
+                                    head = 0;
+                                    const std::string &text = row->value;
+                                    std::from_chars(text.data(), text.data() + text.size(), *head);
+                                }
+                                runFeed(m_feed.onHead(m_clock.now(), head));
+                            });
+            break;
+        case FeedStep::ReadTeam:
+            m_platform->row(action.key, PlatformTimeout,
+                            [this](const std::optional<TableRow> &row) {
+                                std::vector<FeedRecord> records;
+                                std::optional<FeedRow> feedRow;
+                                if (row)
+                                    feedRow = FeedRow{row->key, row->version, row->value};
+                                const auto next = m_feed.onTeam(m_clock.now(), feedRow, &records);
+                                takeSettings(records);
+                                runFeed(next);
+                            });
+            break;
+        case FeedStep::ReadLog:
+        case FeedStep::ReadAll: {
+            const bool log = action.step == FeedStep::ReadLog;
+            const std::string prefix = log ? SettingsLogPrefix : SettingsPrefix;
+            m_platform->scan(prefix, action.key, ScanLimit, PlatformTimeout,
+                             [this, log](const std::optional<std::vector<TableRow>> &rows) {
+                                 std::optional<std::vector<FeedRow>> feedRows;
+                                 if (rows) {
+                                     feedRows.emplace();
+                                     for (const TableRow &row : *rows)
+                                         feedRows->push_back({row.key, row.version, row.value});
+                                 }
+                                 std::vector<FeedRecord> records;
+                                 const auto next = log
+                                     ? m_feed.onLog(m_clock.now(), feedRows)
+                                     : m_feed.onAll(m_clock.now(), feedRows, &records);
+                                 takeSettings(records);
+                                 runFeed(next);
+                             });
+            break;
+        }
+        }
+    }
+    if (const auto confirmed = m_feed.confirmedAt())
+        m_settingsConfirmedAt = std::max(m_settingsConfirmedAt.value_or(*confirmed), *confirmed);
+}
+
+void Steward::takeSettings(const std::vector<FeedRecord> &records)
+{
+    for (const FeedRecord &record : records)
+        publish({settingsKey(record.team), record.version, record.body});
+}
+
+void Steward::assignGroups()
+{
+    std::set<std::string> wanted;
+    for (const auto &team : m_teams) {
+        for (const auto &group : team.second.groups) {
+            assignGroup(team.second, group.first);
+            wanted.insert(groupKey(team.first, group.first));
+        }
+    }
+    std::erase_if(m_watched,
+                  [&wanted](const auto &entry) { return !wanted.contains(entry.first); });
+}
+
+void Steward::assignGroup(const TeamSettings &team, const std::string &group)
+{
+    const GroupSettings &settings = team.groups.at(group);
+    const std::string key = groupKey(team.team, group);
+    std::set<std::string> dataCentres;
+    for (const auto &instance : settings.instances)
+        dataCentres.insert(instance.second.dataCentre);
+    std::vector<std::string> watchers;
+    for (const std::string &dataCentre : dataCentres) {
+        const auto order = rendezvousOrder(key, m_membership.aliveIn(dataCentre));
+        if (!order.empty())
+            watchers.push_back(order.front());
+    }
+    watchers = rendezvousOrder(key, std::move(watchers));
+    const auto self = std::find(watchers.begin(), watchers.end(), m_settings.host);
+    if (self == watchers.end()) {
+        m_watched.erase(key);
+        return;
+    }
+    const auto rank = static_cast<int>(self - watchers.begin());
+    const auto found = m_watched.find(key);
+    std::map<std::string, Endpoint> endpoints;
+    for (const auto &instance : settings.instances)
+        endpoints[instance.first] = *parseEndpoint(instance.second.address, nullptr);
+    if (found != m_watched.end() && found->second.instances == endpoints) {
+        found->second.watch.setWatchers(rank, watchers.size());
+        found->second.watchers = std::move(watchers);
+        return;
+    }
+    GroupWatch::Options options;
+    options.group = key;
+    options.dataCentre = m_settings.dataCentre;
+    for (const auto &instance : settings.instances)
+        options.instances[instance.first] = instance.second.dataCentre;
+    options.rank = rank;
+    options.watcherDataCentres = watchers.size();
+    const auto count = static_cast<std::int64_t>(m_watched.size() + 1);
+    options.probeInterval = std::max(MinProbeInterval, ProbePerWatched * count);
+    m_watched.erase(key);
+    Watched &watched = m_watched
+                           .emplace(key,
+                                    Watched{GroupWatch(std::move(options)), team.team, group,
+                                            endpoints, std::move(watchers), team.timeouts.probe})
+                           .first->second;
+    if (const Record *primary = m_records.find(primaryKey(team.team, group)))
+        watched.watch.onAnnounced(m_clock.now(), primary->version, decodePrimary(primary->body));
+    logEvent(LogLevel::Info, "group.watched", {{"group", key}, {"rank", rank}});
+}
+
+void Steward::run(const std::string &key, const std::vector<WatchAction> &actions)
+{
+    for (const WatchAction &action : actions) {
+        const auto found = m_watched.find(key);
+        if (found == m_watched.end())
+            return;
+        runOne(key, &found->second, action);
+    }
+}
+
+void Steward::runOne(const std::string &key, Watched *watched, const WatchAction &action)
+{
+    switch (action.step) {
+    case WatchStep::Probe:
+        probe(key, *watched, action);
+        break;
+    case WatchStep::Vote:
+        logEvent(LogLevel::Info, action.suspect ? "primary.suspected" : "primary.trusted",
+                 {{"group", key}, {"term", static_cast<std::int64_t>(action.term)}});
+        broadcastVote(*watched, action);
+        break;
+    case WatchStep::Seal:
+        seal(key, *watched, action);
+        break;
+    case WatchStep::Promote:
+        promote(key, *watched, action);
+        break;
+    case WatchStep::Follow:
+        m_targets->follow(watched->instances.at(action.instance), action.term, action.primary,
+                          watched->probeTimeout, [](const std::optional<SealAnswer> &) {});
+        break;
+    case WatchStep::Announce:
+        logEvent(LogLevel::Info, "primary.announced",
+                 {{"group", key},
+                  {"term", static_cast<std::int64_t>(action.term)},
+                  {"primary", action.primary}});
+        publish({primaryKey(watched->team, watched->group), action.term,
+                 encodePrimary(action.primary)});
+        // The others must not wait for the next tick.
+        sendGossip(m_gossip.onTick(m_clock.now()));
+        pushView();
+        break;
+    }
+}
+
+void Steward::probe(const std::string &key, const Watched &watched, const WatchAction &action)
+{
+    m_targets->status(
+        watched.instances.at(action.instance), action.fresh, watched.probeTimeout,
+        [this, key, action](const std::optional<InstanceReport> &report) {
+            const auto found = m_watched.find(key);
+            if (found == m_watched.end())
+                return;
+            if (report)
+                noteLeaving(found->second, *report);
+            run(key,
+                found->second.watch.onProbed(m_clock.now(), action.instance, action.fresh, report));
+        });
+}
+
+void Steward::seal(const std::string &key, const Watched &watched, const WatchAction &action)
+{
+    logEvent(LogLevel::Info, "primary.sealing",
+             {{"group", key},
+              {"instance", action.instance},
+              {"term", static_cast<std::int64_t>(action.term)}});
+    m_targets->follow(watched.instances.at(action.instance), action.term, {}, watched.probeTimeout,
+                      [this, key, action](const std::optional<SealAnswer> &answer) {
+                          const auto found = m_watched.find(key);
+                          if (!answer || found == m_watched.end())
+                              return;
+                          run(key,
+                              found->second.watch.onSealed(m_clock.now(), action.instance,
+                                                           answer->accepted, answer->term,
+                                                           answer->last));
+                      });
+}
+
+void Steward::promote(const std::string &key, const Watched &watched, const WatchAction &action)
+{
+    m_targets->promote(
+        watched.instances.at(action.instance), action.term, watched.probeTimeout,
+        [this, key, action](const std::optional<bool> &accepted) {
+            const auto found = m_watched.find(key);
+            if (!accepted || found == m_watched.end())
+                return;
+            run(key, found->second.watch.onPromoted(m_clock.now(), action.instance, *accepted));
+        });
+}
+
+void Steward::broadcastVote(const Watched &watched, const WatchAction &action)
+{
+    const std::string body
+        = json::serialize(json::object{{"group", groupKey(watched.team, watched.group)},
+                                       {"dataCentre", m_settings.dataCentre},
+                                       {"term", action.term},
+                                       {"suspect", action.suspect}});
+    for (const std::string &watcher : watched.watchers) {
+        if (watcher != m_settings.host)
+            send(watcher, {"/vote", body}, nullptr);
+    }
+}
+
+void Steward::noteLeaving(const Watched &watched, const InstanceReport &report)
+{
+    const std::string key = leavingKey(watched.team, report.name);
+    const Record *known = m_records.find(key);
+    const bool knownLeaving = known && decodeLeaving(known->body);
+    if (report.leaving != knownLeaving)
+        publish(
+            {key, static_cast<std::uint64_t>(timeOfDay().count()), encodeLeaving(report.leaving)});
+}
+
+void Steward::pushView()
+{
+    if (m_pushing)
+        return;
+    m_pushing = true;
+    m_nextPush = m_clock.now() + PushInterval;
+    ViewPush push;
+    push.hash = m_records.hash();
+    push.settingsAge = settingsAge();
+    const std::size_t count = std::min(m_toDaemon.size(), RecordsPerPush);
+    const auto end = m_toDaemon.begin() + static_cast<std::ptrdiff_t>(count);
+    push.records.assign(m_toDaemon.begin(), end);
+    m_toDaemon.erase(m_toDaemon.begin(), end);
+    m_daemon->call({"/view", encodeViewPush(push)}, CallTimeout,
+                   [this, hash = push.hash](const PeerReply &reply) {
+                       m_pushing = false;
+                       const bool behind
+                           = reply.verdict != Verdict::Ran || decodeHash(reply.body) != hash;
+                       if (!behind || !m_toDaemon.empty())
+                           return;
+                       // A daemon that restarted knows nothing; it gets everything again.
+                       for (const Record *record : m_records.withPrefix(""))
+                           m_toDaemon.push_back(*record);
+                       m_nextPush = m_clock.now() + TickInterval;
+                       if (reply.verdict != Verdict::Ran)
+                           m_nextPush = m_clock.now() + PushInterval;
+                   });
+}
+
+Millis Steward::settingsAge() const
+{
+    const Millis now = m_clock.now();
+    return now - m_settingsConfirmedAt.value_or(Millis());
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap-steward/steward.h
@@ -0,0 +1,110 @@
+// The steward of one host: a thin driver round Gossip, Membership, SettingsFeed and GroupWatch.
+//
+// It learns settings, hosts and primaries, watches the groups assigned to it, changes their
+// primaries, and hands what it knows to the daemon on its host. It never touches a request.
+// Everything runs on a single-threaded event loop.
+#pragma once
+
+#include "connection/peerlink.h"
+#include "connection/tablestore.h"
+#include "connection/targetlink.h"
+#include "connection/wire.h"
+#include "process/gossip.h"
+#include "process/groupwatch.h"
+#include "process/membership.h"
+#include "process/recordstore.h"
+#include "version/settings.h"
+#include "version/settingsfeed.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+class Steward
+{
+public:
+    Steward(EventLoop *loop, HostSettings settings);
+
+    bool start(Reason *reason);
+    Endpoint endpoint() const { return m_server->endpoint(); }
+    // Tells the others that this host is leaving.
+    void leave();
+
+private:
+    // A group that this steward watches.
+    struct Watched
+    {
+        GroupWatch watch;
+        std::string team;
+        std::string group;
+        std::map<std::string, Endpoint> instances;
+        std::vector<std::string> watchers; // Stewards of the group, in the order in which they act.
+        Millis probeTimeout;
+    };
+
+    using Answered = std::function<void(const std::optional<boost::json::object> &)>;
+
+    void onCall(const PeerRequest &request, const PeerRespond &respond);
+    void onGossip(const std::string &body);
+    void onVote(const std::string &body);
+    void onHint(const std::string &body);
+    void probeFor(const std::string &body, const PeerRespond &respond);
+    void tick();
+    void sendGossip(const std::vector<GossipSend> &sends);
+    void send(const std::string &host, const PeerRequest &request, Answered answered);
+    std::shared_ptr<PeerLink> link(const std::string &host);
+    std::shared_ptr<PeerLink> linkTo(const std::string &address);
+    void publish(const Record &record);
+    void publishHost(const HostInfo &host);
+    // A record changed here, whoever made it.
+    void onChanged(const Record &record);
+    void learnHost(const Record &record);
+    void probeNeighbours();
+    void askSeeds();
+    void readHostList();
+    void takeHostList(const std::optional<PlatformHosts> &list);
+    bool readsPlatform() const;
+    void runFeed(const std::vector<FeedAction> &actions);
+    void takeSettings(const std::vector<FeedRecord> &records);
+    void assignGroups();
+    void assignGroup(const TeamSettings &team, const std::string &group);
+    void run(const std::string &key, const std::vector<WatchAction> &actions);
+    void runOne(const std::string &key, Watched *watched, const WatchAction &action);
+    void probe(const std::string &key, const Watched &watched, const WatchAction &action);
+    void seal(const std::string &key, const Watched &watched, const WatchAction &action);
+    void promote(const std::string &key, const Watched &watched, const WatchAction &action);
+    void broadcastVote(const Watched &watched, const WatchAction &action);
+    void noteLeaving(const Watched &watched, const InstanceReport &report);
+    void pushView();
+    Millis settingsAge() const;
+
+    EventLoop *m_loop;
+    HostSettings m_settings;
+    SteadyClock m_clock;
+    RecordStore m_records;
+    Membership m_membership;
+    Gossip m_gossip;
+    SettingsFeed m_feed;
+    std::shared_ptr<TableStore> m_platform;
+    std::shared_ptr<TargetLink> m_targets;
+    std::shared_ptr<PeerLink> m_daemon;
+    std::unique_ptr<PeerServer> m_server;
+    std::map<std::string, std::shared_ptr<PeerLink>> m_links; // By address.
+    std::map<std::string, TeamSettings> m_teams;
+    std::map<std::string, Watched> m_watched; // By "<team>/<group>".
+    std::vector<Record> m_toDaemon;
+    bool m_assign = false; // Hosts or settings changed since groups were assigned.
+    bool m_pushing = false;
+    Millis m_nextPush;
+    Millis m_nextHostList;
+    bool m_readingHosts = false;
+    Millis m_nextSeeds;
+    // The settings are no older than since this instant, by the word of whoever read them.
+    std::optional<Millis> m_settingsConfirmedAt;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap/commands.cpp
@@ -0,0 +1,359 @@
+#include "commands.h"
+
+#include "burnreport.h"
+#include "connection/blocking.h"
+#include "connection/wire.h"
+#include "version/schema.h"
+#include "version/settingschange.h"
+#include "version/settingsfeed.h"
+#include "version/settingsreader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis PlatformTimeout(3000);
+constexpr Millis WaitPoll(200);
+
+std::optional<std::string> readFile(const std::string &file)
+{
+    std::ifstream input(file);
+    if (!input) {
+        std::cerr << file << ": cannot be read\n";
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(input), {});
+}
+
+void print(const Problems &problems)
+{
+    for (const Problem &problem : problems)
+        std::cerr << problem.text() << '\n';
+}
+
+// Waits for the one result of an asynchronous call.
+template <typename Result> class Awaited
+{
+public:
+    void set(Result result) { m_promise->set_value(std::move(result)); }
+    Result wait() { return m_promise->get_future().get(); }
+
+private:
+    std::shared_ptr<std::promise<Result>> m_promise = std::make_shared<std::promise<Result>>();
+};
+
+std::optional<TableRow> readRow(TableStore *store, const std::string &key)
+{
+    Awaited<std::optional<TableRow>> awaited;
+    store->row(key, PlatformTimeout,
+               [awaited](const std::optional<TableRow> &row) mutable { awaited.set(row); });
+    return awaited.wait();
+}
+
+std::string newChangeId()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch().count();
+    const auto address = reinterpret_cast<std::uintptr_t>(&now);
+    return "change-" + std::to_string(now) + "-" + std::to_string(address % 1'000'000);
+}
+
+ChangeAction readRows(TableStore *store, SettingsChange *change)
+{
+    const auto team = readRow(store, SettingsPrefix + change->options().team);
+    const auto head = team ? readRow(store, SettingsHeadKey) : std::nullopt;
+    if (!head)
+        return change->onRows(std::nullopt, 0, 0);
+    std::uint64_t number = 0;
+    std::from_chars(head->value.data(), head->value.data() + head->value.size(), number);
+    return change->onRows(team->version, head->version, number);
+}
+
+ChangeAction transact(TableStore *store, SettingsChange *change)
+{
+    const std::uint64_t next = change->head() + 1;
+    const SettingsLogEntry entry{change->options().team, change->options().change};
+    TableTransaction transaction;
+    transaction.checks = {{SettingsPrefix + change->options().team, change->teamVersion()},
+                          {SettingsHeadKey, change->headVersion()},
+                          {settingsLogKey(next), 0}};
+    transaction.writes = {{SettingsPrefix + change->options().team, change->options().body},
+                          {SettingsHeadKey, std::to_string(next)},
+                          {settingsLogKey(next), encodeLogEntry(entry)}};
+    Awaited<TransactionOutcome> awaited;
+    store->transact(transaction, PlatformTimeout,
+                    [awaited](TransactionOutcome outcome) mutable { awaited.set(outcome); });
+    return change->onTransacted(awaited.wait().verdict);
+}
+
+ChangeAction readLogEntry(TableStore *store, SettingsChange *change, const std::string &key)
+{
+    const auto row = readRow(store, key);
+    if (!row)
+        return change->onLogEntry(std::nullopt);
+    const auto entry = decodeLogEntry(row->value);
+    return change->onLogEntry(entry ? entry->change : std::string());
+}
+
+std::vector<Endpoint> callersOf(const json::object &status)
+{
+    std::vector<Endpoint> endpoints;
+    const json::value *hosts = status.if_contains("hosts");
+    if (!hosts || !hosts->is_object())
+        return endpoints;
+    for (const auto &host : hosts->get_object()) {
+        if (!host.value().is_object())
+            continue;
+        const json::object &info = host.value().get_object();
+        const auto endpoint = parseEndpoint(textMember(info, "callers"), nullptr);
+        if (endpoint && textMember(info, "state") == HostStateNames.name(HostState::Alive))
+            endpoints.push_back(*endpoint);
+    }
+    return endpoints;
+}
+
+std::optional<json::object> fetchStatus(BlockingClient *client, const Endpoint &entry)
+{
+    Reason reason;
+    const auto response = client->call(entry, {.target = "/v1/status"}, &reason);
+    if (!response) {
+        std::cerr << entry.text() << ": " << reason.text() << '\n';
+        return std::nullopt;
+    }
+    return parseObject(response->body, &reason);
+}
+
+// The team's version in a host's status page; 0 if the host does not know the team.
+std::uint64_t versionIn(const std::optional<HttpResponse> &response, const std::string &team)
+{
+    const auto status = response ? parseObject(response->body, nullptr) : std::nullopt;
+    const json::value *teams = status ? status->if_contains("teams") : nullptr;
+    const json::value *entry
+        = teams && teams->is_object() ? teams->get_object().if_contains(team) : nullptr;
+    if (!entry || !entry->is_object())
+        return 0;
+    return static_cast<std::uint64_t>(numberMember(entry->get_object(), "version"));
+}
+
+} // namespace
+
+int checkFile(const std::string &file)
+{
+    const auto text = readFile(file);
+    if (!text)
+        return ExitFailed;
+    Problems problems;
+    const auto settings = readTeamSettings(*text, file, &problems);
+    print(problems);
+    if (!settings) {
+        std::cerr << problems.size() << " problem(s); nothing is in force\n";
+        return ExitUsage;
+    }
+    std::cout << file << ": team " << settings->team << ", " << settings->groups.size()
+              << " group(s), " << settings->statements.size() << " statement(s): no problems\n";
+    return ExitDone;
+}
+
+int applyFile(const ApplyOptions &options)
+{
+    const auto text = readFile(options.file);
+    if (!text)
+        return ExitFailed;
+    Problems problems;
+    const auto settings = readTeamSettings(*text, options.file, &problems);
+    print(problems);
+    if (!settings) {
+        std::cerr << problems.size() << " problem(s); nothing was changed\n";
+        return ExitUsage;
+    }
+    BlockingClient client;
+    const auto store = HttpTableStore::create(client.loop(), options.platform);
+    SettingsChange change({.team = settings->team,
+                           .body = *text,
+                           .change = newChangeId(),
+                           .expected = options.expected});
+    ChangeAction action = change.start();
+    while (true) {
+        switch (action.step) {
+        case ChangeStep::ReadRows:
+            action = readRows(store.get(), &change);
+            break;
+        case ChangeStep::Transact:
+            action = transact(store.get(), &change);
+            break;
+        case ChangeStep::ReadLogEntry:
+            action = readLogEntry(store.get(), &change, action.key);
+            break;
+        case ChangeStep::Done:
+            std::cout << "team " << settings->team << " is at version " << action.version
+                      << "; `cicadagap wait --team " << settings->team << " --version "
+                      << action.version << "` tells when it is in force\n";
+            return ExitDone;
+        case ChangeStep::Refused:
+            std::cerr << "refused: team " << settings->team << " is at version " << action.version
+                      << ", or the platform does not answer; nothing was changed\n";
+            return ExitRefused;
+        case ChangeStep::Unknown:
+            std::cerr << "unknown: the platform did not tell whether the change was applied; "
+                         "`cicadagap show` will, before you apply again\n";
+            return ExitUnknown;
+        }
+    }
+}
+
+int waitForVersion(const WaitOptions &options)
+{
+    BlockingClient client;
+    const SteadyClock clock;
+    const Millis deadline = clock.now() + options.timeout;
+    while (true) {
+        const auto status = fetchStatus(&client, options.entry);
+        if (!status)
+            return ExitFailed;
+        const std::vector<Endpoint> hosts = callersOf(*status);
+        const auto pages = client.callAll(hosts, {.target = "/v1/status"});
+        std::vector<std::string> behind;
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            if (versionIn(pages[i], options.team) < options.version)
+                behind.push_back(hosts[i].text());
+        }
+        if (behind.empty() && !hosts.empty()) {
+            std::cout << "version " << options.version << " of team " << options.team
+                      << " is in force on all " << hosts.size() << " live hosts\n";
+            return ExitDone;
+        }
+        if (clock.now() >= deadline) {
+            std::cerr << "not in force yet on " << behind.size() << " of " << hosts.size()
+                      << " hosts:\n";
+            for (const std::string &host : behind)
+                std::cerr << "  " << host << '\n';
+            return ExitFailed;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(WaitPoll.count()));
+    }
+}
+
+int showSettings(const Endpoint &platform, const std::string &team)
+{
+    BlockingClient client;
+    const auto store = HttpTableStore::create(client.loop(), platform);
+    const auto row = readRow(store.get(), SettingsPrefix + team);
+    if (!row) {
+        std::cerr << "the platform does not answer\n";
+        return ExitFailed;
+    }
+    if (row->version == 0) {
+        std::cerr << "team " << team << " has no settings\n";
+        return ExitRefused;
+    }
+    std::cout << "// team " << team << ", version " << row->version << '\n' << row->value;
+    return ExitDone;
+}
+
+int showStatus(const Endpoint &entry)
+{
+    BlockingClient client;
+    Reason reason;
+    const auto response = client.call(entry, {.target = "/v1/status"}, &reason);
+    if (!response) {
+        std::cerr << entry.text() << ": " << reason.text() << '\n';
+        return ExitFailed;
+    }
+    std::cout << response->body << '\n';
+    return ExitDone;
+}
+
+int showOutcome(const OutcomeOptions &options)
+{
+    BlockingClient client;
+    Reason reason;
+    HttpRequest request{.method = "POST"};
+    request.target = "/v1/teams/" + options.team + "/groups/" + options.group + "/outcome";
+    request.body = json::serialize(json::object{{"requestId", options.requestId}});
+    const auto response = client.call(options.entry, request, &reason);
+    if (!response) {
+        std::cerr << options.entry.text() << ": " << reason.text() << '\n';
+        return ExitFailed;
+    }
+    std::cout << response->body << '\n';
+    const auto body = parseObject(response->body, nullptr);
+    const auto verdict = body ? VerdictNames.value(textMember(*body, "verdict")) : std::nullopt;
+    if (verdict == Verdict::Ran)
+        return ExitDone;
+    return verdict == Verdict::NotRun ? ExitRefused : ExitUnknown;
+}
+
+int showBurn(const BurnOptions &options)
+{
+    BlockingClient client;
+    const auto status = fetchStatus(&client, options.entry);
+    if (!status)
+        return ExitFailed;
+    std::vector<BurnRow> rows;
+    for (const auto &page : client.callAll(callersOf(*status), {.target = "/v1/burn"})) {
+        if (page && !addBurnPage(page->body, &rows))
+            std::cerr << "a host sent a malformed page; its answers are left out\n";
+    }
+    std::cout << (options.json ? burnJson(rows) : burnTable(rows));
+    if (options.svg.empty())
+        return ExitDone;
+    std::ofstream file(options.svg);
+    file << burnSvg(rows);
+    if (!file) {
+        std::cerr << options.svg << ": cannot be written\n";
+        return ExitFailed;
+    }
+    return ExitDone;
+}
+
+int registerHosts(const Endpoint &platform, const std::vector<std::string> &files)
+{
+    json::array hosts;
+    for (const std::string &file : files) {
+        const auto text = readFile(file);
+        if (!text)
+            return ExitFailed;
+        Problems problems;
+        const auto settings = readHostSettings(*text, file, &problems);
+        print(problems);
+        if (!settings)
+            return ExitUsage;
+        hosts.push_back(json::object{{"name", settings->host},
+                                     {"dataCentre", settings->dataCentre},
+                                     {"callers", settings->callers},
+                                     {"peers", settings->peers},
+                                     {"steward", settings->steward}});
+    }
+    BlockingClient client;
+    Reason reason;
+    const std::string body = json::serialize(json::object{{"hosts", std::move(hosts)}});
+    const auto response
+        = client.call(platform, {.method = "POST", .target = "/hosts", .body = body}, &reason);
+    if (!response || response->status != 200) {
+        std::cerr << "the platform did not take the list: " << reason.text() << '\n';
+        return ExitFailed;
+    }
+    std::cout << files.size() << " host(s) registered\n";
+    return ExitDone;
+}
+
+int printReference()
+{
+    std::cout << "### Team settings\n\n"
+              << reference(teamRules()) << "\n### Host settings\n\n"
+              << reference(hostRules());
+    return ExitDone;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagapd/callerapi.cpp
@@ -0,0 +1,533 @@
+#include "callerapi.h"
+
+#include "connection/wire.h"
+#include "process/log.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double RetryBurst = 100; // Retries a team may save up on one host.
+constexpr Millis ReplicaRetry(10); // A replica that was behind is tried again after this.
+constexpr Millis ReplySlack(50);   // A gateway that answers at the deadline is still heard.
+constexpr const char *SessionHeader = "cicadagap-session";
+
+std::vector<std::string> pathParts(std::string_view path)
+{
+    std::vector<std::string> parts;
+    while (!path.empty()) {
+        path.remove_prefix(path.front() == '/' ? 1 : 0);
+        const std::size_t end = std::min(path.find('/'), path.size());
+        if (end > 0)
+            parts.emplace_back(path.substr(0, end));
+        path.remove_prefix(end);
+    }
+    return parts;
+}
+
+// The session token of the header, or of the cookie that browsers and simple clients keep.
+std::string presentedToken(const HttpRequest &request)
+{
+    const auto header = request.headers.find(SessionHeader);
+    if (header != request.headers.end())
+        return header->second;
+    const auto cookies = request.headers.find("cookie");
+    if (cookies == request.headers.end())
+        return {};
+    const std::string name = std::string(SessionHeader) + "=";
+    const std::size_t start = cookies->second.find(name);
+    if (start == std::string::npos)
+        return {};
+    const std::size_t value = start + name.size();
+    return cookies->second.substr(value, cookies->second.find(';', value) - value);
+}
+
+int httpStatus(const WorkReply &reply)
+{
+    if (reply.verdict == Verdict::Ran)
+        return 200;
+    if (reply.verdict == Verdict::MayHaveRun)
+        return 504;
+    switch (reply.cause) {
+    case Cause::Invalid:
+        return 400;
+    case Cause::UnknownTeam:
+    case Cause::NoTransaction:
+        return 404;
+    case Cause::Conflict:
+    case Cause::Cancelled:
+    case Cause::Busy:
+    case Cause::Duplicate:
+        return 409;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+CallerApi::TeamState::TeamState()
+    : budget(LimitSettings().retryPercent, RetryBurst)
+{
+}
+
+struct CallerApi::Call
+{
+    std::string id;
+    std::string team;
+    std::string group;
+    std::string className = DefaultClass;
+    std::string error; // Set if the request was refused before it started.
+    std::shared_ptr<const TeamVersion> settings;
+    std::shared_ptr<TeamState> state;
+    SessionToken token;
+    bool tokenGiven = false;
+    FlowRequest request;
+    Work work;
+    std::unique_ptr<RequestFlow> flow;
+    Millis arrived;
+    Respond respond;
+};
+
+CallerApi::CallerApi(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void CallerApi::handle(const HttpRequest &request, const Respond &respond)
+{
+    const std::string_view path = targetPath(request.target);
+    if (path.starts_with("/v1/teams/"))
+        handleTeam(request, respond);
+    else if (path == "/healthz")
+        respond(
+            {.status = m_draining || m_options.view->teams().empty() ? 503 : 200, .body = "{}"});
+    else if (path == "/v1/status")
+        respond({.body = statusPage()});
+    else if (path == "/v1/metrics")
+        respond({.body = m_options.metrics->json()});
+    else if (path == "/v1/burn")
+        respond({.body = burnPage()});
+    else
+        respond({.status = 404, .body = R"({"error":"no such page; see docs/CALLERS.md"})"});
+}
+
+void CallerApi::setSettingsAge(Millis age)
+{
+    m_settingsConfirmedAt = (m_clock.now() - age).count();
+}
+
+void CallerApi::handleTeam(const HttpRequest &request, const Respond &respond)
+{
+    auto call = std::make_shared<Call>();
+    call->id = m_options.view->self() + "-" + std::to_string(m_options.incarnation % 1'000'000)
+        + "-" + std::to_string(++m_lastRequest);
+    call->arrived = m_clock.now();
+    call->respond = respond;
+    ++m_active;
+    if (!prepare(request, call.get())) {
+        const Cause cause = call->settings ? Cause::Invalid : Cause::UnknownTeam;
+        finish(call, {Verdict::NotRun, cause});
+        return;
+    }
+    start(call);
+}
+
+bool CallerApi::prepare(const HttpRequest &request, Call *call) const
+{
+    // /v1/teams/TEAM/groups/GROUP/VERB
+    const std::vector<std::string> parts = pathParts(targetPath(request.target));
+    if (parts.size() != 6 || parts[3] != "groups") {
+        call->error = "expected /v1/teams/TEAM/groups/GROUP/VERB";
+        return false;
+    }
+    call->team = parts[2];
+    call->group = parts[4];
+    call->settings = m_options.view->team(call->team);
+    if (!call->settings) {
+        call->error = "this host has no settings for team " + call->team;
+        return false;
+    }
+    if (!call->settings->settings.groups.contains(call->group)) {
+        call->error = "team " + call->team + " has no group " + call->group;
+        return false;
+    }
+    const auto kind = WorkKindNames.value(parts[5]);
+    if (!kind || *kind == WorkKind::Continue) {
+        call->error
+            = "unknown verb " + parts[5] + "; expected execute, begin, commit, rollback or outcome";
+        return false;
+    }
+    call->request.kind = call->work.kind = *kind;
+    readToken(request, call);
+    return prepareStatement(request, call);
+}
+
+bool CallerApi::prepareStatement(const HttpRequest &request, Call *call) const
+{
+    Reason reason;
+    const auto body = parseObject(request.body.empty() ? "{}" : request.body, &reason);
+    if (!body) {
+        call->error = reason.text();
+        return false;
+    }
+    const TeamSettings &settings = call->settings->settings;
+    const Millis budget(numberMember(*body, "timeoutMs", settings.timeouts.statement.count()));
+    call->request.deadline = call->arrived + std::min(budget, settings.timeouts.statement);
+    call->work.requestId = textMember(*body, "requestId");
+    const std::string transaction = textMember(*body, "transaction");
+    const std::string name = textMember(*body, "statement");
+    const auto statement = settings.statements.find(name);
+    const bool needsStatement = call->request.kind == WorkKind::Execute;
+    if ((needsStatement || !name.empty()) && statement == settings.statements.end()) {
+        call->error = "team " + call->team + " declares no statement \"" + name + "\"";
+        return false;
+    }
+    if (statement != settings.statements.end()) {
+        call->className = statement->second.priorityClass;
+        call->work.write = statement->second.kind == StatementKind::Write;
+        call->request.maxAge = statement->second.maxAge;
+        if (statement->second.neverRepeat && needsStatement && call->work.requestId.empty()) {
+            call->error = "statement " + name + " must not be repeated, so it needs a requestId";
+            return false;
+        }
+    }
+    if (needsStatement) {
+        const json::value *operations = body->if_contains("ops");
+        if (!operations || !operations->is_array() || operations->get_array().empty()) {
+            call->error = "expected a non-empty array \"ops\"";
+            return false;
+        }
+        call->work.operations = json::serialize(*operations);
+    }
+    const bool isRead = needsStatement && !call->work.write;
+    if (isRead)
+        call->work.requestId.clear();
+    if (call->request.kind == WorkKind::Outcome && call->work.requestId.empty()) {
+        call->error = "expected a \"requestId\"";
+        return false;
+    }
+    call->request.write = call->work.write || call->request.kind != WorkKind::Execute;
+    call->request.requestId = call->work.requestId;
+    const bool ends
+        = call->request.kind == WorkKind::Commit || call->request.kind == WorkKind::Rollback;
+    if (ends && transaction.empty()) {
+        call->error = "expected a \"transaction\"";
+        return false;
+    }
+    return transaction.empty() || prepareTransaction(transaction, call);
+}
+
+bool CallerApi::prepareTransaction(const std::string &transaction, Call *call) const
+{
+    // "<host>~<instance>~<rest>", made by the gateway that holds the transaction.
+    const std::size_t first = transaction.find('~');
+    const std::size_t second = transaction.find('~', first + 1);
+    if (first == std::string::npos || second == std::string::npos) {
+        call->error = "\"" + transaction + "\" is no transaction of this system";
+        return false;
+    }
+    call->request.transactionHost = transaction.substr(0, first);
+    call->request.transactionInstance = transaction.substr(first + 1, second - first - 1);
+    call->work.transaction = transaction;
+    call->request.maxAge.reset();
+    if (call->request.kind == WorkKind::Execute)
+        call->request.kind = call->work.kind = WorkKind::Continue;
+    return true;
+}
+
+void CallerApi::readToken(const HttpRequest &request, Call *call)
+{
+    const std::string text = presentedToken(request);
+    if (text.empty())
+        return;
+    Reason reason;
+    const auto token = SessionToken::decode(text, call->settings->settings.tokenKeys, &reason);
+    if (!token) {
+        logEvent(LogLevel::Warning, "session.token-rejected",
+                 {{"request", call->id}, {"reason", reason.text()}});
+        return;
+    }
+    call->token = *token;
+    call->tokenGiven = true;
+}
+
+void CallerApi::start(const std::shared_ptr<Call> &call)
+{
+    call->state = state(call->team);
+    if (call->tokenGiven) {
+        call->request.token = call->token.position(call->group);
+        call->work.required = *call->request.token;
+    }
+    call->work.maxAge = call->request.maxAge;
+    const std::uint64_t spread = m_lastRequest;
+    call->flow = std::make_unique<RequestFlow>(call->request, m_options.view->dataCentre(), spread);
+    const auto view = m_options.view->group(call->team, call->group);
+    FlowAction action;
+    {
+        MutexLock lock(&call->state->mutex);
+        call->state->budget.setPercent(call->settings->settings.limits.retryPercent);
+        call->state->budget.onFirstAttempt();
+        const auto lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first;
+        action = call->flow->start(call->arrived, *view, lag->second);
+    }
+    act(call, action);
+}
+
+void CallerApi::act(const std::shared_ptr<Call> &call, const FlowAction &action)
+{
+    switch (action.step) {
+    case FlowStep::Send:
+        forward(call, action);
+        break;
+    case FlowStep::Wait: {
+        const Millis delay = std::max(Millis(1), action.wakeAt - m_clock.now());
+        m_options.loop->after(delay, [self = shared_from_this(), call] { self->onWake(call); });
+        break;
+    }
+    case FlowStep::Finish:
+        finish(call, action.reply);
+        break;
+    }
+}
+
+void CallerApi::forward(const std::shared_ptr<Call> &call, const FlowAction &action)
+{
+    RoutedWork routed;
+    routed.team = call->team;
+    routed.group = call->group;
+    routed.instance = action.instance;
+    routed.request = call->id;
+    routed.className = call->className;
+    routed.budget = std::max(Millis(1), call->request.deadline - m_clock.now());
+    routed.work = call->work;
+    routed.work.kind = action.kind;
+    routed.work.replica = action.replica;
+    if (action.kind == WorkKind::Outcome) {
+        routed.work.transaction.clear();
+        routed.work.operations.clear();
+    }
+    logEvent(LogLevel::Debug, "request.forwarded",
+             {{"request", call->id}, {"to", action.host}, {"instance", action.instance}});
+    const auto onDone
+        = [self = shared_from_this(), call](const WorkReply &reply) { self->onReply(call, reply); };
+    if (action.host == m_options.view->self()) {
+        m_options.gateways->submit(routed, onDone);
+        return;
+    }
+    const auto link = m_options.peers(action.host);
+    if (!link) {
+        const bool inTransaction = !call->request.transactionHost.empty();
+        onDone({Verdict::NotRun, inTransaction ? Cause::NoTransaction : Cause::Unreachable});
+        return;
+    }
+    link->call({"/work", encodeRoutedWork(routed)}, routed.budget + ReplySlack,
+               [onDone](const PeerReply &peerReply) {
+                   const auto reply = peerReply.verdict == Verdict::Ran
+                       ? decodeReply(peerReply.body, nullptr)
+                       : std::nullopt;
+                   if (reply)
+                       onDone(*reply);
+                   else if (peerReply.verdict == Verdict::NotRun)
+                       onDone({Verdict::NotRun, Cause::Unreachable});
+                   else
+                       onDone({Verdict::MayHaveRun, Cause::ConnectionLost});
+               });
+}
+
+void CallerApi::onReply(const std::shared_ptr<Call> &call, const WorkReply &reply)
+{
+    const auto view = m_options.view->group(call->team, call->group);
+    if (!view) {
+        finish(call, reply);
+        return;
+    }
+    FlowAction action;
+    {
+        MutexLock lock(&call->state->mutex);
+        ReplicaLag &lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first->second;
+        action = call->flow->onReply(m_clock.now(), *view, reply, &call->state->budget, &lag);
+    }
+    act(call, action);
+}
+
+void CallerApi::onWake(const std::shared_ptr<Call> &call)
+{
+    const auto view = m_options.view->group(call->team, call->group);
+    if (!view) {
+        finish(call, {Verdict::NotRun, Cause::UnknownTeam});
+        return;
+    }
+    FlowAction action;
+    {
+        MutexLock lock(&call->state->mutex);
+        const auto lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first;
+        action = call->flow->onWake(m_clock.now(), *view, lag->second);
+    }
+    act(call, action);
+}
+
+void CallerApi::finish(const std::shared_ptr<Call> &call, const WorkReply &reply)
+{
+    const Millis took = m_clock.now() - call->arrived;
+    account(*call, reply, took);
+    const LogLevel level = reply.verdict == Verdict::Ran ? LogLevel::Debug : LogLevel::Info;
+    logEvent(level, "request.answered",
+             {{"request", call->id},
+              {"team", call->team},
+              {"group", call->group},
+              {"kind", WorkKindNames.name(call->work.kind)},
+              {"verdict", VerdictNames.name(reply.verdict)},
+              {"cause", CauseNames.name(reply.cause)},
+              {"attempts", call->flow ? call->flow->attempts() : 0},
+              {"tookMs", took.count()}});
+    call->respond(render(call.get(), reply));
+    --m_active;
+}
+
+void CallerApi::account(const Call &call, const WorkReply &reply, Millis took)
+{
+    m_options.metrics->add("requests." + std::string(VerdictNames.name(reply.verdict)));
+    if (!call.state)
+        return;
+    m_options.metrics->observe("latency." + call.team + "." + call.className, took);
+    if (reply.verdict == Verdict::Ran && call.request.kind == WorkKind::Execute
+        && !call.request.write)
+        m_options.metrics->add(call.flow->onReplica() ? "reads.replica" : "reads.primary");
+    const auto &objectives = call.settings->settings.objectives;
+    const auto objective = objectives.find(call.className);
+    if (objective == objectives.end())
+        return;
+    // The caller's own mistakes do not count against the objective.
+    const bool callersFault = httpStatus(reply) >= 400 && httpStatus(reply) < 500;
+    const bool good
+        = callersFault || (reply.verdict == Verdict::Ran && took <= objective->second.latency);
+    MutexLock lock(&call.state->mutex);
+    call.state->burn[call.className].record(m_clock.now(), good);
+}
+
+HttpResponse CallerApi::render(Call *call, const WorkReply &reply) const
+{
+    json::object body{{"verdict", VerdictNames.name(reply.verdict)}, {"request", call->id}};
+    if (reply.cause != Cause::None)
+        body["cause"] = CauseNames.name(reply.cause);
+    if (!call->error.empty())
+        body["error"] = call->error;
+    if (!reply.transaction.empty())
+        body["transaction"] = reply.transaction;
+    if (reply.duplicate)
+        body["duplicate"] = true;
+    if (!reply.results.empty()) {
+        json::error_code error;
+        body["results"] = json::parse(reply.results, error);
+    }
+    if (call->flow && reply.verdict == Verdict::Ran)
+        body["replica"] = call->flow->onReplica();
+    HttpResponse response;
+    response.status = httpStatus(reply);
+    if (call->settings) {
+        response.headers["cicadagap-settings-age-ms"] = std::to_string(settingsAge().count());
+        const bool wrote = reply.verdict == Verdict::Ran && call->request.write
+            && call->request.kind != WorkKind::Begin && call->request.kind != WorkKind::Continue;
+        if (wrote)
+            call->token.advance(call->group, reply.position);
+        const std::string token = call->token.encode(call->settings->settings.tokenKeys);
+        response.headers[SessionHeader] = token;
+        response.headers["set-cookie"] = std::string(SessionHeader) + "=" + token + "; Path=/";
+    }
+    if (response.status == 503)
+        response.headers["retry-after"] = "1";
+    response.close = m_draining;
+    response.body = json::serialize(body);
+    return response;
+}
+
+std::string CallerApi::statusPage() const
+{
+    json::object teams;
+    for (const std::string &name : m_options.view->teams()) {
+        const auto team = m_options.view->team(name);
+        json::object groups;
+        for (const auto &group : team->settings.groups) {
+            const auto view = m_options.view->group(name, group.first);
+            if (view)
+                groups[group.first]
+                    = json::object{{"primary", view->primary}, {"term", view->term}};
+        }
+        teams[name] = json::object{{"version", team->version}, {"groups", std::move(groups)}};
+    }
+    json::object hosts;
+    for (const HostInfo &host : m_options.view->hosts()) {
+        hosts[host.name] = json::object{{"dataCentre", host.dataCentre},
+                                        {"state", HostStateNames.name(host.state)},
+                                        {"callers", host.callers}};
+    }
+    json::object gateways;
+    for (const auto &entry : m_options.gateways->counters()) {
+        gateways[entry.first] = json::object{{"queued", entry.second.queued},
+                                             {"busy", entry.second.busy},
+                                             {"connections", entry.second.connections},
+                                             {"transactions", entry.second.transactions},
+                                             {"awaiting", entry.second.awaiting}};
+    }
+    return json::serialize(json::object{{"host", m_options.view->self()},
+                                        {"dataCentre", m_options.view->dataCentre()},
+                                        {"draining", m_draining.load()},
+                                        {"active", m_active.load()},
+                                        {"settingsAgeMs", settingsAge().count()},
+                                        {"teams", std::move(teams)},
+                                        {"hosts", std::move(hosts)},
+                                        {"gateways", std::move(gateways)}});
+}
+
+std::string CallerApi::burnPage()
+{
+    const Millis now = m_clock.now();
+    json::array rows;
+    for (const std::string &name : m_options.view->teams()) {
+        const auto team = m_options.view->team(name);
+        const auto shared = state(name);
+        MutexLock lock(&shared->mutex);
+        for (const auto &objective : team->settings.objectives) {
+            json::object row{{"team", name},
+                             {"class", objective.first},
+                             {"latencyMs", objective.second.latency.count()},
+                             {"goodPercent", objective.second.goodPercent}};
+            json::array windows;
+            for (const Millis length : BurnWindows) {
+                const GoodBad counts = shared->burn[objective.first].window(now, length);
+                windows.push_back(json::object{
+                    {"windowMs", length.count()}, {"good", counts.good}, {"bad", counts.bad}});
+            }
+            row["windows"] = std::move(windows);
+            rows.push_back(std::move(row));
+        }
+    }
+    return json::serialize(json::object{{"burn", std::move(rows)}});
+}
+
+std::shared_ptr<CallerApi::TeamState> CallerApi::state(const std::string &team)
+{
+    MutexLock lock(&m_mutex);
+    auto &state = m_teams[team];
+    if (!state)
+        state = std::make_shared<TeamState>();
+    return state;
+}
+
+Millis CallerApi::settingsAge() const
+{
+    return m_clock.now() - Millis(m_settingsConfirmedAt);
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagapd/callerapi.h
@@ -0,0 +1,87 @@
+// The callers' and operators' HTTP interface of one host (docs/CALLERS.md): a thin driver round
+// RequestFlow.
+#pragma once
+
+#include "base/mutex.h"
+#include "connection/http.h"
+#include "connection/peerlink.h"
+#include "gatewaypool.h"
+#include "process/metrics.h"
+#include "request/burn.h"
+#include "request/hostview.h"
+#include "request/requestflow.h"
+#include "request/token.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cicadagap {
+
+class CallerApi : public std::enable_shared_from_this<CallerApi>
+{
+public:
+    struct Options
+    {
+        EventLoop *loop = nullptr;
+        HostView *view = nullptr;
+        Metrics *metrics = nullptr;
+        std::shared_ptr<GatewayPool> gateways;
+        PeerLookup peers;
+        std::uint64_t incarnation = 0;
+    };
+
+    explicit CallerApi(Options options);
+
+    void handle(const HttpRequest &request, const Respond &respond);
+    // Graceful shutdown: the health check fails, so that the balancer sends nobody here.
+    void drain() { m_draining = true; }
+    // Requests between arrival and answer.
+    int activeRequests() const { return m_active; }
+    // Age of the settings since they were last confirmed with the platform, as the steward says.
+    void setSettingsAge(Millis age);
+
+private:
+    // What requests of one team share on this host.
+    struct TeamState
+    {
+        TeamState();
+
+        Mutex mutex;
+        RetryBudget budget CICADAGAP_GUARDED_BY(mutex);
+        std::map<std::string, ReplicaLag> lag CICADAGAP_GUARDED_BY(mutex);   // By group.
+        std::map<std::string, BurnTracker> burn CICADAGAP_GUARDED_BY(mutex); // By class.
+    };
+
+    struct Call; // One request in progress.
+
+    void handleTeam(const HttpRequest &request, const Respond &respond);
+    bool prepare(const HttpRequest &request, Call *call) const;
+    bool prepareStatement(const HttpRequest &request, Call *call) const;
+    bool prepareTransaction(const std::string &transaction, Call *call) const;
+    static void readToken(const HttpRequest &request, Call *call);
+    void start(const std::shared_ptr<Call> &call);
+    void act(const std::shared_ptr<Call> &call, const FlowAction &action);
+    void forward(const std::shared_ptr<Call> &call, const FlowAction &action);
+    void onReply(const std::shared_ptr<Call> &call, const WorkReply &reply);
+    void onWake(const std::shared_ptr<Call> &call);
+    void finish(const std::shared_ptr<Call> &call, const WorkReply &reply);
+    void account(const Call &call, const WorkReply &reply, Millis took);
+    HttpResponse render(Call *call, const WorkReply &reply) const;
+    std::string statusPage() const;
+    std::string burnPage();
+    std::shared_ptr<TeamState> state(const std::string &team);
+    Millis settingsAge() const;
+
+    Options m_options;
+    SteadyClock m_clock;
+    std::atomic<bool> m_draining = false;
+    std::atomic<int> m_active = 0;
+    std::atomic<std::uint64_t> m_lastRequest = 0;
+    std::atomic<std::int64_t> m_settingsConfirmedAt = 0;
+    Mutex m_mutex;
+    std::map<std::string, std::shared_ptr<TeamState>> m_teams CICADAGAP_GUARDED_BY(m_mutex);
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagapd/gatewaypool.cpp
@@ -0,0 +1,464 @@
+#include "gatewaypool.h"
+
+#include "base/hash.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis StatusTimeout(700);
+constexpr Millis SampleTimeout(500);
+constexpr Millis HintTimeout(500);
+
+ClassQueue::Options queueOptions(const TeamSettings &team)
+{
+    ClassQueue::Options options;
+    options.capacity = static_cast<std::size_t>(team.limits.queueLength);
+    options.aging = team.limits.aging;
+    for (const auto &entry : team.classes)
+        options.classes.push_back(
+            {entry.first, entry.second.priority == Priority::Top, entry.second.weight});
+    return options;
+}
+
+} // namespace
+
+GatewayPool::GatewayPool(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void GatewayPool::submit(const RoutedWork &routed, std::function<void(const WorkReply &)> done)
+{
+    const std::string key = keyOf(routed.team, routed.instance);
+    Shard &shard = shardFor(key);
+    Replies replies;
+    {
+        MutexLock lock(&shard.mutex);
+        Running *running = routed.work.transaction.empty()
+            ? current(&shard, routed.team, routed.group, routed.instance, &replies)
+            : holderOf(&shard, key, routed.work.transaction);
+        if (!running) {
+            const bool inTransaction = !routed.work.transaction.empty();
+            const Cause cause = inTransaction ? Cause::NoTransaction : Cause::UnknownTeam;
+            replies.emplace_back([done, cause] { done({Verdict::NotRun, cause}); });
+        } else {
+            Work work = routed.work;
+            work.id = ++m_lastWork;
+            const Millis now = m_clock.now();
+            work.deadline = now + routed.budget;
+            const auto found = running->classes.find(routed.className);
+            work.priorityClass = found == running->classes.end() ? running->classes.at(DefaultClass)
+                                                                 : found->second;
+            running->waiting[work.id] = std::move(done);
+            running->lastWork = now;
+            carryOut(running, running->gateway.submit(now, std::move(work)), &replies);
+        }
+    }
+    run(replies);
+}
+
+std::optional<GatewayPool::Sample>
+GatewayPool::sample(const std::string &team, const std::string &group, const std::string &instance)
+{
+    Shard &shard = shardFor(keyOf(team, instance));
+    Replies replies;
+    std::optional<Sample> sample;
+    {
+        MutexLock lock(&shard.mutex);
+        if (Running *running = current(&shard, team, group, instance, &replies)) {
+            const Millis now = m_clock.now();
+            carryOut(running, running->gateway.onSampleWanted(now), &replies);
+            const Freshness &freshness = running->gateway.freshness();
+            if (const auto newest = freshness.newestSample())
+                sample = Sample{freshness.newestPosition(), now - *newest};
+        }
+    }
+    run(replies);
+    return sample;
+}
+
+void GatewayPool::refresh()
+{
+    for (const std::string &teamName : m_options.view->teams()) {
+        const auto team = m_options.view->team(teamName);
+        for (const auto &group : team->settings.groups) {
+            const auto view = m_options.view->group(teamName, group.first);
+            if (!view)
+                continue;
+            for (const InstanceRoute &route : view->instances) {
+                const bool preferred
+                    = !route.gateways.empty() && route.gateways.front() == m_options.view->self();
+                const std::string key = keyOf(teamName, route.name);
+                Shard &shard = shardFor(key);
+                Replies replies;
+                {
+                    MutexLock lock(&shard.mutex);
+                    const bool known = shard.gateways.contains(key);
+                    const bool leads = route.name == view->primary;
+                    if (known || (preferred && leads))
+                        current(&shard, teamName, group.first, route.name, &replies);
+                }
+                run(replies);
+            }
+        }
+    }
+}
+
+void GatewayPool::tick()
+{
+    const Millis now = m_clock.now();
+    for (Shard &shard : m_shards) {
+        Replies replies;
+        {
+            MutexLock lock(&shard.mutex);
+            for (auto &entry : shard.gateways) {
+                for (const auto &running : entry.second)
+                    carryOut(running.get(), running->gateway.onTick(now), &replies);
+                std::erase_if(entry.second, [](const std::unique_ptr<Running> &running) {
+                    return running->retiring && running->gateway.idle()
+                        && running->connections.empty();
+                });
+            }
+        }
+        run(replies);
+    }
+}
+
+void GatewayPool::drain()
+{
+    m_draining = true;
+    for (Shard &shard : m_shards) {
+        MutexLock lock(&shard.mutex);
+        for (auto &entry : shard.gateways) {
+            for (const auto &running : entry.second)
+                running->gateway.drain();
+        }
+    }
+}
+
+bool GatewayPool::idle() const
+{
+    for (const Shard &shard : m_shards) {
+        MutexLock lock(&shard.mutex);
+        for (const auto &entry : shard.gateways) {
+            for (const auto &running : entry.second) {
+                if (!running->gateway.idle())
+                    return false;
+            }
+        }
+    }
+    return true;
+}
+
+std::map<std::string, Gateway::Counters> GatewayPool::counters() const
+{
+    std::map<std::string, Gateway::Counters> result;
+    for (const Shard &shard : m_shards) {
+        MutexLock lock(&shard.mutex);
+        for (const auto &entry : shard.gateways) {
+            if (!entry.second.empty())
+                result[entry.first] = entry.second.back()->gateway.counters();
+        }
+    }
+    return result;
+}
+
+GatewayPool::Shard &GatewayPool::shardFor(const std::string &key)
+{
+    return m_shards.at(hash64(key) % ShardCount);
+}
+
+GatewayPool::Running *GatewayPool::current(Shard *shard, const std::string &team,
+                                           const std::string &group, const std::string &instance,
+                                           Replies *replies)
+{
+    const auto version = m_options.view->team(team);
+    if (!version)
+        return nullptr;
+    const Millis now = m_clock.now();
+    auto &generations = shard->gateways[keyOf(team, instance)];
+    const bool outdated
+        = generations.empty() || generations.back()->settingsVersion != version->version;
+    if (outdated) {
+        auto fresh = build(*version, group, instance);
+        if (!fresh)
+            return nullptr;
+        if (!generations.empty()) {
+            Running &old = *generations.back();
+            old.retiring = true;
+            old.gateway.drain();
+            carryOut(&old, old.gateway.setQuota(now, 0), replies);
+        }
+        generations.push_back(std::move(fresh));
+    }
+    Running *running = generations.back().get();
+    adapt(running, now, replies);
+    return running;
+}
+
+std::unique_ptr<GatewayPool::Running>
+GatewayPool::build(const TeamVersion &team, const std::string &group, const std::string &instance)
+{
+    const auto groupSettings = team.settings.groups.find(group);
+    if (groupSettings == team.settings.groups.end())
+        return nullptr;
+    const auto instanceSettings = groupSettings->second.instances.find(instance);
+    if (instanceSettings == groupSettings->second.instances.end())
+        return nullptr;
+    const std::uint64_t number = ++m_lastNumber;
+    Gateway::Options options;
+    options.instance = instance;
+    options.groupSize = groupSettings->second.instances.size();
+    options.slots = groupSettings->second.slots;
+    options.queue = queueOptions(team.settings);
+    for (const auto &entry : team.settings.classes)
+        options.reservedSlots += entry.second.reservedSlots;
+    options.transactionPrefix = m_options.view->self() + "~" + instance + "~"
+        + std::to_string(m_options.incarnation) + "." + std::to_string(number) + ".";
+    options.transactionIdle = team.settings.timeouts.transactionIdle;
+    options.replicaWait = team.settings.timeouts.replicaWait;
+    const ConnectionQuota::Options quota{.connections = groupSettings->second.connections};
+    auto running = std::make_unique<Running>(options, quota);
+    running->team = team.settings.team;
+    running->group = group;
+    running->instance = instance;
+    running->number = number;
+    running->settingsVersion = team.version;
+    running->endpoint = *parseEndpoint(instanceSettings->second.address, nullptr);
+    running->connectTimeout = team.settings.timeouts.connect;
+    running->ledgerRetention = team.settings.timeouts.ledgerRetention;
+    for (std::size_t i = 0; i < options.queue.classes.size(); ++i)
+        running->classes[options.queue.classes[i].name] = i;
+    if (m_draining)
+        running->gateway.drain();
+    return running;
+}
+
+GatewayPool::Running *GatewayPool::holderOf(Shard *shard, const std::string &key,
+                                            const std::string &transaction)
+{
+    // "<host>~<instance>~<incarnation>.<number>.<count>"
+    const std::size_t last = transaction.rfind('.');
+    if (last == std::string::npos || last == 0)
+        return nullptr;
+    const std::size_t first = transaction.rfind('.', last - 1);
+    if (first == std::string::npos)
+        return nullptr;
+    const std::string digits = transaction.substr(first + 1, last - first - 1);
+    for (const auto &running : shard->gateways[key]) {
+        if (std::to_string(running->number) == digits)
+            return running.get();
+    }
+    return nullptr;
+}
+
+GatewayPool::Running *GatewayPool::byNumber(Shard *shard, const std::string &key,
+                                            std::uint64_t number)
+{
+    const auto found = shard->gateways.find(key);
+    if (found == shard->gateways.end())
+        return nullptr;
+    for (const auto &running : found->second) {
+        if (running->number == number)
+            return running.get();
+    }
+    return nullptr;
+}
+
+void GatewayPool::adapt(Running *running, Millis now, Replies *replies)
+{
+    const auto view = m_options.view->group(running->team, running->group);
+    if (!view)
+        return;
+    const auto route
+        = std::find_if(view->instances.begin(), view->instances.end(),
+                       [running](const InstanceRoute &r) { return r.name == running->instance; });
+    if (route == view->instances.end())
+        return;
+    const auto self
+        = std::find(route->gateways.begin(), route->gateways.end(), m_options.view->self());
+    running->quota.setRank(now, static_cast<int>(self - route->gateways.begin()));
+    const bool leads = view->primary == running->instance;
+    carryOut(running, running->gateway.setRole(now, view->term, leads, route->leaving), replies);
+    carryOut(running, running->gateway.setQuota(now, running->quota.allowed(now)), replies);
+}
+
+void GatewayPool::carryOut(Running *running, const GatewayActions &actions, Replies *replies)
+{
+    for (const GatewayAction &action : actions) {
+        if (const auto *opening = std::get_if<OpenConnection>(&action)) {
+            open(running, opening->connection);
+        } else if (const auto *closing = std::get_if<CloseConnection>(&action)) {
+            const auto found = running->connections.find(closing->connection);
+            if (found != running->connections.end()) {
+                found->second->close();
+                running->connections.erase(found);
+            }
+        } else if (const auto *call = std::get_if<TargetCall>(&action)) {
+            callTarget(running, *call);
+        } else if (const auto *send = std::get_if<SendReply>(&action)) {
+            const auto found = running->waiting.find(send->work);
+            if (found != running->waiting.end()) {
+                replies->emplace_back(
+                    [done = std::move(found->second), reply = send->reply] { done(reply); });
+                running->waiting.erase(found);
+            }
+        } else if (const auto *poll = std::get_if<PollStatus>(&action)) {
+            pollStatus(running, poll->delay);
+        } else if (std::holds_alternative<FetchSample>(action)) {
+            fetchSample(running);
+        } else {
+            reportFailure(running);
+        }
+    }
+}
+
+void GatewayPool::open(Running *running, std::uint64_t connection)
+{
+    const std::string key = keyOf(running->team, running->instance);
+    const std::uint64_t number = running->number;
+    m_options.targets->open(
+        running->endpoint, running->connectTimeout,
+        [self = shared_from_this(), key, number,
+         connection](const std::shared_ptr<TargetConnection> &opened) {
+            self->deliver(key, number, [connection, &opened](Running *target, Millis now) {
+                if (!opened)
+                    return target->gateway.onOpenFailed(now, connection);
+                target->connections[connection] = opened;
+                return target->gateway.onOpened(now, connection);
+            });
+        });
+}
+
+void GatewayPool::callTarget(Running *running, const TargetCall &call)
+{
+    const auto found = running->connections.find(call.connection);
+    if (found == running->connections.end())
+        return;
+    const std::string key = keyOf(running->team, running->instance);
+    const std::uint64_t number = running->number;
+    found->second->call(
+        call, running->ledgerRetention,
+        [self = shared_from_this(), key, number,
+         connection = call.connection](const std::optional<TargetAnswer> &answer, bool sent) {
+            self->deliver(key, number, [connection, &answer, sent](Running *target, Millis now) {
+                if (answer)
+                    return target->gateway.onAnswer(now, connection, *answer);
+                const auto broken = target->connections.find(connection);
+                if (broken != target->connections.end()) {
+                    broken->second->close();
+                    target->connections.erase(broken);
+                }
+                return target->gateway.onBroken(now, connection, sent);
+            });
+        });
+}
+
+void GatewayPool::pollStatus(Running *running, Millis delay)
+{
+    const std::string key = keyOf(running->team, running->instance);
+    const auto fetch = [self = shared_from_this(), key, number = running->number,
+                        endpoint = running->endpoint] { self->fetchStatus(key, number, endpoint); };
+    if (delay.count() == 0)
+        fetch();
+    else
+        m_options.loop->after(delay, fetch);
+}
+
+void GatewayPool::fetchStatus(const std::string &key, std::uint64_t number,
+                              const Endpoint &endpoint)
+{
+    const Millis sentAt = m_clock.now();
+    m_options.targets->status(
+        endpoint, false, StatusTimeout,
+        [self = shared_from_this(), key, number,
+         sentAt](const std::optional<InstanceReport> &report) {
+            self->deliver(key, number, [sentAt, &report](Running *target, Millis now) {
+                return report ? target->gateway.onStatus(now, sentAt, *report)
+                              : target->gateway.onStatusFailed(now);
+            });
+        });
+}
+
+void GatewayPool::fetchSample(Running *running)
+{
+    const auto view = m_options.view->group(running->team, running->group);
+    if (!view)
+        return;
+    const auto route
+        = std::find_if(view->instances.begin(), view->instances.end(),
+                       [&view](const InstanceRoute &r) { return r.name == view->primary; });
+    if (route == view->instances.end() || route->gateways.empty())
+        return;
+    const std::string key = keyOf(running->team, running->instance);
+    const std::uint64_t number = running->number;
+    const Millis sentAt = m_clock.now();
+    const std::string &host = route->gateways.front();
+    const auto take = [self = shared_from_this(), key, number, sentAt](Position last, Millis age) {
+        self->deliver(key, number, [last, sentAt, age](Running *target, Millis now) {
+            return target->gateway.onSample(now, sentAt - age, last);
+        });
+    };
+    if (host == m_options.view->self()) {
+        // Posted, because this shard's lock is held and the primary's may be the same.
+        m_options.loop->post([self = shared_from_this(), take, team = running->team,
+                              group = running->group, primary = view->primary] {
+            if (const auto sample = self->sample(team, group, primary))
+                take(sample->last, sample->age);
+        });
+        return;
+    }
+    const auto link = m_options.peers(host);
+    if (!link)
+        return;
+    const json::object body{
+        {"team", running->team}, {"group", running->group}, {"instance", view->primary}};
+    link->call({"/sample", json::serialize(body)}, SampleTimeout, [take](const PeerReply &reply) {
+        const auto object = parseObject(reply.body, nullptr);
+        if (object && object->contains("ageMs"))
+            take(decodePosition(*object, "last"), Millis(numberMember(*object, "ageMs")));
+    });
+}
+
+void GatewayPool::reportFailure(Running *running)
+{
+    const json::object body{
+        {"team", running->team}, {"group", running->group}, {"instance", running->instance}};
+    m_options.steward->call({"/hint", json::serialize(body)}, HintTimeout,
+                            [](const PeerReply &) {});
+}
+
+void GatewayPool::deliver(const std::string &key, std::uint64_t number,
+                          const std::function<GatewayActions(Running *, Millis)> &event)
+{
+    Shard &shard = shardFor(key);
+    Replies replies;
+    {
+        MutexLock lock(&shard.mutex);
+        if (Running *running = byNumber(&shard, key, number))
+            carryOut(running, event(running, m_clock.now()), &replies);
+    }
+    run(replies);
+}
+
+void GatewayPool::run(const Replies &replies)
+{
+    for (const auto &reply : replies)
+        reply();
+}
+
+std::string GatewayPool::keyOf(const std::string &team, const std::string &instance)
+{
+    return team + "/" + instance;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/request/hostview.cpp
@@ -0,0 +1,161 @@
+#include "request/hostview.h"
+
+#include "base/hash.h"
+#include "connection/wire.h"
+#include "version/settingsreader.h"
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+// Enough for a preferred gateway and its standbys.
+constexpr std::size_t GatewaysPerInstance = 3;
+
+} // namespace
+
+HostView::HostView(std::string host, std::string dataCentre)
+    : m_host(std::move(host))
+    , m_dataCentre(std::move(dataCentre))
+{
+}
+
+bool HostView::merge(const Record &record)
+{
+    MutexLock lock(&m_mutex);
+    if (!m_records.merge(record))
+        return false;
+    decode(record);
+    m_groups.clear();
+    ++m_generation;
+    return true;
+}
+
+std::uint64_t HostView::hash() const
+{
+    MutexLock lock(&m_mutex);
+    return m_records.hash();
+}
+
+std::shared_ptr<const TeamVersion> HostView::team(const std::string &team) const
+{
+    MutexLock lock(&m_mutex);
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> HostView::teams() const
+{
+    MutexLock lock(&m_mutex);
+    std::vector<std::string> names;
+    for (const auto &team : m_teams)
+        names.push_back(team.first);
+    return names;
+}
+
+std::shared_ptr<const GroupView> HostView::group(const std::string &team,
+                                                 const std::string &group) const
+{
+    MutexLock lock(&m_mutex);
+    const GroupName name{team, group};
+    const auto found = m_groups.find(name);
+    if (found != m_groups.end())
+        return found->second;
+    auto built = build(name);
+    if (built)
+        m_groups[name] = built;
+    return built;
+}
+
+std::optional<HostInfo> HostView::host(const std::string &name) const
+{
+    MutexLock lock(&m_mutex);
+    const auto found = m_hosts.find(name);
+    if (found == m_hosts.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::vector<HostInfo> HostView::hosts() const
+{
+    MutexLock lock(&m_mutex);
+    std::vector<HostInfo> hosts;
+    for (const auto &host : m_hosts)
+        hosts.push_back(host.second);
+    return hosts;
+}
+
+std::uint64_t HostView::generation() const
+{
+    MutexLock lock(&m_mutex);
+    return m_generation;
+}
+
+void HostView::decode(const Record &record)
+{
+    if (record.key.starts_with("host/")) {
+        if (auto host = decodeHost(record.body, nullptr))
+            m_hosts[host->name] = std::move(*host);
+    } else if (record.key.starts_with("settings/")) {
+        Problems problems;
+        auto settings = readTeamSettings(record.body, record.key, &problems);
+        // The operator's command checks before it writes, so a body that does not pass was written
+        // some other way; the version before it stays in force.
+        if (!settings)
+            return;
+        auto version = std::make_shared<TeamVersion>();
+        version->settings = std::move(*settings);
+        version->version = record.version;
+        m_teams[record.key.substr(record.key.find('/') + 1)] = std::move(version);
+    }
+}
+
+std::shared_ptr<const GroupView> HostView::build(const GroupName &name) const
+{
+    const auto team = m_teams.find(name.first);
+    if (team == m_teams.end())
+        return nullptr;
+    const auto &groups = team->second->settings.groups;
+    const auto group = groups.find(name.second);
+    if (group == groups.end())
+        return nullptr;
+    auto view = std::make_shared<GroupView>();
+    if (const Record *primary = m_records.find(primaryKey(name.first, name.second))) {
+        view->term = primary->version;
+        view->primary = decodePrimary(primary->body);
+    }
+    for (const auto &instance : group->second.instances) {
+        InstanceRoute route;
+        route.name = instance.first;
+        route.dataCentre = instance.second.dataCentre;
+        const Record *leaving = m_records.find(leavingKey(name.first, instance.first));
+        route.leaving = leaving && decodeLeaving(leaving->body);
+        route.gateways = gatewaysFor(name.first + "/" + instance.first, route.dataCentre);
+        view->instances.push_back(std::move(route));
+    }
+    return view;
+}
+
+std::vector<std::string> HostView::gatewaysFor(const std::string &instance,
+                                               const std::string &dataCentre) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> anywhere;
+    for (const auto &entry : m_hosts) {
+        const HostInfo &host = entry.second;
+        if (host.state != HostState::Alive)
+            continue;
+        anywhere.push_back(host.name);
+        if (host.dataCentre == dataCentre)
+            near.push_back(host.name);
+    }
+    // A data centre without hosts of the system is served from the others.
+    std::vector<std::string> order
+        = rendezvousOrder(instance, near.empty() ? std::move(anywhere) : std::move(near));
+    if (order.size() > GatewaysPerInstance)
+        order.resize(GatewaysPerInstance);
+    return order;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/request/requestflow.h
@@ -0,0 +1,124 @@
+// One caller's request on its entry host, from arrival to answer: which instance and gateway to
+// try, when to try again, and what may be said at the end.
+//
+//     RequestFlow flow(request, "cali-1", "cali");
+//     FlowAction action = flow.start(now, view, &lag);
+//     // Send: forward the work, then action = flow.onReply(now, view, reply, &budget, &lag).
+//     // Wait: call flow.onWake() when the group's primary changes, or at action.wakeAt.
+//     // Finish: answer the caller with action.reply.
+//
+// The final verdict never claims more than all attempts together allow: once one attempt may have
+// run, only the ledger's word turns that into "ran" or "not run".
+//
+// Pure and not thread-safe.
+#pragma once
+
+#include "base/millis.h"
+#include "base/position.h"
+#include "base/verdict.h"
+#include "connection/gateway.h"
+#include "request/replicalag.h"
+#include "request/retrybudget.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+struct InstanceRoute
+{
+    std::string name;
+    std::string dataCentre;
+    bool leaving = false;
+    std::vector<std::string> gateways; // Host names, the preferred one first.
+};
+
+// What the entry host knows of a group.
+struct GroupView
+{
+    std::string primary; // Empty if unknown.
+    std::uint64_t term = 0;
+    std::vector<InstanceRoute> instances;
+};
+
+struct FlowRequest
+{
+    WorkKind kind = WorkKind::Execute;
+    bool write = false;
+    std::string requestId;
+    std::optional<Millis> maxAge;
+    std::optional<Position> token; // Set if the session presented a valid token.
+    Millis deadline;
+    std::string transactionHost; // Where the transaction lives, for work inside one.
+    std::string transactionInstance;
+};
+
+enum class FlowStep {
+    Send,
+    Wait,
+    Finish,
+};
+
+struct FlowAction
+{
+    FlowStep step = FlowStep::Finish;
+    // With Send:
+    std::string host;
+    std::string instance;
+    bool replica = false;
+    WorkKind kind = WorkKind::Execute; // Outcome, when a commit has to be settled.
+    // With Wait:
+    Millis wakeAt;
+    // With Finish:
+    WorkReply reply;
+};
+
+class RequestFlow
+{
+public:
+    RequestFlow(FlowRequest request, std::string dataCentre, std::uint64_t spread);
+
+    FlowAction start(Millis now, const GroupView &view, const ReplicaLag &lag);
+    FlowAction onReply(Millis now, const GroupView &view, const WorkReply &reply,
+                       RetryBudget *budget, ReplicaLag *lag);
+    // The group's primary changed, or a wait ended.
+    FlowAction onWake(Millis now, const GroupView &view, const ReplicaLag &lag);
+
+    // Attempts sent so far.
+    int attempts() const { return m_attempts; }
+    // Whether the last attempt went to a replica.
+    bool onReplica() const { return m_replica; }
+
+private:
+    bool replicaAllowed() const;
+    const InstanceRoute *bestReplica(Millis now, const GroupView &view,
+                                     const ReplicaLag &lag) const;
+    FlowAction sendToTransaction();
+    FlowAction sendToPrimary(Millis now, const GroupView &view);
+    FlowAction send(const InstanceRoute &route, bool replica);
+    FlowAction next(Millis now, const GroupView &view, const ReplicaLag &lag);
+    FlowAction wait(Millis now, Millis delay) const;
+    FlowAction finish(WorkReply reply) const;
+    FlowAction finishFailed(const WorkReply &reply) const;
+    FlowAction handleMayHaveRun(Millis now, const GroupView &view, const WorkReply &reply,
+                                RetryBudget *budget, const ReplicaLag &lag);
+    FlowAction handleNotRun(Millis now, const GroupView &view, const WorkReply &reply,
+                            RetryBudget *budget, const ReplicaLag &lag);
+
+    FlowRequest m_request;
+    std::string m_dataCentre;
+    std::uint64_t m_spread;
+    WorkKind m_kind;
+    int m_attempts = 0;
+    bool m_replica = false;
+    bool m_mayHaveRun = false;
+    std::size_t m_gatewayRank = 0;
+    std::string m_instance; // Of the last attempt.
+    std::uint64_t m_sentTerm = 0;
+    std::set<std::string> m_triedReplicas;
+    Cause m_lastCause = Cause::NoPrimary;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/version/locatedjson.cpp
@@ -0,0 +1,149 @@
+#include "version/locatedjson.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+// Receives the parser's events and builds located values. The driver sets `line` before each line.
+class Builder
+{
+public:
+    static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+
+    using Error = json::error_code;
+
+    bool on_document_begin(Error &) { return true; }
+    bool on_document_end(Error &) { return true; }
+    bool on_object_begin(Error &) { return open(LocatedValue::Object{}); }
+    bool on_object_end(std::size_t, Error &) { return close(); }
+    bool on_array_begin(Error &) { return open(LocatedValue::Array{}); }
+    bool on_array_end(std::size_t, Error &) { return close(); }
+    bool on_key_part(json::string_view part, std::size_t, Error &) { return collect(part); }
+    bool on_key(json::string_view part, std::size_t, Error &)
+    {
+        collect(part);
+        auto &object = std::get<LocatedValue::Object>(m_open.back().data);
+        object.push_back({std::exchange(m_text, {}), {}, line});
+        return true;
+    }
+    bool on_string_part(json::string_view part, std::size_t, Error &) { return collect(part); }
+    bool on_string(json::string_view part, std::size_t, Error &)
+    {
+        collect(part);
+        return add({std::exchange(m_text, {}), line});
+    }
+    bool on_number_part(json::string_view, Error &) { return true; }
+    bool on_int64(std::int64_t number, json::string_view, Error &) { return add({number, line}); }
+    bool on_uint64(std::uint64_t number, json::string_view, Error &)
+    {
+        return add({static_cast<double>(number), line});
+    }
+    bool on_double(double number, json::string_view, Error &) { return add({number, line}); }
+    bool on_bool(bool value, Error &) { return add({value, line}); }
+    bool on_null(Error &) { return add({nullptr, line}); }
+    bool on_comment_part(json::string_view, Error &) { return true; }
+    bool on_comment(json::string_view, Error &) { return true; }
+
+    int line = 1;
+    LocatedValue root;
+
+private:
+    bool collect(json::string_view part)
+    {
+        m_text.append(part.data(), part.size());
+        return true;
+    }
+
+    template <typename Container> bool open(Container container)
+    {
+        m_open.push_back({std::move(container), line});
+        return true;
+    }
+
+    bool close()
+    {
+        LocatedValue value = std::move(m_open.back());
+        m_open.pop_back();
+        return add(std::move(value));
+    }
+
+    bool add(LocatedValue value)
+    {
+        if (m_open.empty()) {
+            root = std::move(value);
+            return true;
+        }
+        if (auto *object = std::get_if<LocatedValue::Object>(&m_open.back().data))
+            object->back().value.push_back(std::move(value));
+        else
+            std::get<LocatedValue::Array>(m_open.back().data).push_back(std::move(value));
+        return true;
+    }
+
+    std::vector<LocatedValue> m_open;
+    std::string m_text;
+};
+
+} // namespace
+
+std::string Problem::text() const
+{
+    std::string text = file;
+    if (line > 0)
+        text += ":" + std::to_string(line);
+    if (!key.empty())
+        text += ": " + key;
+    return text + ": " + message;
+}
+
+const LocatedValue *LocatedValue::member(std::string_view key) const
+{
+    const auto *object = std::get_if<Object>(&data);
+    if (!object)
+        return nullptr;
+    for (const LocatedMember &member : *object) {
+        if (member.key == key)
+            return &member.value.front();
+    }
+    return nullptr;
+}
+
+std::optional<LocatedValue> parseLocated(std::string_view text, const std::string &file,
+                                         Problems *problems)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    json::basic_parser<Builder> parser(options);
+    Builder &builder = parser.handler();
+    json::error_code error;
+    std::size_t start = 0;
+    while (start < text.size() && !error) {
+        const std::size_t end = std::min(text.find('\n', start), text.size() - 1) + 1;
+        const std::string_view line = text.substr(start, end - start);
+        const std::size_t used = parser.write_some(true, line.data(), line.size(), error);
+        if (!error && used < line.size())
+            error = json::error::extra_data;
+        start = end;
+        if (!error && start < text.size())
+            ++builder.line;
+    }
+    if (!error)
+        parser.write_some(false, nullptr, 0, error);
+    if (error) {
+        problems->push_back({file, builder.line, "", "not JSON: " + error.message()});
+        return std::nullopt;
+    }
+    return std::move(builder.root);
+}
+
+} // namespace cicadagap
