--- /dev/null
+++ b/src/version/settingsfeed.cpp
@@ -0,0 +1,136 @@
+#include "version/settingsfeed.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t NumberWidth = 12;
+
+std::string stringMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    const json::string *text = member ? member->if_string() : nullptr;
+    return text ? std::string(text->data(), text->size()) : std::string();
+}
+
+} // namespace
+
+std::string settingsLogKey(std::uint64_t number)
+{
+    const std::string digits = std::to_string(number);
+    return SettingsLogPrefix + std::string(NumberWidth - digits.size(), '0') + digits;
+}
+
+std::string encodeLogEntry(const SettingsLogEntry &entry)
+{
+    return json::serialize(json::object{{"team", entry.team}, {"change", entry.change}});
+}
+
+std::optional<SettingsLogEntry> decodeLogEntry(std::string_view text)
+{
+    json::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return SettingsLogEntry{stringMember(value.get_object(), "team"),
+                            stringMember(value.get_object(), "change")};
+}
+
+SettingsFeed::SettingsFeed(Options options)
+    : m_options(options)
+{
+}
+
+std::vector<FeedAction> SettingsFeed::onTick(Millis now, bool reader)
+{
+    if (!reader || m_busy || now < m_nextRead)
+        return {};
+    m_busy = true;
+    m_headReadAt = now;
+    return {{FeedStep::ReadHead, SettingsHeadKey}};
+}
+
+std::vector<FeedAction> SettingsFeed::onHead(Millis now, std::optional<std::uint64_t> head)
+{
+    if (!head)
+        return fail(now);
+    m_head = *head;
+    if (!m_applied || m_head - *m_applied > m_options.scanAbove)
+        return {{FeedStep::ReadAll, SettingsPrefix}};
+    if (m_head > *m_applied)
+        return {{FeedStep::ReadLog, settingsLogKey(*m_applied)}};
+    return readNextTeam(now);
+}
+
+std::vector<FeedAction> SettingsFeed::onLog(Millis now,
+                                            const std::optional<std::vector<FeedRow>> &rows)
+{
+    if (!rows)
+        return fail(now);
+    for (const FeedRow &row : *rows) {
+        const auto entry = decodeLogEntry(row.value);
+        if (!entry)
+            continue;
+        const std::string key = SettingsPrefix + entry->team;
+        if (std::find(m_teamsToRead.begin(), m_teamsToRead.end(), key) == m_teamsToRead.end())
+            m_teamsToRead.push_back(key);
+    }
+    return readNextTeam(now);
+}
+
+std::vector<FeedAction> SettingsFeed::onAll(Millis now,
+                                            const std::optional<std::vector<FeedRow>> &rows,
+                                            std::vector<FeedRecord> *records)
+{
+    if (!rows)
+        return fail(now);
+    for (const FeedRow &row : *rows) {
+        const std::string team = row.key.substr(std::string_view(SettingsPrefix).size());
+        records->push_back({team, row.version, row.value});
+    }
+    if (!rows->empty())
+        return {{FeedStep::ReadAll, rows->back().key}};
+    return readNextTeam(now);
+}
+
+std::vector<FeedAction> SettingsFeed::onTeam(Millis now, const std::optional<FeedRow> &row,
+                                             std::vector<FeedRecord> *records)
+{
+    if (!row)
+        return fail(now);
+    const std::string team = row->key.substr(std::string_view(SettingsPrefix).size());
+    records->push_back({team, row->version, row->value});
+    std::erase(m_teamsToRead, row->key);
+    return readNextTeam(now);
+}
+
+std::vector<FeedAction> SettingsFeed::fail(Millis now)
+{
+    m_busy = false;
+    m_backoff = std::clamp(m_backoff * 2, m_options.interval, m_options.maxBackoff);
+    m_nextRead = now + m_backoff;
+    return {};
+}
+
+std::vector<FeedAction> SettingsFeed::readNextTeam(Millis now)
+{
+    if (!m_teamsToRead.empty())
+        return {{FeedStep::ReadTeam, m_teamsToRead.front()}};
+    m_busy = false;
+    m_backoff = Millis();
+    m_applied = m_head;
+    m_confirmedAt = m_headReadAt;
+    m_nextRead = std::max(now, m_headReadAt + m_options.interval);
+    return {};
+}
+
+} // namespace cicadagap
