--- a/src/connection/gateway.cpp
+++ b/src/connection/gateway.cpp
@@ -396,6 +396,7 @@
     call.step = step;
     call.term = m_term;
     call.readOnly = work.replica;
+    call.inTransaction = work.kind == WorkKind::Continue;
     call.operations = work.operations;
     call.requestId = work.requestId;
     const bool writesLedger = step == TargetStep::Execute || step == TargetStep::Commit;
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -90,6 +90,7 @@
     TargetStep step = TargetStep::Execute;
     std::uint64_t term = 0;
     bool readOnly = false;
+    bool inTransaction = false; // Must run inside the connection's open transaction or not at all.
     std::string operations;
     std::string requestId;   // The ledger's key, with a non-empty ledgerValue or ReadLedger.
     std::string ledgerValue; // Written under requestId in the same transaction.
--- a/src/connection/peerlink.cpp
+++ b/src/connection/peerlink.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cstring>
 #include <map>
 #include <utility>
 #include <vector>
@@ -225,7 +224,7 @@
     {
         auto *stream = static_cast<Stream *>(source->ptr);
         const std::size_t count = std::min(length, stream->outgoing.size() - stream->sent);
-        std::memcpy(buffer, stream->outgoing.data() + stream->sent, count);
+        std::copy_n(stream->outgoing.data() + stream->sent, count, buffer);
         stream->sent += count;
         if (stream->sent == stream->outgoing.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -186,7 +186,8 @@
         operations = withFirst(ledgerOperation("insert", call.requestId, value), operations);
     }
     return "{\"term\":" + std::to_string(call.term)
-        + ",\"readOnly\":" + (call.readOnly ? "true" : "false") + ",\"ops\":" + operations + "}";
+        + ",\"readOnly\":" + (call.readOnly ? "true" : "false") + ",\"inTransaction\":"
+        + (call.inTransaction ? "true" : "false") + ",\"ops\":" + operations + "}";
 }
 
 std::optional<TargetAnswer> decodeTargetAnswer(const TargetCall &call, std::string_view text,
--- /dev/null
+++ b/src/request/tst_properties.cpp
@@ -0,0 +1,399 @@
+// What must always hold, under random schedules of failures in virtual time. Each case draws a seed
+// and a schedule; a failing one is shrunk and printed by RapidCheck.
+#include "testworld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <set>
+
+namespace cicadagap {
+
+namespace {
+
+enum class FaultKind {
+    KillInstance,
+    FreezeInstance,
+    KillHost,
+    FreezeHost,
+    CutLink,
+    IsolateDataCentre,
+    LoseAnswers,
+    SlowReplication,
+    SilenceConnections,
+};
+
+constexpr NameTable<FaultKind, 9> FaultKindNames{{{
+    {FaultKind::KillInstance, "kill-instance"},
+    {FaultKind::FreezeInstance, "freeze-instance"},
+    {FaultKind::KillHost, "kill-host"},
+    {FaultKind::FreezeHost, "freeze-host"},
+    {FaultKind::CutLink, "cut-link"},
+    {FaultKind::IsolateDataCentre, "isolate-data-centre"},
+    {FaultKind::LoseAnswers, "lose-answers"},
+    {FaultKind::SlowReplication, "slow-replication"},
+    {FaultKind::SilenceConnections, "silence-connections"},
+}}};
+
+struct Fault
+{
+    FaultKind kind = FaultKind::KillInstance;
+    int target = 1; // 1 to 3
+    int atMs = 0;   // After the start.
+    int lastsMs = 1000;
+};
+
+std::ostream &operator<<(std::ostream &out, const Fault &fault)
+{
+    return out << FaultKindNames.name(fault.kind) << ' ' << fault.target << " at " << fault.atMs
+               << " for " << fault.lastsMs;
+}
+
+constexpr Millis FaultsEnd(12'000); // Every fault has ended by then.
+constexpr Millis Settle(15'000);
+constexpr Millis Deadline(3000);
+constexpr int Sessions = 5;
+
+// Applies one fault and takes it back after its time.
+void schedule(TestWorld *world, const Fault &fault)
+{
+    const std::string number = std::to_string(fault.target);
+    const std::string instance = "t" + number;
+    const std::string host = "h" + number;
+    const std::string other = "d" + std::to_string(fault.target % 3 + 1);
+    world->after(Millis(fault.atMs), [=] {
+        switch (fault.kind) {
+        case FaultKind::KillInstance:
+            world->killInstance(instance);
+            break;
+        case FaultKind::FreezeInstance:
+            world->freeze(instance);
+            break;
+        case FaultKind::KillHost:
+            world->killHost(host);
+            break;
+        case FaultKind::FreezeHost:
+            world->freeze(host);
+            break;
+        case FaultKind::CutLink:
+            world->cut("d" + number, other);
+            break;
+        case FaultKind::IsolateDataCentre:
+            world->isolate("d" + number);
+            break;
+        case FaultKind::LoseAnswers:
+            world->loseAnswers(instance, 3);
+            break;
+        case FaultKind::SlowReplication:
+            world->delayReplication(instance, Millis(400));
+            break;
+        case FaultKind::SilenceConnections:
+            world->silence(instance);
+            break;
+        }
+    });
+    const Millis end = std::min(Millis(fault.atMs + fault.lastsMs), FaultsEnd);
+    world->after(end, [=] {
+        switch (fault.kind) {
+        case FaultKind::KillInstance:
+            world->restartInstance(instance);
+            break;
+        case FaultKind::FreezeInstance:
+            world->thaw(instance);
+            break;
+        case FaultKind::KillHost:
+            world->restartHost(host);
+            break;
+        case FaultKind::FreezeHost:
+            world->thaw(host);
+            break;
+        case FaultKind::CutLink:
+        case FaultKind::IsolateDataCentre:
+            world->heal();
+            break;
+        case FaultKind::SlowReplication:
+            world->delayReplication(instance, Millis(0));
+            break;
+        case FaultKind::LoseAnswers:
+        case FaultKind::SilenceConnections:
+            break;
+        }
+    });
+}
+
+// Callers that write, read back, and use transactions, roaming between hosts.
+class Callers
+{
+public:
+    Callers(TestWorld *world, std::uint64_t seed)
+        : m_world(world)
+        , m_random(seed)
+    {
+        for (int i = 0; i < Sessions; ++i)
+            next(i);
+    }
+
+    void stop() { m_stopped = true; }
+
+    // Compares what callers were told with the rows of the final primary. Empty if all is well.
+    std::string check(const std::map<std::string, std::vector<std::string>> &rows) const
+    {
+        std::map<std::string, int> counts;
+        for (const auto &row : rows) {
+            for (const std::string &value : row.second)
+                ++counts[row.first + "/" + value];
+        }
+        for (const auto &write : m_writes) {
+            const int count = counts.contains(write.first) ? counts.at(write.first) : 0;
+            const bool allowed = write.second == Verdict::Ran ? count == 1
+                : write.second == Verdict::NotRun             ? count == 0
+                                                              : count <= 1;
+            if (!allowed)
+                return write.first + " was answered \""
+                    + std::string(VerdictNames.name(write.second)) + "\" and is there "
+                    + std::to_string(count) + " times";
+        }
+        for (const std::string &transaction : m_transactions) {
+            if (counts.contains(transaction + "-a/x") != counts.contains(transaction + "-b/x"))
+                return "transaction " + transaction + " is there in part";
+        }
+        return {};
+    }
+
+    int acknowledged() const { return m_acknowledged; }
+    int staleReads() const { return m_staleReads; }
+    Millis lastAcknowledged() const { return m_lastAcknowledged; }
+    Millis longestGap() const { return m_longestGap; }
+
+private:
+    std::string randomHost() { return "h" + std::to_string(m_random.below(3) + 1); }
+
+    FlowRequest base(int session) const
+    {
+        FlowRequest request;
+        request.deadline = m_world->now() + Deadline;
+        request.token = m_tokens[static_cast<std::size_t>(session)];
+        return request;
+    }
+
+    void next(int session)
+    {
+        if (m_stopped)
+            return;
+        m_world->after(Millis(static_cast<std::int64_t>(5 + m_random.below(40))), [this, session] {
+            const std::uint64_t choice = m_random.below(10);
+            if (choice < 4)
+                write(session);
+            else if (choice < 8)
+                read(session);
+            else
+                transaction(session);
+        });
+    }
+
+    void write(int session)
+    {
+        const std::string key = "s" + std::to_string(session);
+        const std::string value = "v" + std::to_string(++m_lastValue);
+        TestRequest request;
+        request.flow = base(session);
+        request.flow.write = true;
+        // Half of the writes must not be repeated; their ids are settled after "may have run".
+        if (m_random.below(2) == 0)
+            request.flow.requestId = value;
+        request.operations = appendOperation(key, value);
+        m_world->request(randomHost(), request,
+                         [this, session, key, value, request](const WorkReply &reply) {
+                             const bool marked = !request.flow.requestId.empty();
+                             if (reply.verdict == Verdict::MayHaveRun && marked && !m_stopped) {
+                                 m_writes[key + "/" + value] = Verdict::MayHaveRun;
+                                 settle(session, key, value);
+                                 return;
+                             }
+                             finishWrite(session, key, value, reply);
+                         });
+    }
+
+    // Asks what became of a write until the answer is definite.
+    void settle(int session, const std::string &key, const std::string &value)
+    {
+        TestRequest request;
+        request.flow = base(session);
+        request.flow.kind = WorkKind::Outcome;
+        request.flow.write = true;
+        request.flow.requestId = value;
+        m_world->request(randomHost(), request, [=, this](const WorkReply &reply) {
+            const bool definite = reply.verdict == Verdict::Ran || reply.cause == Cause::Cancelled;
+            if (definite)
+                finishWrite(session, key, value, reply);
+            else if (!m_stopped)
+                m_world->after(Millis(100), [=, this] { settle(session, key, value); });
+        });
+    }
+
+    void finishWrite(int session, const std::string &key, const std::string &value,
+                     const WorkReply &reply)
+    {
+        m_writes[key + "/" + value] = reply.verdict;
+        if (reply.verdict == Verdict::Ran) {
+            auto &token = m_tokens[static_cast<std::size_t>(session)];
+            token = std::max(token.value_or(Position{}), reply.position);
+            m_acknowledgedValues[key].insert(value);
+            ++m_acknowledged;
+            m_longestGap = std::max(m_longestGap, m_world->now() - m_lastAcknowledged);
+            m_lastAcknowledged = m_world->now();
+        }
+        next(session);
+    }
+
+    void read(int session)
+    {
+        const std::string key = "s" + std::to_string(session);
+        TestRequest request;
+        request.flow = base(session);
+        request.operations = readOperation(key);
+        const std::set<std::string> expected = m_acknowledgedValues[key];
+        m_world->request(randomHost(), request, [this, session, expected](const WorkReply &reply) {
+            if (reply.verdict == Verdict::Ran) {
+                const auto values = valuesIn(reply.results);
+                const std::set<std::string> seen(values.begin(), values.end());
+                const bool all
+                    = std::includes(seen.begin(), seen.end(), expected.begin(), expected.end());
+                m_staleReads += all ? 0 : 1;
+            }
+            next(session);
+        });
+    }
+
+    void transaction(int session)
+    {
+        TestRequest request;
+        request.flow = base(session);
+        request.flow.kind = WorkKind::Begin;
+        request.flow.write = true;
+        m_world->request(randomHost(), request, [this, session](const WorkReply &reply) {
+            if (reply.verdict != Verdict::Ran) {
+                next(session);
+                return;
+            }
+            const std::string name = "x" + std::to_string(++m_lastValue);
+            m_transactions.insert(name);
+            continueTransaction(session, reply.transaction, name, 0);
+        });
+    }
+
+    void continueTransaction(int session, const std::string &id, const std::string &name, int step)
+    {
+        TestRequest request;
+        request.flow = base(session);
+        request.flow.write = true;
+        request.flow.transactionHost = id.substr(0, id.find('~'));
+        request.flow.transactionInstance = id.substr(id.find('~') + 1, 2);
+        request.transaction = id;
+        if (step < 2) {
+            request.flow.kind = WorkKind::Continue;
+            request.operations = appendOperation(name + (step == 0 ? "-a" : "-b"), "x");
+        } else {
+            request.flow.kind = WorkKind::Commit;
+            request.flow.requestId = name;
+        }
+        m_world->request(randomHost(), request, [=, this](const WorkReply &reply) {
+            if (step < 2 && reply.verdict == Verdict::Ran) {
+                continueTransaction(session, id, name, step + 1);
+                return;
+            }
+            if (step == 2) {
+                m_writes[name + "-a/x"] = reply.verdict;
+                m_writes[name + "-b/x"] = reply.verdict;
+            }
+            next(session);
+        });
+    }
+
+    TestWorld *m_world;
+    Random m_random;
+    bool m_stopped = false;
+    int m_lastValue = 0;
+    int m_acknowledged = 0;
+    int m_staleReads = 0;
+    Millis m_lastAcknowledged;
+    Millis m_longestGap;
+    std::array<std::optional<Position>, Sessions> m_tokens;
+    std::map<std::string, Verdict> m_writes; // "<key>/<value>" to what the caller was told.
+    std::map<std::string, std::set<std::string>> m_acknowledgedValues;
+    std::set<std::string> m_transactions;
+};
+
+rc::Gen<Fault> anyFault()
+{
+    return rc::gen::build<Fault>(
+        rc::gen::set(&Fault::kind,
+                     rc::gen::map(rc::gen::inRange(0, 9),
+                                  [](int i) { return FaultKindNames.rows.at(i).first; })),
+        rc::gen::set(&Fault::target, rc::gen::inRange(1, 4)),
+        rc::gen::set(&Fault::atMs, rc::gen::inRange(0, 9000)),
+        rc::gen::set(&Fault::lastsMs, rc::gen::inRange(50, 5000)));
+}
+
+// Runs one schedule; tells what went wrong, or nothing.
+std::string violation(std::uint64_t seed, const std::vector<Fault> &faults)
+{
+    TestWorld world({.seed = seed});
+    world.start();
+    for (const Fault &fault : faults)
+        schedule(&world, fault);
+    Callers callers(&world, seed + 1);
+    world.run(FaultsEnd + Settle);
+    callers.stop();
+    world.run(Deadline * 3);
+    const std::string primary = world.primary();
+    if (primary.empty())
+        return "there is no primary";
+    if (callers.staleReads() > 0)
+        return "a session did not read its own writes";
+    if (callers.lastAcknowledged() < FaultsEnd + Settle / 2)
+        return "writes did not land again after the faults";
+    for (const std::string name : {"t1", "t2", "t3"}) {
+        if (world.instance(name).mixedTransactions() > 0)
+            return "two transactions were mixed on one connection of " + name;
+    }
+    return callers.check(world.instance(primary).rows("rows"));
+}
+
+} // namespace
+
+TEST(Properties, HoldUnderRandomFailures)
+{
+    const bool ok = rc::check("nothing is lost, doubled, stale or mixed", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto faults = *rc::gen::container<std::vector<Fault>>(anyFault());
+        RC_PRE(faults.size() <= 8U);
+        const std::string found = violation(seed, faults);
+        RC_LOG() << found << '\n';
+        RC_ASSERT(found.empty());
+    });
+    EXPECT_TRUE(ok);
+}
+
+// Any two kinds together, on the same or on different places.
+class Pairs : public testing::TestWithParam<std::tuple<int, int, int>>
+{
+};
+
+TEST_P(Pairs, HoldUnderEachPairOfFailures)
+{
+    const auto [first, second, place] = GetParam();
+    const std::vector<Fault> faults{{FaultKindNames.rows.at(first).first, 1, 500, 3000},
+                                    {FaultKindNames.rows.at(second).first, place, 700, 3500}};
+    const auto seed = static_cast<std::uint64_t>(first * 100 + second * 10 + place);
+    EXPECT_EQ(violation(seed, faults), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, Pairs,
+                         testing::Combine(testing::Range(0, 9), testing::Range(0, 9),
+                                          testing::Range(1, 3)));
+
+} // namespace cicadagap
--- a/src/standin_core/groupinstance.cpp
+++ b/src/standin_core/groupinstance.cpp
@@ -124,7 +124,13 @@
         return refuse(Cause::Invalid);
     if (!request.readOnly && (!m_primary || request.term != m_term))
         return refuse(Cause::NotPrimary);
-    if (transaction != m_transactions.end())
+    if (request.inTransaction && transaction == m_transactions.end())
+        return refuse(Cause::NoTransaction);
+    if (!request.inTransaction && transaction != m_transactions.end()) {
+        ++m_mixedTransactions;
+        return refuse(Cause::Invalid);
+    }
+    if (request.inTransaction)
         return evaluate(request.operations, &transaction->second.operations);
     std::vector<Operation> pending;
     ExecuteAnswer answer = evaluate(request.operations, &pending);
--- a/src/standin_core/groupinstance.h
+++ b/src/standin_core/groupinstance.h
@@ -69,8 +69,9 @@
 
 struct ExecuteRequest
 {
-    std::uint64_t term = 0; // The term in which the caller believes this instance is primary.
-    bool readOnly = false;  // Permitted on replicas; writes are refused.
+    std::uint64_t term = 0;     // The term in which the caller believes this instance is primary.
+    bool readOnly = false;      // Permitted on replicas; writes are refused.
+    bool inTransaction = false; // Refused unless the connection has a transaction open.
     std::vector<Operation> operations;
 };
 
@@ -160,8 +161,8 @@
     std::uint64_t term() const { return m_term; }
     Position last() const;
     const std::vector<LogEntry> &log() const { return m_log; }
-    // Begins that arrived while the same connection had a transaction open. Always 0 in a correct
-    // proxy.
+    // Begins, or statements of no transaction, that arrived on a connection with a transaction
+    // open. Always 0 in a correct proxy.
     std::uint64_t mixedTransactions() const { return m_mixedTransactions; }
     // The values under a key, for checks.
     std::vector<std::string> values(const std::string &table, const std::string &key) const;
--- a/src/standin_core/targetcodec.cpp
+++ b/src/standin_core/targetcodec.cpp
@@ -37,6 +37,7 @@
     ExecuteRequest request;
     request.term = static_cast<std::uint64_t>(numberMember(*object, "term"));
     request.readOnly = flagMember(*object, "readOnly");
+    request.inTransaction = flagMember(*object, "inTransaction");
     const json::value *operations = object->if_contains("ops");
     const json::array *array = operations ? operations->if_array() : nullptr;
     if (!array) {
--- a/src/version/locatedjson.cpp
+++ b/src/version/locatedjson.cpp
@@ -14,6 +14,7 @@
 class Builder
 {
 public:
+    // NOLINTBEGIN(readability-identifier-naming): the library prescribes these names.
     static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
     static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
     static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
@@ -52,6 +53,7 @@
     bool on_null(Error &) { return add({nullptr, line}); }
     bool on_comment_part(json::string_view, Error &) { return true; }
     bool on_comment(json::string_view, Error &) { return true; }
+    // NOLINTEND(readability-identifier-naming)
 
     int line = 1;
     LocatedValue root;
--- /dev/null
+++ b/test/testworld.cpp
@@ -0,0 +1,879 @@
+#include "testworld.h"
+
+#include "connection/wire.h"
+#include "standin_core/targetcodec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis TickPeriod(10);
+constexpr Millis StatusTimeout(700);
+constexpr Millis ConnectTimeout(500);
+constexpr Millis Heartbeat(50);
+constexpr Millis Reannounce(300);
+
+std::string dataCentreOf(const std::string &process)
+{
+    return "d" + process.substr(1);
+}
+
+} // namespace
+
+struct TestWorld::Process
+{
+    bool down = false;
+    bool frozen = false;
+    std::uint64_t epoch = 0;                  // Counts restarts.
+    std::vector<std::function<void()>> inbox; // While frozen.
+};
+
+struct TestWorld::Host
+{
+    std::string name;
+    GroupView view;
+    std::map<std::string, std::unique_ptr<Gateway>> gateways;
+    std::map<std::string, std::map<std::uint64_t, std::uint64_t>> connections; // To the node's.
+    std::unique_ptr<ReplicaLag> lag;
+    std::unique_ptr<RetryBudget> budget;
+    std::unique_ptr<GroupWatch> watch;
+    std::map<std::uint64_t, Done> waiting;
+    std::uint64_t lastWork = 0;
+    Millis nextReannounce;
+};
+
+struct TestWorld::Node
+{
+    std::string name;
+    std::unique_ptr<GroupInstance> instance;
+    std::set<std::uint64_t> admitted;
+    std::set<std::uint64_t> silent;
+    std::map<std::string, bool> inFlight;
+    std::map<std::string, std::pair<std::uint64_t, Millis>> sent; // Log length and when, by member.
+    Millis replicationDelay;
+    int loseAnswers = 0;
+    bool leaving = false;
+};
+
+struct TestWorld::Call
+{
+    std::string to;
+    Result result;
+};
+
+struct TestWorld::RunningFlow
+{
+    std::string host;
+    std::uint64_t epoch = 0;
+    TestRequest request;
+    std::unique_ptr<RequestFlow> flow;
+    Done done;
+};
+
+TestWorld::TestWorld(Options options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 1; i <= 3; ++i) {
+        const std::string number = std::to_string(i);
+        m_processes["t" + number] = std::make_unique<Process>();
+        m_processes["h" + number] = std::make_unique<Process>();
+        auto node = std::make_unique<Node>();
+        node->name = "t" + number;
+        node->instance = std::make_unique<GroupInstance>(GroupInstance::Options{node->name});
+        m_nodes[node->name] = std::move(node);
+        auto host = std::make_unique<Host>();
+        host->name = "h" + number;
+        m_hosts[host->name] = std::move(host);
+    }
+    for (const auto &node : m_nodes) {
+        everyTick(node.first, m_options.replicationInterval, [this, node = node.second.get()] {
+            for (const auto &other : m_nodes) {
+                if (other.first != node->name)
+                    replicate(node, other.first);
+            }
+        });
+    }
+    for (const auto &host : m_hosts)
+        startHost(host.second.get());
+}
+
+TestWorld::~TestWorld() = default;
+
+void TestWorld::start()
+{
+    runUntil(
+        [this] {
+            return std::all_of(m_hosts.begin(), m_hosts.end(),
+                               [](const auto &host) { return !host.second->view.primary.empty(); });
+        },
+        Millis(20'000));
+}
+
+void TestWorld::run(Millis duration)
+{
+    runUntil([] { return false; }, duration);
+}
+
+bool TestWorld::runUntil(const std::function<bool()> &condition, Millis limit)
+{
+    const Millis end = m_now + limit;
+    while (!condition()) {
+        if (m_events.empty() || m_events.top().at > end) {
+            m_now = end;
+            return condition();
+        }
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, event.at);
+        event.function();
+    }
+    return true;
+}
+
+void TestWorld::after(Millis delay, std::function<void()> function)
+{
+    m_events.push({m_now + delay, ++m_order, std::move(function)});
+}
+
+void TestWorld::request(const std::string &host, const TestRequest &request, const Done &done)
+{
+    Process &target = process(host);
+    if (target.down) {
+        after(Millis(1), [done] { done({Verdict::NotRun, Cause::Unreachable}); });
+        return;
+    }
+    auto running = std::make_shared<RunningFlow>();
+    running->host = host;
+    running->epoch = target.epoch;
+    running->request = request;
+    running->done = done;
+    // Whoever serves the caller may die; the caller then knows nothing.
+    after(request.flow.deadline - m_now + Millis(200), [running] {
+        if (const Done pending = std::exchange(running->done, nullptr))
+            pending({Verdict::MayHaveRun, Cause::ConnectionLost});
+    });
+    runIn(host, [this, running] {
+        Host &entry = *m_hosts.at(running->host);
+        running->flow = std::make_unique<RequestFlow>(running->request.flow,
+                                                      dataCentreOf(running->host), m_random.next());
+        entry.budget->onFirstAttempt();
+        act(running, running->flow->start(m_now, entry.view, *entry.lag));
+    });
+}
+
+WorkReply TestWorld::requestAndWait(const std::string &host, const TestRequest &request)
+{
+    std::optional<WorkReply> answer;
+    this->request(host, request, [&answer](const WorkReply &reply) { answer = reply; });
+    runUntil([&answer] { return answer.has_value(); }, Millis(60'000));
+    return answer.value_or(WorkReply{Verdict::MayHaveRun, Cause::Timeout});
+}
+
+void TestWorld::killInstance(const std::string &name)
+{
+    note("kill " + name);
+    process(name).down = true;
+    ++process(name).epoch;
+    process(name).inbox.clear();
+    breakCalls(name);
+}
+
+void TestWorld::restartInstance(const std::string &name)
+{
+    note("restart " + name);
+    Node &node = *m_nodes.at(name);
+    const std::uint64_t term = node.instance->term();
+    const std::vector<LogEntry> log = node.instance->log();
+    node.instance = std::make_unique<GroupInstance>(GroupInstance::Options{name});
+    node.instance->restore(term, log);
+    node.admitted.clear();
+    node.silent.clear();
+    node.inFlight.clear();
+    process(name).down = false;
+    process(name).frozen = false;
+}
+
+void TestWorld::killHost(const std::string &name)
+{
+    note("kill " + name);
+    process(name).down = true;
+    ++process(name).epoch;
+    process(name).inbox.clear();
+    breakCalls(name);
+    // The instances notice that the host's connections closed.
+    for (const auto &instance : m_hosts.at(name)->connections) {
+        for (const auto &connection : instance.second) {
+            m_nodes.at(instance.first)->admitted.erase(connection.second);
+            m_nodes.at(instance.first)->instance->onClosed(connection.second);
+        }
+    }
+}
+
+void TestWorld::restartHost(const std::string &name)
+{
+    note("restart " + name);
+    process(name).down = false;
+    process(name).frozen = false;
+    startHost(m_hosts.at(name).get());
+}
+
+void TestWorld::freeze(const std::string &process)
+{
+    note("freeze " + process);
+    this->process(process).frozen = true;
+}
+
+void TestWorld::thaw(const std::string &process)
+{
+    note("thaw " + process);
+    Process &target = this->process(process);
+    target.frozen = false;
+    const auto inbox = std::exchange(target.inbox, {});
+    for (const auto &function : inbox)
+        function();
+}
+
+void TestWorld::cut(const std::string &left, const std::string &right)
+{
+    note("cut " + left + " " + right);
+    m_cuts.insert(std::minmax(left, right));
+}
+
+void TestWorld::isolate(const std::string &dataCentre)
+{
+    for (const std::string other : {"d1", "d2", "d3"}) {
+        if (other != dataCentre)
+            cut(dataCentre, other);
+    }
+}
+
+void TestWorld::heal()
+{
+    note("heal");
+    m_cuts.clear();
+}
+
+void TestWorld::delayReplication(const std::string &instance, Millis delay)
+{
+    m_nodes.at(instance)->replicationDelay = delay;
+}
+
+void TestWorld::loseAnswers(const std::string &instance, int count)
+{
+    m_nodes.at(instance)->loseAnswers = count;
+}
+
+void TestWorld::silence(const std::string &instance)
+{
+    Node &node = *m_nodes.at(instance);
+    node.silent = node.admitted;
+}
+
+void TestWorld::setLeaving(const std::string &instance, bool leaving)
+{
+    m_nodes.at(instance)->leaving = leaving;
+}
+
+std::string TestWorld::primary() const
+{
+    std::string name;
+    std::uint64_t term = 0;
+    for (const auto &node : m_nodes) {
+        const InstanceStatus status = node.second->instance->status();
+        if (status.primary && status.term > term) {
+            term = status.term;
+            name = status.name;
+        }
+    }
+    return name;
+}
+
+GroupInstance &TestWorld::instance(const std::string &name)
+{
+    return *m_nodes.at(name)->instance;
+}
+
+const GroupView &TestWorld::view(const std::string &host) const
+{
+    return m_hosts.at(host)->view;
+}
+
+Gateway *TestWorld::gateway(const std::string &host, const std::string &instance)
+{
+    return m_hosts.at(host)->gateways.at(instance).get();
+}
+
+void TestWorld::note(const std::string &line)
+{
+    m_trace.push_back(line);
+}
+
+TestWorld::Process &TestWorld::process(const std::string &name)
+{
+    return *m_processes.at(name);
+}
+
+bool TestWorld::connected(const std::string &from, const std::string &to)
+{
+    return !m_cuts.contains(std::minmax(dataCentreOf(from), dataCentreOf(to)));
+}
+
+Millis TestWorld::delay(const std::string &from, const std::string &to)
+{
+    const bool near = dataCentreOf(from) == dataCentreOf(to);
+    const Millis base = near ? m_options.localDelay : m_options.remoteDelay;
+    return base + Millis(static_cast<std::int64_t>(m_random.below(2)));
+}
+
+void TestWorld::deliver(const std::string &from, const std::string &to,
+                        std::function<void()> function)
+{
+    if (!connected(from, to))
+        return;
+    const std::uint64_t epoch = process(to).epoch;
+    after(delay(from, to), [this, from, to, epoch, function = std::move(function)] {
+        if (connected(from, to) && process(to).epoch == epoch)
+            runIn(to, function);
+    });
+}
+
+void TestWorld::runIn(const std::string &name, const std::function<void()> &function)
+{
+    Process &target = process(name);
+    if (target.down)
+        return;
+    if (target.frozen)
+        target.inbox.push_back(function);
+    else
+        function();
+}
+
+void TestWorld::call(const std::string &from, const std::string &to, const std::string &body,
+                     Millis timeout, const Handler &handler, const Result &result)
+{
+    const std::uint64_t id = ++m_lastCall;
+    const std::uint64_t epoch = process(from).epoch;
+    m_calls[id] = std::make_shared<Call>(Call{to, result});
+    const auto finish
+        = [this, id, from, epoch](const std::optional<std::string> &answer, bool sent) {
+              const auto found = m_calls.find(id);
+              if (found == m_calls.end())
+                  return;
+              const auto call = found->second;
+              m_calls.erase(found);
+              if (process(from).epoch == epoch)
+                  call->result(answer, sent);
+          };
+    after(timeout, [this, from, finish] { runIn(from, [finish] { finish(std::nullopt, true); }); });
+    if (process(to).down && connected(from, to)) {
+        after(delay(from, to),
+              [this, from, finish] { runIn(from, [finish] { finish(std::nullopt, false); }); });
+        return;
+    }
+    deliver(from, to, [this, from, to, body, handler, finish] {
+        handler(body, [this, from, to, finish](const std::string &answer) {
+            deliver(to, from, [finish, answer] { finish(answer, true); });
+        });
+    });
+}
+
+void TestWorld::breakCalls(const std::string &process)
+{
+    std::vector<std::shared_ptr<Call>> broken;
+    for (auto it = m_calls.begin(); it != m_calls.end();) {
+        if (it->second->to == process) {
+            broken.push_back(it->second);
+            it = m_calls.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const auto &call : broken)
+        after(Millis(1), [call] { call->result(std::nullopt, true); });
+}
+
+void TestWorld::everyTick(const std::string &name, Millis period,
+                          const std::function<void()> &function)
+{
+    after(period, [this, name, period, function] {
+        const Process &target = process(name);
+        if (!target.down && !target.frozen)
+            function();
+        everyTick(name, period, function);
+    });
+}
+
+void TestWorld::startHost(Host *host)
+{
+    host->view = GroupView{};
+    for (const auto &node : m_nodes) {
+        const std::string local = "h" + node.first.substr(1);
+        std::vector<std::string> gateways{local};
+        for (const auto &other : m_hosts) {
+            if (other.first != local)
+                gateways.push_back(other.first);
+        }
+        host->view.instances.push_back({node.first, dataCentreOf(node.first), false, gateways});
+    }
+    host->waiting.clear();
+    host->connections.clear();
+    host->lag = std::make_unique<ReplicaLag>(Millis(10));
+    host->budget = std::make_unique<RetryBudget>(10, 100);
+    GroupWatch::Options options;
+    options.group = "team/group";
+    options.dataCentre = dataCentreOf(host->name);
+    for (const auto &node : m_nodes)
+        options.instances[node.first] = dataCentreOf(node.first);
+    options.rank = host->name.back() - '1';
+    options.watcherDataCentres = m_hosts.size();
+    host->watch = std::make_unique<GroupWatch>(options);
+    buildGateways(host);
+    const std::uint64_t epoch = process(host->name).epoch;
+    everyTick(host->name, TickPeriod, [this, host, epoch] {
+        if (process(host->name).epoch != epoch)
+            return;
+        for (const auto &gateway : host->gateways)
+            carryOut(host, gateway.first, gateway.second->onTick(m_now));
+        if (m_options.watch)
+            runWatch(host, host->watch->onTick(m_now));
+        if (!host->view.primary.empty() && m_now >= host->nextReannounce) {
+            host->nextReannounce = m_now + Reannounce;
+            announce(host, host->view.term, host->view.primary);
+        }
+    });
+}
+
+void TestWorld::buildGateways(Host *host)
+{
+    host->gateways.clear();
+    for (const auto &node : m_nodes) {
+        Gateway::Options options;
+        options.instance = node.first;
+        options.queue.classes = {{"top", true, 1}, {"default", false, 1}};
+        options.reservedSlots = 1;
+        options.transactionPrefix
+            = host->name + "~" + node.first + "~" + std::to_string(process(host->name).epoch) + ".";
+        host->gateways[node.first] = std::make_unique<Gateway>(options);
+    }
+}
+
+void TestWorld::learn(Host *host, std::uint64_t term, const std::string &primary)
+{
+    if (term <= host->view.term)
+        return;
+    host->view.term = term;
+    host->view.primary = primary;
+    host->watch->onAnnounced(m_now, term, primary);
+    for (const auto &gateway : host->gateways)
+        carryOut(host, gateway.first,
+                 gateway.second->setRole(m_now, term, gateway.first == primary, false));
+}
+
+void TestWorld::carryOut(Host *host, const std::string &instance, const GatewayActions &actions)
+{
+    const std::string &name = host->name;
+    for (const GatewayAction &action : actions) {
+        if (const auto *opening = std::get_if<OpenConnection>(&action)) {
+            const std::uint64_t gatewayId = opening->connection;
+            const std::uint64_t nodeId = ++m_lastConnection;
+            call(
+                name, instance, "", ConnectTimeout,
+                [this, instance, nodeId](const std::string &, const Reply &reply) {
+                    m_nodes.at(instance)->admitted.insert(nodeId);
+                    reply("");
+                },
+                [this, host, instance, gatewayId, nodeId](const std::optional<std::string> &answer,
+                                                          bool) {
+                    Gateway &gateway = *host->gateways.at(instance);
+                    if (!answer) {
+                        carryOut(host, instance, gateway.onOpenFailed(m_now, gatewayId));
+                        return;
+                    }
+                    host->connections[instance][gatewayId] = nodeId;
+                    carryOut(host, instance, gateway.onOpened(m_now, gatewayId));
+                });
+        } else if (const auto *closing = std::get_if<CloseConnection>(&action)) {
+            const std::uint64_t nodeId = host->connections[instance][closing->connection];
+            host->connections[instance].erase(closing->connection);
+            deliver(name, instance, [this, instance, nodeId] {
+                m_nodes.at(instance)->admitted.erase(nodeId);
+                m_nodes.at(instance)->instance->onClosed(nodeId);
+            });
+        } else if (const auto *targetCall = std::get_if<TargetCall>(&action)) {
+            callTarget(host, instance, *targetCall);
+        } else if (const auto *send = std::get_if<SendReply>(&action)) {
+            const auto found = host->waiting.find(send->work);
+            if (found == host->waiting.end())
+                continue;
+            const Done done = std::move(found->second);
+            host->waiting.erase(found);
+            after(Millis(), [done, reply = send->reply] { done(reply); });
+        } else if (const auto *poll = std::get_if<PollStatus>(&action)) {
+            after(poll->delay, [this, host, instance, epoch = process(name).epoch] {
+                if (process(host->name).epoch != epoch)
+                    return;
+                const Millis sentAt = m_now;
+                call(
+                    host->name, instance, "", StatusTimeout,
+                    [this, instance](const std::string &, const Reply &reply) {
+                        reply(statusOf(*m_nodes.at(instance)));
+                    },
+                    [this, host, instance, sentAt](const std::optional<std::string> &answer, bool) {
+                        Gateway &gateway = *host->gateways.at(instance);
+                        const auto report = answer ? decodeReport(*answer, nullptr) : std::nullopt;
+                        carryOut(host, instance,
+                                 report ? gateway.onStatus(m_now, sentAt, *report)
+                                        : gateway.onStatusFailed(m_now));
+                    });
+            });
+        } else if (std::holds_alternative<FetchSample>(action)) {
+            const std::string primary = host->view.primary;
+            const std::string holder = "h" + primary.substr(primary.empty() ? 0 : 1);
+            if (primary.empty())
+                continue;
+            const Millis sentAt = m_now;
+            call(
+                name, holder, "", StatusTimeout,
+                [this, holder, primary](const std::string &, const Reply &reply) {
+                    Host *other = m_hosts.at(holder).get();
+                    Gateway &gateway = *other->gateways.at(primary);
+                    carryOut(other, primary, gateway.onSampleWanted(m_now));
+                    const auto newest = gateway.freshness().newestSample();
+                    if (!newest)
+                        return;
+                    reply(json::serialize(
+                        json::object{{"last", encodePosition(gateway.freshness().newestPosition())},
+                                     {"ageMs", (m_now - *newest).count()}}));
+                },
+                [this, host, instance, sentAt](const std::optional<std::string> &answer, bool) {
+                    const auto object = answer ? parseObject(*answer, nullptr) : std::nullopt;
+                    if (!object)
+                        return;
+                    const Millis age(numberMember(*object, "ageMs"));
+                    carryOut(host, instance,
+                             host->gateways.at(instance)->onSample(
+                                 m_now, sentAt - age, decodePosition(*object, "last")));
+                });
+        } else if (m_options.watch) {
+            runWatch(host, host->watch->onHint(m_now, instance));
+        }
+    }
+}
+
+void TestWorld::callTarget(Host *host, const std::string &instance, const TargetCall &targetCall)
+{
+    const auto connection = host->connections[instance].find(targetCall.connection);
+    if (connection == host->connections[instance].end())
+        return;
+    const std::uint64_t nodeId = connection->second;
+    call(
+        host->name, instance, encodeTargetCall(targetCall, Millis(1'000'000'000)),
+        targetCall.timeout,
+        [this, instance, nodeId, targetCall](const std::string &body, const Reply &reply) {
+            Node *node = m_nodes.at(instance).get();
+            // A connection that the instance lost, by a restart, is refused without running
+            // anything.
+            if (node->silent.contains(nodeId) || !node->admitted.contains(nodeId))
+                return;
+            after(m_options.serviceTime,
+                  [this, node, nodeId, targetCall, body, reply, epoch = process(instance).epoch] {
+                      if (process(node->name).epoch != epoch)
+                          return;
+                      runIn(node->name, [this, node, nodeId, targetCall, body, reply] {
+                          execute(node, nodeId, targetCall, body, reply);
+                      });
+                  });
+        },
+        [this, host, instance, targetCall](const std::optional<std::string> &answer, bool sent) {
+            Gateway &gateway = *host->gateways.at(instance);
+            const auto decoded
+                = answer ? decodeTargetAnswer(targetCall, *answer, nullptr) : std::nullopt;
+            if (decoded) {
+                carryOut(host, instance, gateway.onAnswer(m_now, targetCall.connection, *decoded));
+                return;
+            }
+            const std::uint64_t nodeId = host->connections[instance][targetCall.connection];
+            host->connections[instance].erase(targetCall.connection);
+            deliver(host->name, instance, [this, instance, nodeId] {
+                m_nodes.at(instance)->admitted.erase(nodeId);
+                m_nodes.at(instance)->instance->onClosed(nodeId);
+            });
+            carryOut(host, instance, gateway.onBroken(m_now, targetCall.connection, sent));
+        });
+}
+
+void TestWorld::execute(Node *node, std::uint64_t connection, const TargetCall &targetCall,
+                        const std::string &body, const Reply &reply)
+{
+    const auto request = decodeExecute(body, nullptr);
+    const Position before = node->instance->last();
+    ExecuteAnswer answer;
+    switch (targetCall.step) {
+    case TargetStep::Begin:
+        answer = node->instance->begin(connection, request->term);
+        break;
+    case TargetStep::Commit:
+        answer = node->instance->commit(connection, request->operations);
+        break;
+    case TargetStep::Rollback:
+        answer = node->instance->rollback(connection);
+        break;
+    case TargetStep::Ping:
+        answer.position = before;
+        break;
+    case TargetStep::Execute:
+    case TargetStep::ReadLedger:
+        answer = node->instance->execute(connection, *request);
+        break;
+    }
+    if (node->instance->last() != before && node->loseAnswers > 0) {
+        --node->loseAnswers;
+        return;
+    }
+    reply(encodeExecuteAnswer(answer));
+}
+
+void TestWorld::submit(Host *host, const std::string &instance, Work work, const Done &done)
+{
+    work.id = ++host->lastWork;
+    host->waiting[work.id] = done;
+    Gateway &gateway = *host->gateways.at(instance);
+    carryOut(host, instance, gateway.submit(m_now, std::move(work)));
+}
+
+void TestWorld::runWatch(Host *host, const std::vector<WatchAction> &actions)
+{
+    const std::string name = host->name;
+    for (const WatchAction &action : actions) {
+        const std::string instance = action.instance;
+        const auto feed
+            = [this, host](const std::vector<WatchAction> &next) { runWatch(host, next); };
+        switch (action.step) {
+        case WatchStep::Probe:
+            call(
+                name, instance, "", StatusTimeout,
+                [this, instance](const std::string &, const Reply &reply) {
+                    reply(statusOf(*m_nodes.at(instance)));
+                },
+                [this, host, instance, feed,
+                 fresh = action.fresh](const std::optional<std::string> &answer, bool) {
+                    const auto report = answer ? decodeReport(*answer, nullptr) : std::nullopt;
+                    feed(host->watch->onProbed(m_now, instance, fresh, report));
+                });
+            break;
+        case WatchStep::Vote:
+            for (const auto &other : m_hosts) {
+                if (other.first == name)
+                    continue;
+                deliver(name, other.first, [this, to = other.second.get(), name, action] {
+                    runWatch(
+                        to,
+                        to->watch->onVote(m_now, dataCentreOf(name), action.term, action.suspect));
+                });
+            }
+            break;
+        case WatchStep::Seal:
+        case WatchStep::Follow: {
+            const bool seal = action.step == WatchStep::Seal;
+            call(
+                name, instance, "", StatusTimeout,
+                [this, instance, action, seal](const std::string &, const Reply &reply) {
+                    const auto follows
+                        = seal ? std::nullopt : std::optional<std::string>(action.primary);
+                    const FollowAnswer answer
+                        = m_nodes.at(instance)->instance->follow(action.term, follows);
+                    reply(json::serialize(json::object{{"accepted", answer.accepted},
+                                                       {"term", answer.term},
+                                                       {"last", encodePosition(answer.last)}}));
+                },
+                [this, host, instance, feed, seal](const std::optional<std::string> &answer, bool) {
+                    const auto object = answer ? parseObject(*answer, nullptr) : std::nullopt;
+                    if (!seal || !object)
+                        return;
+                    feed(host->watch->onSealed(
+                        m_now, instance, flagMember(*object, "accepted"),
+                        static_cast<std::uint64_t>(numberMember(*object, "term")),
+                        decodePosition(*object, "last")));
+                });
+            break;
+        }
+        case WatchStep::Promote:
+            call(
+                name, instance, "", StatusTimeout,
+                [this, instance, term = action.term](const std::string &, const Reply &reply) {
+                    std::vector<std::string> members;
+                    for (const auto &node : m_nodes)
+                        members.push_back(node.first);
+                    const bool accepted = m_nodes.at(instance)->instance->promote(term, members);
+                    reply(accepted ? "yes" : "no");
+                },
+                [this, host, instance, feed](const std::optional<std::string> &answer, bool) {
+                    if (answer)
+                        feed(host->watch->onPromoted(m_now, instance, *answer == "yes"));
+                });
+            break;
+        case WatchStep::Announce:
+            if (action.term > m_announced) {
+                m_announced = action.term;
+                ++m_changes;
+                note("primary " + action.primary + " in term " + std::to_string(action.term));
+            }
+            learn(host, action.term, action.primary);
+            announce(host, action.term, action.primary);
+            break;
+        }
+    }
+}
+
+void TestWorld::announce(Host *host, std::uint64_t term, const std::string &primary)
+{
+    for (const auto &other : m_hosts) {
+        if (other.first == host->name)
+            continue;
+        deliver(host->name, other.first,
+                [this, to = other.second.get(), term, primary] { learn(to, term, primary); });
+    }
+}
+
+void TestWorld::replicate(Node *node, const std::string &member)
+{
+    auto &sent = node->sent[member];
+    const bool due = m_now - sent.second >= Heartbeat || sent.first != node->instance->log().size();
+    if (node->inFlight[member] || !due)
+        return;
+    const auto request = node->instance->replicationFor(member);
+    if (!request)
+        return;
+    node->inFlight[member] = true;
+    sent = {request->previous.index + request->entries.size(), m_now};
+    const std::uint64_t epoch = process(node->name).epoch;
+    after(node->replicationDelay, [this, node, member, request = *request, epoch] {
+        if (process(node->name).epoch != epoch)
+            return;
+        call(
+            node->name, member, encodeReplicate(request), Millis(1000),
+            [this, member](const std::string &body, const Reply &reply) {
+                const auto decoded = decodeReplicate(body, nullptr);
+                reply(encodeReplicateAnswer(m_nodes.at(member)->instance->onReplicate(*decoded)));
+            },
+            [this, node, member](const std::optional<std::string> &answer, bool) {
+                node->inFlight[member] = false;
+                const auto decoded
+                    = answer ? decodeReplicateAnswer(*answer, nullptr) : std::nullopt;
+                if (!decoded || !decoded->accepted)
+                    node->sent[member].first = 0;
+                if (decoded)
+                    node->instance->onReplicateAnswer(member, *decoded, m_now);
+            });
+    });
+}
+
+std::string TestWorld::statusOf(const Node &node) const
+{
+    const InstanceStatus status = node.instance->status();
+    InstanceReport report;
+    report.name = status.name;
+    report.primary = status.primary;
+    report.leaving = node.leaving;
+    report.term = status.term;
+    report.following = status.following;
+    report.last = status.last;
+    for (const ReplicaReport &replica : status.replicas)
+        report.replicas.push_back(
+            {replica.name, replica.term, replica.last, m_now - replica.heardAt});
+    return encodeReport(report);
+}
+
+void TestWorld::act(const std::shared_ptr<RunningFlow> &flow, const FlowAction &action)
+{
+    const std::string host = flow->host;
+    if (process(host).epoch != flow->epoch)
+        return;
+    if (action.step == FlowStep::Finish) {
+        if (const Done done = std::exchange(flow->done, nullptr))
+            done(action.reply);
+        return;
+    }
+    if (action.step == FlowStep::Wait) {
+        after(std::max(Millis(1), action.wakeAt - m_now), [this, flow, host] {
+            runIn(host, [this, flow, host] {
+                const Host &entry = *m_hosts.at(host);
+                act(flow, flow->flow->onWake(m_now, entry.view, *entry.lag));
+            });
+        });
+        return;
+    }
+    Work work;
+    work.kind = action.kind;
+    work.write = flow->request.flow.write;
+    work.replica = action.replica;
+    work.operations = flow->request.operations;
+    work.requestId = flow->request.flow.requestId;
+    work.required = flow->request.flow.token.value_or(Position{});
+    work.maxAge = flow->request.flow.maxAge;
+    work.transaction = flow->request.transaction;
+    if (action.kind == WorkKind::Outcome) {
+        work.transaction.clear();
+        work.operations.clear();
+    }
+    const Millis budget = std::max(Millis(1), flow->request.flow.deadline - m_now);
+    call(
+        host, action.host, "", budget + Millis(50),
+        [this, to = action.host, instance = action.instance, work, budget](const std::string &,
+                                                                           const Reply &reply) {
+            Work local = work;
+            local.deadline = m_now + budget;
+            submit(m_hosts.at(to).get(), instance, local,
+                   [reply](const WorkReply &answer) { reply(encodeReply(answer)); });
+        },
+        [this, flow](const std::optional<std::string> &answer, bool sent) {
+            const auto reply = answer ? decodeReply(*answer, nullptr) : std::nullopt;
+            if (reply)
+                onReply(flow, *reply);
+            else if (!sent)
+                onReply(flow, {Verdict::NotRun, Cause::Unreachable});
+            else
+                onReply(flow, {Verdict::MayHaveRun, Cause::ConnectionLost});
+        });
+}
+
+void TestWorld::onReply(const std::shared_ptr<RunningFlow> &flow, const WorkReply &reply)
+{
+    Host &entry = *m_hosts.at(flow->host);
+    act(flow, flow->flow->onReply(m_now, entry.view, reply, entry.budget.get(), entry.lag.get()));
+}
+
+std::string appendOperation(const std::string &key, const std::string &value)
+{
+    return json::serialize(
+        json::array{encodeOperation({OperationKind::Append, "rows", key, value})});
+}
+
+std::string readOperation(const std::string &key)
+{
+    return json::serialize(json::array{encodeOperation({OperationKind::Get, "rows", key, ""})});
+}
+
+std::vector<std::string> valuesIn(const std::string &results)
+{
+    std::vector<std::string> values;
+    json::error_code error;
+    const json::value parsed = json::parse(results, error);
+    if (error || !parsed.is_array() || parsed.get_array().empty())
+        return values;
+    for (const json::value &value : parsed.get_array()[0].as_object().at("values").as_array())
+        values.emplace_back(value.as_string().c_str());
+    return values;
+}
+
+} // namespace cicadagap
