Refuse at once what cannot be reached during back-off; add the load tool

Cause: while a target is dead, its gateway let work wait for the next try to connect, up to 1 s. Found in the daemon's logs: request forwarded at 119212, forwarded elsewhere only at 120076. Ruled out: the change of primary itself (suspected to announced: 56 ms), the peer links. Change: without a live connection and within the back-off, work is refused as not run. The deployment script takes ports below the system's range for outgoing connections: one start in three had failed with 'address already in use'. The new row of Refusals fails without the change.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,22 +1,31 @@
-# Shell functions that start and stop a small deployment on loopback: three data centres with one host
-# each, one database group of three instances, and the platform's stand-in. Sourced by scripts/demo
-# and the process tests.
+# Shell functions that start and stop a small deployment on loopback: three data centres, by default with
+# one host each and one database group of three instances, and the platform's stand-in. Sourced by
+# scripts/demo, scripts/experiment and the process tests.
 #
-#   deployment_start DIR     writes settings and logs into DIR, starts everything, waits until ready
+#   deployment_start DIR     writes settings and logs into DIR, starts everything, waits until ready;
+#                            HOST_COUNT and WORKLOAD (cooperativa, ashgrove) choose another shape
 #   deployment_stop          ends what was started, by process id
 #   caller HOST              prints the callers' address of host 1, 2 or 3
 #   call HOST VERB JSON      sends a request as a caller; the session is kept in $SESSION_FILE
 #   control INSTANCE JSON    sends a fault to instance 1, 2 or 3
 #
-# Ports are free ones of the system's choosing range, so several deployments can run at a time.
+# Ports are free ones below the range from which the system takes ports for outgoing connections, so
+# several deployments can run at a time.
 
 DATA_CENTRES=(cali medellin bogota)
+HOST_COUNT=${HOST_COUNT:-3}
+WORKLOAD=${WORKLOAD:-}
 PIDS=()
 
+# The number of instances: the workloads have three groups, the demonstration one.
+instance_count() { [ -n "$WORKLOAD" ] && echo 9 || echo 3; }
+hosts() { seq 1 "$HOST_COUNT"; }
+instances() { seq 1 "$(instance_count)"; }
+
 free_port() {
     local port
     while :; do
-        port=$((20000 + RANDOM % 20000))
+        port=$((10000 + RANDOM % 20000))
         [[ " ${USED_PORTS:-} " == *" $port "* ]] && continue
         (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue
         USED_PORTS="${USED_PORTS:-} $port"
@@ -36,10 +45,11 @@
 
 write_host() {
     local i=$1
+    local place=${DATA_CENTRES[$(((i - 1) % 3))]}
     cat >"$DIR/host$i.json" <<JSON
 {
-    "host": "${DATA_CENTRES[$((i - 1))]}-1",
-    "dataCentre": "${DATA_CENTRES[$((i - 1))]}",
+    "host": "$place-$(((i + 2) / 3))",
+    "dataCentre": "$place",
     "callers": "127.0.0.1:${CALLER_PORT[$i]}",
     "peers": "127.0.0.1:${PEER_PORT[$i]}",
     "steward": "127.0.0.1:${STEWARD_PORT[$i]}",
@@ -52,6 +62,11 @@
 }
 
 write_team() {
+    if [ -n "$WORKLOAD" ]; then
+        "$BIN/cicadagap-load" --workload "$WORKLOAD" --print-settings --target "$(targets)" \
+            >"$DIR/team.json"
+        return
+    fi
     cat >"$DIR/team.json" <<JSON
 {
     // The Cooperativa's settings, small.
@@ -91,13 +106,16 @@
 
 start_target() {
     local i=$1 j
+    local first=$(((i - 1) / 3 * 3 + 1))
     local members=()
-    for j in 1 2 3; do
+    for j in $first $((first + 1)) $((first + 2)); do
         [ "$j" = "$i" ] || members+=(--member "t$j=127.0.0.1:${TARGET_PORT[$j]}")
     done
     start "target$i.log" cicadagap-standin-target --name "t$i" \
-        --listen "127.0.0.1:${TARGET_PORT[$i]}" --data "$DIR/t$i.log-entries" --connect-ms 10 \
-        --service-ms 1 "${members[@]}"
+        --listen "127.0.0.1:${TARGET_PORT[$i]}" --data "$DIR/t$i.log-entries" \
+        --connect-ms "${CONNECT_MS:-10}" --service-ms "${SERVICE_MS:-1}" --slots "${SLOTS:-3}" \
+        --connections "${CONNECTIONS:-20}" --replication-delay-ms "${REPLICATION_MS:-0}" \
+        "${members[@]}"
     TARGET_PID[$i]=$PID
 }
 
@@ -112,9 +130,9 @@
 # primary: prints the number of the instance that the first answering host takes for the primary.
 primary() {
     local i text
-    for i in 1 2 3; do
+    for i in $(hosts); do
         text=$(curl -s -m 2 "http://$(caller "$i")/v1/status") || continue
-        sed -n 's/.*"primary":"t\([0-9]\)".*/\1/p' <<<"$text"
+        grep -o '"primary":"t[0-9]' <<<"$text" | head -1 | grep -o '[0-9]'
         return
     done
 }
@@ -131,7 +149,12 @@
 
 platform_answers() { curl -s -m 1 -o /dev/null "http://127.0.0.1:$PLATFORM_PORT/hosts"; }
 has_primary() { [ -n "$(primary)" ]; }
-host_knows_primary() { curl -s -m 2 "http://$(caller "$1")/v1/status" | grep -q '"primary":"t'; }
+# Every group has a primary, as this host knows it.
+host_knows_primary() {
+    local text
+    text=$(curl -s -m 2 "http://$(caller "$1")/v1/status") || return 1
+    grep -q '"primary":"t' <<<"$text" && ! grep -q '"primary":""' <<<"$text"
+}
 
 deployment_start() {
     DIR=$1
@@ -140,17 +163,27 @@
     mkdir -p "$DIR"
     local i
     free_port; PLATFORM_PORT=$PORT
-    for i in 1 2 3; do
+    for i in $(hosts); do
         free_port; CALLER_PORT[$i]=$PORT
         free_port; PEER_PORT[$i]=$PORT
         free_port; STEWARD_PORT[$i]=$PORT
+    done
+    for i in $(instances); do
         free_port; TARGET_PORT[$i]=$PORT
     done
     start platform.log cicadagap-standin-platform --listen "127.0.0.1:$PLATFORM_PORT"
     PLATFORM_PID=$PID
+    case $WORKLOAD in
+    ashgrove)
+        DATA_CENTRES=(vermont newhampshire maine)
+        SLOTS=${SLOTS:-5} CONNECTIONS=${CONNECTIONS:-55} CONNECT_MS=${CONNECT_MS:-30}
+        ;;
+    esac
     write_team
-    for i in 1 2 3; do
+    for i in $(hosts); do
         write_host "$i"
+    done
+    for i in $(instances); do
         start_target "$i"
     done
     wait_until 10 platform_answers
@@ -158,10 +191,10 @@
         >>"$DIR/operator.log"
     "$BIN/cicadagap" apply "$DIR/team.json" --platform "127.0.0.1:$PLATFORM_PORT" \
         >>"$DIR/operator.log"
-    for i in 1 2 3; do
+    for i in $(hosts); do
         start_host "$i"
     done
-    for i in 1 2 3; do
+    for i in $(hosts); do
         wait_until 30 host_knows_primary "$i"
     done
 }
@@ -176,6 +209,8 @@
     PIDS=()
 }
 
+entries() { local i; for i in $(hosts); do caller "$i"; done | paste -sd,; }
+targets() { local i; for i in $(instances); do echo "127.0.0.1:${TARGET_PORT[$i]}"; done | paste -sd,; }
 caller() { echo "127.0.0.1:${CALLER_PORT[$1]}"; }
 
 # call HOST VERB JSON: prints the answer; exit code of curl.
--- a/src/connection/gateway.cpp
+++ b/src/connection/gateway.cpp
@@ -76,10 +76,7 @@
     m_connections.erase(connection);
     m_openBackoff = std::clamp(m_openBackoff * 2, FirstOpenBackoff, m_options.maxOpenBackoff);
     m_openAfter = now + m_openBackoff;
-    const bool anyLive = std::any_of(m_connections.begin(), m_connections.end(), [](const auto &c) {
-        return c.second.state != ConnectionState::Opening;
-    });
-    if (!anyLive) {
+    if (!hasLiveConnection()) {
         m_actions.emplace_back(ReportFailure{});
         for (const QueueEntry &entry : m_queue.takeAll())
             refuse(entry.id, Cause::Unreachable);
@@ -243,9 +240,19 @@
         return Cause::Leaving;
     if (!work.replica && (!m_primary || work.required.term > m_term))
         return Cause::NotPrimary;
+    // Waiting for the back-off to end would only keep the work from going elsewhere.
+    if (!hasLiveConnection() && now < m_openAfter)
+        return Cause::Unreachable;
     return tooLate(now, work) ? Cause::Overloaded : Cause::None;
 }
 
+bool Gateway::hasLiveConnection() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second.state != ConnectionState::Opening;
+    });
+}
+
 bool Gateway::tooLate(Millis now, const Work &work) const
 {
     const double ahead = static_cast<double>(m_queue.ahead(work.priorityClass));
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -228,6 +228,7 @@
     };
 
     Cause refusal(Millis now, const Work &work) const;
+    bool hasLiveConnection() const;
     bool tooLate(Millis now, const Work &work) const;
     bool hasData(Millis now, const Work &work) const;
     void waitForData(Millis now, WorkState *state);
--- a/src/connection/tst_gateway.cpp
+++ b/src/connection/tst_gateway.cpp
@@ -142,6 +142,14 @@
                         w->transaction = "h1~t1~9.9";
                     },
                     Cause::NoTransaction},
+        RefusalCase{"unreachable a moment ago",
+                    [](Gateway *g, Work *) {
+                        for (std::uint64_t connection = 1; connection <= 3; ++connection)
+                            g->onBroken(Now, connection, false);
+                        for (std::uint64_t connection = 4; connection <= 9; ++connection)
+                            g->onOpenFailed(Now, connection);
+                    },
+                    Cause::Unreachable},
         RefusalCase{"full queue",
                     [](Gateway *g, Work *) {
                         for (std::uint64_t i = 100; i < 107; ++i)
--- a/src/programs/cicadagap-load/main.cpp
+++ b/src/programs/cicadagap-load/main.cpp
@@ -1,4 +1,170 @@
-int main()
+// cicadagap-load: plays a user's workload against a running system and checks what callers were
+// told.
+#include "connection/blocking.h"
+#include "connection/wire.h"
+#include "report.h"
+#include "runner.h"
+
+#include <boost/json/array.hpp>
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+using namespace cicadagap;
+
+namespace {
+
+constexpr int ExitDone = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+constexpr int ExitViolated = 3;
+constexpr std::size_t InstancesPerGroup = 3;
+
+cxxopts::Options commandLine()
 {
-    return 0;
+    cxxopts::Options options(
+        "cicadagap-load",
+        "Plays a user's workload against a running system, prints what it saw as JSON and compares "
+        "the answers with the rows of the stand-in targets.\n"
+        "Exit codes: 0 clean, 1 cannot run, 2 wrong usage, 3 something lost, doubled, stale or "
+        "mixed.\n"
+        "Example: cicadagap-load --workload cooperativa --entry 127.0.0.1:8001,127.0.0.1:8002 "
+        "--target 127.0.0.1:7001,... --seconds 20 --svg run.svg");
+    auto add = options.add_options();
+    add("workload", "cooperativa or ashgrove",
+        cxxopts::value<std::string>()->default_value("cooperativa"));
+    add("entry", "Callers' addresses of the hosts", cxxopts::value<std::vector<std::string>>());
+    add("target", "Addresses of the stand-in targets, three for each group in order",
+        cxxopts::value<std::vector<std::string>>());
+    add("sessions", "Sessions at a time", cxxopts::value<int>()->default_value("20"));
+    add("seconds", "How long", cxxopts::value<double>()->default_value("10"));
+    add("think-ms", "Mean pause of a session", cxxopts::value<int>());
+    add("threads", "Threads", cxxopts::value<int>()->default_value("2"));
+    add("seed", "Seed; another one uses other rows",
+        cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("svg", "File for a picture", cxxopts::value<std::string>()->default_value(""));
+    add("print-settings", "Print the workload's team settings for these targets and stop");
+    add("help", "Print this text");
+    return options;
+}
+
+std::vector<Endpoint> endpoints(const cxxopts::ParseResult &arguments, const std::string &name)
+{
+    std::vector<Endpoint> result;
+    if (!arguments.count(name))
+        throw cxxopts::exceptions::exception("--" + name + " is missing");
+    for (const std::string &text : arguments[name].as<std::vector<std::string>>()) {
+        Reason reason;
+        const auto endpoint = parseEndpoint(text, &reason);
+        if (!endpoint)
+            throw cxxopts::exceptions::exception("--" + name + ": " + reason.text());
+        result.push_back(*endpoint);
+    }
+    return result;
+}
+
+// The target that leads each group now, by the highest term.
+std::optional<Endpoint> leaderOf(BlockingClient *client, const std::vector<Endpoint> &instances)
+{
+    std::optional<Endpoint> leader;
+    std::uint64_t term = 0;
+    for (const Endpoint &instance : instances) {
+        const auto response = client->call(instance, {.target = "/status"}, nullptr, Millis(1000));
+        const auto report = response ? decodeReport(response->body, nullptr) : std::nullopt;
+        if (report && report->primary && report->term >= term) {
+            term = report->term;
+            leader = instance;
+        }
+    }
+    return leader;
+}
+
+// Counts the rows that the leaders hold. False if a group has no leader that answers.
+bool countRows(BlockingClient *client, const Workload &workload,
+               const std::vector<Endpoint> &targets, RowCounts *rows, std::size_t *mixed)
+{
+    for (std::size_t g = 0; g < workload.groups.size(); ++g) {
+        const auto begin = targets.begin() + static_cast<std::ptrdiff_t>(g * InstancesPerGroup);
+        const std::vector<Endpoint> instances(begin, begin + InstancesPerGroup);
+        const auto leader = leaderOf(client, instances);
+        const auto response = leader
+            ? client->call(*leader, {.target = "/rows?table=load"}, nullptr, Millis(20'000))
+            : std::nullopt;
+        const auto page = response ? parseObject(response->body, nullptr) : std::nullopt;
+        if (!page || !page->contains("rows"))
+            return false;
+        for (const auto &row : page->at("rows").as_object()) {
+            for (const auto &value : row.value().as_array())
+                ++(*rows)[workload.groups[g]]
+                         [std::string(row.key()) + "/" + value.as_string().c_str()];
+        }
+        *mixed += static_cast<std::size_t>(numberMember(*page, "mixed"));
+    }
+    return true;
+}
+
+int play(const Workload &workload, const cxxopts::ParseResult &arguments)
+{
+    const std::vector<Endpoint> targets = endpoints(arguments, "target");
+    if (targets.size() != workload.groups.size() * InstancesPerGroup)
+        throw cxxopts::exceptions::exception("--target: expected three for each group");
+    Runner::Options options;
+    options.workload = workload;
+    options.entries = endpoints(arguments, "entry");
+    options.sessions = arguments["sessions"].as<int>();
+    options.seed = arguments["seed"].as<std::uint64_t>();
+    options.duration = Millis(static_cast<std::int64_t>(arguments["seconds"].as<double>() * 1000));
+    if (arguments.count("think-ms"))
+        options.think = Millis(arguments["think-ms"].as<int>());
+    EventLoop loop({.threads = arguments["threads"].as<int>()});
+    const auto runner = std::make_shared<Runner>(&loop, options);
+    const SteadyClock clock;
+    const Millis startedAt = clock.now();
+    runner->start([&loop] { loop.stop(); });
+    loop.run();
+    const Millis duration = clock.now() - startedAt;
+    const std::vector<Observation> observations = runner->takeObservations();
+    RowCounts rows;
+    std::size_t mixed = 0;
+    BlockingClient client;
+    if (!countRows(&client, workload, targets, &rows, &mixed)) {
+        std::cerr << "the targets cannot be compared: a group has no leader that answers\n";
+        return ExitFailed;
+    }
+    LoadReport report = makeReport(workload, duration, observations, runner->takeWritten(), rows);
+    report.mixed = mixed;
+    report.cut = static_cast<std::size_t>(runner->cutAnswers());
+    std::cout << reportJson(report) << '\n';
+    const std::string svg = arguments["svg"].as<std::string>();
+    if (!svg.empty())
+        std::ofstream(svg) << reportSvg(report, workload, observations);
+    return report.clean() ? ExitDone : ExitViolated;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        cxxopts::Options options = commandLine();
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help();
+            return ExitDone;
+        }
+        const auto workload = workloadNamed(arguments["workload"].as<std::string>());
+        if (!workload)
+            throw cxxopts::exceptions::exception("--workload: expected cooperativa or ashgrove");
+        if (arguments.count("print-settings")) {
+            std::cout << settingsFor(*workload, arguments["target"].as<std::vector<std::string>>());
+            return ExitDone;
+        }
+        return play(*workload, arguments);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << "; try --help\n";
+        return ExitUsage;
+    }
 }
