Let a restarting host learn from its peers while the platform is down; runs on real processes

Cause: processes.operators-race failed in its last step: a host restarted while the platform was down never knew a primary. It told its seeds its own record, but could not answer their exchanges, because it knew no address for them. Ruled out: the settings feed (backs off as meant), the daemon (it gets what its steward has). Change: a steward joins by asking its seeds, which answer with the hosts they know. Thirteen scenarios on real processes check outcomes only: kill, freeze, isolate, slow, silent, lost answers, platform down, graceful stop, leaving target, racing operators, and two together.

--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -93,6 +93,11 @@
         probeFor(request.body, respond);
         return;
     }
+    if (request.path == "/join") {
+        onGossip(request.body);
+        respond(encodeGossip(m_settings.host, knownHosts()));
+        return;
+    }
     if (request.path == "/gossip")
         onGossip(request.body);
     else if (request.path == "/vote")
--- a/src/programs/cicadagap-steward/steward.h
+++ b/src/programs/cicadagap-steward/steward.h
@@ -64,7 +64,9 @@
     void onChanged(const Record &record);
     void learnHost(const Record &record);
     void probeNeighbours();
+    // Introduces this host to the seeds, which answer with the hosts that they know.
     void askSeeds();
+    GossipMessage knownHosts() const;
     void readHostList();
     void takeHostList(const std::optional<PlatformHosts> &list);
     bool readsPlatform() const;
