--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -335,9 +335,24 @@
                                encodeHost(m_membership.self())});
     const std::string body = encodeGossip(m_settings.host, message);
     for (const std::string &seed : m_settings.seeds) {
-        if (const auto peer = linkTo(seed); peer && seed != m_settings.steward)
-            peer->call({"/gossip", body}, CallTimeout, [](const PeerReply &) {});
+        const auto peer = linkTo(seed);
+        if (!peer || seed == m_settings.steward)
+            continue;
+        peer->call({"/join", body}, CallTimeout, [this](const PeerReply &reply) {
+            if (reply.verdict == Verdict::Ran)
+                onGossip(reply.body);
+        });
+    }
+}
+
+GossipMessage Steward::knownHosts() const
+{
+    GossipMessage message;
+    for (const Record *record : m_records.withPrefix("host/")) {
+        if (message.records.size() < RecordsPerPush)
+            message.records.push_back(*record);
     }
+    return message;
 }
 
 void Steward::readHostList()
