Keep the write gap short: remember failed gateways, probe fresh early, move requests at once

Cause: build/writegap (new, virtual time) showed gaps above the users' 6 s: a killed gateway host 7.9 s, one cut link 8.1 s, an isolated data centre 4.4 s. Every request tried the dead gateway first, the retry budget ran dry, and attempts at a former primary were sat out. Ruled out: sealing and promotion (under 60 ms in the stewards' logs); the first try, one standby and a toggle between the two, left a cut link at 8 s, because the standby was cut off as well. Change: entry hosts remember which gateway failed for which instance and try the next of three, of which some are in other data centres; repeatable attempts wait timeouts.attemptMs (1 s), not half the deadline; a change of the view moves them at once; a probe that is 250 ms late starts fresh probes.

--- a/src/connection/gateway.cpp
+++ b/src/connection/gateway.cpp
@@ -413,13 +413,13 @@
     m_actions.emplace_back(std::move(call));
 }
 
-Millis Gateway::callTimeout(Millis now, const Work &work)
+Millis Gateway::callTimeout(Millis now, const Work &work) const
 {
     const Millis left = std::max(Millis(1), work.deadline - now);
     // What may be sent again leaves time for that, in case this connection has gone silent.
     const bool isRead = work.kind == WorkKind::Execute && !work.write;
     const bool marked = !work.requestId.empty() && work.kind != WorkKind::Continue;
-    return isRead || marked ? std::max(left / 2, Millis(1)) : left;
+    return isRead || marked ? std::min(left, m_options.attempt) : left;
 }
 
 void Gateway::continueTransaction(Millis now, const Work &work)
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -157,6 +157,7 @@
         std::string transactionPrefix; // Makes transaction ids unique among all gateways.
         Millis transactionIdle = Millis(5000);
         Millis replicaWait = Millis(20);
+        Millis attempt = Millis(1000);  // For calls that may be repeated.
         Millis idlePing = Millis(1000); // Idle connections are pinged after this long.
         Millis pingTimeout = Millis(250);
         Millis idleClose = Millis(60'000);
@@ -240,7 +241,7 @@
     void assign(Millis now, std::uint64_t connection, std::uint64_t work);
     void start(Millis now, std::uint64_t connection, std::uint64_t work);
     void call(Millis now, std::uint64_t connection, TargetStep step, const Work &work);
-    static Millis callTimeout(Millis now, const Work &work);
+    Millis callTimeout(Millis now, const Work &work) const;
     void continueTransaction(Millis now, const Work &work);
     void finishStep(Millis now, std::uint64_t connection, const TargetAnswer &answer);
     void finishFailed(std::uint64_t connection, std::uint64_t work, const TargetAnswer &answer);
--- a/src/process/groupwatch.cpp
+++ b/src/process/groupwatch.cpp
@@ -25,6 +25,8 @@
 std::vector<WatchAction> GroupWatch::onProbed(Millis now, const std::string &instance, bool fresh,
                                               const std::optional<InstanceReport> &report)
 {
+    if (instance == m_primary && !fresh)
+        m_probeSentAt.reset();
     if (!report)
         return instance == m_primary ? handleFailure(now, fresh) : std::vector<WatchAction>{};
     m_highestTerm = std::max(m_highestTerm, report->term);
@@ -87,13 +89,17 @@
     std::vector<WatchAction> actions;
     if (m_promotion)
         actions = translate(now, m_promotion->onTick(now));
-    const bool doubtful = m_freshFailures > 0 || m_primary.empty();
+    // A late answer proves nothing, but it is a reason to look with fresh connections at once: they
+    // are the evidence, and they take their own time to fail.
+    const bool late = m_probeSentAt && now - *m_probeSentAt >= m_options.lateProbe;
+    const bool doubtful = m_freshFailures > 0 || m_primary.empty() || late;
     if (doubtful && !m_primary.empty() && now >= m_nextFresh) {
         m_nextFresh = now + m_options.freshInterval;
         actions.push_back({.step = WatchStep::Probe, .instance = m_primary, .fresh = true});
     }
     if (!doubtful && now >= m_nextProbe) {
         m_nextProbe = now + m_options.probeInterval;
+        m_probeSentAt = m_probeSentAt.value_or(now);
         actions.push_back({.step = WatchStep::Probe, .instance = m_primary});
     }
     if (now >= m_nextReplicaProbe) {
@@ -266,6 +272,7 @@
     m_votes.clear();
     m_agreedAt.reset();
     m_promotion.reset();
+    m_probeSentAt.reset();
 }
 
 WatchAction GroupWatch::vote(bool suspect) const
--- a/src/process/groupwatch.h
+++ b/src/process/groupwatch.h
@@ -80,6 +80,7 @@
         Millis replicaInterval = Millis(1000);
         Millis freshInterval = Millis(100); // Between fresh probes of a doubtful primary.
         int failuresToSuspect = 2;          // Failed fresh probes in a row.
+        Millis lateProbe = Millis(250);     // A probe without an answer for this long is doubtful.
         Millis voteLife = Millis(2000);
         Millis stagger = Millis(400);
     };
@@ -133,6 +134,7 @@
     std::optional<Promotion> m_promotion;
     std::set<std::string> m_leaving;
     std::optional<Millis> m_startedAt;
+    std::optional<Millis> m_probeSentAt; // Of the unanswered probe of the primary.
     Millis m_nextProbe;
     Millis m_nextReplicaProbe;
     Millis m_nextFresh;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -160,11 +160,19 @@
 std::vector<std::string> Membership::neighbours() const
 {
     std::vector<std::string> ring;
+    std::vector<std::string> everybody;
     for (const auto &entry : m_hosts) {
         const HostInfo &host = entry.second.host;
-        if (host.state != HostState::Dead && host.dataCentre == m_options.self.dataCentre)
+        if (host.state == HostState::Dead)
+            continue;
+        everybody.push_back(host.name);
+        if (host.dataCentre == m_options.self.dataCentre)
             ring.push_back(host.name);
     }
+    // A host that is alone in its data centre looks after the others', and they after it.
+    const bool someoneIsAlone = ring.empty() || hasLoneHost();
+    if (someoneIsAlone)
+        ring = std::move(everybody);
     // The ring is in name order; it starts behind this host.
     const auto start = std::upper_bound(ring.begin(), ring.end(), m_options.self.name);
     std::rotate(ring.begin(), start, ring.end());
@@ -173,13 +181,22 @@
     return ring;
 }
 
+bool Membership::hasLoneHost() const
+{
+    std::map<std::string, int> counts;
+    for (const HostInfo &host : hosts())
+        ++counts[host.dataCentre];
+    return std::any_of(counts.begin(), counts.end(),
+                       [](const auto &entry) { return entry.second == 1; });
+}
+
 std::string Membership::secondOpinion(const std::string &target)
 {
     std::vector<std::string> candidates;
     for (const auto &entry : m_hosts) {
         const HostInfo &host = entry.second.host;
         if (host.state == HostState::Alive && host.name != target && entry.second.failures == 0
-            && host.dataCentre == m_options.self.dataCentre)
+            && (host.dataCentre == m_options.self.dataCentre || hasLoneHost()))
             candidates.push_back(host.name);
     }
     return candidates.empty() ? std::string() : candidates[m_random.below(candidates.size())];
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -105,6 +105,8 @@
     };
 
     std::vector<std::string> neighbours() const;
+    // Whether some data centre has a single host, which no neighbour of its own can probe.
+    bool hasLoneHost() const;
     std::string secondOpinion(const std::string &target);
 
     Options m_options;
--- a/src/programs/cicadagapd/callerapi.cpp
+++ b/src/programs/cicadagapd/callerapi.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr double RetryBurst = 100; // Retries a team may save up on one host.
-constexpr Millis ReplicaRetry(10); // A replica that was behind is tried again after this.
 constexpr Millis ReplySlack(50);   // A gateway that answers at the deadline is still heard.
 constexpr const char *SessionHeader = "cicadagap-session";
 
@@ -81,9 +80,14 @@
 {
 }
 
+// `flow`, `view` and `finished` are guarded by the team state's mutex; the rest does not change
+// once the request has started.
 struct CallerApi::Call
 {
     std::string id;
+    std::uint64_t number = 0;
+    std::uint64_t term = 0; // Of the group's view that the flow saw last.
+    bool finished = false;
     std::string team;
     std::string group;
     std::string className = DefaultClass;
@@ -184,6 +188,7 @@
     const TeamSettings &settings = call->settings->settings;
     const Millis budget(numberMember(*body, "timeoutMs", settings.timeouts.statement.count()));
     call->request.deadline = call->arrived + std::min(budget, settings.timeouts.statement);
+    call->request.attempt = settings.timeouts.attempt;
     call->work.requestId = textMember(*body, "requestId");
     const std::string transaction = textMember(*body, "transaction");
     const std::string name = textMember(*body, "statement");
@@ -270,29 +275,32 @@
         call->work.required = *call->request.token;
     }
     call->work.maxAge = call->request.maxAge;
-    const std::uint64_t spread = m_lastRequest;
-    call->flow = std::make_unique<RequestFlow>(call->request, m_options.view->dataCentre(), spread);
+    call->number = ++m_lastCall;
+    call->flow
+        = std::make_unique<RequestFlow>(call->request, m_options.view->dataCentre(), call->number);
     const auto view = m_options.view->group(call->team, call->group);
     FlowAction action;
     {
         MutexLock lock(&call->state->mutex);
         call->state->budget.setPercent(call->settings->settings.limits.retryPercent);
         call->state->budget.onFirstAttempt();
-        const auto lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first;
-        action = call->flow->start(call->arrived, *view, lag->second);
+        call->state->calls[call->number] = call;
+        call->term = view->term;
+        action = call->flow->start(call->arrived, *view, call->state->memory[call->group]);
     }
-    act(call, action);
+    act(call, 1, action);
 }
 
-void CallerApi::act(const std::shared_ptr<Call> &call, const FlowAction &action)
+void CallerApi::act(const std::shared_ptr<Call> &call, int attempt, const FlowAction &action)
 {
     switch (action.step) {
     case FlowStep::Send:
-        forward(call, action);
+        forward(call, attempt, action);
         break;
     case FlowStep::Wait: {
         const Millis delay = std::max(Millis(1), action.wakeAt - m_clock.now());
-        m_options.loop->after(delay, [self = shared_from_this(), call] { self->onWake(call); });
+        m_options.loop->after(
+            delay, [self = shared_from_this(), call, attempt] { self->onWake(call, attempt); });
         break;
     }
     case FlowStep::Finish:
@@ -301,7 +309,7 @@
     }
 }
 
-void CallerApi::forward(const std::shared_ptr<Call> &call, const FlowAction &action)
+void CallerApi::forward(const std::shared_ptr<Call> &call, int attempt, const FlowAction &action)
 {
     RoutedWork routed;
     routed.team = call->team;
@@ -319,8 +327,9 @@
     }
     logEvent(LogLevel::Debug, "request.forwarded",
              {{"request", call->id}, {"to", action.host}, {"instance", action.instance}});
-    const auto onDone
-        = [self = shared_from_this(), call](const WorkReply &reply) { self->onReply(call, reply); };
+    const auto onDone = [self = shared_from_this(), call, attempt](const WorkReply &reply) {
+        self->onReply(call, attempt, reply);
+    };
     if (action.host == m_options.view->self()) {
         m_options.gateways->submit(routed, onDone);
         return;
@@ -331,7 +340,7 @@
         onDone({Verdict::NotRun, inTransaction ? Cause::NoTransaction : Cause::Unreachable});
         return;
     }
-    link->call({"/work", encodeRoutedWork(routed)}, routed.budget + ReplySlack,
+    link->call({"/work", encodeRoutedWork(routed)}, action.timeout + ReplySlack,
                [onDone](const PeerReply &peerReply) {
                    const auto reply = peerReply.verdict == Verdict::Ran
                        ? decodeReply(peerReply.body, nullptr)
@@ -345,36 +354,85 @@
                });
 }
 
-void CallerApi::onReply(const std::shared_ptr<Call> &call, const WorkReply &reply)
+void CallerApi::onReply(const std::shared_ptr<Call> &call, int attempt, const WorkReply &reply)
 {
     const auto view = m_options.view->group(call->team, call->group);
-    if (!view) {
-        finish(call, reply);
-        return;
-    }
     FlowAction action;
+    int next = 0;
     {
         MutexLock lock(&call->state->mutex);
-        ReplicaLag &lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first->second;
-        action = call->flow->onReply(m_clock.now(), *view, reply, &call->state->budget, &lag);
+        // The answer to an attempt that was given up meanwhile.
+        if (call->finished || attempt != call->flow->attempts())
+            return;
+        if (view) {
+            call->term = view->term;
+            action = call->flow->onReply(m_clock.now(), *view, reply, &call->state->budget,
+                                         &call->state->memory[call->group]);
+        } else {
+            action.reply = reply; // The group was taken out of the settings.
+        }
+        call->finished = action.step == FlowStep::Finish;
+        next = call->flow->attempts();
     }
-    act(call, action);
+    act(call, next, action);
 }
 
-void CallerApi::onWake(const std::shared_ptr<Call> &call)
+void CallerApi::onWake(const std::shared_ptr<Call> &call, int attempt)
 {
     const auto view = m_options.view->group(call->team, call->group);
-    if (!view) {
-        finish(call, {Verdict::NotRun, Cause::UnknownTeam});
-        return;
-    }
     FlowAction action;
+    int next = 0;
     {
         MutexLock lock(&call->state->mutex);
-        const auto lag = call->state->lag.try_emplace(call->group, ReplicaRetry).first;
-        action = call->flow->onWake(m_clock.now(), *view, lag->second);
+        if (call->finished || attempt != call->flow->attempts())
+            return;
+        if (view) {
+            call->term = view->term;
+            action = call->flow->onWake(m_clock.now(), *view, call->state->memory[call->group]);
+        } else {
+            action.reply = {Verdict::NotRun, Cause::UnknownTeam};
+        }
+        call->finished = action.step == FlowStep::Finish;
+        next = call->flow->attempts();
+    }
+    act(call, next, action);
+}
+
+void CallerApi::onViewChanged()
+{
+    for (const std::string &team : m_options.view->teams()) {
+        std::vector<std::shared_ptr<Call>> calls;
+        const auto shared = state(team);
+        {
+            MutexLock lock(&shared->mutex);
+            for (const auto &entry : shared->calls) {
+                if (auto call = entry.second.lock())
+                    calls.push_back(std::move(call));
+            }
+        }
+        for (const auto &call : calls)
+            onViewChanged(call);
     }
-    act(call, action);
+}
+
+void CallerApi::onViewChanged(const std::shared_ptr<Call> &call)
+{
+    const auto view = m_options.view->group(call->team, call->group);
+    std::optional<FlowAction> action;
+    int next = 0;
+    {
+        MutexLock lock(&call->state->mutex);
+        if (!view || call->finished || call->term == view->term)
+            return;
+        call->term = view->term;
+        action = call->flow->onViewChanged(m_clock.now(), *view, &call->state->budget,
+                                           call->state->memory[call->group]);
+        if (!action)
+            return;
+        call->finished = action->step == FlowStep::Finish;
+        next = call->flow->attempts();
+    }
+    act(call, next, *action);
 }
 
 void CallerApi::finish(const std::shared_ptr<Call> &call, const WorkReply &reply)
@@ -391,6 +449,10 @@
               {"cause", CauseNames.name(reply.cause)},
               {"attempts", call->flow ? call->flow->attempts() : 0},
               {"tookMs", took.count()}});
+    if (call->state) {
+        MutexLock lock(&call->state->mutex);
+        call->state->calls.erase(call->number);
+    }
     call->respond(render(call.get(), reply));
     --m_active;
 }
--- a/src/programs/cicadagapd/callerapi.h
+++ b/src/programs/cicadagapd/callerapi.h
@@ -37,12 +37,16 @@
     void handle(const HttpRequest &request, const Respond &respond);
     // Graceful shutdown: the health check fails, so that the balancer sends nobody here.
     void drain() { m_draining = true; }
+    // The host's view changed: requests on their way to a former primary are sent to the new one.
+    void onViewChanged();
     // Requests between arrival and answer.
     int activeRequests() const { return m_active; }
     // Age of the settings since they were last confirmed with the platform, as the steward says.
     void setSettingsAge(Millis age);
 
 private:
+    struct Call; // One request in progress.
+
     // What requests of one team share on this host.
     struct TeamState
     {
@@ -50,22 +54,22 @@
 
         Mutex mutex;
         RetryBudget budget CICADAGAP_GUARDED_BY(mutex);
-        std::map<std::string, ReplicaLag> lag CICADAGAP_GUARDED_BY(mutex);   // By group.
+        std::map<std::string, RouteMemory> memory CICADAGAP_GUARDED_BY(mutex); // By group.
+        std::map<std::uint64_t, std::weak_ptr<Call>> calls CICADAGAP_GUARDED_BY(mutex);
         std::map<std::string, BurnTracker> burn CICADAGAP_GUARDED_BY(mutex); // By class.
     };
 
-    struct Call; // One request in progress.
-
     void handleTeam(const HttpRequest &request, const Respond &respond);
     bool prepare(const HttpRequest &request, Call *call) const;
     bool prepareStatement(const HttpRequest &request, Call *call) const;
     bool prepareTransaction(const std::string &transaction, Call *call) const;
     static void readToken(const HttpRequest &request, Call *call);
     void start(const std::shared_ptr<Call> &call);
-    void act(const std::shared_ptr<Call> &call, const FlowAction &action);
-    void forward(const std::shared_ptr<Call> &call, const FlowAction &action);
-    void onReply(const std::shared_ptr<Call> &call, const WorkReply &reply);
-    void onWake(const std::shared_ptr<Call> &call);
+    void act(const std::shared_ptr<Call> &call, int attempt, const FlowAction &action);
+    void forward(const std::shared_ptr<Call> &call, int attempt, const FlowAction &action);
+    void onReply(const std::shared_ptr<Call> &call, int attempt, const WorkReply &reply);
+    void onWake(const std::shared_ptr<Call> &call, int attempt);
+    void onViewChanged(const std::shared_ptr<Call> &call);
     void finish(const std::shared_ptr<Call> &call, const WorkReply &reply);
     void account(const Call &call, const WorkReply &reply, Millis took);
     HttpResponse render(Call *call, const WorkReply &reply) const;
@@ -79,6 +83,7 @@
     std::atomic<bool> m_draining = false;
     std::atomic<int> m_active = 0;
     std::atomic<std::uint64_t> m_lastRequest = 0;
+    std::atomic<std::uint64_t> m_lastCall = 0;
     std::atomic<std::int64_t> m_settingsConfirmedAt = 0;
     Mutex m_mutex;
     std::map<std::string, std::shared_ptr<TeamState>> m_teams CICADAGAP_GUARDED_BY(m_mutex);
--- a/src/programs/cicadagapd/gatewaypool.cpp
+++ b/src/programs/cicadagapd/gatewaypool.cpp
@@ -226,6 +226,7 @@
         + std::to_string(m_options.incarnation) + "." + std::to_string(number) + ".";
     options.transactionIdle = team.settings.timeouts.transactionIdle;
     options.replicaWait = team.settings.timeouts.replicaWait;
+    options.attempt = team.settings.timeouts.attempt;
     const ConnectionQuota::Options quota{.connections = groupSettings->second.connections};
     auto running = std::make_unique<Running>(options, quota);
     running->team = team.settings.team;
--- a/src/programs/cicadagapd/main.cpp
+++ b/src/programs/cicadagapd/main.cpp
@@ -159,8 +159,10 @@
                      {{"key", record.key}, {"version", static_cast<std::int64_t>(record.version)}});
         }
         m_api->setSettingsAge(push->settingsAge);
-        if (changed)
+        if (changed) {
             m_gateways->refresh();
+            m_api->onViewChanged();
+        }
         return encodeHash(m_view.hash());
     }
 
--- a/src/request/hostview.cpp
+++ b/src/request/hostview.cpp
@@ -146,13 +146,12 @@
         const HostInfo &host = entry.second;
         if (host.state != HostState::Alive)
             continue;
-        anywhere.push_back(host.name);
-        if (host.dataCentre == dataCentre)
-            near.push_back(host.name);
+        (host.dataCentre == dataCentre ? near : anywhere).push_back(host.name);
     }
-    // A data centre without hosts of the system is served from the others.
-    std::vector<std::string> order
-        = rendezvousOrder(instance, near.empty() ? std::move(anywhere) : std::move(near));
+    // Hosts of other data centres stand by behind the near ones.
+    std::vector<std::string> order = rendezvousOrder(instance, std::move(near));
+    for (std::string &host : rendezvousOrder(instance, std::move(anywhere)))
+        order.push_back(std::move(host));
     if (order.size() > GatewaysPerInstance)
         order.resize(GatewaysPerInstance);
     return order;
--- a/src/request/requestflow.cpp
+++ b/src/request/requestflow.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Millis AnswerSlack(100);
 constexpr Millis RetryDelay(50); // Before the same place is tried again.
 constexpr std::size_t MaxReplicaTries = 2;
 
@@ -38,18 +39,24 @@
 {
 }
 
-FlowAction RequestFlow::start(Millis now, const GroupView &view, const ReplicaLag &lag)
+FlowAction RequestFlow::start(Millis now, const GroupView &view, const RouteMemory &memory)
 {
     if (!m_request.transactionHost.empty())
-        return sendToTransaction();
-    return next(now, view, lag);
+        return sendToTransaction(now, memory);
+    return next(now, view, memory);
 }
 
 FlowAction RequestFlow::onReply(Millis now, const GroupView &view, const WorkReply &reply,
-                                RetryBudget *budget, ReplicaLag *lag)
+                                RetryBudget *budget, RouteMemory *memory)
 {
     if (m_replica)
-        lag->observe(now, m_instance, reply.position);
+        memory->lag.observe(now, m_instance, reply.position);
+    const bool gatewayFailed = reply.cause == Cause::Unreachable
+        || reply.cause == Cause::ConnectionLost || reply.cause == Cause::Leaving;
+    if (gatewayFailed)
+        memory->gateways.failed(now, m_host, m_instance);
+    else
+        memory->gateways.worked(m_host, m_instance);
     if (reply.verdict == Verdict::Ran)
         return finish(reply);
     // The ledger's cancellation settles every attempt under the request id.
@@ -57,15 +64,30 @@
         return finish(reply);
     m_lastCause = reply.cause;
     if (reply.verdict == Verdict::MayHaveRun)
-        return handleMayHaveRun(now, view, reply, budget, *lag);
-    return handleNotRun(now, view, reply, budget, *lag);
+        return handleMayHaveRun(now, view, reply, budget, *memory);
+    return handleNotRun(now, view, reply, budget, *memory);
 }
 
-FlowAction RequestFlow::onWake(Millis now, const GroupView &view, const ReplicaLag &lag)
+std::optional<FlowAction> RequestFlow::onViewChanged(Millis now, const GroupView &view,
+                                                     RetryBudget *budget, const RouteMemory &memory)
+{
+    if (!m_request.transactionHost.empty())
+        return std::nullopt;
+    if (m_waiting)
+        return next(now, view, memory);
+    const bool outdated = !m_replica && m_instance != view.primary && view.term > m_sentTerm;
+    if (!outdated || !repeatable() || !budget->takeRetry())
+        return std::nullopt;
+    if (m_kind != WorkKind::Execute || m_request.write)
+        m_mayHaveRun = true;
+    return next(now, view, memory);
+}
+
+FlowAction RequestFlow::onWake(Millis now, const GroupView &view, const RouteMemory &memory)
 {
     if (now >= m_request.deadline)
         return finishFailed({.verdict = Verdict::NotRun, .cause = m_lastCause});
-    return next(now, view, lag);
+    return next(now, view, memory);
 }
 
 bool RequestFlow::replicaAllowed() const
@@ -75,7 +97,7 @@
 }
 
 const InstanceRoute *RequestFlow::bestReplica(Millis now, const GroupView &view,
-                                              const ReplicaLag &lag) const
+                                              const RouteMemory &memory) const
 {
     if (m_triedReplicas.size() >= MaxReplicaTries)
         return nullptr;
@@ -87,7 +109,8 @@
         const InstanceRoute &route = view.instances[(i + m_spread) % count];
         if (route.name == view.primary || route.leaving || route.gateways.empty())
             continue;
-        if (m_triedReplicas.contains(route.name) || !lag.worthTrying(now, route.name, required))
+        if (m_triedReplicas.contains(route.name)
+            || !memory.lag.worthTrying(now, route.name, required))
             continue;
         const bool near = route.dataCentre == m_dataCentre;
         if (!best || (near && !bestIsNear)) {
@@ -98,54 +121,80 @@
     return best;
 }
 
-FlowAction RequestFlow::sendToTransaction()
+bool RequestFlow::hasOtherGateway(Millis now, const GroupView &view,
+                                  const RouteMemory &memory) const
+{
+    for (const InstanceRoute &route : view.instances) {
+        if (route.name != m_instance || route.gateways.empty())
+            continue;
+        const std::size_t preferred = memory.gateways.preferred(now, route.name, route.gateways);
+        return route.gateways[preferred] != m_host;
+    }
+    return false;
+}
+
+FlowAction RequestFlow::sendToTransaction(Millis now, const RouteMemory &memory)
 {
     InstanceRoute route;
     route.name = m_request.transactionInstance;
     route.gateways = {m_request.transactionHost};
-    m_gatewayRank = 0;
-    return send(route, false);
+    m_replica = false;
+    return send(now, route, memory);
 }
 
-FlowAction RequestFlow::sendToPrimary(Millis now, const GroupView &view)
+FlowAction RequestFlow::sendToPrimary(Millis now, const GroupView &view, const RouteMemory &memory)
 {
     const auto found
         = std::find_if(view.instances.begin(), view.instances.end(),
                        [&view](const InstanceRoute &route) { return route.name == view.primary; });
     if (found == view.instances.end() || found->gateways.empty())
         return wait(now, RetryDelay);
-    m_gatewayRank = std::min(m_gatewayRank, found->gateways.size() - 1);
     m_sentTerm = view.term;
-    return send(*found, false);
+    m_replica = false;
+    return send(now, *found, memory);
 }
 
-FlowAction RequestFlow::send(const InstanceRoute &route, bool replica)
+FlowAction RequestFlow::send(Millis now, const InstanceRoute &route, const RouteMemory &memory)
 {
     ++m_attempts;
-    m_replica = replica;
+    m_waiting = false;
+    m_host = route.gateways.at(memory.gateways.preferred(now, route.name, route.gateways));
     m_instance = route.name;
     FlowAction action;
     action.step = FlowStep::Send;
-    action.host = route.gateways.at(replica ? 0 : m_gatewayRank);
+    action.host = m_host;
     action.instance = route.name;
-    action.replica = replica;
+    action.replica = m_replica;
     action.kind = m_kind;
+    const Millis left = std::max(Millis(1), m_request.deadline - now);
+    // The gateway gives up on a silent connection first, and has this much more to say so.
+    const Millis patience = m_request.attempt + AnswerSlack;
+    action.timeout = repeatable() ? std::min(left, patience) : left;
     return action;
 }
 
-FlowAction RequestFlow::next(Millis now, const GroupView &view, const ReplicaLag &lag)
+bool RequestFlow::repeatable() const
+{
+    const bool isRead = m_kind == WorkKind::Execute && !m_request.write;
+    const bool marked = !m_request.requestId.empty();
+    return isRead || (marked && m_kind != WorkKind::Continue);
+}
+
+FlowAction RequestFlow::next(Millis now, const GroupView &view, const RouteMemory &memory)
 {
     if (replicaAllowed()) {
-        if (const InstanceRoute *replica = bestReplica(now, view, lag)) {
+        if (const InstanceRoute *replica = bestReplica(now, view, memory)) {
             m_triedReplicas.insert(replica->name);
-            return send(*replica, true);
+            m_replica = true;
+            return send(now, *replica, memory);
         }
     }
-    return sendToPrimary(now, view);
+    return sendToPrimary(now, view, memory);
 }
 
-FlowAction RequestFlow::wait(Millis now, Millis delay) const
+FlowAction RequestFlow::wait(Millis now, Millis delay)
 {
+    m_waiting = true;
     FlowAction action;
     action.step = FlowStep::Wait;
     action.wakeAt = std::min(now + delay, m_request.deadline);
@@ -169,15 +218,13 @@
 }
 
 FlowAction RequestFlow::handleMayHaveRun(Millis now, const GroupView &view, const WorkReply &reply,
-                                         RetryBudget *budget, const ReplicaLag &lag)
+                                         RetryBudget *budget, const RouteMemory &memory)
 {
     const bool isRead = m_kind == WorkKind::Execute && !m_request.write;
     if (!isRead)
         m_mayHaveRun = true;
-    const bool marked = !m_request.requestId.empty();
-    const bool repeatable = isRead || (marked && m_kind != WorkKind::Continue);
     const bool inTime = now + RetryDelay < m_request.deadline;
-    if (!repeatable || !inTime || !budget->takeRetry())
+    if (!repeatable() || !inTime || !budget->takeRetry())
         return finishFailed(reply);
     // A lost commit cannot be sent again, but the ledger knows, or makes sure, what became of it.
     if (m_kind == WorkKind::Commit) {
@@ -185,32 +232,27 @@
         m_request.transactionHost.clear();
     }
     if (isRead || view.term != m_sentTerm)
-        return next(now, view, lag);
+        return next(now, view, memory);
     return wait(now, RetryDelay);
 }
 
 FlowAction RequestFlow::handleNotRun(Millis now, const GroupView &view, const WorkReply &reply,
-                                     RetryBudget *budget, const ReplicaLag &lag)
+                                     RetryBudget *budget, const RouteMemory &memory)
 {
     if (isFinal(reply.cause) || !m_request.transactionHost.empty())
         return finishFailed(reply);
     if (m_replica)
-        return next(now, view, lag);
+        return next(now, view, memory);
     if (reply.cause == Cause::Overloaded)
         return finishFailed(reply);
     if (now >= m_request.deadline)
         return finishFailed(reply);
-    if (view.term > m_sentTerm) {
-        m_gatewayRank = 0;
-        return sendToPrimary(now, view);
-    }
+    if (view.term > m_sentTerm)
+        return sendToPrimary(now, view, memory);
     const bool gatewayFailed = reply.cause == Cause::Unreachable || reply.cause == Cause::Leaving;
-    if (gatewayFailed && m_gatewayRank == 0 && budget->takeRetry()) {
-        m_gatewayRank = 1;
-        return sendToPrimary(now, view);
-    }
-    // Nothing to send to until the primary changes; waiting here puts no load on any target.
-    m_gatewayRank = 0;
+    if (gatewayFailed && hasOtherGateway(now, view, memory) && budget->takeRetry())
+        return sendToPrimary(now, view, memory);
+    // Nothing to send to until the primary changes; a gateway refuses at once what comes too early.
     return wait(now, RetryDelay);
 }
 
--- a/src/request/requestflow.h
+++ b/src/request/requestflow.h
@@ -2,9 +2,10 @@
 // try, when to try again, and what may be said at the end.
 //
 //     RequestFlow flow(request, "cali-1", "cali");
-//     FlowAction action = flow.start(now, view, &lag);
-//     // Send: forward the work, then action = flow.onReply(now, view, reply, &budget, &lag).
-//     // Wait: call flow.onWake() when the group's primary changes, or at action.wakeAt.
+//     FlowAction action = flow.start(now, view, &memory);
+//     // Send: forward the work, then action = flow.onReply(now, view, reply, &budget, &memory).
+//     // Wait: call flow.onWake() at action.wakeAt.
+//     // Call flow.onViewChanged() whenever the group's primary changes.
 //     // Finish: answer the caller with action.reply.
 //
 // The final verdict never claims more than all attempts together allow: once one attempt may have
@@ -17,8 +18,8 @@
 #include "base/position.h"
 #include "base/verdict.h"
 #include "connection/gateway.h"
-#include "request/replicalag.h"
 #include "request/retrybudget.h"
+#include "request/routememory.h"
 
 #include <optional>
 #include <set>
@@ -51,7 +52,8 @@
     std::optional<Millis> maxAge;
     std::optional<Position> token; // Set if the session presented a valid token.
     Millis deadline;
-    std::string transactionHost; // Where the transaction lives, for work inside one.
+    Millis attempt = Millis(1000); // Attempts that may be repeated wait this long for an answer.
+    std::string transactionHost;   // Where the transaction lives, for work inside one.
     std::string transactionInstance;
 };
 
@@ -68,6 +70,7 @@
     std::string host;
     std::string instance;
     bool replica = false;
+    Millis timeout;                    // For the gateway's answer.
     WorkKind kind = WorkKind::Execute; // Outcome, when a commit has to be settled.
     // With Wait:
     Millis wakeAt;
@@ -80,11 +83,16 @@
 public:
     RequestFlow(FlowRequest request, std::string dataCentre, std::uint64_t spread);
 
-    FlowAction start(Millis now, const GroupView &view, const ReplicaLag &lag);
+    FlowAction start(Millis now, const GroupView &view, const RouteMemory &memory);
     FlowAction onReply(Millis now, const GroupView &view, const WorkReply &reply,
-                       RetryBudget *budget, ReplicaLag *lag);
-    // The group's primary changed, or a wait ended.
-    FlowAction onWake(Millis now, const GroupView &view, const ReplicaLag &lag);
+                       RetryBudget *budget, RouteMemory *memory);
+    // The group's primary changed. An attempt at the old primary that may be repeated is given up
+    // and sent to the new one; its reply, should it come, must not be handed to onReply(). Nothing:
+    // go on.
+    std::optional<FlowAction> onViewChanged(Millis now, const GroupView &view, RetryBudget *budget,
+                                            const RouteMemory &memory);
+    // A wait ended.
+    FlowAction onWake(Millis now, const GroupView &view, const RouteMemory &memory);
 
     // Attempts sent so far.
     int attempts() const { return m_attempts; }
@@ -94,18 +102,20 @@
 private:
     bool replicaAllowed() const;
     const InstanceRoute *bestReplica(Millis now, const GroupView &view,
-                                     const ReplicaLag &lag) const;
-    FlowAction sendToTransaction();
-    FlowAction sendToPrimary(Millis now, const GroupView &view);
-    FlowAction send(const InstanceRoute &route, bool replica);
-    FlowAction next(Millis now, const GroupView &view, const ReplicaLag &lag);
-    FlowAction wait(Millis now, Millis delay) const;
+                                     const RouteMemory &memory) const;
+    bool hasOtherGateway(Millis now, const GroupView &view, const RouteMemory &memory) const;
+    FlowAction sendToTransaction(Millis now, const RouteMemory &memory);
+    FlowAction sendToPrimary(Millis now, const GroupView &view, const RouteMemory &memory);
+    FlowAction send(Millis now, const InstanceRoute &route, const RouteMemory &memory);
+    bool repeatable() const;
+    FlowAction next(Millis now, const GroupView &view, const RouteMemory &memory);
+    FlowAction wait(Millis now, Millis delay);
     FlowAction finish(WorkReply reply) const;
     FlowAction finishFailed(const WorkReply &reply) const;
     FlowAction handleMayHaveRun(Millis now, const GroupView &view, const WorkReply &reply,
-                                RetryBudget *budget, const ReplicaLag &lag);
+                                RetryBudget *budget, const RouteMemory &memory);
     FlowAction handleNotRun(Millis now, const GroupView &view, const WorkReply &reply,
-                            RetryBudget *budget, const ReplicaLag &lag);
+                            RetryBudget *budget, const RouteMemory &memory);
 
     FlowRequest m_request;
     std::string m_dataCentre;
@@ -114,8 +124,9 @@
     int m_attempts = 0;
     bool m_replica = false;
     bool m_mayHaveRun = false;
-    std::size_t m_gatewayRank = 0;
-    std::string m_instance; // Of the last attempt.
+    bool m_waiting = false;
+    std::string m_host; // Of the last attempt.
+    std::string m_instance;
     std::uint64_t m_sentTerm = 0;
     std::set<std::string> m_triedReplicas;
     Cause m_lastCause = Cause::NoPrimary;
--- a/src/request/tst_request.cpp
+++ b/src/request/tst_request.cpp
@@ -113,22 +113,22 @@
     const GroupView group = view(1, "t1");
     RequestFlow flow(GetParam().request, "d2", 0);
     RetryBudget budget(10, 5);
-    ReplicaLag lag(Millis(10));
+    RouteMemory memory;
     std::vector<std::string> attempts;
     std::size_t next = 0;
     Millis now(0);
-    FlowAction action = flow.start(now, group, lag);
+    FlowAction action = flow.start(now, group, memory);
     while (action.step != FlowStep::Finish && attempts.size() < 20) {
         if (action.step == FlowStep::Wait) {
             attempts.emplace_back("wait");
             now = action.wakeAt;
-            action = flow.onWake(now, group, lag);
+            action = flow.onWake(now, group, memory);
             continue;
         }
         attempts.push_back(action.host + " " + action.instance
                            + (action.kind == WorkKind::Outcome ? " outcome" : ""));
         ASSERT_LT(next, GetParam().replies.size()) << testing::PrintToString(attempts);
-        action = flow.onReply(now, group, GetParam().replies[next++], &budget, &lag);
+        action = flow.onReply(now, group, GetParam().replies[next++], &budget, &memory);
     }
     EXPECT_EQ(attempts, GetParam().attempts);
     EXPECT_EQ(action.reply.verdict, GetParam().verdict);
@@ -153,17 +153,17 @@
         FlowCase{"marked write lost: sent again under its id",
                  write("r"),
                  {mayHaveRun(), ran()},
-                 {"h1 t1", "wait", "h1 t1"},
+                 {"h1 t1", "wait", "g1 t1"},
                  Verdict::Ran},
         FlowCase{"lost, then refused: still unknown",
                  write("r"),
                  {mayHaveRun(), notRun(Cause::Overloaded)},
-                 {"h1 t1", "wait", "h1 t1"},
+                 {"h1 t1", "wait", "g1 t1"},
                  Verdict::MayHaveRun},
         FlowCase{"lost, then cancelled: settled",
                  write("r"),
                  {mayHaveRun(), notRun(Cause::Cancelled)},
-                 {"h1 t1", "wait", "h1 t1"},
+                 {"h1 t1", "wait", "g1 t1"},
                  Verdict::NotRun},
         FlowCase{"refused for overload: no retry",
                  write(),
@@ -183,7 +183,7 @@
                   .transactionHost = "h1",
                   .transactionInstance = "t1"},
                  {mayHaveRun(), ran()},
-                 {"h1 t1", "h1 t1 outcome"},
+                 {"h1 t1", "g1 t1 outcome"},
                  Verdict::Ran},
         FlowCase{"lost commit without an id",
                  {.kind = WorkKind::Commit,
@@ -195,6 +195,40 @@
                  {"h1 t1"},
                  Verdict::MayHaveRun}));
 
+TEST(GatewayHealth, AvoidsWhatFailedAndTriesItAgainLater)
+{
+    GatewayHealth health;
+    const std::vector<std::string> hosts{"a", "b"};
+    health.failed(Millis(1000), "a", "t1");
+    EXPECT_EQ(health.preferred(Millis(1500), "t1", hosts), 1U);
+    EXPECT_EQ(health.preferred(Millis(1500), "t2", hosts), 0U);
+    EXPECT_EQ(health.preferred(Millis(2000), "t1", hosts), 0U);
+    health.failed(Millis(2000), "a", "t1"); // In a row: avoided for twice as long.
+    EXPECT_EQ(health.preferred(Millis(3999), "t1", hosts), 1U);
+    health.failed(Millis(3000), "b", "t1");
+    EXPECT_EQ(health.preferred(Millis(3500), "t1", hosts), 0U); // Both fail: the sooner one.
+    health.worked("a", "t1");
+    EXPECT_EQ(health.preferred(Millis(3500), "t1", hosts), 0U);
+}
+
+TEST(RequestFlow, LeavesAFormerPrimaryAtOnce)
+{
+    RetryBudget budget(10, 5);
+    RouteMemory memory;
+    RequestFlow marked(write("r"), "d2", 0);
+    EXPECT_EQ(marked.start(Millis(0), view(1, "t1"), memory).host, "h1");
+    const auto moved = marked.onViewChanged(Millis(10), view(2, "t3"), &budget, memory);
+    ASSERT_TRUE(moved);
+    EXPECT_EQ(moved->host, "h3");
+    // The first attempt may have run, and a refusal of the second does not change that.
+    const auto refused
+        = marked.onReply(Millis(20), view(2, "t3"), notRun(Cause::Overloaded), &budget, &memory);
+    EXPECT_EQ(refused.reply.verdict, Verdict::MayHaveRun);
+    RequestFlow unmarked(write(), "d2", 0);
+    unmarked.start(Millis(0), view(1, "t1"), memory);
+    EXPECT_FALSE(unmarked.onViewChanged(Millis(10), view(2, "t3"), &budget, memory));
+}
+
 TEST(BurnTracker, SumsItsWindows)
 {
     BurnTracker tracker;
--- /dev/null
+++ b/src/request/tst_writegap.cpp
@@ -0,0 +1,24 @@
+// The users' bound on the write gap, and no change of primary without cause, in virtual time.
+#include "gapmeasure.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadagap {
+
+class WriteGap : public testing::TestWithParam<std::tuple<std::size_t, std::uint64_t>>
+{
+};
+
+TEST_P(WriteGap, StaysUnderSixSecondsAndOnlyRealFailuresMoveThePrimary)
+{
+    const GapFailure &failure = GapFailures.at(std::get<0>(GetParam()));
+    const Gap gap = measureGap(failure, std::get<1>(GetParam()));
+    EXPECT_LT(gap.length, Millis(6000)) << failure.name;
+    EXPECT_EQ(gap.changes, failure.changes) << failure.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(AllFailures, WriteGap,
+                         testing::Combine(testing::Range<std::size_t>(0, GapFailures.size()),
+                                          testing::Values(101, 102, 103)));
+
+} // namespace cicadagap
--- a/src/version/schema.cpp
+++ b/src/version/schema.cpp
@@ -57,6 +57,8 @@
     KeyRule{"timeouts", KeyType::Object, false, 0, 0, "", "", "Timeouts."},
     KeyRule{"timeouts.statementMs", KeyType::Integer, false, 10, HourMs, "", "2000",
             "From a statement's arrival to its answer."},
+    KeyRule{"timeouts.attemptMs", KeyType::Integer, false, 10, HourMs, "", "1000",
+            "A read, or a write with a request id, is tried elsewhere after this time."},
     KeyRule{"timeouts.connectMs", KeyType::Integer, false, 10, 60000, "", "500",
             "Opening a connection to an instance."},
     KeyRule{"timeouts.transactionIdleMs", KeyType::Integer, false, 100, HourMs, "", "5000",
--- a/src/version/settings.h
+++ b/src/version/settings.h
@@ -82,6 +82,7 @@
 struct TimeoutSettings
 {
     Millis statement = Millis(2000); // From arrival to answer, unless the caller asks for less.
+    Millis attempt = Millis(1000);   // An attempt that may be repeated is repeated after this time.
     Millis connect = Millis(500);
     Millis transactionIdle = Millis(5000);
     Millis replicaWait = Millis(20); // A read waits this long for a replica to catch up.
--- a/src/version/settingsreader.cpp
+++ b/src/version/settingsreader.cpp
@@ -124,6 +124,7 @@
     }
     if (const LocatedValue *timeouts = root.member("timeouts")) {
         read(*timeouts, "statementMs", &team.timeouts.statement);
+        read(*timeouts, "attemptMs", &team.timeouts.attempt);
         read(*timeouts, "connectMs", &team.timeouts.connect);
         read(*timeouts, "transactionIdleMs", &team.timeouts.transactionIdle);
         read(*timeouts, "replicaWaitMs", &team.timeouts.replicaWait);
--- a/test/testworld.cpp
+++ b/test/testworld.cpp
@@ -43,7 +43,8 @@
     GroupView view;
     std::map<std::string, std::unique_ptr<Gateway>> gateways;
     std::map<std::string, std::map<std::uint64_t, std::uint64_t>> connections; // To the node's.
-    std::unique_ptr<ReplicaLag> lag;
+    std::unique_ptr<RouteMemory> memory;
+    std::vector<std::weak_ptr<RunningFlow>> flows;
     std::unique_ptr<RetryBudget> budget;
     std::unique_ptr<GroupWatch> watch;
     std::map<std::uint64_t, Done> waiting;
@@ -167,7 +168,8 @@
         running->flow = std::make_unique<RequestFlow>(running->request.flow,
                                                       dataCentreOf(running->host), m_random.next());
         entry.budget->onFirstAttempt();
-        act(running, running->flow->start(m_now, entry.view, *entry.lag));
+        entry.flows.push_back(running);
+        act(running, running->flow->start(m_now, entry.view, *entry.memory));
     });
 }
 
@@ -427,7 +429,8 @@
     }
     host->waiting.clear();
     host->connections.clear();
-    host->lag = std::make_unique<ReplicaLag>(Millis(10));
+    host->memory = std::make_unique<RouteMemory>();
+    host->flows.clear();
     host->budget = std::make_unique<RetryBudget>(10, 100);
     GroupWatch::Options options;
     options.group = "team/group";
@@ -477,6 +480,17 @@
     for (const auto &gateway : host->gateways)
         carryOut(host, gateway.first,
                  gateway.second->setRole(m_now, term, gateway.first == primary, false));
+    const auto flows = std::exchange(host->flows, {});
+    for (const auto &weak : flows) {
+        const auto flow = weak.lock();
+        if (!flow || !flow->done)
+            continue;
+        host->flows.push_back(flow);
+        const auto action
+            = flow->flow->onViewChanged(m_now, host->view, host->budget.get(), *host->memory);
+        if (action)
+            act(flow, *action);
+    }
 }
 
 void TestWorld::carryOut(Host *host, const std::string &instance, const GatewayActions &actions)
@@ -805,12 +819,14 @@
         return;
     }
     if (action.step == FlowStep::Wait) {
-        after(std::max(Millis(1), action.wakeAt - m_now), [this, flow, host] {
-            runIn(host, [this, flow, host] {
-                const Host &entry = *m_hosts.at(host);
-                act(flow, flow->flow->onWake(m_now, entry.view, *entry.lag));
-            });
-        });
+        after(std::max(Millis(1), action.wakeAt - m_now),
+              [this, flow, host, attempt = flow->flow->attempts()] {
+                  runIn(host, [this, flow, host, attempt] {
+                      const Host &entry = *m_hosts.at(host);
+                      if (flow->flow->attempts() == attempt)
+                          act(flow, flow->flow->onWake(m_now, entry.view, *entry.memory));
+                  });
+              });
         return;
     }
     Work work;
@@ -828,7 +844,7 @@
     }
     const Millis budget = std::max(Millis(1), flow->request.flow.deadline - m_now);
     call(
-        host, action.host, "", budget + Millis(50),
+        host, action.host, "", action.timeout + Millis(50),
         [this, to = action.host, instance = action.instance, work, budget](const std::string &,
                                                                            const Reply &reply) {
             Work local = work;
@@ -836,7 +852,10 @@
             submit(m_hosts.at(to).get(), instance, local,
                    [reply](const WorkReply &answer) { reply(encodeReply(answer)); });
         },
-        [this, flow](const std::optional<std::string> &answer, bool sent) {
+        [this, flow, attempt = flow->flow->attempts()](const std::optional<std::string> &answer,
+                                                       bool sent) {
+            if (!flow->done || flow->flow->attempts() != attempt)
+                return;
             const auto reply = answer ? decodeReply(*answer, nullptr) : std::nullopt;
             if (reply)
                 onReply(flow, *reply);
@@ -850,7 +869,8 @@
 void TestWorld::onReply(const std::shared_ptr<RunningFlow> &flow, const WorkReply &reply)
 {
     Host &entry = *m_hosts.at(flow->host);
-    act(flow, flow->flow->onReply(m_now, entry.view, reply, entry.budget.get(), entry.lag.get()));
+    act(flow,
+        flow->flow->onReply(m_now, entry.view, reply, entry.budget.get(), entry.memory.get()));
 }
 
 std::string appendOperation(const std::string &key, const std::string &value)
