Find silent peers by pings, not by attempt timeouts

Ruled out: the gateway's own timeout (it counts from the call to the target on), the retry budget. Change: links between hosts ping while calls wait and give up a side that is silent for 1 s; attempts have the request's whole time. The load tool ramps its sessions up and counts latencies after that.

--- a/src/connection/peerlink.cpp
+++ b/src/connection/peerlink.cpp
@@ -26,6 +26,9 @@
 constexpr std::uint32_t MaxStreams = 10'000;
 constexpr std::int32_t WindowBytes = 16 * 1024 * 1024;
 constexpr Millis ConnectTimeout(1000);
+// While calls wait, the other side is pinged; without a sign of life for the limit it is given up.
+constexpr Millis PingInterval(250);
+constexpr Millis SilenceLimit(1000);
 
 nghttp2_nv headerField(std::string_view name, std::string_view value)
 {
@@ -69,6 +72,8 @@
     // The stream ended, whole or not.
     virtual void onStreamClosed(std::int32_t id, Stream *stream) = 0;
     virtual void onClosed() = 0;
+    // Any bytes arrived.
+    virtual void onHeard() { }
 
     void startSession(bool server)
     {
@@ -153,6 +158,7 @@
                     self->shutDown();
                     return;
                 }
+                self->onHeard();
                 const auto *data = reinterpret_cast<const std::uint8_t *>(self->m_input.data());
                 if (nghttp2_session_mem_recv(self->m_session, data, length) < 0) {
                     self->shutDown();
@@ -365,7 +371,11 @@
 class ClientSession : public Session
 {
 public:
-    using Session::Session;
+    explicit ClientSession(tcp::socket socket)
+        : Session(std::move(socket))
+        , m_pingTimer(this->socket().get_executor())
+    {
+    }
 
     void start() { startSession(false); }
     bool usable() const { return isOpen(); }
@@ -389,6 +399,10 @@
         startTimer(id, stream.get(), call.deadline - now);
         streams()[id] = std::move(stream);
         flush();
+        if (!m_pinging) {
+            m_heardAt = now;
+            watchSilence();
+        }
     }
 
     void abort() { shutDown(); }
@@ -409,7 +423,28 @@
             finish(entry.second.get(), {Verdict::MayHaveRun, {}});
     }
 
+    void onHeard() override { m_heardAt = m_clock.now(); }
+
 private:
+    void watchSilence()
+    {
+        m_pinging = isOpen() && !streams().empty();
+        if (!m_pinging)
+            return;
+        if (m_clock.now() - m_heardAt >= SilenceLimit) {
+            shutDown();
+            return;
+        }
+        nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
+        flush();
+        m_pingTimer.expires_after(std::chrono::milliseconds(PingInterval.count()));
+        m_pingTimer.async_wait([self = std::static_pointer_cast<ClientSession>(shared_from_this())](
+                                   const error_code &error) {
+            if (!error)
+                self->watchSilence();
+        });
+    }
+
     static void finish(Stream *stream, PeerReply reply)
     {
         if (stream->timer)
@@ -437,6 +472,11 @@
             flush();
         });
     }
+
+    SteadyClock m_clock;
+    asio::steady_timer m_pingTimer;
+    Millis m_heardAt;
+    bool m_pinging = false;
 };
 
 class LinkImpl : public PeerLink, public std::enable_shared_from_this<LinkImpl>
--- a/src/connection/peerlink.h
+++ b/src/connection/peerlink.h
@@ -40,7 +40,8 @@
     virtual ~PeerLink() = default;
 
     // Sends `request`; `done` runs exactly once. A call that never left this host is NotRun; a call
-    // without a whole answer within `timeout` is MayHaveRun.
+    // without a whole answer within `timeout` is MayHaveRun. While calls wait, a silent other side
+    // is found out within about a second, however long their timeouts are.
     virtual void call(PeerRequest request, Millis timeout, std::function<void(PeerReply)> done) = 0;
     // Closes the connection. Calls in progress end as MayHaveRun.
     virtual void close() = 0;
--- a/src/programs/cicadagap-load/main.cpp
+++ b/src/programs/cicadagap-load/main.cpp
@@ -41,6 +41,8 @@
         cxxopts::value<std::vector<std::string>>());
     add("sessions", "Sessions at a time", cxxopts::value<int>()->default_value("20"));
     add("seconds", "How long", cxxopts::value<double>()->default_value("10"));
+    add("ramp-s", "Sessions start evenly over this time; latencies count from its end",
+        cxxopts::value<double>()->default_value("0"));
     add("think-ms", "Mean pause of a session", cxxopts::value<int>());
     add("threads", "Threads", cxxopts::value<int>()->default_value("2"));
     add("seed", "Seed; another one uses other rows",
@@ -117,6 +119,7 @@
     options.sessions = arguments["sessions"].as<int>();
     options.seed = arguments["seed"].as<std::uint64_t>();
     options.duration = Millis(static_cast<std::int64_t>(arguments["seconds"].as<double>() * 1000));
+    options.ramp = Millis(static_cast<std::int64_t>(arguments["ramp-s"].as<double>() * 1000));
     if (arguments.count("think-ms"))
         options.think = Millis(arguments["think-ms"].as<int>());
     EventLoop loop({.threads = arguments["threads"].as<int>()});
@@ -126,7 +129,9 @@
     runner->start([&loop] { loop.stop(); });
     loop.run();
     const Millis duration = clock.now() - startedAt;
-    const std::vector<Observation> observations = runner->takeObservations();
+    std::vector<Observation> observations = runner->takeObservations();
+    std::erase_if(observations,
+                  [&options](const Observation &seen) { return seen.startedAt < options.ramp; });
     RowCounts rows;
     std::size_t mixed = 0;
     BlockingClient client;
@@ -134,7 +139,8 @@
         std::cerr << "the targets cannot be compared: a group has no leader that answers\n";
         return ExitFailed;
     }
-    LoadReport report = makeReport(workload, duration, observations, runner->takeWritten(), rows);
+    LoadReport report
+        = makeReport(workload, duration - options.ramp, observations, runner->takeWritten(), rows);
     report.mixed = mixed;
     report.cut = static_cast<std::size_t>(runner->cutAnswers());
     std::cout << reportJson(report) << '\n';
--- a/src/programs/cicadagap-load/report.cpp
+++ b/src/programs/cicadagap-load/report.cpp
@@ -81,7 +81,7 @@
     }
     for (auto &entry : endsByGroup) {
         std::sort(entry.second.begin(), entry.second.end());
-        Millis last;
+        Millis last = entry.second.front();
         for (const Millis end : entry.second) {
             report->writeGap = std::max(report->writeGap, end - last);
             last = end;
--- a/src/programs/cicadagap-load/runner.cpp
+++ b/src/programs/cicadagap-load/runner.cpp
@@ -50,7 +50,8 @@
         session->key = "s" + std::to_string(m_options.seed) + "-" + std::to_string(i);
         session->group = static_cast<std::size_t>(i) % m_options.workload.groups.size();
         session->random = Random(m_options.seed * 1000 + static_cast<std::uint64_t>(i));
-        next(session);
+        const Millis delay = m_options.ramp * i / m_options.sessions;
+        m_loop->after(delay, [self = shared_from_this(), session] { self->next(session); });
     }
 }
 
--- a/src/programs/cicadagap-load/runner.h
+++ b/src/programs/cicadagap-load/runner.h
@@ -47,6 +47,7 @@
         std::vector<Endpoint> entries;
         int sessions = 20;
         Millis duration = Millis(10'000);
+        Millis ramp = Millis(0);     // Sessions start evenly over this time.
         std::optional<Millis> think; // Instead of the workload's.
         int retries = 200;           // Of the outcome of an unsettled write.
         std::uint64_t seed = 1;
--- a/src/programs/cicadagapd/callerapi.cpp
+++ b/src/programs/cicadagapd/callerapi.cpp
@@ -188,7 +188,6 @@
     const TeamSettings &settings = call->settings->settings;
     const Millis budget(numberMember(*body, "timeoutMs", settings.timeouts.statement.count()));
     call->request.deadline = call->arrived + std::min(budget, settings.timeouts.statement);
-    call->request.attempt = settings.timeouts.attempt;
     call->work.requestId = textMember(*body, "requestId");
     const std::string transaction = textMember(*body, "transaction");
     const std::string name = textMember(*body, "statement");
@@ -340,7 +339,7 @@
         onDone({Verdict::NotRun, inTransaction ? Cause::NoTransaction : Cause::Unreachable});
         return;
     }
-    link->call({"/work", encodeRoutedWork(routed)}, action.timeout + ReplySlack,
+    link->call({"/work", encodeRoutedWork(routed)}, routed.budget + ReplySlack,
                [onDone](const PeerReply &peerReply) {
                    const auto reply = peerReply.verdict == Verdict::Ran
                        ? decodeReply(peerReply.body, nullptr)
--- a/src/request/requestflow.cpp
+++ b/src/request/requestflow.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Millis AnswerSlack(100);
 constexpr Millis RetryDelay(50); // Before the same place is tried again.
 constexpr std::size_t MaxReplicaTries = 2;
 
@@ -166,10 +165,6 @@
     action.instance = route.name;
     action.replica = m_replica;
     action.kind = m_kind;
-    const Millis left = std::max(Millis(1), m_request.deadline - now);
-    // The gateway gives up on a silent connection first, and has this much more to say so.
-    const Millis patience = m_request.attempt + AnswerSlack;
-    action.timeout = repeatable() ? std::min(left, patience) : left;
     return action;
 }
 
--- a/src/request/requestflow.h
+++ b/src/request/requestflow.h
@@ -52,8 +52,7 @@
     std::optional<Millis> maxAge;
     std::optional<Position> token; // Set if the session presented a valid token.
     Millis deadline;
-    Millis attempt = Millis(1000); // Attempts that may be repeated wait this long for an answer.
-    std::string transactionHost;   // Where the transaction lives, for work inside one.
+    std::string transactionHost; // Where the transaction lives, for work inside one.
     std::string transactionInstance;
 };
 
@@ -70,7 +69,6 @@
     std::string host;
     std::string instance;
     bool replica = false;
-    Millis timeout;                    // For the gateway's answer.
     WorkKind kind = WorkKind::Execute; // Outcome, when a commit has to be settled.
     // With Wait:
     Millis wakeAt;
--- a/test/testworld.cpp
+++ b/test/testworld.cpp
@@ -21,6 +21,8 @@
 constexpr Millis ConnectTimeout(500);
 constexpr Millis Heartbeat(50);
 constexpr Millis Reannounce(300);
+constexpr Millis PingInterval(250);
+constexpr Millis SilenceLimit(1000);
 
 std::string dataCentreOf(const std::string &process)
 {
@@ -377,6 +379,8 @@
                   call->result(answer, sent);
           };
     after(timeout, [this, from, finish] { runIn(from, [finish] { finish(std::nullopt, true); }); });
+    if (to.front() == 'h')
+        watchSilence(id, from, to, m_now, finish);
     if (process(to).down && connected(from, to)) {
         after(delay(from, to),
               [this, from, finish] { runIn(from, [finish] { finish(std::nullopt, false); }); });
@@ -389,6 +393,23 @@
     });
 }
 
+// Links between hosts find out within a second that the other side is silent, as PeerLink does.
+void TestWorld::watchSilence(std::uint64_t id, const std::string &from, const std::string &to,
+                             Millis heardAt, const Result &finish)
+{
+    after(PingInterval, [this, id, from, to, heardAt, finish] {
+        if (!m_calls.contains(id))
+            return;
+        const Process &other = process(to);
+        const bool alive = connected(from, to) && !other.frozen && !other.down;
+        const Millis heard = alive ? m_now : heardAt;
+        if (m_now - heard >= SilenceLimit)
+            runIn(from, [finish] { finish(std::nullopt, true); });
+        else
+            watchSilence(id, from, to, heard, finish);
+    });
+}
+
 void TestWorld::breakCalls(const std::string &process)
 {
     std::vector<std::shared_ptr<Call>> broken;
@@ -844,7 +865,7 @@
     }
     const Millis budget = std::max(Millis(1), flow->request.flow.deadline - m_now);
     call(
-        host, action.host, "", action.timeout + Millis(50),
+        host, action.host, "", budget + Millis(50),
         [this, to = action.host, instance = action.instance, work, budget](const std::string &,
                                                                            const Reply &reply) {
             Work local = work;
--- a/test/testworld.h
+++ b/test/testworld.h
@@ -117,6 +117,8 @@
     void runIn(const std::string &name, const std::function<void()> &function);
     void call(const std::string &from, const std::string &to, const std::string &body,
               Millis timeout, const Handler &handler, const Result &result);
+    void watchSilence(std::uint64_t id, const std::string &from, const std::string &to,
+                      Millis heardAt, const Result &finish);
     void breakCalls(const std::string &process);
     void everyTick(const std::string &name, Millis period, const std::function<void()> &function);
 
