--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,282 @@
+// Slopes for docs/CAPACITY.md: state, messages, bytes and processor time of control, with the state
+// machines of many hosts in one process. Prints one JSON line for each measurement.
+//
+//     build/capacity
+#include "connection/gateway.h"
+#include "connection/wire.h"
+#include "process/gossip.h"
+#include "process/groupwatch.h"
+#include "process/membership.h"
+#include "process/promotion.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+using namespace cicadagap;
+
+namespace {
+
+// HTTP/2 frames and TCP/IP headers round a small message and its answer, as computed from their
+// formats: two segments with 40 bytes of headers each way, two frames of 9, about 40 of compressed
+// headers.
+constexpr double CallOverheadBytes = 240;
+// An HTTP/1.1 status call on a kept connection: request line and headers, response headers,
+// segments.
+constexpr double ProbeOverheadBytes = 330;
+constexpr std::size_t SettingsBytes = 2048;
+
+double heapMegabytes()
+{
+    return static_cast<double>(mallinfo2().uordblks) / (1024.0 * 1024.0);
+}
+
+double cpuSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<double>(usage.ru_utime.tv_sec)
+        + static_cast<double>(usage.ru_utime.tv_usec) / 1e6;
+}
+
+std::string hostName(std::size_t i)
+{
+    return "dc" + std::to_string(i % 12) + "-" + std::to_string(i / 12);
+}
+
+// Hosts whose gossip runs in steps of 20 ms, with 25 ms for a message.
+class GossipFleet
+{
+public:
+    explicit GossipFleet(std::size_t hosts)
+    {
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < hosts; ++i)
+            names.push_back(hostName(i));
+        for (std::size_t i = 0; i < hosts; ++i) {
+            m_hosts.push_back(std::make_unique<Host>());
+            m_index[names[i]] = i;
+            m_hosts[i]->gossip = std::make_unique<Gossip>(Gossip::Options{.self = names[i]},
+                                                          &m_hosts[i]->store, i + 1);
+            m_hosts[i]->gossip->setPeers(names);
+        }
+    }
+
+    void publish(const Record &record) { m_hosts[0]->gossip->publish(record); }
+
+    // Runs for `duration`; tells when all hosts had version `version` of `key`, or nothing.
+    std::optional<Millis> run(Millis duration, const std::string &key, std::uint64_t version)
+    {
+        const Millis start = m_now;
+        std::optional<Millis> reached;
+        while (m_now - start < duration) {
+            m_now = m_now + Millis(20);
+            auto arriving = std::exchange(m_inFlight, {});
+            for (const auto &[from, send] : arriving) {
+                std::vector<Record> changed;
+                Host &host = *m_hosts[m_index.at(send.to)];
+                queue(send.to, host.gossip->onMessage(from, send.message, &changed));
+            }
+            for (std::size_t i = 0; i < m_hosts.size(); ++i)
+                queue(hostName(i), m_hosts[i]->gossip->onTick(m_now));
+            if (!reached && !key.empty() && allHave(key, version))
+                reached = m_now - start;
+        }
+        return reached;
+    }
+
+    double takeBytes() { return std::exchange(m_bytes, 0.0); }
+    double takeMessages() { return std::exchange(m_messages, 0.0); }
+
+private:
+    struct Host
+    {
+        RecordStore store;
+        std::unique_ptr<Gossip> gossip;
+    };
+
+    void queue(const std::string &from, const std::vector<GossipSend> &sends)
+    {
+        for (const GossipSend &send : sends) {
+            m_bytes
+                += static_cast<double>(encodeGossip(from, send.message).size()) + CallOverheadBytes;
+            m_messages += 1;
+            m_inFlight.emplace_back(from, send);
+        }
+    }
+
+    bool allHave(const std::string &key, std::uint64_t version) const
+    {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &host) {
+            const Record *record = host->store.find(key);
+            return record && record->version >= version;
+        });
+    }
+
+    Millis m_now = Millis(1000);
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::map<std::string, std::size_t> m_index;
+    std::vector<std::pair<std::string, GossipSend>> m_inFlight;
+    double m_bytes = 0;
+    double m_messages = 0;
+};
+
+void measureGossip(std::size_t hosts)
+{
+    GossipFleet fleet(hosts);
+    const auto count = static_cast<double>(hosts);
+    fleet.run(Millis(2000), "", 0);
+    fleet.takeBytes();
+    fleet.takeMessages();
+    const double cpuBefore = cpuSeconds();
+    fleet.run(Millis(10'000), "", 0);
+    const double idleBytes = fleet.takeBytes() / count / 10;
+    const double idleMessages = fleet.takeMessages() / count / 10;
+    const double idleCpu = (cpuSeconds() - cpuBefore) / count / 10;
+    fleet.publish({"settings/team", 1, std::string(SettingsBytes, 'x')});
+    const auto reached = fleet.run(Millis(6000), "settings/team", 1);
+    const double changeBytes = fleet.takeBytes() / count - idleBytes * 6;
+    std::cout << "{\"measure\":\"gossip\",\"hosts\":" << hosts
+              << ",\"idleBytesPerHostSecond\":" << idleBytes
+              << ",\"idleMessagesPerHostSecond\":" << idleMessages
+              << ",\"idleCpuMicrosPerHostSecond\":" << idleCpu * 1e6
+              << ",\"bytesPerHostForA2KBChange\":" << changeBytes
+              << ",\"reachedAllAfterMs\":" << (reached ? reached->count() : -1) << "}\n";
+}
+
+void measureRecords(std::size_t groups, std::size_t hosts)
+{
+    const double before = heapMegabytes();
+    RecordStore store;
+    for (std::size_t i = 0; i < groups; ++i)
+        store.merge({primaryKey("team" + std::to_string(i / 8), "group" + std::to_string(i)), 7,
+                     encodePrimary("instance" + std::to_string(i))});
+    for (std::size_t i = 0; i < hosts; ++i) {
+        const HostInfo host{.name = hostName(i),
+                            .dataCentre = "dc1",
+                            .callers = "10.0.0.1:8001",
+                            .peers = "10.0.0.1:8101",
+                            .steward = "10.0.0.1:8201",
+                            .incarnation = 1};
+        store.merge({hostKey(host.name), hostVersion(host), encodeHost(host)});
+    }
+    std::cout << "{\"measure\":\"records\",\"groups\":" << groups << ",\"hosts\":" << hosts
+              << ",\"megabytes\":" << heapMegabytes() - before << "}\n";
+}
+
+// One steward's watch over `groups` groups for a minute, every probe answered.
+void measureWatch(std::size_t groups)
+{
+    const double before = heapMegabytes();
+    std::vector<std::unique_ptr<GroupWatch>> watches;
+    const Millis interval = probeIntervalFor(groups);
+    for (std::size_t i = 0; i < groups; ++i)
+        watches.push_back(std::make_unique<GroupWatch>(
+            GroupWatch::Options{.group = "g" + std::to_string(i),
+                                .dataCentre = "d2",
+                                .instances = {{"t1", "d1"}, {"t2", "d2"}, {"t3", "d3"}},
+                                .watcherDataCentres = 3,
+                                .probeInterval = interval,
+                                .replicaInterval = replicaIntervalFor(groups)}));
+    InstanceReport leader{.name = "t1", .primary = true, .term = 1, .last = {1, 1'000'000}};
+    leader.replicas = {{"t2", 1, {1, 1'000'000}, Millis(1)}, {"t3", 1, {1, 1'000'000}, Millis(1)}};
+    const InstanceReport follower{
+        .name = "t2", .term = 1, .following = "t1", .last = {1, 1'000'000}};
+    const std::string leaderText = encodeReport(leader);
+    const std::string followerText = encodeReport(follower);
+    const double cpuBefore = cpuSeconds();
+    double probes = 0;
+    double bytes = 0;
+    constexpr int Seconds = 60;
+    for (int ms = 0; ms < Seconds * 1000; ms += 20) {
+        for (const auto &watch : watches) {
+            for (const WatchAction &action : watch->onTick(Millis(ms))) {
+                if (action.step != WatchStep::Probe)
+                    continue;
+                const std::string &text = action.instance == "t1" ? leaderText : followerText;
+                probes += 1;
+                bytes += static_cast<double>(text.size()) + ProbeOverheadBytes;
+                watch->onProbed(Millis(ms), action.instance, action.fresh,
+                                decodeReport(text, nullptr));
+            }
+        }
+    }
+    std::cout << "{\"measure\":\"watch\",\"groups\":" << groups
+              << ",\"probeIntervalMs\":" << interval.count()
+              << ",\"probesPerSecond\":" << probes / Seconds
+              << ",\"bytesPerSecond\":" << bytes / Seconds
+              << ",\"cpuMicrosPerSecond\":" << (cpuSeconds() - cpuBefore) * 1e6 / Seconds
+              << ",\"megabytes\":" << heapMegabytes() - before << "}\n";
+}
+
+void measureMembership(std::size_t hosts)
+{
+    const double before = heapMegabytes();
+    Membership membership({.self = {.name = hostName(0), .dataCentre = "dc0"}}, 1);
+    for (std::size_t i = 1; i < hosts; ++i)
+        membership.onHost(Millis(0),
+                          {.name = hostName(i),
+                           .dataCentre = "dc" + std::to_string(i % 12),
+                           .callers = "10.0.0.1:8001",
+                           .peers = "10.0.0.1:8101",
+                           .steward = "10.0.0.1:8201",
+                           .incarnation = 1});
+    const double memory = heapMegabytes() - before;
+    const double cpuBefore = cpuSeconds();
+    double probes = 0;
+    constexpr int Seconds = 60;
+    for (int ms = 0; ms < Seconds * 1000; ms += 20) {
+        for (const ProbeRequest &probe : membership.onTick(Millis(ms))) {
+            probes += 1;
+            membership.onProbe(Millis(ms), probe, true);
+        }
+    }
+    std::cout << "{\"measure\":\"membership\",\"hosts\":" << hosts
+              << ",\"probesPerSecond\":" << probes / Seconds
+              << ",\"bytesPerSecond\":" << probes / Seconds * (CallOverheadBytes + 40)
+              << ",\"cpuMicrosPerSecond\":" << (cpuSeconds() - cpuBefore) * 1e6 / Seconds
+              << ",\"megabytes\":" << memory << "}\n";
+}
+
+void measureGateways(std::size_t count)
+{
+    const double before = heapMegabytes();
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (std::size_t i = 0; i < count; ++i) {
+        Gateway::Options options{.instance = "t" + std::to_string(i)};
+        options.queue.classes = {{"top", true, 1}, {"a", false, 3}, {"b", false, 1}};
+        gateways.push_back(std::make_unique<Gateway>(options));
+        gateways.back()->setRole(Millis(0), 1, true, false);
+    }
+    const double memory = heapMegabytes() - before;
+    const double cpuBefore = cpuSeconds();
+    constexpr int Seconds = 20;
+    for (int ms = 0; ms < Seconds * 1000; ms += 10) {
+        for (const auto &gateway : gateways)
+            gateway->onTick(Millis(ms));
+    }
+    std::cout << "{\"measure\":\"gateways\",\"count\":" << count << ",\"megabytes\":" << memory
+              << ",\"idleTickMicrosPerSecond\":" << (cpuSeconds() - cpuBefore) * 1e6 / Seconds
+              << "}\n";
+}
+
+} // namespace
+
+int main()
+{
+    for (const std::size_t hosts : {10U, 100U, 1000U, 3900U})
+        measureGossip(hosts);
+    for (const std::size_t groups : {1000U, 10'000U, 43'000U})
+        measureRecords(groups, groups / 11);
+    for (const std::size_t groups : {3U, 33U, 330U})
+        measureWatch(groups);
+    for (const std::size_t hosts : {10U, 100U, 1000U, 3900U})
+        measureMembership(hosts);
+    for (const std::size_t count : {10U, 66U, 660U})
+        measureGateways(count);
+    return 0;
+}
--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,108 @@
+// Processor time of decisions and codecs: what one core can decide in a second.
+//
+//     build/decisions --benchmark_min_time=0.2
+#include "connection/gateway.h"
+#include "connection/wire.h"
+#include "process/groupwatch.h"
+#include "request/requestflow.h"
+#include "request/token.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace cicadagap;
+
+namespace {
+
+Gateway::Options gatewayOptions()
+{
+    Gateway::Options options{.instance = "t1"};
+    options.queue.classes = {{"top", true, 1}, {"default", false, 1}};
+    return options;
+}
+
+InstanceReport leader(std::uint64_t term, std::uint64_t index)
+{
+    InstanceReport report{.name = "t1", .primary = true, .term = term, .last = {term, index}};
+    report.replicas
+        = {{"t2", term, {term, index}, Millis(1)}, {"t3", term, {term, index}, Millis(1)}};
+    return report;
+}
+
+// A write from its arrival to its acknowledgement.
+void gatewayWrite(benchmark::State &state)
+{
+    Gateway gateway(gatewayOptions());
+    const Millis now(1000);
+    for (const GatewayAction &action : gateway.setRole(now, 1, true, false)) {
+        if (const auto *open = std::get_if<OpenConnection>(&action))
+            gateway.onOpened(now, open->connection);
+    }
+    std::uint64_t index = 0;
+    for (auto _ : state) {
+        ++index;
+        Work work{.id = index, .write = true, .operations = "[]", .deadline = Millis(2000)};
+        for (const GatewayAction &action : gateway.submit(now, std::move(work))) {
+            if (const auto *call = std::get_if<TargetCall>(&action))
+                gateway.onAnswer(now, call->connection, {.position = {1, index}});
+        }
+        benchmark::DoNotOptimize(gateway.onStatus(now, now, leader(1, index)));
+    }
+}
+BENCHMARK(gatewayWrite);
+
+void entryRequest(benchmark::State &state)
+{
+    GroupView view{.primary = "t1", .term = 1};
+    for (const std::string number : {"1", "2", "3"})
+        view.instances.push_back({"t" + number, "d" + number, false, {"h" + number}});
+    RouteMemory memory;
+    RetryBudget budget(10, 100);
+    for (auto _ : state) {
+        RequestFlow flow({.token = Position{1, 5}, .deadline = Millis(1000)}, "d2", 0);
+        flow.start(Millis(0), view, memory);
+        benchmark::DoNotOptimize(
+            flow.onReply(Millis(1), view, {.verdict = Verdict::Ran}, &budget, &memory));
+    }
+}
+BENCHMARK(entryRequest);
+
+void watchTickAndProbe(benchmark::State &state)
+{
+    GroupWatch watch({.group = "g",
+                      .dataCentre = "d2",
+                      .instances = {{"t1", "d1"}, {"t2", "d2"}, {"t3", "d3"}},
+                      .watcherDataCentres = 3});
+    const std::string body = encodeReport(leader(1, 5));
+    std::int64_t now = 0;
+    for (auto _ : state) {
+        now += 1000;
+        benchmark::DoNotOptimize(watch.onTick(Millis(now)));
+        benchmark::DoNotOptimize(
+            watch.onProbed(Millis(now), "t1", false, decodeReport(body, nullptr)));
+    }
+}
+BENCHMARK(watchTickAndProbe);
+
+void codecWork(benchmark::State &state)
+{
+    RoutedWork routed{
+        .team = "valle", .group = "tensile", .instance = "t1", .request = "cali-1-1-1"};
+    routed.work.operations = R"([{"op":"get","table":"pulls","key":"bar-7"}])";
+    for (auto _ : state)
+        benchmark::DoNotOptimize(decodeRoutedWork(encodeRoutedWork(routed), nullptr));
+}
+BENCHMARK(codecWork);
+
+void sessionToken(benchmark::State &state)
+{
+    SessionToken token;
+    token.advance("tensile", {3, 17});
+    const std::vector<std::string> keys{"key"};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(SessionToken::decode(token.encode(keys), keys, nullptr));
+}
+BENCHMARK(sessionToken);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/process/groupwatch.cpp
+++ b/src/process/groupwatch.cpp
@@ -5,11 +5,36 @@
 
 namespace cicadagap {
 
+namespace {
+
+constexpr Millis MinProbeInterval(200);
+constexpr Millis MinReplicaInterval(1000);
+constexpr Millis ProbePerGroup(75);
+constexpr std::int64_t ReplicaProbeShare = 10; // Probes of the primary to one of a replica.
+
+} // namespace
+
+Millis probeIntervalFor(std::size_t groups)
+{
+    return std::max(MinProbeInterval, ProbePerGroup * static_cast<std::int64_t>(groups));
+}
+
+Millis replicaIntervalFor(std::size_t groups)
+{
+    return std::max(MinReplicaInterval, probeIntervalFor(groups) * ReplicaProbeShare);
+}
+
 GroupWatch::GroupWatch(Options options)
     : m_options(std::move(options))
 {
 }
 
+void GroupWatch::setIntervals(std::size_t groups)
+{
+    m_options.probeInterval = probeIntervalFor(groups);
+    m_options.replicaInterval = replicaIntervalFor(groups);
+}
+
 void GroupWatch::setWatchers(int rank, std::size_t watcherDataCentres)
 {
     m_options.rank = rank;
@@ -112,7 +137,7 @@
     }
     if (!m_startedAt)
         m_startedAt = now;
-    if (m_primary.empty() && now >= *m_startedAt + m_options.replicaInterval)
+    if (m_primary.empty() && now >= *m_startedAt + MinReplicaInterval)
         m_suspects = true; // No instance claims to lead: the group has to get its first primary.
     if (m_suspects && now >= m_nextVote) {
         m_nextVote = now + m_options.voteLife / 4;
--- a/src/process/groupwatch.h
+++ b/src/process/groupwatch.h
@@ -66,6 +66,12 @@
     bool operator==(const WatchAction &) const = default;
 };
 
+// How often a steward that watches `groups` groups probes each primary, and each replica of its own
+// data centre. The intervals grow with the number, so that control's share of the network stays
+// bounded; gateways report failures of busy groups at once, whatever the interval.
+Millis probeIntervalFor(std::size_t groups);
+Millis replicaIntervalFor(std::size_t groups);
+
 class GroupWatch
 {
 public:
@@ -89,6 +95,8 @@
 
     // Adapts to a change of the watchers without losing state.
     void setWatchers(int rank, std::size_t watcherDataCentres);
+    // Adapts to the number of groups that this steward watches.
+    void setIntervals(std::size_t groups);
     // The group's primary as published by anyone.
     void onAnnounced(Millis now, std::uint64_t term, const std::string &primary);
     // A probe's result; no report means that it failed.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -95,6 +95,9 @@
 
 std::vector<ProbeRequest> Membership::onTick(Millis now)
 {
+    if (now < m_nextProbe)
+        return {};
+    m_nextProbe = now + m_options.probeInterval;
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         const Entry &entry = it->second;
         const bool dead = entry.host.state == HostState::Dead;
@@ -105,9 +108,6 @@
             ++it;
         }
     }
-    if (now < m_nextProbe)
-        return {};
-    m_nextProbe = now + m_options.probeInterval;
     std::vector<ProbeRequest> probes;
     for (const std::string &target : neighbours()) {
         const bool doubtful = m_hosts.at(target).failures >= m_options.failuresBeforeSecondOpinion;
--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t ReadersPerDataCentre = 2;
 constexpr std::size_t RecordsPerPush = 500;
 constexpr int ScanLimit = 200;
-constexpr Millis ProbePerWatched(30); // Stretches the probe interval with the number of groups.
-constexpr Millis MinProbeInterval(200);
 
 HostInfo selfInfo(const HostSettings &settings)
 {
@@ -476,6 +474,8 @@
     }
     std::erase_if(m_watched,
                   [&wanted](const auto &entry) { return !wanted.contains(entry.first); });
+    for (auto &entry : m_watched)
+        entry.second.watch.setIntervals(m_watched.size());
 }
 
 void Steward::assignGroup(const TeamSettings &team, const std::string &group)
@@ -514,8 +514,6 @@
         options.instances[instance.first] = instance.second.dataCentre;
     options.rank = rank;
     options.watcherDataCentres = watchers.size();
-    const auto count = static_cast<std::int64_t>(m_watched.size() + 1);
-    options.probeInterval = std::max(MinProbeInterval, ProbePerWatched * count);
     m_watched.erase(key);
     Watched &watched = m_watched
                            .emplace(key,
