--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -8,6 +8,7 @@
 #include "process/groupwatch.h"
 #include "process/membership.h"
 #include "process/promotion.h"
+#include "version/settingsreader.h"
 
 #include <malloc.h>
 #include <sys/resource.h>
@@ -213,6 +214,34 @@
               << ",\"megabytes\":" << heapMegabytes() - before << "}\n";
 }
 
+// Settings of teams with eight groups each: text as handed on, and as read.
+void measureSettings(std::size_t teams)
+{
+    std::string groups;
+    for (int g = 0; g < 8; ++g) {
+        std::string instances;
+        for (int i = 0; i < 3; ++i)
+            instances += (i == 0 ? "" : ",") + std::string("\"t") + std::to_string(g * 3 + i)
+                + R"(":{"address":"10.0.0.1:)" + std::to_string(7000 + g * 3 + i)
+                + R"(","dataCentre":"dc1"})";
+        groups += (g == 0 ? "" : ",") + std::string("\"g") + std::to_string(g)
+            + R"(":{"instances":{)" + instances + "}}";
+    }
+    const std::string text = R"({"team":"t","groups":{)" + groups
+        + R"(},"statements":{"r":{"kind":"read"},"w":{"kind":"write"}},"tokenKeys":["k"]})";
+    const double before = heapMegabytes();
+    const double cpuBefore = cpuSeconds();
+    std::vector<TeamSettings> read;
+    read.reserve(teams);
+    for (std::size_t i = 0; i < teams; ++i) {
+        Problems problems;
+        read.push_back(*readTeamSettings(text, "f", &problems));
+    }
+    std::cout << "{\"measure\":\"settings\",\"teams\":" << teams << ",\"textBytes\":" << text.size()
+              << ",\"megabytesAsRead\":" << heapMegabytes() - before << ",\"cpuMicrosToRead\":"
+              << (cpuSeconds() - cpuBefore) * 1e6 / static_cast<double>(teams) << "}\n";
+}
+
 void measureMembership(std::size_t hosts)
 {
     const double before = heapMegabytes();
@@ -272,6 +301,8 @@
         measureGossip(hosts);
     for (const std::size_t groups : {1000U, 10'000U, 43'000U})
         measureRecords(groups, groups / 11);
+    for (const std::size_t teams : {100U, 1000U, 5375U})
+        measureSettings(teams);
     for (const std::size_t groups : {3U, 33U, 330U})
         measureWatch(groups);
     for (const std::size_t hosts : {10U, 100U, 1000U, 3900U})
--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -25,6 +26,9 @@
 constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 // Unacknowledged data for this long closes a connection that has gone silent.
 constexpr int UserTimeoutMs = 10'000;
+// A server that shuts down keeps idle connections for this long: a request may be on its way on
+// one. The next answer on it tells the client to close.
+constexpr Millis IdleGrace(5000);
 
 void setSocketOptions(tcp::socket *socket)
 {
@@ -70,6 +74,7 @@
     void close();
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_idleTimer;
     beast::flat_buffer m_buffer;
     std::unique_ptr<http::request_parser<http::string_body>> m_parser;
     std::shared_ptr<ServerImpl> m_server;
@@ -206,6 +211,7 @@
 ServerSession::ServerSession(tcp::socket socket, std::shared_ptr<ServerImpl> server,
                              std::uint64_t id)
     : m_stream(std::move(socket))
+    , m_idleTimer(m_stream.get_executor())
     , m_server(std::move(server))
     , m_id(id)
 {
@@ -225,9 +231,11 @@
 {
     asio::post(m_stream.get_executor(), [self = shared_from_this()] {
         self->m_closing = true;
-        // A request may be arriving; the read is cut only if nothing of it is here yet.
-        if (!self->m_handling && self->m_buffer.size() == 0)
-            self->close();
+        self->m_idleTimer.expires_after(std::chrono::milliseconds(IdleGrace.count()));
+        self->m_idleTimer.async_wait([self](const error_code &) {
+            if (!self->m_handling && self->m_buffer.size() == 0)
+                self->close();
+        });
     });
 }
 
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -67,8 +67,8 @@
     virtual Endpoint endpoint() const = 0;
     // Runs `function` with the identity of each connection that closes. Set before run().
     virtual void onClosed(std::function<void(std::uint64_t)> function) = 0;
-    // Graceful shutdown: refuses new connections, closes idle ones and the others after the
-    // request in progress.
+    // Graceful shutdown: refuses new connections, closes each one after its next answer, and those
+    // that stay idle after five seconds.
     virtual void stopAccepting() = 0;
     // Requests that were received and are not answered yet.
     virtual int activeRequests() const = 0;
--- a/src/process/groupwatch.cpp
+++ b/src/process/groupwatch.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis MinProbeInterval(200);
 constexpr Millis MinReplicaInterval(1000);
-constexpr Millis ProbePerGroup(75);
+constexpr Millis ProbePerGroup(100);
 constexpr std::int64_t ReplicaProbeShare = 10; // Probes of the primary to one of a replica.
 
 } // namespace
--- a/src/programs/cicadagap-standin-target/targetserver.cpp
+++ b/src/programs/cicadagap-standin-target/targetserver.cpp
@@ -218,6 +218,9 @@
     setMillis("serviceMs", &m_options.service);
     setMillis("connectMs", &m_options.connect);
     setMillis("replicationDelayMs", &m_options.replicationDelay);
+    setMillis("memberDelayMs", &m_memberDelay);
+    if (object->contains("slowMember"))
+        m_slowMember = textMember(*object, "slowMember");
     setMillis("answerDelayMs", &m_answerDelay);
     m_loseAnswers = static_cast<int>(numberMember(*object, "loseAnswers", m_loseAnswers));
     if (object->contains("leaving"))
@@ -271,12 +274,12 @@
     peer.inFlight = true;
     peer.lastSent = now;
     peer.sentLast = request->previous.index + request->entries.size();
-    if (m_options.replicationDelay.count() == 0) {
+    const Millis delay = member == m_slowMember ? m_memberDelay : m_options.replicationDelay;
+    if (delay.count() == 0) {
         sendReplication(member, *request);
         return;
     }
-    m_loop->after(m_options.replicationDelay,
-                  [this, member, request = *request] { sendReplication(member, request); });
+    m_loop->after(delay, [this, member, request = *request] { sendReplication(member, request); });
 }
 
 void TargetServer::sendReplication(const std::string &member, const ReplicateRequest &request)
--- a/src/programs/cicadagap-standin-target/targetserver.h
+++ b/src/programs/cicadagap-standin-target/targetserver.h
@@ -5,6 +5,7 @@
 //     {"serviceMs": 5}              time a statement takes
 //     {"connectMs": 10}             time a new connection takes
 //     {"replicationDelayMs": 3000}  one-way delay of replication from this instance
+//     {"slowMember": "t2", "memberDelayMs": 3000}  the same for one replica alone
 //     {"answerDelayMs": 400}        delays every answer: a slow instance
 //     {"cutFrom": ["cali-1"]}       no answers to, and no replication to, the named peers
 //     {"loseAnswers": 2}            executes the next 2 writes but never answers them
@@ -95,6 +96,8 @@
     std::deque<std::function<void()>> m_queue;
     int m_running = 0;
     std::set<std::string> m_cutFrom;
+    std::string m_slowMember; // Replication to it takes m_memberDelay.
+    Millis m_memberDelay;
     Millis m_answerDelay;
     int m_loseAnswers = 0;
     bool m_leaving = false;
--- a/src/programs/cicadagapd/main.cpp
+++ b/src/programs/cicadagapd/main.cpp
@@ -185,7 +185,7 @@
 
     void stopWhenIdle()
     {
-        const bool idle = m_callerServer->activeRequests() == 0 && m_api->activeRequests() == 0
+        const bool idle = m_callerServer->connections() == 0 && m_api->activeRequests() == 0
             && m_peerServer->activeCalls() == 0 && m_gateways->idle();
         m_idlePolls = idle ? m_idlePolls + 1 : 0;
         // The last answers may still be on their way out of the socket buffers.
