Make the linter clean over tests and programs

Cause: scripts/lint reported 14 places, most of them in tests written since its last run. Change: reserve, append, wider loop counters; no behaviour.

--- a/src/process/tst_groupwatch.cpp
+++ b/src/process/tst_groupwatch.cpp
@@ -44,7 +44,7 @@
 {
     GroupWatch watch(options());
     watch.onProbed(Millis(0), "t1", false, leader());
-    for (int i = 1; i < 50; ++i) {
+    for (std::int64_t i = 1; i < 50; ++i) {
         const auto actions = watch.onProbed(Millis(i * 200), "t1", false, std::nullopt);
         EXPECT_FALSE(has(actions, WatchStep::Vote));
         watch.onProbed(Millis(i * 200 + 100), "t1", true, leader());
--- a/src/process/tst_records.cpp
+++ b/src/process/tst_records.cpp
@@ -53,6 +53,7 @@
         : m_random(seed)
     {
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(hosts));
         for (int i = 0; i < hosts; ++i)
             names.push_back("h" + std::to_string(i));
         for (const std::string &name : names) {
@@ -149,7 +150,7 @@
     Membership membership = threeHosts();
     int direct = 0;
     std::optional<HostInfo> dead;
-    for (int i = 0; i < 20 && !dead; ++i) {
+    for (std::int64_t i = 0; i < 20 && !dead; ++i) {
         for (const ProbeRequest &probe : membership.onTick(Millis(i * 500))) {
             const bool reached = probe.target == "c";
             if (probe.target == "b" && probe.via.empty())
@@ -169,7 +170,7 @@
 TEST(Membership, OneBrokenLinkKillsNobody)
 {
     Membership membership = threeHosts();
-    for (int i = 0; i < 100; ++i) {
+    for (std::int64_t i = 0; i < 100; ++i) {
         for (const ProbeRequest &probe : membership.onTick(Millis(i * 500))) {
             const bool reached = probe.target == "c" || !probe.via.empty();
             EXPECT_FALSE(membership.onProbe(Millis(i * 500), probe, reached));
--- a/src/programs/cicadagap-load/workload.cpp
+++ b/src/programs/cicadagap-load/workload.cpp
@@ -22,9 +22,10 @@
         text += "        \"" + groups[g] + "\": {\n            \"instances\": {\n";
         for (std::size_t i = 0; i < InstancesPerGroup; ++i) {
             const std::string number = std::to_string(g * InstancesPerGroup + i + 1);
-            text += "                \"t" + number + "\": {\"address\": \"%ADDRESS:" + number
-                + "%\", \"dataCentre\": \"" + std::string(shape.dataCentres.at((g + i) % 3))
-                + "\"},\n";
+            text += "                \"t" + number;
+            text += "\": {\"address\": \"%ADDRESS:" + number;
+            text += "%\", \"dataCentre\": \"" + std::string(shape.dataCentres.at((g + i) % 3));
+            text += "\"},\n";
         }
         text += "            },\n            \"slots\": " + std::to_string(shape.slots)
             + ", \"connections\": " + std::to_string(shape.connections) + "\n        },\n";
--- a/src/request/tst_properties.cpp
+++ b/src/request/tst_properties.cpp
@@ -388,7 +388,9 @@
     const auto [first, second, place] = GetParam();
     const std::vector<Fault> faults{{FaultKindNames.rows.at(first).first, 1, 500, 3000},
                                     {FaultKindNames.rows.at(second).first, place, 700, 3500}};
-    const auto seed = static_cast<std::uint64_t>(first * 100 + second * 10 + place);
+    const auto number = static_cast<std::uint64_t>(first);
+    const std::uint64_t seed = number * 100 + static_cast<std::uint64_t>(second) * 10
+        + static_cast<std::uint64_t>(place);
     EXPECT_EQ(violation(seed, faults), "");
 }
 
--- a/src/request/tst_sessions.cpp
+++ b/src/request/tst_sessions.cpp
@@ -63,7 +63,7 @@
             request.flow.transactionHost = m_transaction.substr(0, m_transaction.find('~'));
             request.flow.transactionInstance = m_transaction.substr(m_transaction.find('~') + 1, 2);
         }
-        const WorkReply reply
+        WorkReply reply
             = send(host, std::string(WorkKindNames.name(kind)) + (value.empty() ? "" : " " + value),
                    request);
         if (kind == WorkKind::Begin)
@@ -76,7 +76,7 @@
     {
         request.flow.deadline = m_world->now() + Millis(3000);
         request.flow.token = m_token;
-        const WorkReply reply = m_world->requestAndWait(host, request);
+        WorkReply reply = m_world->requestAndWait(host, request);
         if (reply.verdict == Verdict::Ran && request.flow.write
             && request.flow.kind != WorkKind::Begin)
             m_token = std::max(m_token.value_or(Position{}), reply.position);
--- a/src/version/schema.cpp
+++ b/src/version/schema.cpp
@@ -318,11 +318,20 @@
         std::string range;
         if (rule.type == KeyType::Integer || rule.type == KeyType::Number)
             range = Checker::range(rule);
-        for (const std::string_view choice : split(rule.choices, '|'))
-            range += (range.empty() ? "" : ", ") + std::string(choice);
+        for (const std::string_view choice : split(rule.choices, '|')) {
+            range += range.empty() ? "" : ", ";
+            range += choice;
+        }
         const std::string fallback = rule.required ? "required" : std::string(rule.fallback);
-        table += "| `" + std::string(rule.path) + "` | " + std::string(KeyTypeNames.name(rule.type))
-            + " | " + range + " | " + fallback + " | " + std::string(rule.meaning) + " |\n";
+        table += "| `";
+        table += rule.path;
+        table += "`";
+        for (const std::string_view cell : {KeyTypeNames.name(rule.type), std::string_view(range),
+                                            std::string_view(fallback), rule.meaning}) {
+            table += " | ";
+            table += cell;
+        }
+        table += " |\n";
     }
     return table;
 }
--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const char *const Valid = R"({
+constexpr std::string_view Valid = R"({
     // A comment.
     "team": "valle",
     "groups": {"g": {"instances": {"t1": {"address": "127.0.0.1:1", "dataCentre": "cali"}}}},
@@ -55,7 +55,7 @@
 
 TEST_P(SettingsProblems, AreReportedWithFileLineAndKey)
 {
-    std::string text = Valid;
+    std::string text(Valid);
     const std::size_t at = text.find(GetParam().find);
     ASSERT_NE(at, std::string::npos);
     text.replace(at, GetParam().find.size(), GetParam().replace);
@@ -98,7 +98,7 @@
 TEST(SettingsReader, SurvivesAnyText)
 {
     EXPECT_TRUE(rc::check([] {
-        std::string text = Valid;
+        std::string text(Valid);
         const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
         const auto length = *rc::gen::inRange<std::size_t>(0, 30);
         text.replace(at, length, *rc::gen::arbitrary<std::string>());
@@ -189,6 +189,7 @@
     EXPECT_TRUE(rc::check([] {
         PlatformTable table;
         std::vector<Operator> operators;
+        operators.reserve(4);
         for (int i = 0; i < 4; ++i)
             operators.emplace_back(&table, i < 3 ? "valle" : "ashgrove", "op" + std::to_string(i));
         const auto order = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 16));
--- a/test/gapmeasure.cpp
+++ b/test/gapmeasure.cpp
@@ -82,6 +82,7 @@
     Millis lastLanded = world.now();
     Millis longest;
     std::vector<std::unique_ptr<Writer>> writers;
+    writers.reserve(Callers);
     for (int i = 0; i < Callers; ++i)
         writers.push_back(std::make_unique<Writer>(&world, &lastLanded, &longest, i));
     world.run(Millis(1000 + static_cast<std::int64_t>(seed * 37 % 500)));
