--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -199,6 +199,8 @@
     // The newest sample of a primary, for the gateways of its replicas.
     const Freshness &freshness() const { return m_freshness; }
     Counters counters() const;
+    // Whether the instance is primary, as this host knows it.
+    bool leads() const { return m_primary; }
     bool idle() const { return m_works.empty() && m_transactions.empty(); }
 
 private:
--- a/src/connection/quota.h
+++ b/src/connection/quota.h
@@ -39,6 +39,9 @@
         m_rank = rank;
     }
 
+    // Whether this host is the instance's preferred gateway.
+    bool preferred() const { return m_rank == 0; }
+
     int allowed(Millis now) const
     {
         const int standby = std::max(1, m_options.connections / 5);
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -190,6 +190,12 @@
         + (call.inTransaction ? "true" : "false") + ",\"ops\":" + operations + "}";
 }
 
+std::string encodeLedgerExpiry(Millis now)
+{
+    const std::string limit = std::to_string(now.count());
+    return "[" + json::serialize(ledgerOperation("expire", "", limit)) + "]";
+}
+
 std::optional<TargetAnswer> decodeTargetAnswer(const TargetCall &call, std::string_view text,
                                                Reason *reason)
 {
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -34,6 +34,8 @@
 std::optional<InstanceReport> decodeReport(std::string_view text, Reason *reason);
 std::string encodeReport(const InstanceReport &report);
 std::string encodeTargetCall(const TargetCall &call, Millis ledgerExpiry);
+// The operations that delete ledger rows which expired before `now` (ms since 1970).
+std::string encodeLedgerExpiry(Millis now);
 std::optional<TargetAnswer> decodeTargetAnswer(const TargetCall &call, std::string_view text,
                                                Reason *reason);
 
--- a/src/programs/cicadagapd/gatewaypool.cpp
+++ b/src/programs/cicadagapd/gatewaypool.cpp
@@ -17,6 +17,8 @@
 constexpr Millis StatusTimeout(700);
 constexpr Millis SampleTimeout(500);
 constexpr Millis HintTimeout(500);
+constexpr Millis LedgerCleaning(60'000);
+constexpr Millis LedgerCleaningTimeout(5000);
 
 ClassQueue::Options queueOptions(const TeamSettings &team)
 {
@@ -59,7 +61,6 @@
             work.priorityClass = found == running->classes.end() ? running->classes.at(DefaultClass)
                                                                  : found->second;
             running->waiting[work.id] = std::move(done);
-            running->lastWork = now;
             carryOut(running, running->gateway.submit(now, std::move(work)), &replies);
         }
     }
@@ -121,8 +122,10 @@
         {
             MutexLock lock(&shard.mutex);
             for (auto &entry : shard.gateways) {
-                for (const auto &running : entry.second)
+                for (const auto &running : entry.second) {
                     carryOut(running.get(), running->gateway.onTick(now), &replies);
+                    cleanLedger(running.get(), now, &replies);
+                }
                 std::erase_if(entry.second, [](const std::unique_ptr<Running> &running) {
                     return running->retiring && running->gateway.idle()
                         && running->connections.empty();
@@ -293,6 +296,21 @@
     carryOut(running, running->gateway.setQuota(now, running->quota.allowed(now)), replies);
 }
 
+void GatewayPool::cleanLedger(Running *running, Millis now, Replies *replies)
+{
+    if (now < running->nextCleaning || running->retiring || m_draining)
+        return;
+    const bool first = running->nextCleaning == Millis();
+    running->nextCleaning = now + LedgerCleaning;
+    // A host that is not the primary's preferred gateway leaves it to the one that is.
+    if (first || !running->quota.preferred() || !running->gateway.leads())
+        return;
+    Work work{.id = ++m_lastWork, .write = true, .deadline = now + LedgerCleaningTimeout};
+    work.priorityClass = running->classes.at(DefaultClass);
+    work.operations = encodeLedgerExpiry(timeOfDay());
+    carryOut(running, running->gateway.submit(now, std::move(work)), replies);
+}
+
 void GatewayPool::carryOut(Running *running, const GatewayActions &actions, Replies *replies)
 {
     for (const GatewayAction &action : actions) {
--- a/src/programs/cicadagapd/gatewaypool.h
+++ b/src/programs/cicadagapd/gatewaypool.h
@@ -85,7 +85,7 @@
         std::map<std::uint64_t, std::shared_ptr<TargetConnection>> connections;
         std::map<std::uint64_t, std::function<void(const WorkReply &)>> waiting;
         bool retiring = false;
-        Millis lastWork;
+        Millis nextCleaning; // Of the ledger.
     };
 
     struct Shard
@@ -109,6 +109,8 @@
     static Running *byNumber(Shard *shard, const std::string &key, std::uint64_t number)
         CICADAGAP_REQUIRES(shard->mutex);
     void adapt(Running *running, Millis now, Replies *replies);
+    // Deletes the group's ledger rows that are past their retention, now and then.
+    void cleanLedger(Running *running, Millis now, Replies *replies);
     // Carries out actions; the shard of `running` must be locked.
     void carryOut(Running *running, const GatewayActions &actions, Replies *replies);
     void open(Running *running, std::uint64_t connection);
