--- a/src/programs/cicadagap-steward/main.cpp
+++ b/src/programs/cicadagap-steward/main.cpp
@@ -1,13 +1,11 @@
 // cicadagap-steward: control on one host: settings, hosts, primaries.
 #include "process/log.h"
 #include "steward.h"
-#include "version/settingsreader.h"
+#include "version/settingsfile.h"
 
 #include <cxxopts.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 using namespace cicadagap;
 
@@ -19,16 +17,7 @@
 
 int run(const std::string &file)
 {
-    std::ifstream input(file);
-    if (!input) {
-        std::cerr << file << ": cannot be read\n";
-        return ExitFailed;
-    }
-    const std::string text(std::istreambuf_iterator<char>(input), {});
-    Problems problems;
-    const auto settings = readHostSettings(text, file, &problems);
-    for (const Problem &problem : problems)
-        std::cerr << problem.text() << '\n';
+    const auto settings = loadHostSettings(file);
     if (!settings)
         return ExitUsage;
     startLog({.program = "cicadagap-steward",
--- a/src/programs/cicadagap/commands.cpp
+++ b/src/programs/cicadagap/commands.cpp
@@ -6,6 +6,7 @@
 #include "version/schema.h"
 #include "version/settingschange.h"
 #include "version/settingsfeed.h"
+#include "version/settingsfile.h"
 #include "version/settingsreader.h"
 
 #include <boost/json/array.hpp>
@@ -15,7 +16,6 @@
 #include <fstream>
 #include <future>
 #include <iostream>
-#include <iterator>
 #include <thread>
 
 namespace cicadagap {
@@ -27,16 +27,6 @@
 constexpr Millis PlatformTimeout(3000);
 constexpr Millis WaitPoll(200);
 
-std::optional<std::string> readFile(const std::string &file)
-{
-    std::ifstream input(file);
-    if (!input) {
-        std::cerr << file << ": cannot be read\n";
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(input), {});
-}
-
 void print(const Problems &problems)
 {
     for (const Problem &problem : problems)
@@ -150,7 +140,7 @@
 
 int checkFile(const std::string &file)
 {
-    const auto text = readFile(file);
+    const auto text = loadText(file);
     if (!text)
         return ExitFailed;
     Problems problems;
@@ -167,7 +157,7 @@
 
 int applyFile(const ApplyOptions &options)
 {
-    const auto text = readFile(options.file);
+    const auto text = loadText(options.file);
     if (!text)
         return ExitFailed;
     Problems problems;
@@ -321,12 +311,7 @@
 {
     json::array hosts;
     for (const std::string &file : files) {
-        const auto text = readFile(file);
-        if (!text)
-            return ExitFailed;
-        Problems problems;
-        const auto settings = readHostSettings(*text, file, &problems);
-        print(problems);
+        const auto settings = loadHostSettings(file);
         if (!settings)
             return ExitUsage;
         hosts.push_back(json::object{{"name", settings->host},
--- a/src/programs/cicadagapd/callerapi.cpp
+++ b/src/programs/cicadagapd/callerapi.cpp
@@ -355,46 +355,48 @@
 
 void CallerApi::onReply(const std::shared_ptr<Call> &call, int attempt, const WorkReply &reply)
 {
-    const auto view = m_options.view->group(call->team, call->group);
-    FlowAction action;
-    int next = 0;
-    {
-        MutexLock lock(&call->state->mutex);
-        // The answer to an attempt that was given up meanwhile.
-        if (call->finished || attempt != call->flow->attempts())
-            return;
-        if (view) {
-            call->term = view->term;
-            action = call->flow->onReply(m_clock.now(), *view, reply, &call->state->budget,
-                                         &call->state->memory[call->group]);
-        } else {
-            action.reply = reply; // The group was taken out of the settings.
-        }
-        call->finished = action.step == FlowStep::Finish;
-        next = call->flow->attempts();
-    }
-    act(call, next, action);
+    proceed(call, attempt, reply,
+            [this, &reply](Call *locked, const GroupView &view, TeamState *state)
+                CICADAGAP_REQUIRES(state->mutex) {
+                    return std::optional(locked->flow->onReply(
+                        m_clock.now(), view, reply, &state->budget, &state->memory[locked->group]));
+                });
 }
 
 void CallerApi::onWake(const std::shared_ptr<Call> &call, int attempt)
+{
+    proceed(call, attempt, {Verdict::NotRun, Cause::UnknownTeam},
+            [this](Call *locked, const GroupView &view, TeamState *state)
+                CICADAGAP_REQUIRES(state->mutex) {
+                    return std::optional(
+                        locked->flow->onWake(m_clock.now(), view, state->memory[locked->group]));
+                });
+}
+
+void CallerApi::proceed(const std::shared_ptr<Call> &call, std::optional<int> attempt,
+                        const WorkReply &ifGone, const FlowEvent &event)
 {
     const auto view = m_options.view->group(call->team, call->group);
-    FlowAction action;
+    std::optional<FlowAction> action;
     int next = 0;
     {
         MutexLock lock(&call->state->mutex);
-        if (call->finished || attempt != call->flow->attempts())
+        // An event of an attempt that was given up meanwhile changes nothing.
+        if (call->finished || (attempt && *attempt != call->flow->attempts()))
             return;
         if (view) {
+            action = event(call.get(), *view, call->state.get());
             call->term = view->term;
-            action = call->flow->onWake(m_clock.now(), *view, call->state->memory[call->group]);
         } else {
-            action.reply = {Verdict::NotRun, Cause::UnknownTeam};
+            action = FlowAction{}; // The group was taken out of the settings.
+            action->reply = ifGone;
         }
-        call->finished = action.step == FlowStep::Finish;
+        if (!action)
+            return;
+        call->finished = action->step == FlowStep::Finish;
         next = call->flow->attempts();
     }
-    act(call, next, action);
+    act(call, next, *action);
 }
 
 void CallerApi::onViewChanged()
@@ -416,22 +418,14 @@
 
 void CallerApi::onViewChanged(const std::shared_ptr<Call> &call)
 {
-    const auto view = m_options.view->group(call->team, call->group);
-    std::optional<FlowAction> action;
-    int next = 0;
-    {
-        MutexLock lock(&call->state->mutex);
-        if (!view || call->finished || call->term == view->term)
-            return;
-        call->term = view->term;
-        action = call->flow->onViewChanged(m_clock.now(), *view, &call->state->budget,
-                                           call->state->memory[call->group]);
-        if (!action)
-            return;
-        call->finished = action->step == FlowStep::Finish;
-        next = call->flow->attempts();
-    }
-    act(call, next, *action);
+    proceed(call, std::nullopt, {Verdict::NotRun, Cause::UnknownTeam},
+            [this](Call *locked, const GroupView &view, TeamState *state)
+                CICADAGAP_REQUIRES(state->mutex) -> std::optional<FlowAction> {
+                    if (view.term == locked->term)
+                        return std::nullopt;
+                    return locked->flow->onViewChanged(m_clock.now(), view, &state->budget,
+                                                       state->memory[locked->group]);
+                });
 }
 
 void CallerApi::finish(const std::shared_ptr<Call> &call, const WorkReply &reply)
--- a/src/programs/cicadagapd/callerapi.h
+++ b/src/programs/cicadagapd/callerapi.h
@@ -70,6 +70,13 @@
     void onReply(const std::shared_ptr<Call> &call, int attempt, const WorkReply &reply);
     void onWake(const std::shared_ptr<Call> &call, int attempt);
     void onViewChanged(const std::shared_ptr<Call> &call);
+    // Hands an event to the request's flow under the team's lock and carries out what follows. The
+    // event belongs to `attempt`, if that is set; `ifGone` is the answer if the group no longer
+    // exists.
+    using FlowEvent
+        = std::function<std::optional<FlowAction>(Call *, const GroupView &, TeamState *)>;
+    void proceed(const std::shared_ptr<Call> &call, std::optional<int> attempt,
+                 const WorkReply &ifGone, const FlowEvent &event);
     void finish(const std::shared_ptr<Call> &call, const WorkReply &reply);
     void account(const Call &call, const WorkReply &reply, Millis took);
     HttpResponse render(Call *call, const WorkReply &reply) const;
--- a/src/programs/cicadagapd/main.cpp
+++ b/src/programs/cicadagapd/main.cpp
@@ -5,14 +5,12 @@
 #include "connection/wire.h"
 #include "gatewaypool.h"
 #include "process/log.h"
-#include "version/settingsreader.h"
+#include "version/settingsfile.h"
 
 #include <boost/json/serialize.hpp>
 #include <cxxopts.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 using namespace cicadagap;
 
@@ -219,16 +217,7 @@
 
 int run(const std::string &file)
 {
-    std::ifstream input(file);
-    if (!input) {
-        std::cerr << file << ": cannot be read\n";
-        return ExitFailed;
-    }
-    const std::string text(std::istreambuf_iterator<char>(input), {});
-    Problems problems;
-    const auto settings = readHostSettings(text, file, &problems);
-    for (const Problem &problem : problems)
-        std::cerr << problem.text() << '\n';
+    const auto settings = loadHostSettings(file);
     if (!settings)
         return ExitUsage;
     startLog({.program = "cicadagapd",
