Keep routing and group assignment cheap at full size

Cause: reading the code as a newcomer showed that each change of a host made a steward order all hosts of three data centres for each of 43,000 groups, and a daemon forget the routes of every group on any record. Change: rendezvousTop() weighs without ordering; a steward looks at its own data centre first and stops there for most groups; a daemon drops only the routes that a record concerns, and its standbys are two near hosts and one of another data centre.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -242,6 +242,23 @@
               << (cpuSeconds() - cpuBefore) * 1e6 / static_cast<double>(teams) << "}\n";
 }
 
+// What a change of a host costs its steward: finding out which groups are its own now.
+void measureAssignment(std::size_t hosts, std::size_t groups)
+{
+    std::vector<std::string> near;
+    for (std::size_t i = 0; i < hosts / 12; ++i)
+        near.push_back(hostName(i * 12));
+    const double cpuBefore = cpuSeconds();
+    std::size_t mine = 0;
+    // A quarter of the groups have an instance in this data centre (3 of 12).
+    for (std::size_t i = 0; i < groups / 4; ++i)
+        mine
+            += rendezvousTop("team/g" + std::to_string(i), near, 1).front() == near.front() ? 1 : 0;
+    std::cout << "{\"measure\":\"assignment\",\"hosts\":" << hosts << ",\"groups\":" << groups
+              << ",\"mine\":" << mine << ",\"cpuMillis\":" << (cpuSeconds() - cpuBefore) * 1e3
+              << "}\n";
+}
+
 void measureMembership(std::size_t hosts)
 {
     const double before = heapMegabytes();
@@ -305,6 +322,8 @@
         measureSettings(teams);
     for (const std::size_t groups : {3U, 33U, 330U})
         measureWatch(groups);
+    for (const std::size_t hosts : {120U, 1200U, 3900U})
+        measureAssignment(hosts, hosts * 11);
     for (const std::size_t hosts : {10U, 100U, 1000U, 3900U})
         measureMembership(hosts);
     for (const std::size_t count : {10U, 66U, 660U})
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -46,14 +46,34 @@
 
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates)
 {
+    return rendezvousTop(key, candidates, candidates.size());
+}
+
+std::vector<std::string>
+rendezvousTop(std::string_view key, const std::vector<std::string> &candidates, std::size_t count)
+{
+    struct Weighted
+    {
+        std::uint64_t weight;
+        const std::string *name;
+    };
     const std::uint64_t seed = hash64(key);
-    std::sort(candidates.begin(), candidates.end(),
-              [seed](const std::string &left, const std::string &right) {
-                  const std::uint64_t leftWeight = hash64(left, seed);
-                  const std::uint64_t rightWeight = hash64(right, seed);
-                  return leftWeight != rightWeight ? leftWeight > rightWeight : left < right;
-              });
-    return candidates;
+    std::vector<Weighted> weighted;
+    weighted.reserve(candidates.size());
+    for (const std::string &candidate : candidates)
+        weighted.push_back({hash64(candidate, seed), &candidate});
+    count = std::min(count, weighted.size());
+    const auto middle = weighted.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(weighted.begin(), middle, weighted.end(),
+                      [](const Weighted &left, const Weighted &right) {
+                          return left.weight != right.weight ? left.weight > right.weight
+                                                             : *left.name < *right.name;
+                      });
+    std::vector<std::string> top;
+    top.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        top.push_back(*weighted[i].name);
+    return top;
 }
 
 std::uint64_t Random::next()
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -22,6 +22,10 @@
 // (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.)
 std::vector<std::string> rendezvousOrder(std::string_view key, std::vector<std::string> candidates);
 
+// The first `count` of rendezvousOrder(), in time proportional to the number of candidates.
+std::vector<std::string>
+rendezvousTop(std::string_view key, const std::vector<std::string> &candidates, std::size_t count);
+
 // A small deterministic generator (SplitMix64) for jitter and random peers. Not for secrets.
 class Random
 {
--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -465,6 +465,11 @@
 
 void Steward::assignGroups()
 {
+    m_aliveByDataCentre.clear();
+    for (const HostInfo &host : m_membership.hosts()) {
+        if (host.state == HostState::Alive)
+            m_aliveByDataCentre[host.dataCentre].push_back(host.name);
+    }
     std::set<std::string> wanted;
     for (const auto &team : m_teams) {
         for (const auto &group : team.second.groups) {
@@ -485,18 +490,24 @@
     std::set<std::string> dataCentres;
     for (const auto &instance : settings.instances)
         dataCentres.insert(instance.second.dataCentre);
+    // Most groups are other stewards' business; the own data centre's first host decides that
+    // soonest.
+    const auto first = [this, &key](const std::string &dataCentre) {
+        return rendezvousTop(key, m_aliveByDataCentre[dataCentre], 1);
+    };
+    const bool mine = dataCentres.contains(m_settings.dataCentre)
+        && first(m_settings.dataCentre) == std::vector<std::string>{m_settings.host};
+    if (!mine) {
+        m_watched.erase(key);
+        return;
+    }
     std::vector<std::string> watchers;
     for (const std::string &dataCentre : dataCentres) {
-        const auto order = rendezvousOrder(key, m_membership.aliveIn(dataCentre));
-        if (!order.empty())
-            watchers.push_back(order.front());
+        for (std::string &watcher : first(dataCentre))
+            watchers.push_back(std::move(watcher));
     }
     watchers = rendezvousOrder(key, std::move(watchers));
     const auto self = std::find(watchers.begin(), watchers.end(), m_settings.host);
-    if (self == watchers.end()) {
-        m_watched.erase(key);
-        return;
-    }
     const auto rank = static_cast<int>(self - watchers.begin());
     const auto found = m_watched.find(key);
     std::map<std::string, Endpoint> endpoints;
--- a/src/programs/cicadagap-steward/steward.h
+++ b/src/programs/cicadagap-steward/steward.h
@@ -98,6 +98,8 @@
     std::map<std::string, std::shared_ptr<PeerLink>> m_links; // By address.
     std::map<std::string, TeamSettings> m_teams;
     std::map<std::string, Watched> m_watched; // By "<team>/<group>".
+    std::map<std::string, std::vector<std::string>>
+        m_aliveByDataCentre; // When groups were assigned.
     std::vector<Record> m_toDaemon;
     bool m_assign = false; // Hosts or settings changed since groups were assigned.
     bool m_pushing = false;
--- a/src/request/hostview.cpp
+++ b/src/request/hostview.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-// Enough for a preferred gateway and its standbys.
+// A preferred gateway and its standbys; the last one is in another data centre.
+constexpr std::size_t NearGateways = 2;
 constexpr std::size_t GatewaysPerInstance = 3;
 
 } // namespace
@@ -27,7 +28,7 @@
     if (!m_records.merge(record))
         return false;
     decode(record);
-    m_groups.clear();
+    forgetGroups(record.key);
     ++m_generation;
     return true;
 }
@@ -97,6 +98,7 @@
     if (record.key.starts_with("host/")) {
         if (auto host = decodeHost(record.body, nullptr))
             m_hosts[host->name] = std::move(*host);
+        rebuildAlive();
     } else if (record.key.starts_with("settings/")) {
         Problems problems;
         auto settings = readTeamSettings(record.body, record.key, &problems);
@@ -140,21 +142,42 @@
 std::vector<std::string> HostView::gatewaysFor(const std::string &instance,
                                                const std::string &dataCentre) const
 {
-    std::vector<std::string> near;
-    std::vector<std::string> anywhere;
-    for (const auto &entry : m_hosts) {
-        const HostInfo &host = entry.second;
-        if (host.state != HostState::Alive)
-            continue;
-        (host.dataCentre == dataCentre ? near : anywhere).push_back(host.name);
+    std::vector<std::string> gateways;
+    std::vector<std::string> others;
+    for (const auto &entry : m_alive) {
+        if (entry.first == dataCentre)
+            gateways = rendezvousTop(instance, entry.second, NearGateways);
+        else
+            others.push_back(entry.first);
     }
-    // Hosts of other data centres stand by behind the near ones.
-    std::vector<std::string> order = rendezvousOrder(instance, std::move(near));
-    for (std::string &host : rendezvousOrder(instance, std::move(anywhere)))
-        order.push_back(std::move(host));
-    if (order.size() > GatewaysPerInstance)
-        order.resize(GatewaysPerInstance);
-    return order;
+    // Hosts of other data centres stand by behind the near ones, one from each.
+    for (const std::string &other : rendezvousOrder(instance, std::move(others))) {
+        if (gateways.size() >= GatewaysPerInstance)
+            break;
+        gateways.push_back(rendezvousTop(instance, m_alive.at(other), 1).front());
+    }
+    return gateways;
+}
+
+void HostView::rebuildAlive()
+{
+    m_alive.clear();
+    for (const auto &host : m_hosts) {
+        if (host.second.state == HostState::Alive)
+            m_alive[host.second.dataCentre].push_back(host.first);
+    }
+}
+
+void HostView::forgetGroups(const std::string &key)
+{
+    // "<kind>/<team>[/<group or instance>]"; a host's record may change every group's gateways.
+    if (key.starts_with("host/")) {
+        m_groups.clear();
+        return;
+    }
+    const std::size_t start = key.find('/') + 1;
+    const std::string team = key.substr(start, key.find('/', start) - start);
+    std::erase_if(m_groups, [&team](const auto &entry) { return entry.first.first == team; });
 }
 
 } // namespace cicadagap
--- a/src/request/hostview.h
+++ b/src/request/hostview.h
@@ -56,6 +56,9 @@
     using GroupName = std::pair<std::string, std::string>; // Team and group.
 
     void decode(const Record &record) CICADAGAP_REQUIRES(m_mutex);
+    void rebuildAlive() CICADAGAP_REQUIRES(m_mutex);
+    // Drops the routes that a record with this key may change.
+    void forgetGroups(const std::string &key) CICADAGAP_REQUIRES(m_mutex);
     std::shared_ptr<const GroupView> build(const GroupName &name) const CICADAGAP_REQUIRES(m_mutex);
     std::vector<std::string> gatewaysFor(const std::string &instance,
                                          const std::string &dataCentre) const
@@ -67,6 +70,8 @@
     RecordStore m_records CICADAGAP_GUARDED_BY(m_mutex);
     std::map<std::string, std::shared_ptr<const TeamVersion>> m_teams CICADAGAP_GUARDED_BY(m_mutex);
     std::map<std::string, HostInfo> m_hosts CICADAGAP_GUARDED_BY(m_mutex);
+    std::map<std::string, std::vector<std::string>>
+        m_alive CICADAGAP_GUARDED_BY(m_mutex); // Host names by data centre.
     mutable std::map<GroupName, std::shared_ptr<const GroupView>>
         m_groups CICADAGAP_GUARDED_BY(m_mutex); // Built on demand, cleared on change.
     std::uint64_t m_generation CICADAGAP_GUARDED_BY(m_mutex) = 0;
