End every process that a test started

Cause: after a run of the tests, a daemon and a steward were still there: processes.kill-host restarts them from a subshell, whose list of process ids the script never saw. Ruled out: the demo (it left none). Change: the ids go into a file of the deployment; stopping reads it.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -15,7 +15,6 @@
 DATA_CENTRES=(cali medellin bogota)
 HOST_COUNT=${HOST_COUNT:-3}
 WORKLOAD=${WORKLOAD:-}
-PIDS=()
 
 # The number of instances: the workloads have three groups, the demonstration one.
 instance_count() { [ -n "$WORKLOAD" ] && echo 9 || echo 3; }
@@ -40,7 +39,8 @@
     shift
     "$BIN/$1" "${@:2}" >>"$DIR/$log" 2>&1 &
     PID=$!
-    PIDS+=("$PID")
+    # In a file, because a fault may start a process from a subshell.
+    echo "$PID" >>"$DIR/pids"
 }
 
 write_host() {
@@ -201,12 +201,13 @@
 
 deployment_stop() {
     local pid
-    for pid in "${PIDS[@]}"; do
+    [ -f "$DIR/pids" ] || return 0
+    while read -r pid; do
         kill -CONT "$pid" 2>/dev/null || true
         kill -KILL "$pid" 2>/dev/null || true
-    done
-    wait "${PIDS[@]}" 2>/dev/null || true
-    PIDS=()
+    done <"$DIR/pids"
+    wait 2>/dev/null || true
+    rm -f "$DIR/pids"
 }
 
 entries() { local i; for i in $(hosts); do caller "$i"; done | paste -sd,; }
