Work out hosts, readers and peers when they change, not at every tick

Cause: reading the whole change again: a steward copied and sorted its list of all hosts twice in each 20 ms tick, and once more for each host record it heard, only to learn who reads the platform and whether it is alone; the list of gossip peers was built in two places. WorkState::waitingForData was never read. Ruled out: caching inside Membership (its states change in five places; one flag here already says so). Change: assignGroups(), which runs after any change of hosts, derives peers, readers and the lone state once; the two copies and the dead member are gone.

--- a/src/connection/gateway.cpp
+++ b/src/connection/gateway.cpp
@@ -272,7 +272,6 @@
 
 void Gateway::waitForData(Millis now, WorkState *state)
 {
-    state->waitingForData = true;
     state->waitUntil = std::min(state->work.deadline, now + m_options.replicaWait);
     m_waiting.insert(state->work.id);
     poll(Millis());
@@ -643,7 +642,6 @@
     for (const std::uint64_t id : waiting) {
         WorkState &state = m_works.at(id);
         if (hasData(now, state.work)) {
-            state.waitingForData = false;
             m_waiting.erase(id);
             enqueue(now, id);
         } else if (now >= state.waitUntil) {
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -226,7 +226,6 @@
         Work work;
         Millis arrived;
         std::optional<WorkReply> held; // Waits for acknowledgement.
-        bool waitingForData = false;   // For the replica to catch up, or for a sample.
         Millis waitUntil;
     };
 
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -91,6 +91,8 @@
     std::vector<HostInfo> hosts() const;
     // Names of the alive hosts in `dataCentre`, in name order. Leaving hosts are left out.
     std::vector<std::string> aliveIn(const std::string &dataCentre) const;
+    // How many hosts are known, dead ones and this one included.
+    std::size_t size() const { return m_hosts.size() + 1; }
     const HostInfo *find(const std::string &name) const;
     const HostInfo &self() const { return m_options.self; }
     // Names dropped since the last call: dead for so long that their records can go.
--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -191,7 +191,7 @@
     runFeed(m_feed.onTick(now, readsPlatform()));
     if (now >= m_nextHostList)
         readHostList();
-    if (m_membership.hosts().size() == 1 && now >= m_nextSeeds)
+    if (m_alone && now >= m_nextSeeds)
         askSeeds();
     std::vector<std::string> keys;
     for (const auto &entry : m_watched)
@@ -293,10 +293,6 @@
     const auto refutation = m_membership.onHost(m_clock.now(), *host);
     if (refutation)
         publishHost(*refutation);
-    std::vector<std::string> peers;
-    for (const HostInfo &known : m_membership.hosts())
-        peers.push_back(known.name);
-    m_gossip.setPeers(std::move(peers));
     m_assign = true;
 }
 
@@ -356,9 +352,8 @@
 void Steward::readHostList()
 {
     // Only readers ask for the list; the others hear of hosts from them.
-    const bool alone = m_membership.hosts().size() == 1;
     m_nextHostList = m_clock.now() + HostListInterval;
-    if (m_readingHosts || !(alone || readsPlatform()))
+    if (m_readingHosts || !(m_alone || readsPlatform()))
         return;
     m_readingHosts = true;
     m_platform->hosts(PlatformTimeout, [this](const std::optional<PlatformHosts> &list) {
@@ -373,10 +368,7 @@
         return;
     for (const HostInfo &host : m_membership.onPlatformList(m_clock.now(), list->hosts))
         publishHost(host);
-    std::vector<std::string> peers;
-    for (const HostInfo &known : m_membership.hosts())
-        peers.push_back(known.name);
-    m_gossip.setPeers(std::move(peers));
+    m_assign = m_assign || m_membership.size() != m_hostCount;
     const std::set<std::string> leaving(list->leavingTargets.begin(), list->leavingTargets.end());
     for (const auto &team : m_teams) {
         for (const auto &group : team.second.groups) {
@@ -393,13 +385,7 @@
 
 bool Steward::readsPlatform() const
 {
-    const auto order = rendezvousOrder("settings", m_membership.aliveIn(m_settings.dataCentre));
-    const std::size_t readers = std::min(order.size(), ReadersPerDataCentre);
-    const bool chosen
-        = std::find(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(readers),
-                    m_settings.host)
-        != order.begin() + static_cast<std::ptrdiff_t>(readers);
-    return chosen || m_teams.empty();
+    return m_reader || m_teams.empty();
 }
 
 void Steward::runFeed(const std::vector<FeedAction> &actions)
@@ -465,11 +451,19 @@
 
 void Steward::assignGroups()
 {
+    std::vector<std::string> peers;
     m_aliveByDataCentre.clear();
     for (const HostInfo &host : m_membership.hosts()) {
+        peers.push_back(host.name);
         if (host.state == HostState::Alive)
             m_aliveByDataCentre[host.dataCentre].push_back(host.name);
     }
+    m_hostCount = m_membership.size();
+    m_alone = peers.size() == 1;
+    m_gossip.setPeers(std::move(peers));
+    const auto readers = rendezvousTop("settings", m_aliveByDataCentre[m_settings.dataCentre],
+                                       ReadersPerDataCentre);
+    m_reader = std::find(readers.begin(), readers.end(), m_settings.host) != readers.end();
     std::set<std::string> wanted;
     for (const auto &team : m_teams) {
         for (const auto &group : team.second.groups) {
--- a/src/programs/cicadagap-steward/steward.h
+++ b/src/programs/cicadagap-steward/steward.h
@@ -101,7 +101,10 @@
     std::map<std::string, std::vector<std::string>>
         m_aliveByDataCentre; // When groups were assigned.
     std::vector<Record> m_toDaemon;
-    bool m_assign = false; // Hosts or settings changed since groups were assigned.
+    std::size_t m_hostCount = 0; // Known to the membership when groups were assigned.
+    bool m_alone = true;         // No other host is known.
+    bool m_reader = false;       // One of those in the data centre that read the platform.
+    bool m_assign = false;       // Hosts or settings changed since groups were assigned.
     bool m_pushing = false;
     Millis m_nextPush;
     Millis m_nextHostList;
