--- a/src/base/millis.h
+++ b/src/base/millis.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 
 namespace cicadagap {
 
@@ -61,6 +62,20 @@
     }
 };
 
+// A monotonic clock that also counts the time during which the host was suspended, so that a lease
+// or a sample cannot look younger than it is after a suspension.
+class BootClock : public Clock
+{
+public:
+    Millis now() const override
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        constexpr std::int64_t NanosPerMilli = 1'000'000;
+        return Millis(std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / NanosPerMilli);
+    }
+};
+
 // The time of day in milliseconds since 1970, for logs, expiry dates and incarnation numbers only.
 inline Millis timeOfDay()
 {
--- a/src/connection/confirmation.cpp
+++ b/src/connection/confirmation.cpp
@@ -53,6 +53,15 @@
     return std::nullopt;
 }
 
+std::optional<Position> Freshness::coveringSince(Millis since) const
+{
+    for (const Sample &sample : m_samples) {
+        if (sample.at >= since)
+            return sample.last;
+    }
+    return std::nullopt;
+}
+
 std::optional<Millis> Freshness::newestSample() const
 {
     if (m_samples.empty())
--- a/src/connection/confirmation.h
+++ b/src/connection/confirmation.h
@@ -64,6 +64,9 @@
     void addSample(Millis at, Position primaryLast);
     // The age of data that ends at `replicaLast`, or nothing if no sample bounds it.
     std::optional<Millis> age(Millis now, Position replicaLast) const;
+    // A position that covers everything the primary had at `since`: the oldest sample taken then
+    // or later. Nothing if the newest sample is older.
+    std::optional<Position> coveringSince(Millis since) const;
     // When the newest sample was valid.
     std::optional<Millis> newestSample() const;
     // The newest sample's position.
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -56,10 +56,9 @@
     static_cast<void>(library);
     programName = options.program;
     hostName = options.host;
-    constexpr bool ToStandardError = true;
     constexpr bool FlushEachLine = true;
     log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(ToStandardError, FlushEachLine));
+        new log4cplus::ConsoleAppender(!options.toStandardOutput, FlushEachLine));
     appender->setLayout(std::make_unique<JsonLinesLayout>());
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line on standard error, through log4cplus.
+// Structured logs: one JSON object a line on standard error or output, through log4cplus.
 //
 //     logEvent(LogLevel::Info, "statement.answered", {{"request", id}, {"verdict", "ran"}});
 //
@@ -37,6 +37,7 @@
     std::string program;
     std::string host;
     LogLevel level = LogLevel::Info;
+    bool toStandardOutput = false; // Otherwise to standard error.
 };
 
 // One member of a log line.
--- /dev/null
+++ b/src/programs/cicadagap-sessiond/callersocket.cpp
@@ -0,0 +1,145 @@
+#include "callersocket.h"
+
+#include "process/log.h"
+#include "socketoptions.h"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Millis SilenceLimit(8000);
+
+} // namespace
+
+CallerSocket::CallerSocket(tcp::socket socket, const SessionCodec *codec)
+    : m_socket(std::move(socket))
+    , m_codec(codec)
+{
+}
+
+void CallerSocket::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    setSocketOptions(&m_socket, SilenceLimit);
+    read();
+}
+
+void CallerSocket::answer(const StatementAnswer &answer)
+{
+    m_codec->writeAnswer(answer, &m_output);
+    write();
+}
+
+void CallerSocket::welcome()
+{
+    m_codec->writeWelcome(&m_output);
+    write();
+}
+
+void CallerSocket::refuse(Cause cause)
+{
+    m_codec->writeRefusal(cause, &m_output);
+    close();
+}
+
+void CallerSocket::close()
+{
+    m_closing = true;
+    write();
+    if (m_writing.empty())
+        end();
+}
+
+void CallerSocket::read()
+{
+    m_socket.async_read_some(
+        asio::buffer(m_input),
+        [self = shared_from_this()](const error_code &error, std::size_t length) {
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->fail();
+                return;
+            }
+            if (!self->m_closing) {
+                self->m_lines.append({self->m_input.data(), length});
+                self->handleInput();
+            }
+            if (!self->m_closed)
+                self->read();
+        });
+}
+
+void CallerSocket::handleInput()
+{
+    while (!m_closed && !m_closing) {
+        const std::optional<std::string_view> line = m_lines.next();
+        if (!line)
+            break;
+        Reason reason;
+        std::optional<CallerMessage> message = m_codec->parseCaller(*line, &reason);
+        if (!message) {
+            logEvent(LogLevel::Warning, "caller.line-unreadable", {{"reason", reason.text()}});
+            m_codec->writeRefusal(Cause::Invalid, &m_output);
+            close();
+            m_handlers.closed();
+            return;
+        }
+        m_handlers.message(std::move(*message));
+    }
+    if (!m_closed && m_lines.pending() > m_codec->maxLineBytes()) {
+        logEvent(LogLevel::Warning, "caller.line-too-long", {});
+        fail();
+    }
+}
+
+void CallerSocket::write()
+{
+    if (!m_writing.empty() || m_output.empty() || m_closed)
+        return;
+    m_writing = std::exchange(m_output, {});
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const error_code &error, std::size_t) {
+                          if (self->m_closed)
+                              return;
+                          self->m_writing.clear();
+                          if (error) {
+                              self->fail();
+                              return;
+                          }
+                          self->write();
+                          if (self->m_closing && self->m_writing.empty())
+                              self->end();
+                      });
+}
+
+void CallerSocket::end()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_socket.close(ignored);
+}
+
+void CallerSocket::fail()
+{
+    if (m_closed)
+        return;
+    const auto self = shared_from_this();
+    const bool told = m_closing;
+    end();
+    if (!told && m_handlers.closed)
+        m_handlers.closed();
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -0,0 +1,86 @@
+// cicadagap-sessiond: callers' sessions on one host.
+#include "bootfile.h"
+#include "process/log.h"
+#include "sessionserver.h"
+#include "storelink.h"
+#include "wirecodec.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cicadagap;
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitFailed = 1;
+
+int run(const std::string &file, bool checkOnly)
+{
+    Reason reason;
+    const std::optional<HostBoot> boot = loadBootFile(file, &reason);
+    if (!boot) {
+        std::cerr << file << ": " << reason.text() << '\n';
+        return ExitUsage;
+    }
+    if (checkOnly) {
+        std::cout << file << ": valid; host " << boot->host << " in " << boot->dataCentre << '\n';
+        return 0;
+    }
+    startLog({.program = "cicadagap-sessiond", .host = boot->host, .toStandardOutput = true});
+    EventLoop loop({.threads = 1});
+    const WireCodec codec;
+    StoreLink platform(&loop, *boot);
+    SessionServer server(&loop,
+                         {.host = boot->host,
+                          .dataCentre = boot->dataCentre,
+                          .callers = boot->callers,
+                          .balancer = boot->balancer,
+                          .grace = boot->grace},
+                         &codec, &platform);
+    if (!server.start(&reason)) {
+        std::cerr << reason.text() << '\n';
+        return ExitFailed;
+    }
+    loop.onSignal([&server] { server.stop(); });
+    logEvent(LogLevel::Info, "server.started", {{"listen", boot->callers.text()}});
+    loop.run();
+    logEvent(LogLevel::Info, "server.stopped", {});
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        cxxopts::Options options(
+            "cicadagap-sessiond",
+            "Serves callers' sessions on one host.\n"
+            "Exit codes: 0 stopped, 1 cannot start, 2 wrong usage or settings.");
+        auto add = options.add_options();
+        add("settings", "The host's settings file; otherwise the one that CICADAGAP_BOOT names",
+            cxxopts::value<std::string>());
+        add("check", "Check the settings file and exit");
+        add("help", "Print this text");
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help();
+            return 0;
+        }
+        const char *fromEnvironment = std::getenv(BootFileVariable);
+        if (!arguments.count("settings") && !fromEnvironment) {
+            std::cerr << "no settings file: give --settings or set " << BootFileVariable << '\n';
+            return ExitUsage;
+        }
+        const std::string file = arguments.count("settings")
+            ? arguments["settings"].as<std::string>()
+            : std::string(fromEnvironment);
+        return run(file, arguments.count("check") > 0);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << "; try --help\n";
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -0,0 +1,378 @@
+#include "sessionserver.h"
+
+#include "process/log.h"
+#include "session/dutylease.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Millis TickInterval(20);
+constexpr Millis ConfigurationWait(2000); // For a change, at the store.
+constexpr Millis ConfigurationRetry(250); // After a failed call.
+constexpr Millis InstanceInterval(1000);  // Between readings of the instances' entries.
+constexpr Millis InstanceRetry(400);
+// Request log lines a second; refusals and failures may use all of it, answers only a half.
+constexpr int LogLinesPerSecond = 100;
+constexpr Millis StopMargin(500); // Before the kill.
+// Callers that were about to connect when the shutdown began are served for this long.
+constexpr Millis LeastStopTime(2600);
+
+} // namespace
+
+SessionServer::SessionServer(EventLoop *loop, Options options, const SessionCodec *codec,
+                             PlatformLink *platform)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_codec(codec)
+    , m_platform(platform)
+    , m_engine({.dataCentre = m_options.dataCentre,
+                .drainTransactions = m_options.grace / 2,
+                .fleet = {}},
+               this)
+    , m_acceptor(*loop->context())
+{
+}
+
+bool SessionServer::start(Reason *reason)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(m_options.callers.address, error);
+    const tcp::endpoint endpoint(address, m_options.callers.port);
+    if (!error)
+        m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        setReason(reason, "cannot listen on " + m_options.callers.text() + ": " + error.message());
+        return false;
+    }
+    m_balancer = HttpServer::listen(
+        m_loop, m_options.balancer,
+        [this](const HttpRequest &request, const Respond &respond) {
+            respond(answerBalancer(request));
+        },
+        reason);
+    if (!m_balancer)
+        return false;
+    accept();
+    pollConfiguration(Millis(0));
+    pollInstances();
+    m_loop->every(TickInterval, [this] { tick(); });
+    return true;
+}
+
+void SessionServer::stop()
+{
+    if (m_stoppingSince) {
+        logEvent(LogLevel::Warning, "server.stopping-at-once", {});
+        m_loop->stop();
+        return;
+    }
+    m_stoppingSince = now();
+    logEvent(LogLevel::Info, "server.stopping",
+             {{"sessions", static_cast<std::int64_t>(m_engine.sessions())}});
+    m_engine.drain(now());
+}
+
+void SessionServer::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (!error)
+            serve(std::move(socket));
+        else
+            logEvent(LogLevel::Warning, "server.accept-failed", {{"reason", error.message()}});
+        if (error != asio::error::operation_aborted)
+            accept();
+    });
+}
+
+void SessionServer::serve(tcp::socket socket)
+{
+    const SessionId id = ++m_lastSession;
+    auto caller = std::make_shared<CallerSocket>(std::move(socket), m_codec);
+    m_callers[id] = caller;
+    caller->start(
+        {.message = [this, id](CallerMessage message) { handleMessage(id, std::move(message)); },
+         .closed =
+             [this, id] {
+                 m_callers.erase(id);
+                 if (m_greeted.erase(id) > 0)
+                     m_engine.onCallerClosed(now(), id);
+             }});
+}
+
+void SessionServer::handleMessage(SessionId id, CallerMessage message)
+{
+    const auto found = m_callers.find(id);
+    if (found == m_callers.end())
+        return;
+    const std::shared_ptr<CallerSocket> caller = found->second;
+    const bool greeted = m_greeted.contains(id);
+    if (message.kind == CallerMessage::Kind::Connect && !greeted) {
+        const bool configured = m_engine.configurationVersion() > 0;
+        const Cause cause
+            = configured ? m_engine.onConnect(now(), id, message.database) : Cause::Overloaded;
+        if (cause == Cause::None) {
+            m_greeted[id] = true;
+            caller->welcome();
+            return;
+        }
+        noteRequest({.event = "session.refused",
+                     .session = id,
+                     .database = message.database,
+                     .cause = cause,
+                     .configuration = m_engine.configurationVersion()});
+        m_callers.erase(id);
+        caller->refuse(cause);
+        return;
+    }
+    if (message.kind == CallerMessage::Kind::Statement && greeted) {
+        m_engine.onStatement(now(), id, std::move(message.statement));
+        return;
+    }
+    m_callers.erase(id);
+    if (m_greeted.erase(id) > 0)
+        m_engine.onCallerClosed(now(), id);
+    if (message.kind == CallerMessage::Kind::Close)
+        caller->close();
+    else
+        caller->refuse(Cause::Invalid);
+}
+
+void SessionServer::openTarget(ConnectionId connection, const RegisteredInstance &instance)
+{
+    m_metrics.add("targets.opened");
+    auto target = std::make_shared<TargetSocket>(
+        m_loop->context(), m_codec,
+        TargetSocket::Handlers{
+            .opened = [this, connection] { m_engine.onTargetOpened(now(), connection); },
+            .openFailed =
+                [this, connection](bool full) {
+                    m_metrics.add(full ? "targets.full" : "targets.open-failed");
+                    m_engine.onTargetOpenFailed(now(), connection, full);
+                },
+            .answered =
+                [this, connection](const StatementAnswer &answer) {
+                    m_engine.onTargetAnswer(now(), connection, answer);
+                },
+            .closed = [this, connection] { m_engine.onTargetClosed(now(), connection); }});
+    m_targets[connection] = target;
+    target->open(instance);
+}
+
+void SessionServer::sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
+{
+    const auto found = m_targets.find(connection);
+    if (found != m_targets.end())
+        found->second->send(statements);
+}
+
+void SessionServer::closeTarget(ConnectionId connection)
+{
+    const auto found = m_targets.find(connection);
+    if (found == m_targets.end())
+        return;
+    const std::shared_ptr<TargetSocket> target = found->second;
+    m_targets.erase(found);
+    target->close();
+}
+
+void SessionServer::answerCaller(SessionId session, const StatementAnswer &answer)
+{
+    const auto found = m_callers.find(session);
+    if (found != m_callers.end())
+        found->second->answer(answer);
+}
+
+void SessionServer::closeCaller(SessionId session, Cause cause)
+{
+    const auto found = m_callers.find(session);
+    if (found == m_callers.end())
+        return;
+    const std::shared_ptr<CallerSocket> caller = found->second;
+    m_callers.erase(found);
+    m_greeted.erase(session);
+    if (cause == Cause::None)
+        caller->close();
+    else
+        caller->refuse(cause);
+}
+
+void SessionServer::noteRequest(const RequestNote &note)
+{
+    m_metrics.add(std::string(note.event) + "." + std::string(CauseNames.name(note.cause)));
+    if (note.event == "request.answered")
+        m_metrics.observe("latency", note.waited);
+    if (!mayLog(note))
+        return;
+    logEvent(note.cause == Cause::None ? LogLevel::Info : LogLevel::Warning, note.event,
+             {{"session", static_cast<std::int64_t>(note.session)},
+              {"request", note.request},
+              {"database", note.database},
+              {"instance", note.instance},
+              {"cause", CauseNames.name(note.cause)},
+              {"attempts", note.attempts},
+              {"waitedMs", note.waited.count()},
+              {"configuration", static_cast<std::int64_t>(note.configuration)}});
+}
+
+// Bounds the volume of the log; what is dropped is counted.
+bool SessionServer::mayLog(const RequestNote &note)
+{
+    const Millis at = now();
+    if (at - m_logBudgetAt >= Millis(1000)) {
+        if (m_logDropped > 0)
+            logEvent(LogLevel::Info, "log.dropped", {{"lines", m_logDropped}});
+        m_logDropped = 0;
+        m_logBudget = LogLinesPerSecond;
+        m_logBudgetAt = at;
+    }
+    const int reserved = note.cause == Cause::None ? LogLinesPerSecond / 2 : 0;
+    if (m_logBudget <= reserved) {
+        ++m_logDropped;
+        m_metrics.add("log.dropped");
+        return false;
+    }
+    --m_logBudget;
+    return true;
+}
+
+void SessionServer::groupChanged(const std::string &group, std::string_view event,
+                                 const std::string &instance, std::uint64_t term,
+                                 const std::string &detail)
+{
+    m_metrics.add(event);
+    logEvent(LogLevel::Info, event,
+             {{"group", group},
+              {"instance", instance},
+              {"term", static_cast<std::int64_t>(term)},
+              {"detail", detail}});
+}
+
+// Reads the duty's row, and replaces it if nobody else holds the duty.
+void SessionServer::claimDuty(const std::string &group)
+{
+    const Millis askedAt = now();
+    m_platform->readDuty(group, [this, group, askedAt](const std::optional<DutyRecord> &record) {
+        handleDuty(group, askedAt, record);
+    });
+}
+
+void SessionServer::handleDuty(const std::string &group, Millis askedAt,
+                               const std::optional<DutyRecord> &record)
+{
+    std::optional<DutyRow> current;
+    Reason reason;
+    if (record && record->version > 0)
+        current = parseDutyRow(record->text, &reason);
+    if (!record || (record->version > 0 && !current)) {
+        logEvent(LogLevel::Warning, "duty.unreadable",
+                 {{"group", group}, {"reason", reason.text()}});
+        m_engine.onClaim(now(), group, std::nullopt, askedAt);
+        return;
+    }
+    const std::optional<DutyRow> claim
+        = cicadagap::claimDuty(current, m_options.host, record->storeNow);
+    if (!claim) {
+        logEvent(LogLevel::Info, "duty.held-elsewhere",
+                 {{"group", group},
+                  {"holder", current->holder},
+                  {"leftMs", (current->until - record->storeNow).count()}});
+        m_engine.onClaim(now(), group, std::nullopt, askedAt);
+        return;
+    }
+    m_platform->writeDuty(group, dutyRowText(*claim), record->version,
+                          [this, group, askedAt, token = claim->fencingToken](Verdict verdict) {
+                              const bool held = verdict == Verdict::Ran;
+                              logEvent(LogLevel::Info, held ? "duty.claimed" : "duty.claim-failed",
+                                       {{"group", group},
+                                        {"fencingToken", static_cast<std::int64_t>(token)},
+                                        {"verdict", VerdictNames.name(verdict)}});
+                              m_engine.onClaim(now(), group,
+                                               held ? std::optional(token) : std::nullopt,
+                                               askedAt + DutyActingTime);
+                          });
+}
+
+void SessionServer::orderPromotion(const std::string &group, const std::string &instance,
+                                   std::uint64_t fencingToken)
+{
+    m_platform->promote(group, instance, fencingToken,
+                        [this, group, instance](PromotionVerdict verdict) {
+                            logEvent(LogLevel::Info, "promotion.answered",
+                                     {{"group", group},
+                                      {"instance", instance},
+                                      {"verdict", PromotionVerdictNames.name(verdict)}});
+                            m_engine.onPromotion(now(), group, verdict);
+                        });
+}
+
+void SessionServer::pollConfiguration(Millis wait)
+{
+    m_platform->configuration(wait, [this](const std::optional<RoutingTable> &table) {
+        setPlatformReachable("configuration", &m_configurationReachable, table.has_value());
+        if (table) {
+            if (table->version > m_engine.configurationVersion())
+                logEvent(LogLevel::Info, "configuration.in-force",
+                         {{"version", static_cast<std::int64_t>(table->version)},
+                          {"databases", static_cast<std::int64_t>(table->databases.size())}});
+            m_engine.onConfiguration(now(), *table);
+            pollConfiguration(ConfigurationWait);
+        } else {
+            m_loop->after(ConfigurationRetry, [this] { pollConfiguration(Millis(0)); });
+        }
+    });
+}
+
+void SessionServer::pollInstances()
+{
+    m_platform->instances([this](const std::optional<std::vector<RegisteredInstance>> &instances) {
+        setPlatformReachable("instances", &m_instancesReachable, instances.has_value());
+        if (instances)
+            m_engine.onInstances(now(), *instances);
+        m_loop->after(instances ? InstanceInterval : InstanceRetry, [this] { pollInstances(); });
+    });
+}
+
+void SessionServer::setPlatformReachable(std::string_view what, bool *reachable, bool now)
+{
+    if (*reachable == now)
+        return;
+    *reachable = now;
+    logEvent(now ? LogLevel::Info : LogLevel::Warning, now ? "platform.regained" : "platform.lost",
+             {{"what", what}});
+}
+
+HttpResponse SessionServer::answerBalancer(const HttpRequest &request)
+{
+    constexpr int Unavailable = 503;
+    if (targetPath(request.target) == "/metrics")
+        return {.body = m_metrics.json()};
+    return {.status = m_engine.ready() ? 200 : Unavailable};
+}
+
+void SessionServer::tick()
+{
+    m_engine.onTick(now());
+    if (!m_stoppingSince)
+        return;
+    const Millis since = now() - *m_stoppingSince;
+    const bool finished = m_callers.empty() && since > LeastStopTime;
+    if (finished || since > m_options.grace - StopMargin)
+        m_loop->stop();
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -0,0 +1,87 @@
+// Runs a SessionEngine on sockets, timers and the platform. One thread: a host has one core, and a
+// statement costs little.
+#pragma once
+
+#include "callersocket.h"
+#include "connection/http.h"
+#include "process/eventloop.h"
+#include "process/metrics.h"
+#include "session/platformlink.h"
+#include "session/sessionengine.h"
+#include "targetsocket.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cicadagap {
+
+class SessionServer : private SessionOutput
+{
+public:
+    struct Options
+    {
+        std::string host;
+        std::string dataCentre;
+        Endpoint callers;
+        Endpoint balancer; // Readiness, and metrics under /metrics.
+        Millis grace = Millis(6000);
+    };
+
+    SessionServer(EventLoop *loop, Options options, const SessionCodec *codec,
+                  PlatformLink *platform);
+
+    bool start(Reason *reason);
+    // Graceful shutdown; stops the loop when it is done.
+    void stop();
+
+private:
+    void openTarget(ConnectionId connection, const RegisteredInstance &instance) override;
+    void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements) override;
+    void closeTarget(ConnectionId connection) override;
+    void answerCaller(SessionId session, const StatementAnswer &answer) override;
+    void closeCaller(SessionId session, Cause cause) override;
+    void noteRequest(const RequestNote &note) override;
+    void claimDuty(const std::string &group) override;
+    void orderPromotion(const std::string &group, const std::string &instance,
+                        std::uint64_t fencingToken) override;
+    void groupChanged(const std::string &group, std::string_view event, const std::string &instance,
+                      std::uint64_t term, const std::string &detail) override;
+
+    void accept();
+    void serve(boost::asio::ip::tcp::socket socket);
+    void handleMessage(SessionId id, CallerMessage message);
+    void pollConfiguration(Millis wait);
+    void pollInstances();
+    void setPlatformReachable(std::string_view what, bool *reachable, bool now);
+    void handleDuty(const std::string &group, Millis askedAt,
+                    const std::optional<DutyRecord> &record);
+    HttpResponse answerBalancer(const HttpRequest &request);
+    void tick();
+    bool mayLog(const RequestNote &note);
+    Millis now() const { return m_clock.now(); }
+
+    EventLoop *m_loop;
+    Options m_options;
+    const SessionCodec *m_codec;
+    PlatformLink *m_platform;
+    BootClock m_clock;
+    Metrics m_metrics;
+    SessionEngine m_engine;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::unique_ptr<HttpServer> m_balancer;
+    std::map<SessionId, std::shared_ptr<CallerSocket>> m_callers;
+    std::map<SessionId, bool> m_greeted; // Whether the session is open in the engine.
+    std::map<ConnectionId, std::shared_ptr<TargetSocket>> m_targets;
+    SessionId m_lastSession = 0;
+    bool m_configurationReachable = true;
+    bool m_instancesReachable = true;
+    std::optional<Millis> m_stoppingSince;
+    int m_logBudget = 0;
+    Millis m_logBudgetAt;
+    std::int64_t m_logDropped = 0;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/programs/cicadagap-sessiond/targetsocket.cpp
@@ -0,0 +1,160 @@
+#include "targetsocket.h"
+
+#include "process/log.h"
+#include "socketoptions.h"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Millis SilenceLimit(2000);
+
+} // namespace
+
+TargetSocket::TargetSocket(asio::io_context *context, const SessionCodec *codec, Handlers handlers)
+    : m_socket(*context)
+    , m_codec(codec)
+    , m_handlers(std::move(handlers))
+    , m_collector(codec)
+{
+}
+
+void TargetSocket::open(const RegisteredInstance &instance)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(instance.endpoint.address, error);
+    m_codec->writeHello(instance, &m_output);
+    if (error) {
+        logEvent(LogLevel::Warning, "instance.address-unreadable",
+                 {{"instance", instance.id}, {"address", instance.endpoint.address}});
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+        return;
+    }
+    m_socket.async_connect(tcp::endpoint(address, instance.endpoint.port),
+                           [self = shared_from_this()](const error_code &failure) {
+                               if (self->m_closed)
+                                   return;
+                               if (failure) {
+                                   self->fail();
+                                   return;
+                               }
+                               setSocketOptions(&self->m_socket, SilenceLimit);
+                               self->write();
+                               self->read();
+                           });
+}
+
+void TargetSocket::send(const std::vector<Statement> &statements)
+{
+    for (const Statement &statement : statements) {
+        m_codec->writeStatement(statement, &m_output);
+        m_sent.push_back(statement.kind);
+    }
+    write();
+}
+
+void TargetSocket::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void TargetSocket::read()
+{
+    m_socket.async_read_some(
+        asio::buffer(m_input),
+        [self = shared_from_this()](const error_code &error, std::size_t length) {
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->fail();
+                return;
+            }
+            self->m_lines.append({self->m_input.data(), length});
+            self->handleInput();
+            if (!self->m_closed)
+                self->read();
+        });
+}
+
+void TargetSocket::handleInput()
+{
+    while (!m_closed) {
+        const std::optional<std::string_view> line = m_lines.next();
+        if (!line)
+            break;
+        Reason reason;
+        std::optional<TargetMessage> message = m_codec->parseTarget(*line, &reason);
+        if (!message) {
+            logEvent(LogLevel::Warning, "instance.line-unreadable", {{"reason", reason.text()}});
+            fail();
+            return;
+        }
+        if (!m_open) {
+            handleOpening(*message);
+            continue;
+        }
+        const StatementKind kind = m_sent.empty() ? StatementKind::Unknown : m_sent.front();
+        if (const auto answer = m_collector.add(std::move(*message), kind)) {
+            if (!m_sent.empty())
+                m_sent.pop_front();
+            m_handlers.answered(*answer);
+        }
+    }
+    if (!m_closed && m_lines.pending() > m_codec->maxLineBytes())
+        fail();
+}
+
+void TargetSocket::handleOpening(const TargetMessage &message)
+{
+    if (message.kind == TargetMessage::Kind::Ready) {
+        m_open = true;
+        m_handlers.opened();
+        return;
+    }
+    m_full = message.cause == Cause::NoConnection;
+    fail();
+}
+
+void TargetSocket::write()
+{
+    if (!m_writing.empty() || m_output.empty() || m_closed)
+        return;
+    m_writing = std::exchange(m_output, {});
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const error_code &error, std::size_t) {
+                          if (self->m_closed)
+                              return;
+                          self->m_writing.clear();
+                          if (error)
+                              self->fail();
+                          else
+                              self->write();
+                      });
+}
+
+void TargetSocket::fail()
+{
+    if (m_closed)
+        return;
+    const auto self = shared_from_this();
+    const bool wasOpen = m_open;
+    close();
+    if (wasOpen)
+        m_handlers.closed();
+    else
+        m_handlers.openFailed(m_full);
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/groupcontrol.h
@@ -0,0 +1,114 @@
+// All groups' control on one host: who leads, what its position was when, and the change of a
+// primary that fails or leaves.
+//
+// Pure and not thread-safe.
+#pragma once
+
+#include "session/leaderbelief.h"
+#include "session/primarychange.h"
+#include "session/routing.h"
+#include "session/targetfleet.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+// Receives what control asks of the platform.
+class ControlOutput
+{
+public:
+    ControlOutput() = default;
+    ControlOutput(const ControlOutput &) = delete;
+    ControlOutput &operator=(const ControlOutput &) = delete;
+    virtual ~ControlOutput() = default;
+
+    // Claim the group's duty; answered by onClaim().
+    virtual void claimDuty(const std::string &group) = 0;
+    // Order a promotion; answered by onPromotion().
+    virtual void orderPromotion(const std::string &group, const std::string &instance,
+                                std::uint64_t fencingToken)
+        = 0;
+    // A change of belief about the group's primary, or of its replacement's stage.
+    virtual void groupChanged(const std::string &group, std::string_view event,
+                              const std::string &instance, std::uint64_t term,
+                              const std::string &detail)
+        = 0;
+};
+
+class GroupControl : private ChangeOutput
+{
+public:
+    GroupControl(ControlOutput *output, std::function<WorkId()> nextWork);
+
+    // Must be called before anything else.
+    void setFleet(TargetFleet *fleet) { m_fleet = fleet; }
+    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                      const RoutingTable &routing);
+    void onTick(Millis now);
+    void onClaim(Millis now, const std::string &group, std::optional<std::uint64_t> fencingToken,
+                 Millis actUntil);
+    void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
+
+    // Evidence from callers' statements.
+    void onLeads(Millis now, const std::string &instance, Millis askedAt, Position position);
+    void onDoesNotLead(Millis now, const std::string &instance);
+    void onAsked(Millis now, const std::string &instance);
+    void onHeard(Millis now, const std::string &instance);
+    void onRefused(Millis now, const std::string &instance);
+    void setOldestWrites(const std::map<std::string, Millis> &byGroup);
+
+    // Control's own work on connections; false if the work is not control's.
+    bool onWorkStarted(Millis now, WorkId work, ConnectionId connection);
+    bool onWorkEnded(WorkId work);
+    bool onWorkAnswer(Millis now, WorkId work, ConnectionId connection, StatementKind kind,
+                      Millis sentAt, const StatementAnswer &answer);
+
+    // The instance to send the group's writes to; empty while unknown.
+    std::string leader(const std::string &group) const;
+    const LeaderBelief *belief(const std::string &group) const;
+    // The instances of a group that accept work, leader included.
+    std::vector<RegisteredInstance> members(const std::string &group) const;
+    const RegisteredInstance *instance(const std::string &id) const;
+
+private:
+    struct Group
+    {
+        LeaderBelief belief;
+        std::unique_ptr<PrimaryChange> change;
+        std::vector<RegisteredInstance> members;
+        int syncReplicas = 1;
+        std::string reportedLeader;
+    };
+
+    struct ControlWork
+    {
+        std::string instance;
+        Statement statement; // A probe if it opens a transaction.
+    };
+
+    void claim(const std::string &group) override;
+    void order(const std::string &instance, const Statement &statement) override;
+    void promote(const std::string &group, const std::string &instance,
+                 std::uint64_t fencingToken) override;
+    void stageChanged(const std::string &group, ChangeStage stage, ChangeCause cause,
+                      const std::string &detail) override;
+    void ask(Millis now, const std::string &instance);
+    void submit(const std::string &instance, const Statement &statement);
+    void reportLeader(const std::string &name, Group *group);
+    Group *groupOf(const std::string &instance);
+
+    ControlOutput *m_output;
+    std::function<WorkId()> m_nextWork;
+    TargetFleet *m_fleet = nullptr;
+    Millis m_now;
+    std::map<std::string, Group, std::less<>> m_groups;
+    std::map<std::string, RegisteredInstance, std::less<>> m_instances;
+    std::map<WorkId, ControlWork> m_works;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/leaderbelief.cpp
@@ -0,0 +1,190 @@
+#include "session/leaderbelief.h"
+
+#include <algorithm>
+
+namespace cicadagap {
+
+namespace {
+
+// Samples cover this many sample intervals, so that any accepted age finds one.
+constexpr std::size_t SampleCount = 128;
+// Refused connections in a row before an instance counts as stopped, and the least time they span:
+// a process that restarts at once is back by then.
+constexpr int RefusalsToStop = 2;
+constexpr Millis RefusalSpan(150);
+// A registered role is not believed for this long after the instance itself denied it.
+constexpr Millis DenialMemory(400);
+
+} // namespace
+
+LeaderBelief::LeaderBelief(Options options)
+    : m_options(options)
+    , m_freshness(SampleCount)
+{
+}
+
+void LeaderBelief::setInstances(Millis now, const std::vector<RegisteredInstance> &instances)
+{
+    std::map<std::string, Seen> seen;
+    for (const RegisteredInstance &instance : instances) {
+        const auto known = m_instances.find(instance.id);
+        const bool same = known != m_instances.end()
+            && known->second.registered.incarnation == instance.incarnation;
+        Seen entry = same ? known->second : Seen{};
+        entry.registered = instance;
+        seen[instance.id] = entry;
+    }
+    m_instances = std::move(seen);
+    if (!m_lostAt && m_leader.empty())
+        m_lostAt = now;
+    adoptHint(now);
+}
+
+void LeaderBelief::onTick(Millis now)
+{
+    const bool stoodStill = m_lastTick && now - *m_lastTick > m_options.gapLimit;
+    m_lastTick = now;
+    if (!stoodStill)
+        return;
+    for (auto &row : m_instances) {
+        if (row.second.askedSince)
+            row.second.askedSince = now;
+    }
+    if (m_lostAt)
+        m_lostAt = now;
+    if (m_oldestWrite)
+        m_oldestWrite = now;
+}
+
+void LeaderBelief::onLeads(Millis now, const std::string &instance, Millis askedAt,
+                           Position position)
+{
+    if (position.term < m_term)
+        return;
+    m_leader = instance;
+    m_lastLeader = instance;
+    m_term = position.term;
+    m_confirmedAt = now;
+    m_lostAt.reset();
+    if (now - m_lastSample >= m_options.sampleInterval) {
+        m_lastSample = now;
+        m_freshness.addSample(askedAt, position);
+    }
+}
+
+void LeaderBelief::onDoesNotLead(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found != m_instances.end())
+        found->second.refusedLead = now;
+    if (instance == m_leader)
+        lose(now);
+}
+
+void LeaderBelief::onAsked(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    found->second.lastAsked = now;
+    if (!found->second.askedSince)
+        found->second.askedSince = now;
+}
+
+void LeaderBelief::onHeard(const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    found->second.askedSince.reset();
+    found->second.refusals = 0;
+}
+
+void LeaderBelief::onRefused(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    if (found->second.refusals++ == 0)
+        found->second.firstRefusal = now;
+}
+
+bool LeaderBelief::confirmed(Millis now) const
+{
+    return !m_leader.empty() && now - m_confirmedAt < m_options.silenceLimit;
+}
+
+std::vector<std::string> LeaderBelief::toAsk(Millis now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, entry] : m_instances) {
+        if (m_leader.empty() && now - entry.lastAsked >= m_options.searchInterval)
+            ids.push_back(id);
+        if (id == m_leader && now - m_confirmedAt >= m_options.probeInterval
+            && now - entry.lastAsked >= m_options.probeInterval)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+bool LeaderBelief::silentFor(Millis now, const std::string &instance, Millis limit) const
+{
+    const auto found = m_instances.find(instance);
+    return found != m_instances.end() && found->second.askedSince
+        && now - *found->second.askedSince > limit;
+}
+
+ChangeCause LeaderBelief::cause(Millis now) const
+{
+    if (m_instances.empty())
+        return ChangeCause::None;
+    if (unreachable(now))
+        return ChangeCause::Unreachable;
+    if (m_leader.empty())
+        return ChangeCause::None;
+    const auto found = m_instances.find(m_leader);
+    const bool leaving = found != m_instances.end() && found->second.registered.leaving;
+    if (leaving)
+        return ChangeCause::Leaving;
+    if (m_oldestWrite && now - *m_oldestWrite > m_options.stallLimit && confirmed(now))
+        return ChangeCause::Stalled;
+    return ChangeCause::None;
+}
+
+bool LeaderBelief::unreachable(Millis now) const
+{
+    if (m_lostAt && now - *m_lostAt > m_options.searchLimit)
+        return true;
+    if (m_leader.empty())
+        return false;
+    const auto found = m_instances.find(m_leader);
+    if (found == m_instances.end())
+        return true;
+    const Seen &seen = found->second;
+    if (seen.refusals >= RefusalsToStop && now - seen.firstRefusal >= RefusalSpan)
+        return true;
+    return seen.askedSince && now - *seen.askedSince > m_options.silenceLimit;
+}
+
+void LeaderBelief::lose(Millis now)
+{
+    m_leader.clear();
+    if (!m_lostAt)
+        m_lostAt = now;
+    adoptHint(now);
+}
+
+void LeaderBelief::adoptHint(Millis now)
+{
+    if (!m_leader.empty())
+        return;
+    for (const auto &[id, entry] : m_instances) {
+        if (entry.registered.saysPrimary && now - entry.refusedLead > DenialMemory) {
+            m_leader = id;
+            m_lastLeader = id;
+            return;
+        }
+    }
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/leaderbelief.h
@@ -0,0 +1,103 @@
+// What a host believes about one group: which instance leads, since when it is silent, and where
+// the primary's log was at which time.
+//
+// Only an instance's own acceptance of a transaction that may write proves that it leads; a
+// registered role is a hint. Silence counts only while a question is open, and only after the host
+// itself was running all the while.
+//
+// Pure and not thread-safe.
+#pragma once
+
+#include "base/millis.h"
+#include "base/position.h"
+#include "connection/confirmation.h"
+#include "session/primarychange.h"
+#include "session/registry.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+class LeaderBelief
+{
+public:
+    struct Options
+    {
+        Millis probeInterval = Millis(200); // Between proofs that the primary leads.
+        Millis searchInterval = Millis(60); // Between questions to an instance that may lead.
+        Millis silenceLimit = Millis(900);  // Of open questions, before the primary is replaced.
+        Millis searchLimit = Millis(1200);  // Without any leader, before one is chosen.
+        Millis stallLimit = Millis(1500);   // Of a write, before its replicas are let go.
+        Millis sampleInterval = Millis(50); // Between samples of the primary's position.
+        Millis gapLimit = Millis(300); // Between ticks; a longer gap means that we stood still.
+    };
+
+    LeaderBelief()
+        : LeaderBelief(Options{})
+    {
+    }
+    explicit LeaderBelief(Options options);
+
+    // The group's registered instances.
+    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances);
+    void onTick(Millis now);
+    // The instance accepted or acknowledged something that only a primary does. `askedAt` is when
+    // the question was sent.
+    void onLeads(Millis now, const std::string &instance, Millis askedAt, Position position);
+    void onDoesNotLead(Millis now, const std::string &instance);
+    // A question was sent or a connection is being opened.
+    void onAsked(Millis now, const std::string &instance);
+    // Anything arrived from the instance.
+    void onHeard(const std::string &instance);
+    // The instance refused a connection or closed one.
+    void onRefused(Millis now, const std::string &instance);
+    // A write has waited at the primary since `since`; nothing if none waits.
+    void setOldestWrite(std::optional<Millis> since) { m_oldestWrite = since; }
+
+    // The instance to send writes to; empty while unknown.
+    const std::string &leader() const { return m_leader; }
+    // Whether the leader's own word was heard recently.
+    bool confirmed(Millis now) const;
+    std::uint64_t term() const { return m_term; }
+    // The last known leader, also after it was lost.
+    const std::string &lastLeader() const { return m_lastLeader; }
+    // The instances to ask now whether they lead.
+    std::vector<std::string> toAsk(Millis now) const;
+    // Whether the instance has left a question unanswered for that long.
+    bool silentFor(Millis now, const std::string &instance, Millis limit) const;
+    // What is held against the primary now.
+    ChangeCause cause(Millis now) const;
+    const Freshness &freshness() const { return m_freshness; }
+
+private:
+    struct Seen
+    {
+        RegisteredInstance registered;
+        std::optional<Millis> askedSince; // Oldest open question.
+        Millis lastAsked = Millis(-1'000'000);
+        Millis refusedLead = Millis(-1'000'000);
+        int refusals = 0; // Connections refused in a row.
+        Millis firstRefusal;
+    };
+
+    void lose(Millis now);
+    void adoptHint(Millis now);
+    bool unreachable(Millis now) const;
+
+    Options m_options;
+    std::map<std::string, Seen> m_instances;
+    std::string m_leader;
+    std::string m_lastLeader;
+    std::uint64_t m_term = 0;
+    Millis m_confirmedAt = Millis(-1'000'000);
+    std::optional<Millis> m_lostAt;
+    std::optional<Millis> m_oldestWrite;
+    std::optional<Millis> m_lastTick;
+    Millis m_lastSample = Millis(-1'000'000);
+    Freshness m_freshness;
+};
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/primarychange.cpp
@@ -0,0 +1,346 @@
+#include "session/primarychange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr Millis ClaimTimeout(3000);    // For the store's answers to the claim.
+constexpr Millis ResendInterval(300);   // Between repeated orders to an instance that is silent.
+constexpr Millis CatchUpInterval(60);   // Between status queries to a heir that is behind.
+constexpr Millis PromotionResend(400);  // Between repeated promotions that were not answered.
+constexpr Millis ConfirmTimeout(3000);  // From an accepted order to the new primary's lead.
+constexpr Millis RetryAfter(600);       // After an attempt that failed.
+constexpr Millis RetryAfterClaim(400);  // After a claim that another host holds.
+constexpr Millis RetryAfterFence(5000); // The other host's lease has to end first.
+// An instance that vanished without notice may come back with its log for this long.
+constexpr Millis VanishedMemory(60'000);
+
+} // namespace
+
+PrimaryChange::PrimaryChange(std::string group, ChangeOutput *output)
+    : m_group(std::move(group))
+    , m_output(output)
+{
+}
+
+void PrimaryChange::onTick(Millis now, ChangeCause cause, const GroupKnowledge &knowledge)
+{
+    m_knowledge = knowledge;
+    remember(now, knowledge.instances);
+    switch (m_stage) {
+    case ChangeStage::Idle:
+        if (cause != ChangeCause::None && now >= m_retryAt)
+            begin(now, cause);
+        return;
+    case ChangeStage::Claiming:
+        if (now - m_stageSince > ClaimTimeout)
+            abandon(now, "the store did not answer the claim");
+        return;
+    case ChangeStage::Sealing:
+        if (now >= m_actUntil) {
+            abandon(now, "too few instances were sealed in time");
+            return;
+        }
+        if (cause == ChangeCause::None) {
+            abandon(now, "the primary is well again");
+            return;
+        }
+        sendSeals(now);
+        tryToOrder(now);
+        return;
+    case ChangeStage::Ordering:
+        if (now >= m_actUntil)
+            abandon(now, "the platform did not answer the order");
+        else if (now >= m_nextSend)
+            sendPromotion(now);
+        return;
+    case ChangeStage::Confirming:
+        if (now - m_stageSince > ConfirmTimeout)
+            abandon(now, "the promoted instance does not lead");
+        return;
+    }
+}
+
+void PrimaryChange::onClaim(Millis now, std::optional<std::uint64_t> fencingToken, Millis actUntil)
+{
+    if (m_stage != ChangeStage::Claiming)
+        return;
+    if (!fencingToken || now >= actUntil) {
+        enter(now, ChangeStage::Idle, fencingToken ? "the claim came too late" : "not granted");
+        m_retryAt = now + RetryAfterClaim;
+        return;
+    }
+    m_token = *fencingToken;
+    m_actUntil = actUntil;
+    m_sealed.clear();
+    m_heir.clear();
+    m_heirPosition.reset();
+    m_oldPrimary = m_knowledge.primary;
+    m_sealTerm = std::max(m_sealTerm, m_knowledge.term) + 1;
+    m_nextSend = now;
+    enter(now, ChangeStage::Sealing, "token " + std::to_string(m_token));
+    sendSeals(now);
+}
+
+void PrimaryChange::onStatus(Millis now, const std::string &instance, StatementKind order,
+                             const InstanceStatus &status)
+{
+    m_sealTerm = std::max(m_sealTerm, status.term + 1);
+    if (order == StatementKind::Resume) {
+        m_toResume.erase(instance);
+        return;
+    }
+    if (m_stage != ChangeStage::Sealing)
+        return;
+    if (order == StatementKind::Status) {
+        if (instance == m_heir)
+            m_heirPosition = status.received;
+    } else if (status.heldTerm > 0 || (order == StatementKind::StepDown && !status.primary)) {
+        m_sealed[instance] = status;
+    }
+    tryToOrder(now);
+}
+
+void PrimaryChange::onPromotion(Millis now, PromotionVerdict verdict)
+{
+    if (m_stage != ChangeStage::Ordering)
+        return;
+    const std::string detail = m_heir + " " + std::string(PromotionVerdictNames.name(verdict));
+    switch (verdict) {
+    case PromotionVerdict::Accepted:
+        enter(now, ChangeStage::Confirming, detail);
+        return;
+    case PromotionVerdict::Fenced:
+        // Another host has the duty now, and the sealed instances with it.
+        m_toResume.clear();
+        abandon(now, detail);
+        m_retryAt = now + RetryAfterFence;
+        return;
+    case PromotionVerdict::NotRunning:
+        abandon(now, detail);
+        return;
+    case PromotionVerdict::Unknown:
+    case PromotionVerdict::NotDone:
+        m_nextSend = now + PromotionResend;
+        return;
+    }
+}
+
+void PrimaryChange::onLeader(Millis now, const std::string &instance, std::uint64_t term)
+{
+    const bool ours = instance == m_heir;
+    if (m_stage == ChangeStage::Confirming && ours) {
+        enter(now, ChangeStage::Idle, instance + " leads term " + std::to_string(term));
+        m_toResume.erase(instance);
+        resumeSealed();
+    } else if (m_stage == ChangeStage::Ordering && ours) {
+        onPromotion(now, PromotionVerdict::Accepted);
+        onLeader(now, instance, term);
+    }
+}
+
+void PrimaryChange::enter(Millis now, ChangeStage stage, const std::string &detail)
+{
+    m_stage = stage;
+    m_stageSince = now;
+    m_output->stageChanged(m_group, stage, m_cause, detail);
+}
+
+void PrimaryChange::begin(Millis now, ChangeCause cause)
+{
+    m_cause = cause;
+    enter(now, ChangeStage::Claiming, m_knowledge.primary);
+    m_output->claim(m_group);
+}
+
+void PrimaryChange::abandon(Millis now, const std::string &reason)
+{
+    enter(now, ChangeStage::Idle, reason);
+    m_retryAt = now + RetryAfter;
+    resumeSealed();
+}
+
+// Instances that vanish without having announced it count until their log cannot come back.
+void PrimaryChange::remember(Millis now, const std::vector<RegisteredInstance> &instances)
+{
+    std::map<std::string, RegisteredInstance> present;
+    for (const RegisteredInstance &instance : instances) {
+        present[instance.id] = instance;
+        m_vanished.erase(instance.id);
+    }
+    for (const auto &[id, instance] : m_present) {
+        if (!present.contains(id) && !instance.leaving)
+            m_vanished[id] = now;
+    }
+    std::erase_if(m_vanished, [now](const auto &row) { return now - row.second > VanishedMemory; });
+    m_present = std::move(present);
+}
+
+std::set<std::string> PrimaryChange::participants() const
+{
+    std::set<std::string> ids;
+    for (const auto &row : m_present)
+        ids.insert(row.first);
+    for (const auto &row : m_vanished)
+        ids.insert(row.first);
+    return ids;
+}
+
+// Any set of that many sealed instances holds at least one copy of each acknowledged commit.
+std::size_t PrimaryChange::sealsNeeded() const
+{
+    const auto sync = static_cast<std::size_t>(m_knowledge.syncReplicas);
+    const std::size_t all = participants().size();
+    return std::max(all > sync ? all - sync : 0, sync + 1);
+}
+
+void PrimaryChange::sendSeals(Millis now)
+{
+    if (now < m_nextSend)
+        return;
+    m_nextSend = now + ResendInterval;
+    switch (m_cause) {
+    case ChangeCause::Unreachable:
+        sealFailing();
+        return;
+    case ChangeCause::Leaving:
+        sealLeaving();
+        m_nextSend = now + CatchUpInterval;
+        return;
+    case ChangeCause::Stalled:
+        finishStalled(now);
+        return;
+    case ChangeCause::None:
+        return;
+    }
+}
+
+void PrimaryChange::sealFailing()
+{
+    const std::string term = std::to_string(m_sealTerm);
+    for (const std::string &id : participants()) {
+        if (m_sealed.contains(id) || !registered(id))
+            continue;
+        const bool leads = id == m_oldPrimary;
+        if (!leads)
+            m_toResume.insert(id);
+        m_output->order(
+            id, {.kind = leads ? StatementKind::StepDown : StatementKind::Pause, .argument = term});
+    }
+}
+
+// All replicas but the heir stop receiving; with one synchronous replica the primary then
+// acknowledges only what the heir has received.
+void PrimaryChange::sealLeaving()
+{
+    chooseHeir();
+    if (m_heir.empty())
+        return;
+    for (const auto &row : m_present) {
+        if (row.first == m_heir || row.first == m_oldPrimary || m_sealed.contains(row.first))
+            continue;
+        m_toResume.insert(row.first);
+        m_output->order(row.first,
+                        {.kind = StatementKind::Pause, .argument = std::to_string(m_sealTerm)});
+    }
+    m_output->order(m_heir, {.kind = StatementKind::Status});
+}
+
+// Replicas that an earlier attempt left sealed are let go.
+void PrimaryChange::finishStalled(Millis now)
+{
+    for (const auto &row : m_present) {
+        if (row.first != m_oldPrimary)
+            m_toResume.insert(row.first);
+    }
+    abandon(now, "released the replicas of a stalled primary");
+}
+
+void PrimaryChange::chooseHeir()
+{
+    if (!m_heir.empty() && usableAsHeir(m_heir))
+        return;
+    m_heir.clear();
+    m_heirPosition.reset();
+    for (const auto &row : m_present) {
+        if (row.first != m_oldPrimary && usableAsHeir(row.first)) {
+            m_heir = row.first;
+            m_sealed.erase(m_heir);
+            return;
+        }
+    }
+}
+
+bool PrimaryChange::usableAsHeir(const std::string &instance) const
+{
+    const auto found = m_present.find(instance);
+    return found != m_present.end() && !found->second.leaving;
+}
+
+bool PrimaryChange::registered(const std::string &instance) const
+{
+    return m_present.contains(instance);
+}
+
+// The sealed instance with the highest position; among equals one that stays.
+std::string PrimaryChange::bestSealed() const
+{
+    std::string best;
+    Position highest;
+    for (const auto &[id, status] : m_sealed) {
+        const bool better = best.empty() || status.received > highest
+            || (status.received == highest && usableAsHeir(id) && !usableAsHeir(best));
+        if (better) {
+            best = id;
+            highest = status.received;
+        }
+    }
+    return best;
+}
+
+bool PrimaryChange::heirHasAll() const
+{
+    if (!m_heirPosition)
+        return false;
+    return std::all_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
+        return m_heirPosition->covers(row.second.received);
+    });
+}
+
+void PrimaryChange::tryToOrder(Millis now)
+{
+    if (m_stage != ChangeStage::Sealing)
+        return;
+    if (m_cause == ChangeCause::Leaving) {
+        const std::size_t others = m_present.size() - (m_present.contains(m_oldPrimary) ? 1 : 0)
+            - (m_present.contains(m_heir) ? 1 : 0);
+        if (m_heir.empty() || m_sealed.size() < others || !heirHasAll())
+            return;
+    } else {
+        if (m_sealed.size() < sealsNeeded())
+            return;
+        m_heir = bestSealed();
+    }
+    enter(now, ChangeStage::Ordering, m_heir);
+    sendPromotion(now);
+}
+
+void PrimaryChange::sendPromotion(Millis now)
+{
+    m_nextSend = now + ClaimTimeout;
+    m_output->promote(m_group, m_heir, m_token);
+}
+
+void PrimaryChange::resumeSealed()
+{
+    const std::set<std::string> waiting = std::exchange(m_toResume, {});
+    for (const std::string &id : waiting) {
+        if (registered(id))
+            m_output->order(id, {.kind = StatementKind::Resume});
+    }
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/sessioncodec.cpp
@@ -0,0 +1,56 @@
+#include "session/sessioncodec.h"
+
+#include <utility>
+
+namespace cicadagap {
+
+std::optional<StatementAnswer> AnswerCollector::add(TargetMessage message, StatementKind kind)
+{
+    switch (message.kind) {
+    case TargetMessage::Kind::Row:
+        m_answer.rows.push_back(std::move(message.text));
+        return std::nullopt;
+    case TargetMessage::Kind::Complete:
+        m_answer.signature = std::move(message.text);
+        m_ended = true;
+        return std::nullopt;
+    case TargetMessage::Kind::Error:
+        m_answer.cause = message.cause;
+        m_answer.detail = std::move(message.text);
+        m_ended = true;
+        return std::nullopt;
+    case TargetMessage::Kind::Ready:
+        break;
+    }
+    if (!m_ended)
+        m_answer.cause = Cause::ConnectionLost;
+    m_ended = false;
+    m_answer.phase = message.phase;
+    m_answer.position = message.position;
+    const bool describesItself = kind == StatementKind::Status || kind == StatementKind::Pause
+        || kind == StatementKind::Resume || kind == StatementKind::StepDown;
+    if (describesItself && !m_answer.rows.empty())
+        m_answer.status = m_codec->parseStatus(m_answer.rows.front(), nullptr);
+    return std::exchange(m_answer, {});
+}
+
+void LineBuffer::append(std::string_view bytes)
+{
+    if (m_start > 0) {
+        m_bytes.erase(0, m_start);
+        m_start = 0;
+    }
+    m_bytes.append(bytes);
+}
+
+std::optional<std::string_view> LineBuffer::next()
+{
+    const std::size_t end = m_bytes.find("\r\n", m_start);
+    if (end == std::string::npos)
+        return std::nullopt;
+    const std::string_view line(m_bytes.data() + m_start, end - m_start);
+    m_start = end + 2;
+    return line;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/sessionengine.cpp
@@ -0,0 +1,832 @@
+#include "session/sessionengine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+// Assumed distance to an instance that has not answered yet, by place.
+constexpr Millis NearRoundTrip(2);
+constexpr Millis FarRoundTrip(25);
+// A sample this much younger than required is asked for, at most.
+constexpr Millis MaxSampleMargin(20);
+// An instance that leaves a question open for this long gets no reads, and those it has are moved.
+constexpr Millis SilentReadLimit(500);
+
+bool isForwarded(StatementKind kind)
+{
+    return kind == StatementKind::Read || kind == StatementKind::Write
+        || kind == StatementKind::Execute || kind == StatementKind::Commit;
+}
+
+} // namespace
+
+SessionEngine::SessionEngine(Options options, SessionOutput *output)
+    : m_options(std::move(options))
+    , m_output(output)
+    , m_control(output, [this] { return nextWork(); })
+    , m_fleet(m_options.fleet, output, this)
+{
+    m_control.setFleet(&m_fleet);
+}
+
+void SessionEngine::onConfiguration(Millis now, const RoutingTable &routing)
+{
+    if (routing.version <= m_routing.version)
+        return;
+    m_routing = routing;
+    applyInstances(now);
+    m_fleet.flush();
+}
+
+void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances)
+{
+    m_instancesKnown = true;
+    std::set<std::string> listed;
+    for (const RegisteredInstance &instance : instances) {
+        listed.insert(instance.id);
+        m_instances[instance.id] = instance;
+        m_missingSince.erase(instance.id);
+    }
+    for (auto it = m_instances.begin(); it != m_instances.end();) {
+        if (listed.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        const Millis since = m_missingSince.emplace(it->first, now).first->second;
+        if (now - since > m_options.missingGrace)
+            it->second.leaving = true;
+        if (now - since > m_options.missingRemoval) {
+            m_missingSince.erase(it->first);
+            it = m_instances.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    applyInstances(now);
+    m_fleet.flush();
+}
+
+void SessionEngine::applyInstances(Millis now)
+{
+    std::vector<RegisteredInstance> usable;
+    std::set<std::string> ids;
+    for (const auto &[id, instance] : m_instances) {
+        if (!m_routing.groups.contains(instance.group))
+            continue;
+        usable.push_back(instance);
+        ids.insert(id);
+    }
+    m_control.setInstances(now, usable, m_routing);
+    for (const RegisteredInstance &instance : usable)
+        m_fleet.setInstance(now, instance, m_routing.groups.at(instance.group).maxConnections,
+                            /*keepOpen=*/!instance.leaving);
+    for (const std::string &id : m_fleet.instances()) {
+        if (!ids.contains(id))
+            m_fleet.removeInstance(now, id);
+    }
+}
+
+Cause SessionEngine::onConnect(Millis now, SessionId session, const std::string &database)
+{
+    static_cast<void>(now);
+    if (!route(database))
+        return Cause::UnknownDatabase;
+    m_sessions[session].database = database;
+    return Cause::None;
+}
+
+void SessionEngine::onStatement(Millis now, SessionId id, Statement statement)
+{
+    Session *session = find(id);
+    if (!session)
+        return;
+    if (session->operation)
+        session->pending.push_back(std::move(statement));
+    else
+        startStatement(now, id, session, std::move(statement));
+    m_fleet.flush();
+}
+
+void SessionEngine::onCallerClosed(Millis now, SessionId id)
+{
+    Session *session = find(id);
+    if (!session)
+        return;
+    if (session->operation) {
+        const Operation &operation = *session->operation;
+        note(now, "request.caller-left", id, *session, Cause::ConnectionLost);
+        if (operation.connection != 0)
+            m_fleet.discard(now, operation.connection);
+        else
+            m_fleet.cancel(operation.work);
+        m_works.erase(operation.work);
+        if (session->transaction && session->transaction->connection == operation.connection)
+            session->transaction->connection = 0;
+    }
+    if (session->transaction)
+        endTransaction(now, session, /*rollBackFirst=*/true);
+    m_active.erase(id);
+    m_sessions.erase(id);
+    m_fleet.flush();
+}
+
+void SessionEngine::onTargetOpened(Millis now, ConnectionId connection)
+{
+    m_fleet.onOpened(now, connection);
+    m_fleet.flush();
+}
+
+void SessionEngine::onTargetOpenFailed(Millis now, ConnectionId connection, bool full)
+{
+    m_fleet.onOpenFailed(now, connection, full);
+    m_fleet.flush();
+}
+
+void SessionEngine::onTargetAnswer(Millis now, ConnectionId connection,
+                                   const StatementAnswer &answer)
+{
+    m_fleet.onAnswer(now, connection, answer);
+    m_fleet.flush();
+}
+
+void SessionEngine::onTargetClosed(Millis now, ConnectionId connection)
+{
+    m_fleet.onClosed(now, connection);
+    m_fleet.flush();
+}
+
+void SessionEngine::onClaim(Millis now, const std::string &group,
+                            std::optional<std::uint64_t> fencingToken, Millis actUntil)
+{
+    m_control.onClaim(now, group, fencingToken, actUntil);
+    m_fleet.flush();
+}
+
+void SessionEngine::onPromotion(Millis now, const std::string &group, PromotionVerdict verdict)
+{
+    m_control.onPromotion(now, group, verdict);
+    m_fleet.flush();
+}
+
+void SessionEngine::onTick(Millis now)
+{
+    m_fleet.onTick(now);
+    const std::set<SessionId> active = m_active;
+    std::map<std::string, Millis> oldestWrites;
+    for (const SessionId id : active) {
+        Session *session = find(id);
+        if (!session)
+            continue;
+        checkSession(now, id, session);
+        session = find(id);
+        if (!session || !session->operation)
+            continue;
+        const Operation &operation = *session->operation;
+        if (operation.writes && operation.stage == Stage::Running) {
+            Millis &oldest
+                = oldestWrites.emplace(operation.route.group, operation.startedAt).first->second;
+            oldest = std::min(oldest, operation.startedAt);
+        }
+    }
+    m_control.setOldestWrites(oldestWrites);
+    m_control.onTick(now);
+    breakSilent(now);
+    if (m_drainingSince)
+        checkDrain(now);
+    m_fleet.flush();
+}
+
+void SessionEngine::drain(Millis now)
+{
+    if (!m_drainingSince)
+        m_drainingSince = now;
+}
+
+bool SessionEngine::ready() const
+{
+    return m_routing.version > 0 && m_instancesKnown && !m_drainingSince;
+}
+
+void SessionEngine::startStatement(Millis now, SessionId id, Session *session, Statement statement)
+{
+    const StatementKind kind = statement.kind;
+    if (session->phase == SessionPhase::FailedTransaction) {
+        if (kind == StatementKind::Rollback || kind == StatementKind::Commit) {
+            endTransaction(now, session, /*rollBackFirst=*/true);
+            answerLocally(now, id, session,
+                          kind == StatementKind::Commit ? Cause::Aborted : Cause::None);
+        } else {
+            answerLocally(now, id, session, Cause::Invalid);
+        }
+        return;
+    }
+    if (kind == StatementKind::Begin || kind == StatementKind::BeginReadOnly)
+        beginTransaction(now, id, session, statement);
+    else if (kind == StatementKind::Rollback)
+        rollBack(now, id, session);
+    else if (isForwarded(kind))
+        startForwarded(now, id, session, std::move(statement));
+    else
+        answerLocally(now, id, session, session->state.apply(statement));
+}
+
+void SessionEngine::beginTransaction(Millis now, SessionId id, Session *session,
+                                     const Statement &statement)
+{
+    if (session->transaction) {
+        answerLocally(now, id, session, Cause::Invalid);
+        return;
+    }
+    const DatabaseRoute *found = route(session->database);
+    if (!found) {
+        answerLocally(now, id, session, Cause::UnknownDatabase);
+        return;
+    }
+    session->transaction = Transaction{.route = *found,
+                                       .readOnly = statement.kind == StatementKind::BeginReadOnly,
+                                       .lastUsed = now};
+    session->phase = SessionPhase::Transaction;
+    m_active.insert(id);
+    answerLocally(now, id, session, Cause::None);
+}
+
+void SessionEngine::rollBack(Millis now, SessionId id, Session *session)
+{
+    if (!session->transaction) {
+        answerLocally(now, id, session, Cause::Invalid);
+        return;
+    }
+    endTransaction(now, session, /*rollBackFirst=*/true);
+    answerLocally(now, id, session, Cause::None);
+}
+
+// Reads, writes and commits.
+void SessionEngine::startForwarded(Millis now, SessionId id, Session *session, Statement statement)
+{
+    const bool inTransaction = session->transaction.has_value();
+    const StatementKind kind = statement.kind;
+    if (kind == StatementKind::Commit && !inTransaction) {
+        answerLocally(now, id, session, Cause::Invalid);
+        return;
+    }
+    Operation operation{.arrived = now};
+    if (kind == StatementKind::Execute) {
+        const auto prepared = session->state.prepared.find(statement.name);
+        if (prepared == session->state.prepared.end()) {
+            answerLocally(now, id, session, Cause::UnknownName);
+            return;
+        }
+        operation.prepared = prepared->second;
+        operation.writes = prepared->second.writes;
+        statement.name = prepared->second.sharedName();
+    } else {
+        operation.writes = kind == StatementKind::Write;
+    }
+    const DatabaseRoute *found
+        = inTransaction ? &session->transaction->route : route(session->database);
+    if (!found) {
+        answerLocally(now, id, session, Cause::UnknownDatabase);
+        return;
+    }
+    operation.route = *found;
+    const bool strict = found->consistency == Consistency::Primary;
+    const bool mayWrite = inTransaction ? !session->transaction->readOnly : operation.writes;
+    operation.needsPrimary = strict || mayWrite;
+    operation.wrapped = !inTransaction && strict && !operation.writes;
+    if (kind == StatementKind::Commit)
+        operation.writes = session->transaction->wrote;
+    operation.statement = std::move(statement);
+    operation.giveUpAt
+        = now + std::max(found->objective * m_options.patienceObjectives, m_options.minPatience);
+    session->operation = std::move(operation);
+    m_active.insert(id);
+    dispatch(now, id, session);
+}
+
+// Finds an instance for the operation, or lets it wait for a primary.
+void SessionEngine::dispatch(Millis now, SessionId id, Session *session)
+{
+    Operation &operation = *session->operation;
+    if (session->transaction && session->transaction->lost) {
+        refuse(now, id, session, Cause::Aborted);
+        return;
+    }
+    if (session->transaction && session->transaction->connection != 0) {
+        runInTransaction(now, session);
+        return;
+    }
+    operation.instance = chooseInstance(now, *session, &operation);
+    if (operation.instance.empty()) {
+        operation.stage = Stage::Waiting;
+        return;
+    }
+    const Millis wait = m_fleet.expectedWait(operation.instance, operation.route.priority);
+    if (now + wait > operation.giveUpAt) {
+        refuse(now, id, session, Cause::Overloaded);
+        return;
+    }
+    operation.stage = Stage::Queued;
+    operation.work = nextWork();
+    m_works[operation.work] = id;
+    TargetWork work{.id = operation.work,
+                    .priority = operation.route.priority,
+                    .giveUpAt = operation.giveUpAt,
+                    .values = &session->state.values,
+                    .prepared = operation.prepared};
+    if (!m_fleet.submit(now, operation.instance, std::move(work))) {
+        m_works.erase(operation.work);
+        refuse(now, id, session, Cause::Overloaded);
+    }
+}
+
+// The transaction holds its connection already.
+void SessionEngine::runInTransaction(Millis now, Session *session)
+{
+    Operation &operation = *session->operation;
+    operation.connection = session->transaction->connection;
+    operation.work = session->transaction->work;
+    operation.instance = session->transaction->instance;
+    const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
+    m_fleet.restore(now, operation.connection, session->state.values, prepared);
+    sendOperation(now, session);
+}
+
+// The instance that is expected to answer soonest among those that may; empty if none is known.
+std::string SessionEngine::chooseInstance(Millis now, const Session &session,
+                                          Operation *operation) const
+{
+    const std::string leader = m_control.leader(operation->route.group);
+    operation->statement.after.reset();
+    if (operation->needsPrimary)
+        return leader;
+    const std::optional<Position> required = requiredPosition(session, *operation);
+    std::string best;
+    Millis lowest;
+    const LeaderBelief *belief = m_control.belief(operation->route.group);
+    if (required && belief) {
+        for (const RegisteredInstance &member : m_control.members(operation->route.group)) {
+            const bool silent = belief->silentFor(now, member.id, operation->route.objective / 2);
+            if (member.leaving || silent || operation->avoid.contains(member.id))
+                continue;
+            Millis distance = m_fleet.roundTrip(member.id);
+            const bool near = member.dataCentre == m_options.dataCentre;
+            if (distance == Millis(0))
+                distance = near ? NearRoundTrip : FarRoundTrip;
+            const Millis cost
+                = distance + m_fleet.expectedWait(member.id, operation->route.priority);
+            if (best.empty() || cost < lowest) {
+                best = member.id;
+                lowest = cost;
+            }
+        }
+    }
+    if (!best.empty()) {
+        operation->statement.after = required;
+        operation->wrapped = false;
+        return best;
+    }
+    // No replica is known to be recent enough: the primary itself always is.
+    operation->wrapped = !session.transaction;
+    return leader;
+}
+
+// What a replica's log must hold for the read; nothing if no recent sample tells.
+std::optional<Position> SessionEngine::requiredPosition(const Session &session,
+                                                        const Operation &operation) const
+{
+    const LeaderBelief *belief = m_control.belief(operation.route.group);
+    if (!belief)
+        return std::nullopt;
+    const Millis margin = std::min(MaxSampleMargin, operation.route.maxAge / 10);
+    std::optional<Position> position
+        = belief->freshness().coveringSince(operation.arrived - operation.route.maxAge + margin);
+    if (position && operation.route.consistency == Consistency::OwnWrites)
+        position = std::max(*position, session.state.lastCommit);
+    return position;
+}
+
+void SessionEngine::onWorkStarted(Millis now, WorkId work, ConnectionId connection)
+{
+    if (m_control.onWorkStarted(now, work, connection))
+        return;
+    const auto found = m_works.find(work);
+    Session *session = found == m_works.end() ? nullptr : find(found->second);
+    if (!session || !session->operation || session->operation->work != work) {
+        m_fleet.release(now, connection);
+        return;
+    }
+    Operation &operation = *session->operation;
+    operation.connection = connection;
+    ++operation.attempts;
+    const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
+    m_fleet.restore(now, connection, session->state.values, prepared);
+    if (!session->transaction && !operation.wrapped) {
+        sendOperation(now, session);
+        return;
+    }
+    Statement opening{.kind = StatementKind::Begin, .after = operation.statement.after};
+    if (session->transaction && !operation.needsPrimary && operation.statement.after)
+        opening.kind = StatementKind::BeginReadOnly;
+    operation.statement.after.reset();
+    operation.stage = Stage::Opening;
+    operation.startedAt = now;
+    m_fleet.send(now, connection, SendPurpose::OpenTransaction, std::move(opening));
+}
+
+void SessionEngine::sendOperation(Millis now, Session *session)
+{
+    Operation &operation = *session->operation;
+    operation.stage = Stage::Running;
+    operation.startedAt = now;
+    if (session->transaction) {
+        session->transaction->lastUsed = now;
+        session->transaction->wrote = session->transaction->wrote || operation.writes;
+    }
+    m_control.onAsked(now, operation.instance);
+    m_fleet.send(now, operation.connection, SendPurpose::Work, operation.statement);
+    if (operation.wrapped)
+        m_fleet.send(now, operation.connection, SendPurpose::CloseTransaction,
+                     {.kind = StatementKind::Rollback});
+}
+
+void SessionEngine::onWorkRefused(Millis now, WorkId work, Cause cause)
+{
+    if (m_control.onWorkEnded(work))
+        return;
+    const auto found = m_works.find(work);
+    if (found == m_works.end())
+        return;
+    const SessionId id = found->second;
+    m_works.erase(found);
+    Session *session = find(id);
+    if (session && session->operation && session->operation->work == work)
+        retry(now, id, session, cause);
+}
+
+void SessionEngine::onWorkAnswer(Millis now, WorkId work, ConnectionId connection,
+                                 SendPurpose purpose, StatementKind kind, Millis sentAt,
+                                 const StatementAnswer &answer)
+{
+    if (purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work) {
+        if (m_control.onWorkAnswer(now, work, connection, kind, sentAt, answer))
+            return;
+        const auto found = m_works.find(work);
+        if (found == m_works.end())
+            return;
+        const SessionId id = found->second;
+        Session *session = find(id);
+        if (!session || !session->operation)
+            return;
+        if (purpose == SendPurpose::OpenTransaction)
+            finishOpening(now, id, session, sentAt, answer);
+        else
+            finishWork(now, id, session, sentAt, answer);
+    }
+}
+
+// The transaction around the statement was opened or refused.
+void SessionEngine::finishOpening(Millis now, SessionId id, Session *session, Millis sentAt,
+                                  const StatementAnswer &answer)
+{
+    Operation &operation = *session->operation;
+    const bool mayWrite = operation.needsPrimary || operation.wrapped;
+    if (answer.succeeded()) {
+        if (mayWrite && answer.position)
+            m_control.onLeads(now, operation.instance, sentAt, *answer.position);
+        if (session->transaction) {
+            session->transaction->connection = operation.connection;
+            session->transaction->work = operation.work;
+            session->transaction->instance = operation.instance;
+        }
+        sendOperation(now, session);
+        return;
+    }
+    if (answer.cause == Cause::NotPrimary)
+        m_control.onDoesNotLead(now, operation.instance);
+    if (answer.phase == SessionPhase::Idle) {
+        m_fleet.release(now, operation.connection);
+    } else {
+        m_fleet.send(now, operation.connection, SendPurpose::CloseTransaction,
+                     {.kind = StatementKind::Rollback});
+        m_fleet.release(now, operation.connection);
+    }
+    m_works.erase(operation.work);
+    retry(now, id, session, answer.cause);
+}
+
+void SessionEngine::finishWork(Millis now, SessionId id, Session *session, Millis sentAt,
+                               const StatementAnswer &answer)
+{
+    Operation &operation = *session->operation;
+    const bool commit = operation.statement.kind == StatementKind::Commit;
+    if (answer.succeeded() && operation.writes && answer.position
+        && (commit || !session->transaction))
+        m_control.onLeads(now, operation.instance, sentAt, *answer.position);
+    if (answer.cause == Cause::NotPrimary)
+        m_control.onDoesNotLead(now, operation.instance);
+    if (commit) {
+        finishCommit(now, id, session, answer);
+        return;
+    }
+    if (session->transaction) {
+        session->transaction->lastUsed = now;
+        if (answer.phase != SessionPhase::Transaction)
+            endTransaction(now, session, /*rollBackFirst=*/true);
+        session->phase = answer.succeeded() && answer.phase == SessionPhase::Transaction
+            ? SessionPhase::Transaction
+            : SessionPhase::FailedTransaction;
+        deliver(now, id, session, answer);
+        return;
+    }
+    if (answer.cause == Cause::UnknownName)
+        m_fleet.discard(now, operation.connection);
+    else
+        m_fleet.release(now, operation.connection);
+    m_works.erase(operation.work);
+    const bool notRun = answer.cause == Cause::Overloaded || answer.cause == Cause::Behind
+        || answer.cause == Cause::NotPrimary || answer.cause == Cause::UnknownName;
+    const bool mayRepeat = !operation.writes && answer.cause == Cause::Failed;
+    if (notRun || mayRepeat) {
+        retry(now, id, session, answer.cause);
+        return;
+    }
+    if (answer.succeeded() && operation.writes && answer.position)
+        session->state.lastCommit = std::max(session->state.lastCommit, *answer.position);
+    deliver(now, id, session, answer);
+}
+
+void SessionEngine::finishCommit(Millis now, SessionId id, Session *session,
+                                 const StatementAnswer &answer)
+{
+    const Operation &operation = *session->operation;
+    if (answer.succeeded() && operation.writes && answer.position)
+        session->state.lastCommit = std::max(session->state.lastCommit, *answer.position);
+    endTransaction(now, session, /*rollBackFirst=*/answer.phase != SessionPhase::Idle);
+    deliver(now, id, session, answer);
+}
+
+// The statement has not run, or only reads. Tries elsewhere, or tells the caller that it has not
+// run.
+void SessionEngine::retry(Millis now, SessionId id, Session *session, Cause cause)
+{
+    Operation &operation = *session->operation;
+    operation.connection = 0;
+    operation.work = 0;
+    if (cause == Cause::Behind || cause == Cause::Failed || cause == Cause::ConnectionLost
+        || cause == Cause::Leaving)
+        operation.avoid.insert(operation.instance);
+    note(now, "request.retried", id, *session, cause);
+    if (operation.attempts >= m_options.maxAttempts || now >= operation.giveUpAt) {
+        refuse(now, id, session, Cause::Overloaded);
+        return;
+    }
+    if (cause == Cause::Overloaded && operation.needsPrimary) {
+        // Asked again at the next tick, when the instance may have room.
+        operation.stage = Stage::Waiting;
+        return;
+    }
+    dispatch(now, id, session);
+}
+
+// Tells the caller that nothing of this attempt is kept.
+void SessionEngine::refuse(Millis now, SessionId id, Session *session, Cause cause)
+{
+    note(now, "request.refused", id, *session, cause);
+    if (session->transaction) {
+        endTransaction(now, session, /*rollBackFirst=*/true);
+        session->phase = SessionPhase::FailedTransaction;
+        if (session->operation->statement.kind == StatementKind::Commit)
+            session->phase = SessionPhase::Idle;
+    }
+    deliver(now, id, session, {.cause = cause});
+}
+
+// The connection failed or the time is over while the statement ran.
+void SessionEngine::failRunning(Millis now, SessionId id, Session *session, Cause cause)
+{
+    Operation &operation = *session->operation;
+    const bool commit = operation.statement.kind == StatementKind::Commit;
+    m_works.erase(operation.work);
+    if (session->transaction) {
+        session->transaction->connection = 0;
+        const bool uncertain = commit && operation.writes;
+        endTransaction(now, session, /*rollBackFirst=*/false);
+        session->phase = commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+        note(now, "request.failed", id, *session, uncertain ? cause : Cause::Aborted);
+        deliver(now, id, session, {.cause = uncertain ? cause : Cause::Aborted});
+        return;
+    }
+    if (!operation.writes && cause == Cause::ConnectionLost) {
+        retry(now, id, session, cause);
+        return;
+    }
+    note(now, "request.failed", id, *session, cause);
+    deliver(now, id, session, {.cause = cause});
+}
+
+void SessionEngine::onWorkConnectionLost(Millis now, WorkId work, ConnectionId connection,
+                                         bool workSent)
+{
+    static_cast<void>(connection);
+    if (m_control.onWorkEnded(work))
+        return;
+    const auto found = m_works.find(work);
+    Session *session = found == m_works.end() ? nullptr : find(found->second);
+    if (!session)
+        return;
+    const SessionId id = found->second;
+    if (!session->operation || session->operation->work != work) {
+        if (session->transaction && session->transaction->work == work) {
+            session->transaction->connection = 0;
+            session->transaction->lost = true;
+            m_works.erase(work);
+        }
+        return;
+    }
+    const bool running = session->operation->stage == Stage::Running;
+    if (!running || !workSent) {
+        m_works.erase(work);
+        retry(now, id, session, Cause::ConnectionLost);
+        return;
+    }
+    failRunning(now, id, session, Cause::ConnectionLost);
+}
+
+void SessionEngine::onTargetAsked(Millis now, const std::string &instance)
+{
+    m_control.onAsked(now, instance);
+}
+
+void SessionEngine::onTargetHeard(Millis now, const std::string &instance)
+{
+    m_control.onHeard(now, instance);
+}
+
+void SessionEngine::onTargetRefused(Millis now, const std::string &instance)
+{
+    m_control.onRefused(now, instance);
+}
+
+void SessionEngine::deliver(Millis now, SessionId id, Session *session, StatementAnswer answer)
+{
+    answer.phase = session->phase;
+    note(now, answer.succeeded() ? "request.answered" : "request.ended", id, *session,
+         answer.cause);
+    endOperation(session);
+    if (!session->transaction)
+        m_active.erase(id);
+    m_output->answerCaller(id, answer);
+    startPending(now, id);
+}
+
+void SessionEngine::answerLocally(Millis now, SessionId id, Session *session, Cause cause)
+{
+    if (!session->transaction)
+        m_active.erase(id);
+    m_output->answerCaller(id, {.cause = cause, .phase = session->phase});
+    startPending(now, id);
+}
+
+void SessionEngine::startPending(Millis now, SessionId id)
+{
+    Session *session = find(id);
+    if (!session || session->operation || session->pending.empty())
+        return;
+    Statement next = std::move(session->pending.front());
+    session->pending.pop_front();
+    startStatement(now, id, session, std::move(next));
+}
+
+void SessionEngine::endOperation(Session *session)
+{
+    session->operation.reset();
+}
+
+// Gives the transaction's connection back. The session's phase becomes Idle.
+void SessionEngine::endTransaction(Millis now, Session *session, bool rollBackFirst)
+{
+    session->phase = SessionPhase::Idle;
+    if (!session->transaction)
+        return;
+    const Transaction transaction = *std::exchange(session->transaction, std::nullopt);
+    m_works.erase(transaction.work);
+    if (transaction.connection == 0)
+        return;
+    if (rollBackFirst)
+        m_fleet.send(now, transaction.connection, SendPurpose::CloseTransaction,
+                     {.kind = StatementKind::Rollback});
+    m_fleet.release(now, transaction.connection);
+}
+
+// Timeouts of a session's operation and transaction.
+void SessionEngine::checkSession(Millis now, SessionId id, Session *session)
+{
+    if (!session->operation) {
+        Transaction *transaction = session->transaction ? &*session->transaction : nullptr;
+        if (!transaction || transaction->connection == 0
+            || now - transaction->lastUsed <= m_routing.transactionIdle)
+            return;
+        note(now, "transaction.idle", id, *session, Cause::Aborted);
+        m_fleet.send(now, transaction->connection, SendPurpose::CloseTransaction,
+                     {.kind = StatementKind::Rollback});
+        m_fleet.release(now, transaction->connection);
+        m_works.erase(transaction->work);
+        transaction->connection = 0;
+        transaction->lost = true;
+        return;
+    }
+    Operation &operation = *session->operation;
+    switch (operation.stage) {
+    case Stage::Waiting:
+        if (now >= operation.giveUpAt)
+            refuse(now, id, session, Cause::Overloaded);
+        else
+            dispatch(now, id, session);
+        return;
+    case Stage::Queued:
+        return;
+    case Stage::Opening:
+    case Stage::Running:
+        if (now - operation.startedAt <= operation.route.statementTimeout)
+            return;
+        m_fleet.discard(now, operation.connection);
+        if (operation.stage == Stage::Opening) {
+            m_works.erase(operation.work);
+            retry(now, id, session, Cause::ConnectionLost);
+        } else {
+            failRunning(now, id, session, Cause::Timeout);
+        }
+        return;
+    }
+}
+
+// Reads that wait for an instance which has gone silent are tried elsewhere; a statement that may
+// have taken effect waits for its answer.
+void SessionEngine::breakSilent(Millis now)
+{
+    for (const auto &[name, settings] : m_routing.groups) {
+        const LeaderBelief *belief = m_control.belief(name);
+        for (const RegisteredInstance &member : m_control.members(name)) {
+            if (!belief || !belief->silentFor(now, member.id, SilentReadLimit))
+                continue;
+            m_fleet.breakConnections(now, member.id, [this](WorkId work) {
+                const auto found = m_works.find(work);
+                const Session *session = found == m_works.end() ? nullptr : find(found->second);
+                return session && session->operation && !session->transaction
+                    && !session->operation->writes;
+            });
+        }
+    }
+}
+
+// Ends sessions as they become idle, once new ones have stopped arriving.
+void SessionEngine::checkDrain(Millis now)
+{
+    const Millis since = now - *m_drainingSince;
+    if (since < m_options.drainNotice)
+        return;
+    std::vector<SessionId> idle;
+    for (auto &[id, session] : m_sessions) {
+        const bool inTransaction = session.phase != SessionPhase::Idle;
+        if (!session.operation && (!inTransaction || since > m_options.drainTransactions))
+            idle.push_back(id);
+    }
+    for (const SessionId id : idle) {
+        m_output->closeCaller(id, Cause::None);
+        onCallerClosed(now, id);
+    }
+}
+
+void SessionEngine::note(Millis now, std::string_view event, SessionId id, const Session &session,
+                         Cause cause)
+{
+    RequestNote line{.event = event,
+                     .session = id,
+                     .database = session.database,
+                     .cause = cause,
+                     .configuration = m_routing.version};
+    if (session.operation) {
+        line.request = session.operation->statement.id;
+        line.instance = session.operation->instance;
+        line.attempts = session.operation->attempts;
+        line.waited = now - session.operation->arrived;
+    }
+    m_output->noteRequest(line);
+}
+
+SessionEngine::Session *SessionEngine::find(SessionId id)
+{
+    const auto found = m_sessions.find(id);
+    return found == m_sessions.end() ? nullptr : &found->second;
+}
+
+const DatabaseRoute *SessionEngine::route(const std::string &database) const
+{
+    const auto found = m_routing.databases.find(database);
+    return found == m_routing.databases.end() ? nullptr : &found->second;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/targetfleet.cpp
@@ -0,0 +1,511 @@
+#include "session/targetfleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+// Weight of a new measurement in the moving average of an instance's service time.
+constexpr double ServiceWeight = 0.1;
+// By this factor the shortest time seen grows with each answer, so that an old one is forgotten.
+constexpr double FastestDecay = 1.002;
+
+ClassQueue::Options queueOptions(std::size_t capacity)
+{
+    ClassQueue::Options options{.classes = {}, .capacity = capacity};
+    for (int i = 0; i < TargetFleet::Priorities; ++i)
+        options.classes.push_back({.name = std::to_string(i), .top = true});
+    return options;
+}
+
+std::size_t classOf(int priority)
+{
+    return static_cast<std::size_t>(std::clamp(priority, 0, TargetFleet::Priorities - 1));
+}
+
+} // namespace
+
+TargetFleet::TargetFleet(Options options, TargetOutput *output, TargetListener *listener)
+    : m_options(options)
+    , m_output(output)
+    , m_listener(listener)
+{
+}
+
+void TargetFleet::setInstance(Millis now, const RegisteredInstance &instance, int maxConnections,
+                              bool keepOpen)
+{
+    Instance &entry = m_instances[instance.id];
+    if (!entry.queue)
+        entry.queue = std::make_unique<ClassQueue>(queueOptions(m_options.queueCapacity));
+    entry.registered = instance;
+    entry.removed = false;
+    entry.keepOpen = keepOpen;
+    const int share = static_cast<int>(maxConnections * m_options.connectionShare);
+    entry.maxConnections = std::max(1, share);
+    pump(now, instance.id);
+}
+
+void TargetFleet::removeInstance(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    found->second.removed = true;
+    std::vector<WorkId> refused(found->second.urgent.begin(), found->second.urgent.end());
+    found->second.urgent.clear();
+    for (const QueueEntry &entry : found->second.queue->takeAll())
+        refused.push_back(entry.id);
+    for (const WorkId id : refused) {
+        if (m_waiting.erase(id) > 0)
+            m_listener->onWorkRefused(now, id, Cause::Leaving);
+    }
+    const std::set<ConnectionId> connections = found->second.connections;
+    for (const ConnectionId id : connections) {
+        const Connection *connection = find(id);
+        if (connection && (connection->state == State::Idle || connection->state == State::Opening))
+            forget(now, id);
+    }
+}
+
+std::vector<std::string> TargetFleet::instances() const
+{
+    std::vector<std::string> ids;
+    for (const auto &row : m_instances) {
+        if (!row.second.removed)
+            ids.push_back(row.first);
+    }
+    return ids;
+}
+
+bool TargetFleet::submit(Millis now, const std::string &instance, TargetWork work)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end() || found->second.removed)
+        return false;
+    const WorkId id = work.id;
+    if (!work.needsSlot) {
+        found->second.urgent.push_back(id);
+        m_waiting[id] = {.work = std::move(work), .instance = instance};
+        pump(now, instance);
+        return true;
+    }
+    const QueueEntry entry{.id = id, .queuedAt = now, .deadline = work.giveUpAt};
+    if (!found->second.queue->push(classOf(work.priority), entry))
+        return false;
+    m_waiting[id] = {.work = std::move(work), .instance = instance};
+    pump(now, instance);
+    return true;
+}
+
+void TargetFleet::cancel(WorkId work)
+{
+    // Its place in the queue is skipped when it is reached.
+    m_waiting.erase(work);
+}
+
+void TargetFleet::restore(Millis now, ConnectionId connection, const SessionValues &values,
+                          const PreparedStatement *prepared)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    for (const Statement &step : found->memory.restore(values, prepared))
+        send(now, connection, SendPurpose::Restore, step);
+}
+
+void TargetFleet::send(Millis now, ConnectionId connection, SendPurpose purpose,
+                       Statement statement)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    Instance &instance = m_instances.at(found->instance);
+    if (needsSlot(statement.kind))
+        ++instance.slotsTaken;
+    found->awaited.push_back({.purpose = purpose, .kind = statement.kind, .at = now});
+    found->workSent = found->workSent || purpose == SendPurpose::Work;
+    found->unsent.push_back(std::move(statement));
+    m_toFlush.insert(connection);
+}
+
+// Statements sent in one turn leave in one write.
+void TargetFleet::flush()
+{
+    for (const ConnectionId id : std::exchange(m_toFlush, {})) {
+        Connection *found = find(id);
+        if (found && !found->unsent.empty())
+            m_output->sendToTarget(id, std::exchange(found->unsent, {}));
+    }
+}
+
+void TargetFleet::release(Millis now, ConnectionId connection)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    found->state = State::Draining;
+    found->owner = 0;
+    found->workSent = false;
+    settle(now, connection);
+}
+
+void TargetFleet::discard(Millis now, ConnectionId connection)
+{
+    forget(now, connection);
+}
+
+void TargetFleet::breakConnections(Millis now, const std::string &instance,
+                                   const std::function<bool(WorkId)> &condition)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    const std::set<ConnectionId> connections = found->second.connections;
+    for (const ConnectionId id : connections) {
+        const Connection *connection = find(id);
+        if (!connection || connection->state == State::Opening)
+            continue;
+        const bool owned = connection->state == State::Owned;
+        if (owned && !condition(connection->owner))
+            continue;
+        const WorkId owner = connection->owner;
+        const bool sent = connection->workSent;
+        forget(now, id);
+        if (owned)
+            m_listener->onWorkConnectionLost(now, owner, id, sent);
+    }
+}
+
+void TargetFleet::onOpened(Millis now, ConnectionId connection)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    const std::string name = found->instance;
+    Instance &instance = m_instances.at(name);
+    --instance.opening;
+    found->state = State::Idle;
+    found->since = now;
+    m_listener->onTargetHeard(now, name);
+    pump(now, name);
+}
+
+void TargetFleet::onOpenFailed(Millis now, ConnectionId connection, bool full)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    const std::string name = found->instance;
+    Instance &instance = m_instances.at(name);
+    instance.openAfter = now + (full ? m_options.fullBackoff : m_options.refusedBackoff);
+    forget(now, connection);
+    if (full)
+        m_listener->onTargetHeard(now, name);
+    else
+        m_listener->onTargetRefused(now, name);
+}
+
+void TargetFleet::onAnswer(Millis now, ConnectionId connection, const StatementAnswer &answer)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    const std::string name = found->instance;
+    m_listener->onTargetHeard(now, name);
+    if (found->awaited.empty()) {
+        // An answer to nothing: the two sides disagree about what was sent.
+        onClosed(now, connection);
+        return;
+    }
+    const Sent sent = found->awaited.front();
+    found->awaited.pop_front();
+    noteAnswer(now, &m_instances.at(name), sent);
+    if (sent.purpose == SendPurpose::Restore && !answer.succeeded()) {
+        onClosed(now, connection);
+        return;
+    }
+    if (found->state == State::Owned)
+        m_listener->onWorkAnswer(now, found->owner, connection, sent.purpose, sent.kind, sent.at,
+                                 answer);
+    found = find(connection);
+    if (found && found->state == State::Draining) {
+        const bool clean = answer.phase == SessionPhase::Idle;
+        if (found->awaited.empty() && !clean)
+            forget(now, connection);
+        else
+            settle(now, connection);
+    }
+    pump(now, name);
+}
+
+void TargetFleet::onClosed(Millis now, ConnectionId connection)
+{
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    const std::string name = found->instance;
+    const State state = found->state;
+    const WorkId owner = found->owner;
+    const bool sent = found->workSent;
+    if (state == State::Opening) {
+        onOpenFailed(now, connection, /*full=*/false);
+        return;
+    }
+    forget(now, connection);
+    m_listener->onTargetRefused(now, name);
+    if (state == State::Owned)
+        m_listener->onWorkConnectionLost(now, owner, connection, sent);
+    pump(now, name);
+}
+
+void TargetFleet::onTick(Millis now)
+{
+    std::vector<std::string> names;
+    std::vector<ConnectionId> stale;
+    for (const auto &[id, connection] : m_connections) {
+        const Instance &instance = m_instances.at(connection.instance);
+        const bool spare
+            = instance.connections.size() > 1 || !instance.keepOpen || instance.removed;
+        if (connection.state == State::Idle && spare
+            && now - connection.since > m_options.idleClose)
+            stale.push_back(id);
+        if (connection.state == State::Opening && now - connection.since > m_options.openTimeout)
+            stale.push_back(id);
+    }
+    for (const ConnectionId id : stale) {
+        const Connection *found = find(id);
+        if (found->state == State::Opening)
+            onOpenFailed(now, id, /*full=*/false);
+        else if (m_instances.at(found->instance).connections.size() > 1
+                 || !m_instances.at(found->instance).keepOpen)
+            forget(now, id);
+    }
+    for (const auto &row : m_instances)
+        names.push_back(row.first);
+    for (const std::string &name : names) {
+        Instance &instance = m_instances.at(name);
+        std::vector<WorkId> expired = takeExpiredUrgent(now, &instance);
+        for (const QueueEntry &entry : instance.queue->takeExpired(now))
+            expired.push_back(entry.id);
+        for (const WorkId id : expired) {
+            if (m_waiting.erase(id) > 0)
+                m_listener->onWorkRefused(now, id, Cause::Overloaded);
+        }
+        pump(now, name);
+    }
+    std::erase_if(m_instances, [](const auto &row) {
+        return row.second.removed && row.second.connections.empty();
+    });
+}
+
+std::vector<WorkId> TargetFleet::takeExpiredUrgent(Millis now, Instance *instance) const
+{
+    std::vector<WorkId> expired;
+    std::erase_if(instance->urgent, [&](WorkId id) {
+        const auto waiting = m_waiting.find(id);
+        if (waiting != m_waiting.end() && now < waiting->second.work.giveUpAt)
+            return false;
+        expired.push_back(id);
+        return true;
+    });
+    return expired;
+}
+
+Millis TargetFleet::expectedWait(const std::string &instance, int priority) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return Millis(0);
+    const Instance &entry = found->second;
+    const auto slots = static_cast<double>(std::max(1, entry.registered.slots));
+    const double ahead = static_cast<double>(entry.queue->ahead(classOf(priority)))
+        + static_cast<double>(entry.slotsTaken);
+    return Millis(static_cast<std::int64_t>(entry.serviceMs * (ahead / slots)));
+}
+
+Millis TargetFleet::roundTrip(const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end() || found->second.fastestMs > 1e8)
+        return Millis(0);
+    return Millis(static_cast<std::int64_t>(found->second.fastestMs));
+}
+
+bool TargetFleet::hasIdle(const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return false;
+    const auto &ids = found->second.connections;
+    return std::any_of(ids.begin(), ids.end(), [this](ConnectionId id) {
+        return m_connections.at(id).state == State::Idle;
+    });
+}
+
+std::size_t TargetFleet::connections(const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    return found == m_instances.end() ? 0 : found->second.connections.size();
+}
+
+const std::string &TargetFleet::instanceOf(ConnectionId connection) const
+{
+    static const std::string none;
+    const auto found = m_connections.find(connection);
+    return found == m_connections.end() ? none : found->second.instance;
+}
+
+void TargetFleet::openFresh(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end() || found->second.removed || found->second.opening > 0
+        || now < found->second.openAfter)
+        return;
+    open(now, &found->second);
+}
+
+void TargetFleet::pump(Millis now, const std::string &instance)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end() || found->second.removed)
+        return;
+    while (startNext(now, &found->second)) { }
+    openMore(now, &found->second);
+}
+
+// Starts the first waiting work for which a connection is idle; false if there is none.
+bool TargetFleet::startNext(Millis now, Instance *instance)
+{
+    if (!hasIdle(instance->registered.id))
+        return false;
+    const std::optional<WorkId> id = nextWork(now, instance);
+    if (!id)
+        return false;
+    const auto waiting = m_waiting.find(*id);
+    if (waiting == m_waiting.end())
+        return true; // It was cancelled.
+    const TargetWork work = std::move(waiting->second.work);
+    m_waiting.erase(waiting);
+    const std::optional<ConnectionId> chosen = bestIdle(*instance, work);
+    Connection &connection = m_connections.at(*chosen);
+    connection.state = State::Owned;
+    connection.owner = work.id;
+    connection.since = now;
+    connection.workSent = false;
+    m_listener->onWorkStarted(now, work.id, *chosen);
+    return true;
+}
+
+// Urgent work waits only for a connection, other work also for a slot.
+std::optional<WorkId> TargetFleet::nextWork(Millis now, Instance *instance)
+{
+    if (!instance->urgent.empty()) {
+        const WorkId id = instance->urgent.front();
+        instance->urgent.pop_front();
+        return id;
+    }
+    if (instance->slotsTaken >= static_cast<std::size_t>(std::max(1, instance->registered.slots)))
+        return std::nullopt;
+    const std::optional<QueueEntry> entry = instance->queue->pop(now, /*topOnly=*/false);
+    if (!entry)
+        return std::nullopt;
+    return entry->id;
+}
+
+// The idle connection that needs the fewest statements to fit the work.
+std::optional<ConnectionId> TargetFleet::bestIdle(const Instance &instance,
+                                                  const TargetWork &work) const
+{
+    std::optional<ConnectionId> best;
+    std::size_t lowest = 0;
+    for (const ConnectionId id : instance.connections) {
+        const Connection &connection = m_connections.at(id);
+        if (connection.state != State::Idle)
+            continue;
+        const PreparedStatement *prepared = work.prepared ? &*work.prepared : nullptr;
+        const std::size_t cost
+            = work.values ? connection.memory.restoreCost(*work.values, prepared) : 0;
+        if (!best || cost < lowest) {
+            best = id;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+void TargetFleet::openMore(Millis now, Instance *instance)
+{
+    const bool queued = instance->queue->size() > instance->opening
+        && instance->slotsTaken + instance->opening
+            < static_cast<std::size_t>(std::max(1, instance->registered.slots));
+    const bool wanted = queued || instance->urgent.size() > instance->opening;
+    const bool none = instance->connections.empty() && instance->keepOpen;
+    const bool room
+        = instance->connections.size() < static_cast<std::size_t>(instance->maxConnections);
+    if ((wanted || none) && room && now >= instance->openAfter)
+        open(now, instance);
+}
+
+void TargetFleet::open(Millis now, Instance *instance)
+{
+    const ConnectionId id = ++m_lastConnection;
+    m_connections[id] = {.instance = instance->registered.id, .since = now};
+    instance->connections.insert(id);
+    ++instance->opening;
+    m_listener->onTargetAsked(now, instance->registered.id);
+    m_output->openTarget(id, instance->registered);
+}
+
+// Closes the connection and gives back what it held.
+void TargetFleet::forget(Millis now, ConnectionId connection)
+{
+    static_cast<void>(now);
+    Connection *found = find(connection);
+    if (!found)
+        return;
+    Instance &instance = m_instances.at(found->instance);
+    for (const Sent &sent : found->awaited) {
+        if (needsSlot(sent.kind))
+            --instance.slotsTaken;
+    }
+    if (found->state == State::Opening)
+        --instance.opening;
+    instance.connections.erase(connection);
+    m_connections.erase(connection);
+    m_output->closeTarget(connection);
+}
+
+// A released connection is idle again once nothing is awaited on it.
+void TargetFleet::settle(Millis now, ConnectionId connection)
+{
+    Connection *found = find(connection);
+    if (!found || !found->awaited.empty())
+        return;
+    found->state = State::Idle;
+    found->since = now;
+    if (m_instances.at(found->instance).removed)
+        forget(now, connection);
+    else
+        pump(now, found->instance);
+}
+
+void TargetFleet::noteAnswer(Millis now, Instance *instance, const Sent &sent)
+{
+    const auto took = static_cast<double>((now - sent.at).count());
+    if (needsSlot(sent.kind)) {
+        --instance->slotsTaken;
+        instance->serviceMs += ServiceWeight * (took - instance->serviceMs);
+    }
+    instance->fastestMs = std::min(instance->fastestMs * FastestDecay, std::max(took, 0.5));
+}
+
+TargetFleet::Connection *TargetFleet::find(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    return found == m_connections.end() ? nullptr : &found->second;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/targetfleet.h
@@ -0,0 +1,228 @@
+// This host's connections to all instances, and the work that waits for them.
+//
+// Each instance has a queue in order of priority. A work item starts when one of the instance's
+// slots is free as far as this host knows, and a connection is idle; connections are opened on
+// demand, kept, and closed when they stay idle. An instance that refuses a connection because other
+// hosts hold them all is asked again later; the work waits here, where it can still be ordered,
+// moved or refused.
+//
+// Load pattern: several times more statements than slots, all hosts at once. Waiting in this queue
+// instead of the instance's keeps the order by priority and the refusals truthful.
+//
+// Pure and not thread-safe: actions go to a TargetOutput, results to a TargetListener. Neither may
+// call back into the fleet except where said.
+#pragma once
+
+#include "base/millis.h"
+#include "connection/classqueue.h"
+#include "session/registry.h"
+#include "session/sessionstate.h"
+#include "session/statement.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+using ConnectionId = std::uint64_t;
+using WorkId = std::uint64_t;
+
+// Why a statement was sent on a connection.
+enum class SendPurpose {
+    Restore,          // Makes the connection fit the session.
+    OpenTransaction,  // The system's own opening of a transaction.
+    Work,             // The caller's statement, or an order.
+    CloseTransaction, // The system's own rollback.
+};
+
+// Receives what has to be done.
+class TargetOutput
+{
+public:
+    TargetOutput() = default;
+    TargetOutput(const TargetOutput &) = delete;
+    TargetOutput &operator=(const TargetOutput &) = delete;
+    virtual ~TargetOutput() = default;
+
+    virtual void openTarget(ConnectionId connection, const RegisteredInstance &instance) = 0;
+    virtual void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
+        = 0;
+    virtual void closeTarget(ConnectionId connection) = 0;
+};
+
+// Receives what happened. Work may be submitted from within these calls.
+class TargetListener
+{
+public:
+    TargetListener() = default;
+    TargetListener(const TargetListener &) = delete;
+    TargetListener &operator=(const TargetListener &) = delete;
+    virtual ~TargetListener() = default;
+
+    // The work owns the connection now; send() on it, then release() or discard() it.
+    virtual void onWorkStarted(Millis now, WorkId work, ConnectionId connection) = 0;
+    // The work was not started and will not be.
+    virtual void onWorkRefused(Millis now, WorkId work, Cause cause) = 0;
+    virtual void onWorkAnswer(Millis now, WorkId work, ConnectionId connection, SendPurpose purpose,
+                              StatementKind kind, Millis sentAt, const StatementAnswer &answer)
+        = 0;
+    // The connection failed; `workSent` tells whether its statement may have reached the instance.
+    virtual void onWorkConnectionLost(Millis now, WorkId work, ConnectionId connection,
+                                      bool workSent)
+        = 0;
+    // News about an instance.
+    virtual void onTargetAsked(Millis now, const std::string &instance) = 0;
+    virtual void onTargetHeard(Millis now, const std::string &instance) = 0;
+    virtual void onTargetRefused(Millis now, const std::string &instance) = 0;
+};
+
+struct TargetWork
+{
+    WorkId id = 0;
+    int priority = 0;                      // 0 goes first.
+    Millis giveUpAt;                       // Refused if it has not started by then.
+    bool needsSlot = true;                 // Otherwise it goes before everything that does.
+    const SessionValues *values = nullptr; // Null if any state of the connection will do.
+    std::optional<PreparedStatement> prepared;
+};
+
+class TargetFleet
+{
+public:
+    static constexpr int Priorities = 8;
+
+    struct Options
+    {
+        std::size_t queueCapacity = 400;     // Of each priority, for each instance.
+        Millis openTimeout = Millis(1500);   // To open a connection.
+        Millis fullBackoff = Millis(60);     // After an instance had no connection left.
+        Millis refusedBackoff = Millis(150); // After a refused or failed connection.
+        Millis idleClose = Millis(4000);     // Of connections beyond the first.
+        double connectionShare = 0.6;        // Of an instance's connections that one host may take.
+    };
+
+    TargetFleet(Options options, TargetOutput *output, TargetListener *listener);
+
+    void setInstance(Millis now, const RegisteredInstance &instance, int maxConnections,
+                     bool keepOpen);
+    // Closes idle connections and refuses what waits; running work goes on.
+    void removeInstance(Millis now, const std::string &instance);
+    // The ids of all instances that were set and not removed.
+    std::vector<std::string> instances() const;
+
+    // False if the queue is full or the instance unknown; the listener is then not told.
+    bool submit(Millis now, const std::string &instance, TargetWork work);
+    // Forgets work that has not started.
+    void cancel(WorkId work);
+    // Sends on a connection that a work owns. Statements of the session's state go before others.
+    void send(Millis now, ConnectionId connection, SendPurpose purpose, Statement statement);
+    void flush();
+    // Restores the session's state; called once, before the work's first statement.
+    void restore(Millis now, ConnectionId connection, const SessionValues &values,
+                 const PreparedStatement *prepared);
+    // The work does not need the connection any more; it is reused after its last answer.
+    void release(Millis now, ConnectionId connection);
+    // The connection's state is not known to be clean: closes it.
+    void discard(Millis now, ConnectionId connection);
+    // Breaks all connections whose owner satisfies the condition, and the idle ones.
+    void breakConnections(Millis now, const std::string &instance,
+                          const std::function<bool(WorkId)> &condition);
+
+    void onOpened(Millis now, ConnectionId connection);
+    // `full`: the instance has no connection left for us.
+    void onOpenFailed(Millis now, ConnectionId connection, bool full);
+    void onAnswer(Millis now, ConnectionId connection, const StatementAnswer &answer);
+    void onClosed(Millis now, ConnectionId connection);
+    void onTick(Millis now);
+
+    // The expected time until work submitted now would be answered, without the network's share.
+    Millis expectedWait(const std::string &instance, int priority) const;
+    // The network's share: the shortest time in which the instance answered.
+    Millis roundTrip(const std::string &instance) const;
+    // An idle connection exists.
+    bool hasIdle(const std::string &instance) const;
+    std::size_t connections(const std::string &instance) const;
+    std::size_t connections() const { return m_connections.size(); }
+    const std::string &instanceOf(ConnectionId connection) const;
+    // Starts an additional connection if none is being opened.
+    void openFresh(Millis now, const std::string &instance);
+
+private:
+    enum class State {
+        Opening,
+        Idle,
+        Owned,
+        Draining, // Released; its last answers are on their way.
+    };
+
+    struct Sent
+    {
+        SendPurpose purpose = SendPurpose::Work;
+        StatementKind kind = StatementKind::Unknown;
+        Millis at;
+    };
+
+    struct Connection
+    {
+        std::string instance;
+        State state = State::Opening;
+        ConnectionMemory memory;
+        WorkId owner = 0;
+        Millis since; // Of its state.
+        std::deque<Sent> awaited;
+        std::vector<Statement> unsent;
+        bool workSent = false;
+    };
+
+    struct Instance
+    {
+        RegisteredInstance registered;
+        int maxConnections = 1;
+        bool keepOpen = false;
+        bool removed = false;
+        std::unique_ptr<ClassQueue> queue;
+        std::deque<WorkId> urgent; // Work that needs no slot.
+        std::set<ConnectionId> connections;
+        std::size_t opening = 0;
+        std::size_t slotsTaken = 0;
+        Millis openAfter;
+        double serviceMs = 10;  // Moving average of a statement's time at the instance.
+        double fastestMs = 1e9; // Slowly forgotten minimum.
+    };
+
+    struct Waiting
+    {
+        TargetWork work;
+        std::string instance;
+    };
+
+    void pump(Millis now, const std::string &instance);
+    bool startNext(Millis now, Instance *instance);
+    std::optional<WorkId> nextWork(Millis now, Instance *instance);
+    std::vector<WorkId> takeExpiredUrgent(Millis now, Instance *instance) const;
+    std::optional<ConnectionId> bestIdle(const Instance &instance, const TargetWork &work) const;
+    void openMore(Millis now, Instance *instance);
+    void open(Millis now, Instance *instance);
+    void forget(Millis now, ConnectionId connection);
+    void settle(Millis now, ConnectionId connection);
+    void noteAnswer(Millis now, Instance *instance, const Sent &sent);
+    Connection *find(ConnectionId connection);
+
+    Options m_options;
+    TargetOutput *m_output;
+    TargetListener *m_listener;
+    std::map<std::string, Instance> m_instances;
+    std::map<ConnectionId, Connection> m_connections;
+    std::map<WorkId, Waiting> m_waiting;
+    std::set<ConnectionId> m_toFlush;
+    ConnectionId m_lastConnection = 0;
+};
+
+} // namespace cicadagap
