Reload the settings on SIGHUP and when the file changes

Change: the event loop takes SIGHUP; the settings file is read again then and every 5 s; the store's addresses and the grace period are taken over, a bad file is refused with a reason.

--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+void HttpChannel::setEndpoint(const Endpoint &endpoint)
+{
+    m_moved = m_moved || (m_connection && endpoint != m_endpoint);
+    m_endpoint = endpoint;
+}
+
 void HttpChannel::call(HttpRequest request, Millis timeout, CallDone done)
 {
     m_calls.push_back({.request = std::move(request), .timeout = timeout, .done = std::move(done)});
@@ -21,6 +27,10 @@
     if (m_busy || m_calls.empty())
         return;
     m_busy = true;
+    if (m_connection && std::exchange(m_moved, false)) {
+        m_connection->close();
+        m_connection.reset();
+    }
     if (m_connection) {
         send();
         return;
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -18,6 +18,8 @@
 public:
     HttpChannel(EventLoop *loop, Endpoint endpoint);
 
+    // Later connections go there; the present one is closed when its call has ended.
+    void setEndpoint(const Endpoint &endpoint);
     // Calls wait for those before them; `timeout` starts when the call is sent.
     void call(HttpRequest request, Millis timeout, CallDone done);
 
@@ -38,6 +40,7 @@
     std::shared_ptr<HttpConnection> m_connection;
     std::deque<Call> m_calls; // The first one is in progress.
     bool m_busy = false;
+    bool m_moved = false; // The connection leads to an earlier endpoint.
 };
 
 } // namespace cicadagap
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -22,6 +22,7 @@
         , context(threads)
         , guard(asio::make_work_guard(context))
         , signals(context)
+        , reloads(context)
     {
     }
 
@@ -29,14 +30,15 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     asio::signal_set signals;
+    asio::signal_set reloads;
 
-    void waitForSignal(const std::function<void()> &function)
+    static void waitForSignal(asio::signal_set *set, const std::function<void()> &function)
     {
-        signals.async_wait([this, function](const boost::system::error_code &error, int) {
+        set->async_wait([set, function](const boost::system::error_code &error, int) {
             if (error)
                 return;
             function();
-            waitForSignal(function);
+            waitForSignal(set, function);
         });
     }
 };
@@ -104,7 +106,13 @@
 {
     m_impl->signals.add(SIGTERM);
     m_impl->signals.add(SIGINT);
-    m_impl->waitForSignal(function);
+    Impl::waitForSignal(&m_impl->signals, function);
+}
+
+void EventLoop::onReload(std::function<void()> function)
+{
+    m_impl->reloads.add(SIGHUP);
+    Impl::waitForSignal(&m_impl->reloads, function);
 }
 
 boost::asio::io_context *EventLoop::context()
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -45,6 +45,8 @@
     void every(Millis period, std::function<void()> function);
     // Runs `function` on each SIGTERM or SIGINT. Call at most once.
     void onSignal(std::function<void()> function);
+    // Runs `function` on each SIGHUP. Call at most once.
+    void onReload(std::function<void()> function);
     // The underlying context, for the files that own sockets.
     boost::asio::io_context *context();
 
--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -17,6 +17,27 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitFailed = 1;
 
+// The settings file may change with or without a signal.
+constexpr Millis ReloadInterval(5000);
+
+// Takes over what may change while the process runs; addresses of our own need a restart.
+void reload(const std::string &file, HostBoot *current, StoreLink *platform, SessionServer *server)
+{
+    Reason reason;
+    const std::optional<HostBoot> boot = loadBootFile(file, &reason);
+    if (!boot) {
+        logEvent(LogLevel::Error, "settings.refused", {{"reason", reason.text()}});
+        return;
+    }
+    if (*boot == *current)
+        return;
+    *current = *boot;
+    platform->setAddresses(*boot);
+    server->setGrace(boot->grace);
+    logEvent(LogLevel::Info, "settings.reloaded",
+             {{"store", boot->store.text()}, {"graceMs", boot->grace.count()}});
+}
+
 int run(const std::string &file, bool checkOnly)
 {
     Reason reason;
@@ -45,6 +66,13 @@
         return ExitFailed;
     }
     loop.onSignal([&server] { server.stop(); });
+    HostBoot current = *boot;
+    const auto reloadNow = [&] { reload(file, &current, &platform, &server); };
+    loop.onReload([reloadNow] {
+        logEvent(LogLevel::Info, "settings.reload-requested", {});
+        reloadNow();
+    });
+    loop.every(ReloadInterval, reloadNow);
     logEvent(LogLevel::Info, "server.started", {{"listen", boot->callers.text()}});
     loop.run();
     logEvent(LogLevel::Info, "server.stopped", {});
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -35,7 +35,6 @@
     , m_codec(codec)
     , m_platform(platform)
     , m_engine({.dataCentre = m_options.dataCentre,
-                .drainTransactions = m_options.grace / 2,
                 .fleet = {}},
                this)
     , m_acceptor(*loop->context())
@@ -84,7 +83,7 @@
     m_stoppingSince = now();
     logEvent(LogLevel::Info, "server.stopping",
              {{"sessions", static_cast<std::int64_t>(m_engine.sessions())}});
-    m_engine.drain(now());
+    m_engine.drain(now(), m_options.grace / 2);
 }
 
 void SessionServer::accept()
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -34,6 +34,8 @@
                   PlatformLink *platform);
 
     bool start(Reason *reason);
+    // Time from the request to stop to the kill; takes effect for the next stop.
+    void setGrace(Millis grace) { m_options.grace = grace; }
     // Graceful shutdown; stops the loop when it is done.
     void stop();
 
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -199,10 +199,11 @@
     m_fleet.flush();
 }
 
-void SessionEngine::drain(Millis now)
+void SessionEngine::drain(Millis now, Millis forTransactions)
 {
     if (!m_drainingSince)
         m_drainingSince = now;
+    m_drainTransactions = forTransactions;
 }
 
 bool SessionEngine::ready() const
@@ -791,7 +792,7 @@
     std::vector<SessionId> idle;
     for (auto &[id, session] : m_sessions) {
         const bool inTransaction = session.phase != SessionPhase::Idle;
-        if (!session.operation && (!inTransaction || since > m_options.drainTransactions))
+        if (!session.operation && (!inTransaction || since > m_drainTransactions))
             idle.push_back(id);
     }
     for (const SessionId id : idle) {
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -71,7 +71,6 @@
         Millis missingRemoval = Millis(5000); // Before it is forgotten.
         // Graceful shutdown: callers' new connections go on arriving for this long.
         Millis drainNotice = Millis(2300);
-        Millis drainTransactions = Millis(3000); // For transactions to end.
         TargetFleet::Options fleet;
     };
 
@@ -97,8 +96,8 @@
     void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
 
     void onTick(Millis now);
-    // Graceful shutdown: ends sessions as they become idle.
-    void drain(Millis now);
+    // Graceful shutdown: ends sessions as they become idle. Transactions get that long to end.
+    void drain(Millis now, Millis forTransactions);
 
     // Settings and instances are known, and no shutdown has begun.
     bool ready() const;
@@ -212,6 +211,7 @@
     std::set<SessionId> m_active; // With an operation or a transaction.
     WorkId m_lastWork = 0;
     std::optional<Millis> m_drainingSince;
+    Millis m_drainTransactions;
 };
 
 } // namespace cicadagap
