Look for the new primary while the old one is silent; wait out another host's duty

A host that had lost the primary to silence kept asking only that instance, so nobody saw the one that had been promoted; the promoter gave up after 3 s and promoted the other one, seven times. Three processes were killed at the end of their grace time: joining the log library's threads at exit took seconds. Ruled out: the seal (answered in 20 ms) and the order (accepted in 10 ms). Change: a silent primary is given up and all instances are asked; a fresh host waits longer before it replaces a primary that it has never seen; a refused claim waits for the other's lease; exit at once.

--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -106,7 +106,10 @@
         const std::string file = arguments.count("settings")
             ? arguments["settings"].as<std::string>()
             : std::string(fromEnvironment);
-        return run(file, arguments.count("check") > 0);
+        const int code = run(file, arguments.count("check") > 0);
+        // The log library's worker threads have nothing left to do; joining them can take long.
+        std::cout.flush();
+        std::_Exit(code);
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << error.what() << "; try --help\n";
         return ExitUsage;
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -34,9 +34,7 @@
     , m_options(std::move(options))
     , m_codec(codec)
     , m_platform(platform)
-    , m_engine({.dataCentre = m_options.dataCentre,
-                .fleet = {}},
-               this)
+    , m_engine({.dataCentre = m_options.dataCentre, .fleet = {}}, this)
     , m_acceptor(*loop->context())
 {
 }
@@ -280,7 +278,7 @@
     if (!record || (record->version > 0 && !current)) {
         logEvent(LogLevel::Warning, "duty.unreadable",
                  {{"group", group}, {"reason", reason.text()}});
-        m_engine.onClaim(now(), group, std::nullopt, askedAt);
+        m_engine.onClaim(now(), group, {});
         return;
     }
     const std::optional<DutyRow> claim
@@ -290,7 +288,7 @@
                  {{"group", group},
                   {"holder", current->holder},
                   {"leftMs", (current->until - record->storeNow).count()}});
-        m_engine.onClaim(now(), group, std::nullopt, askedAt);
+        m_engine.onClaim(now(), group, {.heldFor = current->until - record->storeNow});
         return;
     }
     m_platform->writeDuty(group, dutyRowText(*claim), record->version,
@@ -300,9 +298,10 @@
                                        {{"group", group},
                                         {"fencingToken", static_cast<std::int64_t>(token)},
                                         {"verdict", VerdictNames.name(verdict)}});
-                              m_engine.onClaim(now(), group,
-                                               held ? std::optional(token) : std::nullopt,
-                                               askedAt + DutyActingTime);
+                              ClaimResult result{.actUntil = askedAt + DutyActingTime};
+                              if (held)
+                                  result.fencingToken = token;
+                              m_engine.onClaim(now(), group, result);
                           });
 }
 
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -58,13 +58,12 @@
     }
 }
 
-void GroupControl::onClaim(Millis now, const std::string &group,
-                           std::optional<std::uint64_t> fencingToken, Millis actUntil)
+void GroupControl::onClaim(Millis now, const std::string &group, const ClaimResult &result)
 {
     m_now = now;
     const auto found = m_groups.find(group);
     if (found != m_groups.end())
-        found->second.change->onClaim(now, fencingToken, actUntil);
+        found->second.change->onClaim(now, result);
 }
 
 void GroupControl::onPromotion(Millis now, const std::string &group, PromotionVerdict verdict)
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -50,8 +50,7 @@
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
                       const RoutingTable &routing);
     void onTick(Millis now);
-    void onClaim(Millis now, const std::string &group, std::optional<std::uint64_t> fencingToken,
-                 Millis actUntil);
+    void onClaim(Millis now, const std::string &group, const ClaimResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
 
     // Evidence from callers' statements.
--- a/src/session/leaderbelief.cpp
+++ b/src/session/leaderbelief.cpp
@@ -44,8 +44,13 @@
 {
     const bool stoodStill = m_lastTick && now - *m_lastTick > m_options.gapLimit;
     m_lastTick = now;
-    if (!stoodStill)
+    if (!stoodStill) {
+        if (leaderFailed(now)) {
+            m_failed = m_leader;
+            lose(now);
+        }
         return;
+    }
     for (auto &row : m_instances) {
         if (row.second.askedSince)
             row.second.askedSince = now;
@@ -66,6 +71,7 @@
     m_term = position.term;
     m_confirmedAt = now;
     m_lostAt.reset();
+    m_failed.clear();
     if (now - m_lastSample >= m_options.sampleInterval) {
         m_lastSample = now;
         m_freshness.addSample(askedAt, position);
@@ -151,13 +157,11 @@
     return ChangeCause::None;
 }
 
-bool LeaderBelief::unreachable(Millis now) const
+bool LeaderBelief::leaderFailed(Millis now) const
 {
-    if (m_lostAt && now - *m_lostAt > m_options.searchLimit)
-        return true;
+    const auto found = m_instances.find(m_leader);
     if (m_leader.empty())
         return false;
-    const auto found = m_instances.find(m_leader);
     if (found == m_instances.end())
         return true;
     const Seen &seen = found->second;
@@ -166,6 +170,14 @@
     return seen.askedSince && now - *seen.askedSince > m_options.silenceLimit;
 }
 
+bool LeaderBelief::unreachable(Millis now) const
+{
+    if (m_leader.empty() && !m_failed.empty())
+        return true;
+    const Millis limit = m_term == 0 ? m_options.startLimit : m_options.searchLimit;
+    return m_lostAt && now - *m_lostAt > limit;
+}
+
 void LeaderBelief::lose(Millis now)
 {
     m_leader.clear();
@@ -179,7 +191,8 @@
     if (!m_leader.empty())
         return;
     for (const auto &[id, entry] : m_instances) {
-        if (entry.registered.saysPrimary && now - entry.refusedLead > DenialMemory) {
+        const bool credible = id != m_failed && now - entry.refusedLead > DenialMemory;
+        if (entry.registered.saysPrimary && credible) {
             m_leader = id;
             m_lastLeader = id;
             return;
--- a/src/session/leaderbelief.h
+++ b/src/session/leaderbelief.h
@@ -30,6 +30,7 @@
         Millis searchInterval = Millis(60); // Between questions to an instance that may lead.
         Millis silenceLimit = Millis(900);  // Of open questions, before the primary is replaced.
         Millis searchLimit = Millis(1200);  // Without any leader, before one is chosen.
+        Millis startLimit = Millis(3000);   // The same, for a host that has seen none yet.
         Millis stallLimit = Millis(1500);   // Of a write, before its replicas are let go.
         Millis sampleInterval = Millis(50); // Between samples of the primary's position.
         Millis gapLimit = Millis(300); // Between ticks; a longer gap means that we stood still.
@@ -85,12 +86,14 @@
 
     void lose(Millis now);
     void adoptHint(Millis now);
+    bool leaderFailed(Millis now) const;
     bool unreachable(Millis now) const;
 
     Options m_options;
     std::map<std::string, Seen> m_instances;
     std::string m_leader;
     std::string m_lastLeader;
+    std::string m_failed; // The leader that was given up because it does not answer.
     std::uint64_t m_term = 0;
     Millis m_confirmedAt = Millis(-1'000'000);
     std::optional<Millis> m_lostAt;
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -7,13 +7,15 @@
 
 namespace {
 
-constexpr Millis ClaimTimeout(3000);    // For the store's answers to the claim.
-constexpr Millis ResendInterval(300);   // Between repeated orders to an instance that is silent.
-constexpr Millis CatchUpInterval(60);   // Between status queries to a heir that is behind.
-constexpr Millis PromotionResend(400);  // Between repeated promotions that were not answered.
-constexpr Millis ConfirmTimeout(3000);  // From an accepted order to the new primary's lead.
-constexpr Millis RetryAfter(600);       // After an attempt that failed.
-constexpr Millis RetryAfterClaim(400);  // After a claim that another host holds.
+constexpr Millis ClaimTimeout(3000);   // For the store's answers to the claim.
+constexpr Millis ResendInterval(300);  // Between repeated orders to an instance that is silent.
+constexpr Millis CatchUpInterval(60);  // Between status queries to a heir that is behind.
+constexpr Millis PromotionResend(400); // Between repeated promotions that were not answered.
+constexpr Millis ConfirmTimeout(3000); // From an accepted order to the new primary's lead.
+constexpr Millis RetryAfter(600);      // After an attempt that failed.
+// After a claim that failed, according to how long another host holds the duty.
+constexpr Millis RetryAfterClaim(400);
+constexpr Millis MaxRetryAfterClaim(2000);
 constexpr Millis RetryAfterFence(5000); // The other host's lease has to end first.
 // An instance that vanished without notice may come back with its log for this long.
 constexpr Millis VanishedMemory(60'000);
@@ -64,17 +66,18 @@
     }
 }
 
-void PrimaryChange::onClaim(Millis now, std::optional<std::uint64_t> fencingToken, Millis actUntil)
+void PrimaryChange::onClaim(Millis now, const ClaimResult &result)
 {
     if (m_stage != ChangeStage::Claiming)
         return;
-    if (!fencingToken || now >= actUntil) {
-        enter(now, ChangeStage::Idle, fencingToken ? "the claim came too late" : "not granted");
-        m_retryAt = now + RetryAfterClaim;
+    if (!result.fencingToken || now >= result.actUntil) {
+        enter(now, ChangeStage::Idle,
+              result.fencingToken ? "the claim came too late" : "not granted");
+        m_retryAt = now + std::clamp(result.heldFor, RetryAfterClaim, MaxRetryAfterClaim);
         return;
     }
-    m_token = *fencingToken;
-    m_actUntil = actUntil;
+    m_token = *result.fencingToken;
+    m_actUntil = result.actUntil;
     m_sealed.clear();
     m_heir.clear();
     m_heirPosition.reset();
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -85,6 +85,15 @@
     {PromotionVerdict::NotDone, "not-done"},
 }}};
 
+// The result of a claim: a token that is good for acting until `actUntil`, or no token, and then
+// how long another host holds the duty.
+struct ClaimResult
+{
+    std::optional<std::uint64_t> fencingToken;
+    Millis actUntil;
+    Millis heldFor;
+};
+
 // Receives a promoter's actions.
 class ChangeOutput
 {
@@ -116,8 +125,7 @@
 
     // `cause` is what this host holds against the primary now.
     void onTick(Millis now, ChangeCause cause, const GroupKnowledge &knowledge);
-    // The duty was claimed with this token, good for acting until `actUntil`; or not.
-    void onClaim(Millis now, std::optional<std::uint64_t> fencingToken, Millis actUntil);
+    void onClaim(Millis now, const ClaimResult &result);
     void onStatus(Millis now, const std::string &instance, StatementKind order,
                   const InstanceStatus &status);
     void onPromotion(Millis now, PromotionVerdict verdict);
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -158,10 +158,9 @@
     m_fleet.flush();
 }
 
-void SessionEngine::onClaim(Millis now, const std::string &group,
-                            std::optional<std::uint64_t> fencingToken, Millis actUntil)
+void SessionEngine::onClaim(Millis now, const std::string &group, const ClaimResult &result)
 {
-    m_control.onClaim(now, group, fencingToken, actUntil);
+    m_control.onClaim(now, group, result);
     m_fleet.flush();
 }
 
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -91,8 +91,7 @@
     void onTargetAnswer(Millis now, ConnectionId connection, const StatementAnswer &answer);
     void onTargetClosed(Millis now, ConnectionId connection);
 
-    void onClaim(Millis now, const std::string &group, std::optional<std::uint64_t> fencingToken,
-                 Millis actUntil);
+    void onClaim(Millis now, const std::string &group, const ClaimResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
 
     void onTick(Millis now);
