Recover faster after all power was lost: hold early callers, hold fewer connections

Change: callers wait up to 1.2 s for the first configuration; connections stay open only to near instances and primaries, others close after 1.5 s idle; reads avoid an instance that shut us out; instances are read every 2 s, configurations waited for 3 s at a time; a primary is suspected after 650 ms instead of 900.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -16,12 +16,14 @@
 namespace {
 
 constexpr Millis TickInterval(20);
-constexpr Millis ConfigurationWait(2000); // For a change, at the store.
+constexpr Millis ConfigurationWait(3000); // For a change, at the store.
 constexpr Millis ConfigurationRetry(250); // After a failed call.
-constexpr Millis InstanceInterval(1000);  // Between readings of the instances' entries.
+constexpr Millis InstanceInterval(2000);  // Between readings of the instances' entries.
 constexpr Millis InstanceRetry(400);
 // Request log lines a second; refusals and failures may use all of it, answers only a half.
 constexpr int LogLinesPerSecond = 100;
+// Callers that connect before the configuration is known wait for it this long.
+constexpr Millis EarlyPatience(1200);
 constexpr Millis StopMargin(500); // Before the kill.
 // Callers that were about to connect when the shutdown began are served for this long.
 constexpr Millis LeastStopTime(2600);
@@ -119,21 +121,10 @@
     const std::shared_ptr<CallerSocket> caller = found->second;
     const bool greeted = m_greeted.contains(id);
     if (message.kind == CallerMessage::Kind::Connect && !greeted) {
-        const bool configured = m_engine.configurationVersion() > 0;
-        const Cause cause
-            = configured ? m_engine.onConnect(now(), id, message.database) : Cause::Overloaded;
-        if (cause == Cause::None) {
-            m_greeted[id] = true;
-            caller->welcome();
-            return;
-        }
-        noteRequest({.event = "session.refused",
-                     .session = id,
-                     .database = message.database,
-                     .cause = cause,
-                     .configuration = m_engine.configurationVersion()});
-        m_callers.erase(id);
-        caller->refuse(cause);
+        if (m_engine.configurationVersion() > 0)
+            greet(id, message.database);
+        else
+            m_early.push_back({.session = id, .database = message.database, .since = now()});
         return;
     }
     if (message.kind == CallerMessage::Kind::Statement && greeted) {
@@ -149,6 +140,41 @@
         caller->refuse(Cause::Invalid);
 }
 
+void SessionServer::greet(SessionId id, const std::string &database)
+{
+    const auto found = m_callers.find(id);
+    if (found == m_callers.end())
+        return;
+    const bool configured = m_engine.configurationVersion() > 0;
+    const Cause cause
+        = configured ? m_engine.onConnect(now(), id, database) : Cause::Overloaded;
+    if (cause == Cause::None) {
+        m_greeted[id] = true;
+        found->second->welcome();
+        return;
+    }
+    noteRequest({.event = "session.refused",
+                 .session = id,
+                 .database = database,
+                 .cause = cause,
+                 .configuration = m_engine.configurationVersion()});
+    const std::shared_ptr<CallerSocket> caller = found->second;
+    m_callers.erase(found);
+    caller->refuse(cause);
+}
+
+// Callers that came before the configuration are greeted with it, or refused when it takes long.
+void SessionServer::greetEarly()
+{
+    const bool configured = m_engine.configurationVersion() > 0;
+    while (!m_early.empty()
+           && (configured || now() - m_early.front().since > EarlyPatience)) {
+        const EarlyCaller caller = std::move(m_early.front());
+        m_early.pop_front();
+        greet(caller.session, caller.database);
+    }
+}
+
 void SessionServer::openTarget(ConnectionId connection, const RegisteredInstance &instance)
 {
     m_metrics.add("targets.opened");
@@ -328,6 +354,7 @@
                          {{"version", static_cast<std::int64_t>(table->version)},
                           {"databases", static_cast<std::int64_t>(table->databases.size())}});
             m_engine.onConfiguration(now(), *table);
+            greetEarly();
             pollConfiguration(ConfigurationWait);
         } else {
             m_loop->after(ConfigurationRetry, [this] { pollConfiguration(Millis(0)); });
@@ -365,6 +392,7 @@
 void SessionServer::tick()
 {
     m_engine.onTick(now());
+    greetEarly();
     if (!m_stoppingSince)
         return;
     const Millis since = now() - *m_stoppingSince;
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
 
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
+    void greet(SessionId id, const std::string &database);
+    void greetEarly();
     void handleMessage(SessionId id, CallerMessage message);
     void pollConfiguration(Millis wait);
     void pollInstances();
@@ -65,6 +68,14 @@
     bool mayLog(const RequestNote &note);
     Millis now() const { return m_clock.now(); }
 
+    // A caller that connected before the configuration was known.
+    struct EarlyCaller
+    {
+        SessionId session = 0;
+        std::string database;
+        Millis since;
+    };
+
     EventLoop *m_loop;
     Options m_options;
     const SessionCodec *m_codec;
@@ -76,6 +87,7 @@
     std::unique_ptr<HttpServer> m_balancer;
     std::map<SessionId, std::shared_ptr<CallerSocket>> m_callers;
     std::map<SessionId, bool> m_greeted; // Whether the session is open in the engine.
+    std::deque<EarlyCaller> m_early;
     std::map<ConnectionId, std::shared_ptr<TargetSocket>> m_targets;
     SessionId m_lastSession = 0;
     bool m_configurationReachable = true;
--- a/src/session/leaderbelief.h
+++ b/src/session/leaderbelief.h
@@ -28,7 +28,7 @@
     {
         Millis probeInterval = Millis(200); // Between proofs that the primary leads.
         Millis searchInterval = Millis(60); // Between questions to an instance that may lead.
-        Millis silenceLimit = Millis(900);  // Of open questions, before the primary is replaced.
+        Millis silenceLimit = Millis(650);  // Of open questions, before the primary is replaced.
         Millis searchLimit = Millis(1200);  // Without any leader, before one is chosen.
         Millis startLimit = Millis(3000);   // The same, for a host that has seen none yet.
         Millis stallLimit = Millis(1500);   // Of a write, before its replicas are let go.
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -15,6 +15,9 @@
 // An instance that leaves a question open for this long gets no reads, and those it has are moved.
 constexpr Millis SilentReadLimit(500);
 
+// What it costs to wait for an instance that has no connection left.
+constexpr Millis ShutOutCost(400);
+
 bool isForwarded(StatementKind kind)
 {
     return kind == StatementKind::Read || kind == StatementKind::Write
@@ -80,9 +83,13 @@
         ids.insert(id);
     }
     m_control.setInstances(now, usable, m_routing);
-    for (const RegisteredInstance &instance : usable)
+    for (const RegisteredInstance &instance : usable) {
+        // Connections are scarce: only those that the next statement may need stay open.
+        const bool near = instance.dataCentre == m_options.dataCentre;
+        const bool leads = m_control.leader(instance.group) == instance.id;
         m_fleet.setInstance(now, instance, m_routing.groups.at(instance.group).maxConnections,
-                            /*keepOpen=*/!instance.leaving);
+                            /*keepOpen=*/!instance.leaving && (near || leads));
+    }
     for (const std::string &id : m_fleet.instances()) {
         if (!ids.contains(id))
             m_fleet.removeInstance(now, id);
@@ -375,8 +382,9 @@
             const bool near = member.dataCentre == m_options.dataCentre;
             if (distance == Millis(0))
                 distance = near ? NearRoundTrip : FarRoundTrip;
-            const Millis cost
-                = distance + m_fleet.expectedWait(member.id, operation->route.priority);
+            Millis cost = distance + m_fleet.expectedWait(member.id, operation->route.priority);
+            if (m_fleet.shutOut(now, member.id))
+                cost = cost + ShutOutCost;
             if (best.empty() || cost < lowest) {
                 best = member.id;
                 lowest = cost;
--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -12,6 +12,9 @@
 // By this factor the shortest time seen grows with each answer, so that an old one is forgotten.
 constexpr double FastestDecay = 1.002;
 
+// An instance that had no connection left probably has none for this long.
+constexpr Millis FullMemory(300);
+
 ClassQueue::Options queueOptions(std::size_t capacity)
 {
     ClassQueue::Options options{.classes = {}, .capacity = capacity};
@@ -201,6 +204,8 @@
     const std::string name = found->instance;
     Instance &instance = m_instances.at(name);
     instance.openAfter = now + (full ? m_options.fullBackoff : m_options.refusedBackoff);
+    if (full)
+        instance.fullUntil = now + FullMemory;
     forget(now, connection);
     if (full)
         m_listener->onTargetHeard(now, name);
@@ -334,6 +339,13 @@
     return Millis(static_cast<std::int64_t>(found->second.fastestMs));
 }
 
+bool TargetFleet::shutOut(Millis now, const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    return found != m_instances.end() && now < found->second.fullUntil
+        && found->second.connections.size() == found->second.opening;
+}
+
 bool TargetFleet::hasIdle(const std::string &instance) const
 {
     const auto found = m_instances.find(instance);
--- a/src/session/targetfleet.h
+++ b/src/session/targetfleet.h
@@ -104,7 +104,7 @@
         Millis openTimeout = Millis(1500);   // To open a connection.
         Millis fullBackoff = Millis(60);     // After an instance had no connection left.
         Millis refusedBackoff = Millis(150); // After a refused or failed connection.
-        Millis idleClose = Millis(4000);     // Of connections beyond the first.
+        Millis idleClose = Millis(1500);     // Of connections beyond the first.
         double connectionShare = 0.6;        // Of an instance's connections that one host may take.
     };
 
@@ -146,6 +146,8 @@
     Millis expectedWait(const std::string &instance, int priority) const;
     // The network's share: the shortest time in which the instance answered.
     Millis roundTrip(const std::string &instance) const;
+    // The instance has no connection left for us, and we hold none.
+    bool shutOut(Millis now, const std::string &instance) const;
     // An idle connection exists.
     bool hasIdle(const std::string &instance) const;
     std::size_t connections(const std::string &instance) const;
@@ -193,6 +195,7 @@
         std::size_t opening = 0;
         std::size_t slotsTaken = 0;
         Millis openAfter;
+        Millis fullUntil; // It refused us for lack of connections not long ago.
         double serviceMs = 10;  // Moving average of a statement's time at the instance.
         double fastestMs = 1e9; // Slowly forgotten minimum.
     };
