Play whole sessions against a group under eleven failures, in virtual time

Change: test/sessionworld: hosts with the real engine, a semi-synchronously replicated group, the store's duty, promotions that are fenced, late or lost; it checks lost, doubled, kept-though-refused, stale, other sessions' values, two hosts with one token, and the write gap.

--- /dev/null
+++ b/src/session/tst_world.cpp
@@ -0,0 +1,77 @@
+// Whole sessions against a group under failures, in virtual time.
+#include "sessionworld.h"
+
+#include "base/hash.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace cicadagap {
+namespace {
+
+std::string text(const WorldReport &report)
+{
+    std::string all;
+    for (const std::string &violation : report.violations)
+        all += violation + "\n";
+    return all;
+}
+
+struct WorldCase
+{
+    std::string name;
+    std::vector<WorldFault> faults;
+    Millis writeGap = Millis(6000); // The users' bound for a change of primary.
+};
+
+class SessionWorld : public testing::TestWithParam<WorldCase>
+{
+};
+
+TEST_P(SessionWorld, KeepsItsPromises)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        const WorldReport report = playWorld({.seed = seed, .faults = GetParam().faults});
+        EXPECT_TRUE(report.violations.empty()) << "seed " << seed << "\n" << text(report);
+        EXPECT_TRUE(report.servesAtTheEnd) << "seed " << seed;
+        EXPECT_GT(report.answered, 1000) << "seed " << seed;
+        EXPECT_LE(report.longestWriteGap, GetParam().writeGap) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, SessionWorld,
+    testing::Values(
+        WorldCase{"calm", {}, Millis(500)},
+        WorldCase{"crashPrimary", {WorldFault::CrashPrimary}},
+        WorldCase{"silencePrimary", {WorldFault::SilencePrimary}},
+        WorldCase{"cutHosts", {WorldFault::CutHost, WorldFault::CutHost, WorldFault::CutHost}},
+        WorldCase{"lagReplicas", {WorldFault::LagReplicas, WorldFault::CrashPrimary}},
+        WorldCase{"loseAnswers", {WorldFault::LoseAnswers, WorldFault::LoseAnswers}},
+        WorldCase{"leavePrimary", {WorldFault::LeavePrimary}},
+        WorldCase{"killHosts", {WorldFault::KillHost, WorldFault::KillHost}},
+        WorldCase{"freezeHosts", {WorldFault::FreezeHost, WorldFault::CrashPrimary}},
+        WorldCase{"lateOrders", {WorldFault::LateOrders, WorldFault::CrashPrimary}},
+        WorldCase{"latePromotions", {WorldFault::LatePromotions, WorldFault::CrashPrimary},
+                  Millis(20'000)},
+        WorldCase{"storeDown", {WorldFault::StoreDown, WorldFault::CrashPrimary},
+                  Millis(20'000)}),
+    [](const auto &info) { return info.param.name; });
+
+// Schedules of several failures that overlap, drawn from the seed.
+TEST(SessionWorldRandom, KeepsItsPromises)
+{
+    constexpr int FaultCount = 11;
+    for (std::uint64_t seed = 1000; seed < 1060; ++seed) {
+        Random random(seed);
+        WorldOptions options{.seed = seed};
+        for (std::uint64_t i = 0; i < 2 + random.below(5); ++i)
+            options.faults.push_back(static_cast<WorldFault>(random.below(FaultCount)));
+        const WorldReport report = playWorld(options);
+        EXPECT_TRUE(report.violations.empty()) << "seed " << seed << "\n" << text(report);
+    }
+}
+
+} // namespace
+} // namespace cicadagap
--- /dev/null
+++ b/test/sessionworld.cpp
@@ -0,0 +1,1108 @@
+#include "sessionworld.h"
+
+#include "base/hash.h"
+#include "session/dutylease.h"
+#include "session/sessionengine.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <tuple>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr Millis NetworkDelay(5);
+constexpr Millis StatementTime(8);
+constexpr Millis ReplicationDelay(6);
+constexpr Millis PromoteTime(300);
+constexpr Millis TickInterval(20);
+constexpr Millis RegistryInterval(1000);
+constexpr Millis RegistryMemory(3600); // A silent instance stays registered for this long.
+constexpr Millis MaxAge(1500);
+constexpr int Items = 20;
+
+// The databases, one for each way to read.
+constexpr std::array<std::pair<const char *, Consistency>, 3> Databases{{
+    {"strict", Consistency::Primary},
+    {"aged", Consistency::BoundedAge},
+    {"own", Consistency::OwnWrites},
+}};
+
+struct LogEntry
+{
+    std::uint64_t term = 0;
+    std::string write; // The id of the statement.
+    std::string item;
+
+    bool operator==(const LogEntry &) const = default;
+};
+
+// A connection as the instance sees it.
+struct ServedConnection
+{
+    std::size_t host = 0;
+    SessionPhase phase = SessionPhase::Idle;
+    bool readOnly = false;
+    std::uint64_t beganTerm = 0;
+    std::vector<LogEntry> writes;
+    SessionValues values;
+    std::map<std::string, std::string> prepared;
+    Millis busyUntil;
+};
+
+struct SimInstance
+{
+    std::string id;
+    std::vector<LogEntry> log;
+    std::size_t applied = 0;
+    std::uint64_t term = 1;
+    bool primary = false;
+    std::uint64_t heldTerm = 0;
+    bool running = true;
+    bool gone = false;
+    bool leaving = false;
+    Millis silentUntil;
+    Millis lastAlive;
+    Millis applyDelay = Millis(8);
+    std::int64_t incarnation = 1;
+    std::map<std::pair<std::size_t, ConnectionId>, ServedConnection> connections;
+
+    Position end() const
+    {
+        return {.term = log.empty() ? 0 : log.back().term, .index = log.size()};
+    }
+};
+
+class World;
+
+// A host: an engine, and its way out into the world.
+class SimHost : public SessionOutput
+{
+public:
+    SimHost(World *world, std::size_t index)
+        : m_world(world)
+        , m_index(index)
+        , engine({.dataCentre = "dc" + std::to_string(index)}, this)
+    {
+    }
+
+    void openTarget(ConnectionId connection, const RegisteredInstance &instance) override;
+    void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements) override;
+    void closeTarget(ConnectionId connection) override;
+    void answerCaller(SessionId session, const StatementAnswer &answer) override;
+    void closeCaller(SessionId, Cause) override { }
+    void noteRequest(const RequestNote &) override { }
+    void claimDuty(const std::string &group) override;
+    void orderPromotion(const std::string &group, const std::string &instance,
+                        std::uint64_t fencingToken) override;
+    void groupChanged(const std::string &, std::string_view, const std::string &, std::uint64_t,
+                      const std::string &) override
+    {
+    }
+
+private:
+    World *m_world;
+    std::size_t m_index;
+
+public:
+    SessionEngine engine;
+    std::map<ConnectionId, std::string> targets;
+    std::uint64_t incarnation = 1;
+    Millis frozenUntil;
+};
+
+// A write that a caller was told of.
+struct Acknowledged
+{
+    std::string write;
+    std::size_t index = 0; // In the log.
+    Millis at;
+    SessionId session = 0;
+};
+
+// A caller with one session, which it opens again on the same host.
+struct Caller
+{
+    std::size_t host = 0;
+    SessionId session = 0;
+    std::size_t database = 0;
+    SessionPhase phase = SessionPhase::Idle;
+    SessionValues values; // Acknowledged.
+    SessionValues wanted; // Sent, not acknowledged yet.
+    int left = 0;         // Statements left in the transaction.
+    bool readOnly = false;
+    std::optional<Statement> sent;
+    Millis sentAt;
+    Millis began; // First byte of the statement or of its transaction.
+    std::set<std::string> transactionWrites;
+};
+
+class World
+{
+public:
+    explicit World(const WorldOptions &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+    }
+
+    WorldReport play();
+
+    void at(Millis when, std::function<void()> function)
+    {
+        m_events.push({when, ++m_sequence, std::move(function)});
+    }
+    // Runs on a host's process if it is still the same one; a frozen host runs it when it wakes.
+    void atHost(std::size_t host, Millis when, std::function<void(SimHost *)> function);
+    Millis now() const { return m_now; }
+    bool reaches(std::size_t host, const std::string &instance) const;
+    SimInstance *instance(const std::string &id);
+    void openTarget(std::size_t host, ConnectionId connection, const std::string &id);
+    void serve(std::size_t host, ConnectionId connection, const std::string &id,
+               const Statement &statement);
+    void closeTarget(std::size_t host, ConnectionId connection, const std::string &id);
+    void answerCaller(std::size_t host, SessionId session, const StatementAnswer &answer);
+    void claim(std::size_t host, const std::string &group);
+    void promote(std::size_t host, const std::string &instance, std::uint64_t token);
+
+private:
+    struct Event
+    {
+        Millis when;
+        std::uint64_t sequence = 0;
+        std::function<void()> function;
+
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.when, other.sequence) < std::tie(when, sequence);
+        }
+    };
+
+    void start();
+    void startHost(std::size_t index);
+    void tickHost(std::size_t index, std::uint64_t incarnation);
+    void tellInstances(std::size_t index, std::uint64_t incarnation);
+    std::vector<RegisteredInstance> registered() const;
+    void applyFault(WorldFault fault, Millis length);
+    void leavePrimary();
+    void killHost(std::size_t index);
+    void breakConnections(SimInstance *instance);
+    SimInstance *primary();
+    std::size_t anyReplica();
+    StatementAnswer run(SimInstance *instance, ServedConnection *connection,
+                        const Statement &statement);
+    StatementAnswer runRead(SimInstance *instance, ServedConnection *connection,
+                            const Statement &statement);
+    void commit(SimInstance *instance, std::vector<LogEntry> writes,
+                std::function<void()> acknowledged);
+    void replicate(const std::string &from, const std::string &to, std::size_t length,
+                   std::uint64_t term);
+    StatementAnswer order(SimInstance *instance, const Statement &statement);
+    void executePromotion(const std::string &id, std::uint64_t token);
+    void startCaller(std::size_t index);
+    void nextStatement(std::size_t index);
+    void finishStatement(std::size_t index, const StatementAnswer &answer);
+    void checkRead(const Caller &caller, const SimInstance &instance, const Statement &statement);
+    std::size_t indexOf(const std::string &write) const;
+    void checkAtTheEnd();
+    void violate(const std::string &text);
+
+    WorldOptions m_options;
+    Random m_random;
+    WorldReport m_report;
+    Millis m_now;
+    std::uint64_t m_sequence = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<std::unique_ptr<SimHost>> m_hosts;
+    std::map<std::string, SimInstance> m_instances;
+    std::vector<Caller> m_callers;
+    std::map<std::pair<std::size_t, SessionId>, std::size_t> m_sessionOwner;
+    std::map<std::string, std::size_t> m_statementOwner;
+    std::vector<Acknowledged> m_acknowledged;
+    std::set<std::string> m_promisedNotKept;
+    std::set<std::pair<std::size_t, std::string>> m_cuts;
+    std::optional<DutyRow> m_duty;
+    std::uint64_t m_dutyVersion = 0;
+    std::uint64_t m_highestToken = 0;
+    std::map<std::uint64_t, std::size_t> m_tokenHolder;
+    Millis m_storeDownUntil;
+    Millis m_loseAnswersUntil;
+    Millis m_lateOrdersUntil;
+    Millis m_latePromotionsUntil;
+    std::optional<Millis> m_lastWrite;
+    std::uint64_t m_lastId = 0;
+    SessionId m_lastSession = 0;
+};
+
+void SimHost::openTarget(ConnectionId connection, const RegisteredInstance &instance)
+{
+    targets[connection] = instance.id;
+    m_world->openTarget(m_index, connection, instance.id);
+}
+
+void SimHost::sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
+{
+    const std::string id = targets[connection];
+    for (const Statement &statement : statements)
+        m_world->serve(m_index, connection, id, statement);
+}
+
+void SimHost::closeTarget(ConnectionId connection)
+{
+    m_world->closeTarget(m_index, connection, targets[connection]);
+    targets.erase(connection);
+}
+
+void SimHost::answerCaller(SessionId session, const StatementAnswer &answer)
+{
+    m_world->answerCaller(m_index, session, answer);
+}
+
+void SimHost::claimDuty(const std::string &group)
+{
+    m_world->claim(m_index, group);
+}
+
+void SimHost::orderPromotion(const std::string &, const std::string &instance,
+                             std::uint64_t fencingToken)
+{
+    m_world->promote(m_index, instance, fencingToken);
+}
+
+void World::atHost(std::size_t host, Millis when, std::function<void(SimHost *)> function)
+{
+    const std::uint64_t incarnation = m_hosts[host]->incarnation;
+    at(when, [this, host, incarnation, function = std::move(function)] {
+        SimHost *target = m_hosts[host].get();
+        if (target->incarnation != incarnation)
+            return;
+        if (m_now < target->frozenUntil)
+            atHost(host, target->frozenUntil, function);
+        else
+            function(target);
+    });
+}
+
+bool World::reaches(std::size_t host, const std::string &instance) const
+{
+    const SimInstance &target = m_instances.at(instance);
+    return m_now >= target.silentUntil && !m_cuts.contains({host, instance});
+}
+
+SimInstance *World::instance(const std::string &id)
+{
+    const auto found = m_instances.find(id);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+void World::openTarget(std::size_t host, ConnectionId connection, const std::string &id)
+{
+    at(m_now + NetworkDelay, [=, this] {
+        SimInstance *target = instance(id);
+        if (!target || !reaches(host, id))
+            return;
+        const bool accepts = target->running && !target->gone;
+        if (accepts)
+            target->connections[{host, connection}] = {.host = host};
+        atHost(host, m_now + NetworkDelay, [=, this](SimHost *owner) {
+            if (accepts)
+                owner->engine.onTargetOpened(m_now, connection);
+            else
+                owner->engine.onTargetOpenFailed(m_now, connection, /*full=*/false);
+        });
+    });
+}
+
+// One statement at a time runs on a connection; the answer leaves when it has run.
+void World::serve(std::size_t host, ConnectionId connection, const std::string &id,
+                  const Statement &statement)
+{
+    const std::uint64_t incarnation = m_hosts[host]->incarnation;
+    at(m_now + NetworkDelay, [=, this] {
+        SimInstance *target = instance(id);
+        if (!target || !reaches(host, id) || m_hosts[host]->incarnation != incarnation)
+            return;
+        const auto found = target->connections.find({host, connection});
+        if (found == target->connections.end())
+            return;
+        const Millis start = std::max(m_now, found->second.busyUntil);
+        const Millis end = start + (needsSlot(statement.kind) ? StatementTime : Millis(0));
+        found->second.busyUntil = end;
+        at(end, [=, this] {
+            SimInstance *runner = instance(id);
+            const auto served = runner->connections.find({host, connection});
+            if (!runner->running || served == runner->connections.end())
+                return;
+            const bool isOrder = statement.kind == StatementKind::Pause
+                || statement.kind == StatementKind::Resume
+                || statement.kind == StatementKind::StepDown;
+            if (isOrder && m_now < m_lateOrdersUntil && m_random.below(3) == 0) {
+                at(m_now + Millis(2000 + std::int64_t(m_random.below(6000))), [=, this] {
+                    if (SimInstance *late = instance(id); late && late->running)
+                        order(late, statement);
+                });
+                return;
+            }
+            const auto reply = [=, this](const StatementAnswer &answer) {
+                const bool lost = m_now < m_loseAnswersUntil && needsSlot(statement.kind)
+                    && m_random.below(20) == 0;
+                if (lost) {
+                    instance(id)->connections.erase({host, connection});
+                    atHost(host, m_now + NetworkDelay, [=, this](SimHost *owner) {
+                        owner->engine.onTargetClosed(m_now, connection);
+                    });
+                    return;
+                }
+                at(m_now + NetworkDelay, [=, this] {
+                    if (!reaches(host, id))
+                        return;
+                    atHost(host, m_now, [=, this](SimHost *owner) {
+                        owner->engine.onTargetAnswer(m_now, connection, answer);
+                    });
+                });
+            };
+            ServedConnection *state = &served->second;
+            const bool commits = statement.kind == StatementKind::Commit
+                || (state->phase == SessionPhase::Idle
+                    && (statement.kind == StatementKind::Write
+                        || (statement.kind == StatementKind::Execute
+                            && statement.name.front() == 'w')));
+            StatementAnswer answer = run(runner, state, statement);
+            if (!commits || !answer.succeeded() || state->writes.empty()) {
+                reply(answer);
+                return;
+            }
+            // The answer waits for the replicas.
+            const std::uint64_t term = runner->term;
+            commit(runner, std::exchange(state->writes, {}), [=, this] {
+                SimInstance *leader = instance(id);
+                if (!leader->running || !leader->primary || leader->term != term)
+                    return;
+                StatementAnswer whole = answer;
+                whole.position = leader->end();
+                reply(whole);
+            });
+        });
+    });
+}
+
+void World::closeTarget(std::size_t host, ConnectionId connection, const std::string &id)
+{
+    if (SimInstance *target = instance(id))
+        target->connections.erase({host, connection});
+}
+
+StatementAnswer World::run(SimInstance *instance, ServedConnection *connection,
+                           const Statement &statement)
+{
+    StatementAnswer answer{.signature = "-", .phase = connection->phase, .position = instance->end()};
+    const auto lostLead = [&] {
+        return connection->phase == SessionPhase::Transaction && !connection->readOnly
+            && (!instance->primary || instance->term != connection->beganTerm);
+    };
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        connection->readOnly = statement.kind == StatementKind::BeginReadOnly;
+        if (!connection->readOnly && !instance->primary) {
+            answer.cause = Cause::NotPrimary;
+            return answer;
+        }
+        if (statement.after
+            && Position{.term = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
+                        .index = instance->applied}
+                < *statement.after) {
+            answer.cause = Cause::Behind;
+            return answer;
+        }
+        connection->phase = SessionPhase::Transaction;
+        connection->beganTerm = instance->term;
+        break;
+    case StatementKind::Rollback:
+        connection->phase = SessionPhase::Idle;
+        connection->writes.clear();
+        break;
+    case StatementKind::Commit:
+        if (connection->phase != SessionPhase::Transaction
+            || (lostLead() && !connection->writes.empty())) {
+            answer.cause = Cause::NotPrimary;
+            connection->writes.clear();
+        }
+        connection->phase = SessionPhase::Idle;
+        answer.signature = "signed";
+        break;
+    case StatementKind::SetValue:
+        connection->values[statement.name] = statement.argument;
+        break;
+    case StatementKind::Reset:
+        connection->values.clear();
+        connection->prepared.clear();
+        break;
+    case StatementKind::Prepare:
+        connection->prepared[statement.name] = statement.argument;
+        break;
+    case StatementKind::Read:
+        return runRead(instance, connection, statement);
+    case StatementKind::Execute:
+        if (!connection->prepared.contains(statement.name)) {
+            answer.cause = Cause::UnknownName;
+            return answer;
+        }
+        if (statement.name.front() != 'w')
+            return runRead(instance, connection, statement);
+        [[fallthrough]];
+    case StatementKind::Write: {
+        if (!instance->primary || lostLead() || connection->readOnly) {
+            answer.cause = Cause::NotPrimary;
+            if (connection->phase == SessionPhase::Transaction)
+                connection->phase = SessionPhase::FailedTransaction;
+            break;
+        }
+        const std::string_view parameters = statement.kind == StatementKind::Write
+            ? std::string_view(statement.name)
+            : std::string_view(statement.argument);
+        connection->writes.push_back(
+            {.term = instance->term, .write = statement.id, .item = std::string(parameters)});
+        answer.signature = "signed";
+        break;
+    }
+    default:
+        return order(instance, statement);
+    }
+    answer.phase = connection->phase;
+    return answer;
+}
+
+StatementAnswer World::runRead(SimInstance *instance, ServedConnection *connection,
+                               const Statement &statement)
+{
+    StatementAnswer answer{
+        .signature = "signed", .phase = connection->phase, .position = instance->end()};
+    const bool lostLead = connection->phase == SessionPhase::Transaction && !connection->readOnly
+        && (!instance->primary || instance->term != connection->beganTerm);
+    if (lostLead) {
+        answer.cause = Cause::NotPrimary;
+        connection->phase = answer.phase = SessionPhase::FailedTransaction;
+        return answer;
+    }
+    const Position applied{
+        .term = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
+        .index = instance->applied};
+    if (statement.after && applied < *statement.after) {
+        answer.cause = Cause::Behind;
+        return answer;
+    }
+    const auto owner = m_statementOwner.find(statement.id);
+    if (owner == m_statementOwner.end()) {
+        violate("a statement ran that no caller sent: " + statement.id);
+        return answer;
+    }
+    const Caller &caller = m_callers[owner->second];
+    if (caller.sent && caller.sent->id == statement.id) {
+        checkRead(caller, *instance, statement);
+        if (connection->values != caller.values)
+            violate("a read ran with another session's values");
+        m_report.replicaReads += instance->primary ? 0 : 1;
+    }
+    return answer;
+}
+
+void World::checkRead(const Caller &caller, const SimInstance &instance,
+                      const Statement &statement)
+{
+    const std::size_t visible = instance.primary ? instance.log.size() : instance.applied;
+    const Consistency consistency = Databases[caller.database].second;
+    const Acknowledged *newest = nullptr;
+    for (const Acknowledged &write : m_acknowledged) {
+        const bool old = consistency == Consistency::Primary
+            ? write.at < caller.began
+            : write.at < caller.began - MaxAge;
+        const bool own = consistency == Consistency::OwnWrites && write.session == caller.session;
+        if ((old || own) && (!newest || write.index > newest->index))
+            newest = &write;
+    }
+    // Logs that agree in one entry agree in all before it.
+    const bool held = !newest
+        || (newest->index < visible && instance.log[newest->index].write == newest->write);
+    if (!held)
+        violate("read " + statement.id + " on " + instance.id + " lacks " + newest->write + " ("
+                + Databases[caller.database].first + ")");
+}
+
+// Appends to the primary's log; `acknowledged` runs when a replica has received the entries.
+void World::commit(SimInstance *instance, std::vector<LogEntry> writes,
+                   std::function<void()> acknowledged)
+{
+    const std::uint64_t term = instance->term;
+    for (LogEntry &entry : writes) {
+        entry.term = term;
+        instance->log.push_back(std::move(entry));
+    }
+    instance->applied = instance->log.size();
+    const std::size_t length = instance->log.size();
+    const std::string from = instance->id;
+    const auto told = std::make_shared<bool>(false);
+    for (auto &row : m_instances) {
+        if (row.first == from)
+            continue;
+        at(m_now + ReplicationDelay + Millis(std::int64_t(m_random.below(10))),
+           [=, this, to = row.first] {
+               replicate(from, to, length, term);
+               SimInstance *replica = this->instance(to);
+               const bool holds = replica->running && !replica->gone && replica->heldTerm == 0
+                   && replica->term <= term && replica->log.size() >= length;
+               if (holds && !*told) {
+                   *told = true;
+                   acknowledged();
+               } else if (!holds && !*told && replica->running) {
+                   // Sent again while the replica does not hold it.
+                   at(m_now + Millis(100), [=, this] {
+                       replicate(from, to, length, term);
+                       SimInstance *later = this->instance(to);
+                       SimInstance *leader = this->instance(from);
+                       if (!*told && leader->primary && leader->term == term
+                           && later->running && later->heldTerm == 0
+                           && later->log.size() >= length) {
+                           *told = true;
+                           acknowledged();
+                       }
+                   });
+               }
+           });
+    }
+}
+
+void World::replicate(const std::string &from, const std::string &to, std::size_t length,
+                      std::uint64_t term)
+{
+    SimInstance *source = instance(from);
+    SimInstance *target = instance(to);
+    const bool linked = source->running && source->primary && source->term == term
+        && target->running && !target->gone && target->heldTerm == 0 && m_now >= source->silentUntil
+        && m_now >= target->silentUntil;
+    if (!linked || target->term > term)
+        return;
+    target->term = term;
+    const std::size_t wanted = std::min(std::max(length, target->log.size()), source->log.size());
+    target->log.assign(source->log.begin(),
+                       source->log.begin() + static_cast<std::ptrdiff_t>(wanted));
+    target->applied = std::min(target->applied, target->log.size());
+    const std::size_t received = target->log.size();
+    at(m_now + target->applyDelay, [=, this] {
+        SimInstance *replica = instance(to);
+        replica->applied = std::max(replica->applied, std::min(received, replica->log.size()));
+    });
+}
+
+StatementAnswer World::order(SimInstance *instance, const Statement &statement)
+{
+    const std::uint64_t term = statement.argument.empty() ? 0 : std::stoull(statement.argument);
+    std::uint64_t newest = 0;
+    for (const auto &row : m_instances)
+        newest = std::max(newest, row.second.term);
+    if (statement.kind == StatementKind::Pause && !instance->primary && term > newest)
+        instance->heldTerm = term;
+    if (statement.kind == StatementKind::Resume)
+        instance->heldTerm = 0;
+    if (statement.kind == StatementKind::StepDown && instance->primary && instance->term < term)
+        instance->primary = false;
+    StatementAnswer answer{.signature = "-", .position = instance->end()};
+    answer.status = InstanceStatus{.primary = instance->primary,
+                                   .term = instance->term,
+                                   .received = instance->end(),
+                                   .heldTerm = instance->heldTerm};
+    return answer;
+}
+
+void World::claim(std::size_t host, const std::string &group)
+{
+    const Millis askedAt = m_now;
+    const bool down = m_now < m_storeDownUntil;
+    if (down) {
+        atHost(host, m_now + Millis(900),
+               [=, this](SimHost *owner) { owner->engine.onClaim(m_now, group, {}); });
+        return;
+    }
+    const std::optional<DutyRow> seen = m_duty;
+    const std::uint64_t version = m_dutyVersion;
+    const std::optional<DutyRow> wanted
+        = claimDuty(seen, "host" + std::to_string(host), m_now + Millis(1'000'000));
+    if (!wanted) {
+        const Millis held = seen->until - (m_now + Millis(1'000'000));
+        atHost(host, m_now + NetworkDelay * 2, [=, this](SimHost *owner) {
+            owner->engine.onClaim(m_now, group, {.heldFor = held});
+        });
+        return;
+    }
+    at(m_now + NetworkDelay * 3, [=, this] {
+        const bool granted = m_dutyVersion == version && m_now >= m_storeDownUntil;
+        if (granted) {
+            m_duty = wanted;
+            ++m_dutyVersion;
+        }
+        ClaimResult result{.actUntil = askedAt + DutyActingTime};
+        if (granted)
+            result.fencingToken = wanted->fencingToken;
+        atHost(host, m_now + NetworkDelay,
+               [=, this](SimHost *owner) { owner->engine.onClaim(m_now, group, result); });
+    });
+}
+
+void World::promote(std::size_t host, const std::string &id, std::uint64_t token)
+{
+    at(m_now + NetworkDelay, [=, this] {
+        const auto holder = m_tokenHolder.emplace(token, host).first->second;
+        if (holder != host)
+            violate("two hosts used one fencing token");
+        if (m_now < m_latePromotionsUntil && m_random.below(2) == 0) {
+            at(m_now + Millis(1000 + std::int64_t(m_random.below(4000))),
+               [=, this] { executePromotion(id, token); });
+            return; // No answer.
+        }
+        PromotionVerdict verdict = PromotionVerdict::Accepted;
+        const SimInstance *target = instance(id);
+        if (token < m_highestToken)
+            verdict = PromotionVerdict::Fenced;
+        else if (!target->running || target->gone)
+            verdict = PromotionVerdict::NotRunning;
+        if (verdict == PromotionVerdict::Accepted) {
+            m_highestToken = token;
+            at(m_now + PromoteTime, [=, this] { executePromotion(id, token); });
+        }
+        atHost(host, m_now + NetworkDelay, [=, this](SimHost *owner) {
+            owner->engine.onPromotion(m_now, "group", verdict);
+        });
+    });
+}
+
+void World::executePromotion(const std::string &id, std::uint64_t token)
+{
+    SimInstance *heir = instance(id);
+    if (token < m_highestToken || !heir->running || heir->gone || heir->primary)
+        return;
+    m_highestToken = token;
+    std::uint64_t newest = 0;
+    for (auto &row : m_instances) {
+        newest = std::max(newest, row.second.term);
+        row.second.primary = false;
+    }
+    std::set<std::string> kept;
+    for (const LogEntry &entry : heir->log)
+        kept.insert(entry.write);
+    for (const Acknowledged &row : m_acknowledged) {
+        if (!kept.contains(row.write))
+            violate("acknowledged write " + row.write + " is lost by the promotion of " + id);
+    }
+    heir->primary = true;
+    heir->term = newest + 1;
+    heir->heldTerm = 0;
+    heir->applied = heir->log.size();
+    ++m_report.promotions;
+    for (auto &row : m_instances) {
+        SimInstance &other = row.second;
+        if (row.first == id || !other.running)
+            continue;
+        if (other.log.size() > heir->log.size()
+            || !std::equal(other.log.begin(), other.log.end(), heir->log.begin())) {
+            other.log = heir->log;
+            other.applied = std::min(other.applied, other.log.size());
+        }
+    }
+}
+
+std::vector<RegisteredInstance> World::registered() const
+{
+    std::vector<RegisteredInstance> list;
+    for (const auto &[id, instance] : m_instances) {
+        if (instance.gone || m_now - instance.lastAlive > RegistryMemory)
+            continue;
+        list.push_back({.id = id,
+                        .group = "group",
+                        .endpoint = {.address = "127.0.0.1", .port = 1},
+                        .dataCentre = "dc" + id.substr(1),
+                        .slots = 3,
+                        .leaving = instance.leaving,
+                        .saysPrimary = instance.primary,
+                        .incarnation = instance.incarnation});
+    }
+    return list;
+}
+
+SimInstance *World::primary()
+{
+    for (auto &row : m_instances) {
+        if (row.second.primary && row.second.running && !row.second.gone)
+            return &row.second;
+    }
+    return nullptr;
+}
+
+void World::breakConnections(SimInstance *instance)
+{
+    for (const auto &row : std::exchange(instance->connections, {})) {
+        const auto [host, connection] = row.first;
+        atHost(host, m_now + NetworkDelay, [=, this, connection = connection](SimHost *owner) {
+            owner->engine.onTargetClosed(m_now, connection);
+        });
+    }
+}
+
+void World::applyFault(WorldFault fault, Millis length)
+{
+    SimInstance *leader = primary();
+    const std::size_t host = m_random.below(m_hosts.size());
+    switch (fault) {
+    case WorldFault::CrashPrimary:
+        if (!leader)
+            return;
+        leader->running = false;
+        breakConnections(leader);
+        at(m_now + length, [this, id = leader->id] {
+            SimInstance *back = instance(id);
+            back->running = true;
+            bool replaced = false;
+            for (const auto &row : m_instances)
+                replaced = replaced || (row.second.primary && row.first != id);
+            if (replaced) {
+                back->primary = false;
+                back->log = primary() ? primary()->log : back->log;
+                back->applied = std::min(back->applied, back->log.size());
+            }
+        });
+        return;
+    case WorldFault::SilencePrimary:
+        if (leader)
+            leader->silentUntil = m_now + length;
+        return;
+    case WorldFault::CutHost: {
+        auto it = m_instances.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(m_random.below(m_instances.size())));
+        m_cuts.insert({host, it->first});
+        at(m_now + length, [this, cut = std::pair(host, it->first)] { m_cuts.erase(cut); });
+        return;
+    }
+    case WorldFault::LagReplicas:
+        for (auto &row : m_instances)
+            row.second.applyDelay = Millis(1000);
+        at(m_now + length, [this] {
+            for (auto &row : m_instances)
+                row.second.applyDelay = Millis(8);
+        });
+        return;
+    case WorldFault::LoseAnswers:
+        m_loseAnswersUntil = m_now + length;
+        return;
+    case WorldFault::LateOrders:
+        m_lateOrdersUntil = m_now + length;
+        return;
+    case WorldFault::LatePromotions:
+        m_latePromotionsUntil = m_now + length;
+        return;
+    case WorldFault::LeavePrimary:
+        leavePrimary();
+        return;
+    case WorldFault::KillHost:
+        killHost(host);
+        return;
+    case WorldFault::FreezeHost:
+        m_hosts[host]->frozenUntil = m_now + length;
+        return;
+    case WorldFault::StoreDown:
+        m_storeDownUntil = m_now + length;
+        return;
+    }
+}
+
+// The primary announces that it leaves, serves on for some seconds, and hands its log to a new one.
+void World::leavePrimary()
+{
+    SimInstance *leader = primary();
+    if (!leader || leader->leaving)
+        return;
+    leader->leaving = true;
+    at(m_now + Millis(7500), [this, id = leader->id] {
+        SimInstance *old = instance(id);
+        SimInstance fresh{.id = id + "n",
+                          .log = old->log,
+                          .applied = old->applied,
+                          .term = old->term,
+                          .lastAlive = m_now,
+                          .incarnation = m_now.count()};
+        old->gone = true;
+        old->primary = false;
+        breakConnections(old);
+        m_instances[fresh.id] = fresh;
+    });
+}
+
+void World::killHost(std::size_t index)
+{
+    for (auto &row : m_instances)
+        std::erase_if(row.second.connections,
+                      [index](const auto &entry) { return entry.first.first == index; });
+    const std::uint64_t incarnation = m_hosts[index]->incarnation + 1;
+    m_hosts[index] = std::make_unique<SimHost>(this, index);
+    m_hosts[index]->incarnation = incarnation;
+    startHost(index);
+    for (std::size_t i = 0; i < m_callers.size(); ++i) {
+        Caller &caller = m_callers[i];
+        if (caller.host != index)
+            continue;
+        caller.sent.reset();
+        at(m_now + Millis(300), [this, i] { startCaller(i); });
+    }
+}
+
+void World::startHost(std::size_t index)
+{
+    RoutingTable routing{.version = 1};
+    for (const auto &[name, consistency] : Databases)
+        routing.databases[name] = {.database = name,
+                                   .group = "group",
+                                   .consistency = consistency,
+                                   .maxAge = MaxAge,
+                                   .statementTimeout = Millis(800),
+                                   .objective = Millis(400),
+                                   .priority = 1};
+    routing.groups["group"] = {.name = "group", .maxConnections = 22, .syncReplicas = 1};
+    m_hosts[index]->engine.onConfiguration(m_now, routing);
+    tellInstances(index, m_hosts[index]->incarnation);
+    tickHost(index, m_hosts[index]->incarnation);
+}
+
+void World::tickHost(std::size_t index, std::uint64_t incarnation)
+{
+    SimHost *host = m_hosts[index].get();
+    if (host->incarnation != incarnation)
+        return;
+    if (m_now >= host->frozenUntil)
+        host->engine.onTick(m_now);
+    at(std::max(m_now, host->frozenUntil) + TickInterval,
+       [=, this] { tickHost(index, incarnation); });
+}
+
+void World::tellInstances(std::size_t index, std::uint64_t incarnation)
+{
+    SimHost *host = m_hosts[index].get();
+    if (host->incarnation != incarnation)
+        return;
+    for (auto &row : m_instances) {
+        if (row.second.running && !row.second.gone && m_now >= row.second.silentUntil)
+            row.second.lastAlive = m_now;
+    }
+    if (m_now >= m_storeDownUntil && m_now >= host->frozenUntil)
+        host->engine.onInstances(m_now, registered());
+    at(m_now + RegistryInterval, [=, this] { tellInstances(index, incarnation); });
+}
+
+void World::startCaller(std::size_t index)
+{
+    Caller &caller = m_callers[index];
+    const std::size_t host = caller.host;
+    const std::size_t database = caller.database;
+    if (caller.session != 0)
+        m_hosts[host]->engine.onCallerClosed(m_now, caller.session);
+    caller = {.host = host, .session = ++m_lastSession, .database = database};
+    m_sessionOwner[{host, caller.session}] = index;
+    m_hosts[host]->engine.onConnect(m_now, caller.session, Databases[database].first);
+    nextStatement(index);
+}
+
+void World::nextStatement(std::size_t index)
+{
+    Caller &caller = m_callers[index];
+    const std::string id = "q" + std::to_string(++m_lastId);
+    const std::string item = std::to_string(m_random.below(Items));
+    Statement statement{.id = id};
+    if (caller.phase == SessionPhase::FailedTransaction) {
+        statement.kind = StatementKind::Rollback;
+    } else if (caller.phase == SessionPhase::Transaction && caller.left-- <= 0) {
+        statement.kind = StatementKind::Commit;
+    } else {
+        const std::uint64_t dice = m_random.below(20);
+        const bool inTransaction = caller.phase == SessionPhase::Transaction;
+        if (!inTransaction && dice == 0) {
+            statement.kind = StatementKind::SetValue;
+            statement.name = "v" + std::to_string(m_random.below(2));
+            statement.argument = id;
+            caller.wanted = caller.values;
+            caller.wanted[statement.name] = id;
+        } else if (!inTransaction && dice < 4) {
+            caller.readOnly = m_random.below(3) == 0;
+            caller.left = 1 + static_cast<int>(m_random.below(3));
+            statement.kind
+                = caller.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
+        } else if (dice < 9 && !(inTransaction && caller.readOnly)) {
+            statement.kind = StatementKind::Write;
+            statement.name = item;
+        } else {
+            statement.kind = StatementKind::Read;
+            statement.name = item;
+        }
+    }
+    statement.text = id;
+    if (caller.phase == SessionPhase::Idle) {
+        caller.began = m_now;
+        caller.transactionWrites.clear();
+    }
+    if (statement.kind == StatementKind::Write)
+        caller.transactionWrites.insert(id);
+    m_statementOwner[id] = index;
+    caller.sent = statement;
+    caller.sentAt = m_now;
+    const SessionId session = caller.session;
+    atHost(caller.host, m_now, [=, this](SimHost *host) {
+        host->engine.onStatement(m_now, session, statement);
+    });
+}
+
+void World::answerCaller(std::size_t host, SessionId session, const StatementAnswer &answer)
+{
+    const auto owner = m_sessionOwner.find({host, session});
+    if (owner == m_sessionOwner.end())
+        return;
+    at(m_now, [this, index = owner->second, session, answer] {
+        if (m_callers[index].session == session)
+            finishStatement(index, answer);
+    });
+}
+
+void World::finishStatement(std::size_t index, const StatementAnswer &answer)
+{
+    Caller &caller = m_callers[index];
+    if (!caller.sent) {
+        violate("an answer came to nothing");
+        return;
+    }
+    const Statement statement = *std::exchange(caller.sent, std::nullopt);
+    const bool wasIdle = caller.phase == SessionPhase::Idle;
+    const bool decides = statement.kind == StatementKind::Commit
+        || (statement.kind == StatementKind::Write && wasIdle);
+    caller.phase = answer.phase;
+    if (answer.succeeded()) {
+        ++m_report.answered;
+        if (statement.kind == StatementKind::SetValue)
+            caller.values = caller.wanted;
+        if (decides && !caller.transactionWrites.empty()) {
+            for (const std::string &write : caller.transactionWrites) {
+                m_acknowledged.push_back({.write = write,
+                                          .index = indexOf(write),
+                                          .at = m_now,
+                                          .session = caller.session});
+            }
+            const Millis gap = m_lastWrite ? m_now - *m_lastWrite : Millis(0);
+            m_report.longestWriteGap = std::max(m_report.longestWriteGap, gap);
+            m_lastWrite = m_now;
+        }
+    } else {
+        const bool uncertain = answer.cause == Cause::ConnectionLost
+            || answer.cause == Cause::Timeout || answer.cause == Cause::Failed;
+        ++(uncertain ? m_report.uncertain : m_report.refused);
+        if (!uncertain)
+            m_promisedNotKept.insert(caller.transactionWrites.begin(),
+                                     caller.transactionWrites.end());
+    }
+    at(m_now + Millis(5 + std::int64_t(m_random.below(60))), [this, index] {
+        if (!m_callers[index].sent)
+            nextStatement(index);
+    });
+}
+
+// Where the write is in the logs that hold it (the same place in all); behind everything if none does.
+std::size_t World::indexOf(const std::string &write) const
+{
+    for (const auto &row : m_instances) {
+        const std::vector<LogEntry> &log = row.second.log;
+        for (std::size_t i = log.size(); i > 0; --i) {
+            if (log[i - 1].write == write)
+                return i - 1;
+        }
+    }
+    return SIZE_MAX;
+}
+
+void World::checkAtTheEnd()
+{
+    const SimInstance *leader = primary();
+    if (!leader) {
+        violate("no instance leads at the end");
+        return;
+    }
+    std::map<std::string, int> counts;
+    for (const LogEntry &entry : leader->log)
+        ++counts[entry.write];
+    for (const Acknowledged &row : m_acknowledged) {
+        if (counts[row.write] != 1)
+            violate("acknowledged write " + row.write + " is there "
+                    + std::to_string(counts[row.write]) + " times");
+    }
+    for (const auto &[write, count] : counts) {
+        if (count > 1)
+            violate("write " + write + " took effect twice");
+        if (m_promisedNotKept.contains(write))
+            violate("write " + write + " is kept though its caller was told that it is not");
+    }
+    m_report.servesAtTheEnd = m_lastWrite && m_now - *m_lastWrite < Millis(1000);
+}
+
+void World::violate(const std::string &text)
+{
+    m_report.violations.push_back(std::to_string(m_now.count()) + " ms: " + text);
+}
+
+void World::start()
+{
+    for (int i = 0; i < 3; ++i) {
+        const std::string id = "i" + std::to_string(i);
+        m_instances[id] = {.id = id, .primary = i == 0};
+    }
+    for (int i = 0; i < m_options.hosts; ++i)
+        m_hosts.push_back(std::make_unique<SimHost>(this, static_cast<std::size_t>(i)));
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+        startHost(i);
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        for (int i = 0; i < m_options.sessionsPerHost; ++i) {
+            m_callers.push_back(
+                {.host = host, .database = static_cast<std::size_t>(i) % Databases.size()});
+            const std::size_t index = m_callers.size() - 1;
+            at(Millis(500 + 10 * i), [this, index] { startCaller(index); });
+        }
+    }
+    const auto span = static_cast<std::uint64_t>(m_options.duration.count()) / 2;
+    for (const WorldFault fault : m_options.faults) {
+        const Millis when(1000 + static_cast<std::int64_t>(m_random.below(span)));
+        const Millis length(500 + static_cast<std::int64_t>(m_random.below(span / 2)));
+        at(when, [this, fault, length] { applyFault(fault, length); });
+    }
+}
+
+WorldReport World::play()
+{
+    start();
+    while (!m_events.empty() && m_events.top().when <= m_options.duration) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.when;
+        event.function();
+    }
+    m_now = m_options.duration;
+    checkAtTheEnd();
+    return m_report;
+}
+
+} // namespace
+
+WorldReport playWorld(const WorldOptions &options)
+{
+    return World(options).play();
+}
+
+} // namespace cicadagap
