Seal the old primary like any other instance, and stop when another one leads

A host that could get no connection to the new primary (all taken) still took the former one for the primary. It replaced the live primary: the former one, a replica by now, was counted as sealed because it answered the order to step down, though it went on receiving. Change: only an instance that holds the seal's term counts; one that stepped down is sealed next; a status that shows another primary ends the attempt; a primary that is registered as such is not replaced only because no connection to it can be had.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -146,8 +146,7 @@
     if (found == m_callers.end())
         return;
     const bool configured = m_engine.configurationVersion() > 0;
-    const Cause cause
-        = configured ? m_engine.onConnect(now(), id, database) : Cause::Overloaded;
+    const Cause cause = configured ? m_engine.onConnect(now(), id, database) : Cause::Overloaded;
     if (cause == Cause::None) {
         m_greeted[id] = true;
         found->second->welcome();
@@ -167,8 +166,7 @@
 void SessionServer::greetEarly()
 {
     const bool configured = m_engine.configurationVersion() > 0;
-    while (!m_early.empty()
-           && (configured || now() - m_early.front().since > EarlyPatience)) {
+    while (!m_early.empty() && (configured || now() - m_early.front().since > EarlyPatience)) {
         const EarlyCaller caller = std::move(m_early.front());
         m_early.pop_front();
         greet(caller.session, caller.database);
--- a/src/session/leaderbelief.cpp
+++ b/src/session/leaderbelief.cpp
@@ -175,7 +175,7 @@
     if (m_leader.empty() && !m_failed.empty())
         return true;
     const Millis limit = m_term == 0 ? m_options.startLimit : m_options.searchLimit;
-    return m_lostAt && now - *m_lostAt > limit;
+    return m_leader.empty() && m_lostAt && now - *m_lostAt > limit;
 }
 
 void LeaderBelief::lose(Millis now)
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -82,6 +82,7 @@
     m_heir.clear();
     m_heirPosition.reset();
     m_oldPrimary = m_knowledge.primary;
+    m_steppedDown = false;
     m_sealTerm = std::max(m_sealTerm, m_knowledge.term) + 1;
     m_nextSend = now;
     enter(now, ChangeStage::Sealing, "token " + std::to_string(m_token));
@@ -98,12 +99,22 @@
     }
     if (m_stage != ChangeStage::Sealing)
         return;
-    if (order == StatementKind::Status) {
-        if (instance == m_heir)
-            m_heirPosition = status.received;
-    } else if (status.heldTerm > 0 || (order == StatementKind::StepDown && !status.primary)) {
-        m_sealed[instance] = status;
+    if (status.primary && instance != m_oldPrimary) {
+        m_toResume.erase(instance);
+        abandon(now, instance + " leads term " + std::to_string(status.term));
+        return;
     }
+    if (order == StatementKind::StepDown && !status.primary) {
+        // It is a replica now and may receive from a primary that we do not know of.
+        m_steppedDown = true;
+        ++m_sealTerm;
+        m_nextSend = now;
+        return;
+    }
+    if (order == StatementKind::Status && instance == m_heir)
+        m_heirPosition = status.received;
+    if (order == StatementKind::Pause && status.heldTerm > 0)
+        m_sealed[instance] = status;
     tryToOrder(now);
 }
 
@@ -227,7 +238,7 @@
     for (const std::string &id : participants()) {
         if (m_sealed.contains(id) || !registered(id))
             continue;
-        const bool leads = id == m_oldPrimary;
+        const bool leads = id == m_oldPrimary && !m_steppedDown;
         if (!leads)
             m_toResume.insert(id);
         m_output->order(
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -174,6 +174,7 @@
     std::string m_heir;
     std::optional<Position> m_heirPosition;
     std::string m_oldPrimary;
+    bool m_steppedDown = false; // The old primary.
 };
 
 } // namespace cicadagap
--- /dev/null
+++ b/src/session/tst_primarychange.cpp
@@ -0,0 +1,210 @@
+// The steps of a change of primary, one at a time.
+#include "session/primarychange.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+namespace {
+
+constexpr Millis Start(1000);
+constexpr Millis ActUntil(3500);
+
+// Records actions as short texts.
+class Recorder : public ChangeOutput
+{
+public:
+    void claim(const std::string &) override { actions.emplace_back("claim"); }
+    void order(const std::string &instance, const Statement &statement) override
+    {
+        static constexpr NameTable<StatementKind, 4> Names{{{
+            {StatementKind::Pause, "pause"},
+            {StatementKind::Resume, "resume"},
+            {StatementKind::StepDown, "stepdown"},
+            {StatementKind::Status, "status"},
+        }}};
+        std::string text = std::string(Names.name(statement.kind)) + " " + instance;
+        if (!statement.argument.empty())
+            text += " " + statement.argument;
+        actions.push_back(text);
+    }
+    void promote(const std::string &, const std::string &instance, std::uint64_t token) override
+    {
+        actions.push_back("promote " + instance + " " + std::to_string(token));
+    }
+    void stageChanged(const std::string &, ChangeStage, ChangeCause, const std::string &) override
+    {
+    }
+
+    std::vector<std::string> take()
+    {
+        std::vector<std::string> taken;
+        taken.swap(actions);
+        return taken;
+    }
+    bool has(const std::string &action) const
+    {
+        return std::find(actions.begin(), actions.end(), action) != actions.end();
+    }
+
+    std::vector<std::string> actions;
+};
+
+using Actions = std::vector<std::string>;
+
+class PrimaryChangeTest : public testing::Test
+{
+protected:
+    void begin(ChangeCause cause)
+    {
+        change.onTick(Start, cause, knowledge());
+        EXPECT_EQ(recorder.take(), Actions{"claim"});
+        change.onClaim(Start, {.fencingToken = 7, .actUntil = ActUntil});
+    }
+
+    GroupKnowledge knowledge() const
+    {
+        return {.instances = instances, .primary = "a", .term = 4, .syncReplicas = 1};
+    }
+
+    void held(const std::string &instance, std::uint64_t index)
+    {
+        change.onStatus(Start, instance, StatementKind::Pause,
+                        {.term = 4, .received = {.term = 4, .index = index}, .heldTerm = 5});
+    }
+
+    std::vector<RegisteredInstance> instances{{.id = "a"}, {.id = "b"}, {.id = "c"}};
+    Recorder recorder;
+    PrimaryChange change{"group", &recorder};
+};
+
+TEST_F(PrimaryChangeTest, PromotesTheHighestOfAllButOne)
+{
+    begin(ChangeCause::Unreachable);
+    EXPECT_EQ(recorder.take(), (Actions{"stepdown a 5", "pause b 5", "pause c 5"}));
+    held("b", 10);
+    EXPECT_EQ(recorder.take(), Actions{});
+    held("c", 12);
+    EXPECT_EQ(recorder.take(), Actions{"promote c 7"});
+    change.onPromotion(Start, PromotionVerdict::Accepted);
+    change.onLeader(Start, "c", 5);
+    EXPECT_EQ(recorder.take(), Actions{"resume b"});
+    EXPECT_EQ(change.stage(), ChangeStage::Idle);
+}
+
+// An instance that follows a primary which this host does not know of still receives.
+TEST_F(PrimaryChangeTest, DoesNotCountAnInstanceThatStillReceives)
+{
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.primary = false, .term = 5, .received = {.term = 5, .index = 20}});
+    held("b", 10);
+    EXPECT_FALSE(recorder.has("promote a 7"));
+    EXPECT_FALSE(recorder.has("promote b 7"));
+}
+
+TEST_F(PrimaryChangeTest, StopsWhenAnotherInstanceLeads)
+{
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    change.onStatus(Start, "c", StatementKind::Pause,
+                    {.primary = true, .term = 5, .received = {.term = 5, .index = 20}});
+    EXPECT_EQ(recorder.take(), Actions{"resume b"});
+    EXPECT_EQ(change.stage(), ChangeStage::Idle);
+}
+
+TEST_F(PrimaryChangeTest, SealsAPrimaryThatSteppedDown)
+{
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.primary = false, .term = 4, .received = {.term = 4, .index = 20}});
+    change.onTick(Start + Millis(400), ChangeCause::Unreachable, knowledge());
+    EXPECT_TRUE(recorder.has("pause a 6"));
+    held("a", 20);
+    held("b", 10);
+    EXPECT_TRUE(recorder.has("promote a 7"));
+}
+
+TEST_F(PrimaryChangeTest, CountsAnInstanceThatVanishedWithoutNotice)
+{
+    change.onTick(Start, ChangeCause::None, knowledge());
+    instances.pop_back();
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    change.onTick(Start + Millis(400), ChangeCause::Unreachable, knowledge());
+    EXPECT_FALSE(recorder.has("promote b 7"));
+}
+
+TEST_F(PrimaryChangeTest, LetsALeavingPrimaryServeUntilTheHeirHasAll)
+{
+    instances[0].leaving = true;
+    begin(ChangeCause::Leaving);
+    EXPECT_EQ(recorder.take(), (Actions{"pause c 5", "status b"}));
+    held("c", 12);
+    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 11}});
+    EXPECT_EQ(recorder.take(), Actions{});
+    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 12}});
+    EXPECT_EQ(recorder.take(), Actions{"promote b 7"});
+}
+
+TEST_F(PrimaryChangeTest, LetsTheReplicasOfAStalledPrimaryGo)
+{
+    begin(ChangeCause::Stalled);
+    EXPECT_EQ(recorder.take(), (Actions{"resume b", "resume c"}));
+}
+
+struct VerdictCase
+{
+    PromotionVerdict verdict;
+    Actions after; // Until half a second later.
+};
+
+class PromotionVerdicts : public PrimaryChangeTest, public testing::WithParamInterface<VerdictCase>
+{
+};
+
+TEST_P(PromotionVerdicts, AreActedOn)
+{
+    begin(ChangeCause::Unreachable);
+    held("b", 10);
+    held("c", 12);
+    recorder.take();
+    change.onPromotion(Start, GetParam().verdict);
+    change.onTick(Start + Millis(500), ChangeCause::Unreachable, knowledge());
+    EXPECT_EQ(recorder.take(), GetParam().after);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, PromotionVerdicts,
+                         testing::Values(VerdictCase{PromotionVerdict::Accepted, {}},
+                                         VerdictCase{PromotionVerdict::Fenced, {}},
+                                         VerdictCase{PromotionVerdict::NotRunning,
+                                                     {"resume b", "resume c"}},
+                                         VerdictCase{PromotionVerdict::Unknown, {"promote c 7"}},
+                                         VerdictCase{PromotionVerdict::NotDone, {"promote c 7"}}),
+                         [](const auto &info) {
+                             std::string name(PromotionVerdictNames.name(info.param.verdict));
+                             name.erase(std::remove(name.begin(), name.end(), '-'), name.end());
+                             return name;
+                         });
+
+TEST_F(PrimaryChangeTest, ActsOnlyWhileTheDutyIsHeld)
+{
+    begin(ChangeCause::Unreachable);
+    held("b", 10);
+    recorder.take();
+    change.onTick(ActUntil, ChangeCause::Unreachable, knowledge());
+    held("c", 12);
+    EXPECT_EQ(change.stage(), ChangeStage::Idle);
+    EXPECT_FALSE(recorder.has("promote c 7"));
+}
+
+} // namespace
+} // namespace cicadagap
--- a/src/session/tst_world.cpp
+++ b/src/session/tst_world.cpp
@@ -43,8 +43,7 @@
 INSTANTIATE_TEST_SUITE_P(
     Faults, SessionWorld,
     testing::Values(
-        WorldCase{"calm", {}, Millis(500)},
-        WorldCase{"crashPrimary", {WorldFault::CrashPrimary}},
+        WorldCase{"calm", {}, Millis(500)}, WorldCase{"crashPrimary", {WorldFault::CrashPrimary}},
         WorldCase{"silencePrimary", {WorldFault::SilencePrimary}},
         WorldCase{"cutHosts", {WorldFault::CutHost, WorldFault::CutHost, WorldFault::CutHost}},
         WorldCase{"lagReplicas", {WorldFault::LagReplicas, WorldFault::CrashPrimary}},
@@ -53,10 +52,10 @@
         WorldCase{"killHosts", {WorldFault::KillHost, WorldFault::KillHost}},
         WorldCase{"freezeHosts", {WorldFault::FreezeHost, WorldFault::CrashPrimary}},
         WorldCase{"lateOrders", {WorldFault::LateOrders, WorldFault::CrashPrimary}},
-        WorldCase{"latePromotions", {WorldFault::LatePromotions, WorldFault::CrashPrimary},
+        WorldCase{"latePromotions",
+                  {WorldFault::LatePromotions, WorldFault::CrashPrimary},
                   Millis(20'000)},
-        WorldCase{"storeDown", {WorldFault::StoreDown, WorldFault::CrashPrimary},
-                  Millis(20'000)}),
+        WorldCase{"storeDown", {WorldFault::StoreDown, WorldFault::CrashPrimary}, Millis(20'000)}),
     [](const auto &info) { return info.param.name; });
 
 // Schedules of several failures that overlap, drawn from the seed.
--- a/test/sessionworld.cpp
+++ b/test/sessionworld.cpp
@@ -403,7 +403,8 @@
 StatementAnswer World::run(SimInstance *instance, ServedConnection *connection,
                            const Statement &statement)
 {
-    StatementAnswer answer{.signature = "-", .phase = connection->phase, .position = instance->end()};
+    StatementAnswer answer{
+        .signature = "-", .phase = connection->phase, .position = instance->end()};
     const auto lostLead = [&] {
         return connection->phase == SessionPhase::Transaction && !connection->readOnly
             && (!instance->primary || instance->term != connection->beganTerm);
@@ -417,7 +418,8 @@
             return answer;
         }
         if (statement.after
-            && Position{.term = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
+            && Position{.term
+                        = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
                         .index = instance->applied}
                 < *statement.after) {
             answer.cause = Cause::Behind;
@@ -493,9 +495,9 @@
         connection->phase = answer.phase = SessionPhase::FailedTransaction;
         return answer;
     }
-    const Position applied{
-        .term = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
-        .index = instance->applied};
+    const Position applied{.term
+                           = instance->applied > 0 ? instance->log[instance->applied - 1].term : 0,
+                           .index = instance->applied};
     if (statement.after && applied < *statement.after) {
         answer.cause = Cause::Behind;
         return answer;
@@ -515,16 +517,14 @@
     return answer;
 }
 
-void World::checkRead(const Caller &caller, const SimInstance &instance,
-                      const Statement &statement)
+void World::checkRead(const Caller &caller, const SimInstance &instance, const Statement &statement)
 {
     const std::size_t visible = instance.primary ? instance.log.size() : instance.applied;
     const Consistency consistency = Databases[caller.database].second;
     const Acknowledged *newest = nullptr;
     for (const Acknowledged &write : m_acknowledged) {
-        const bool old = consistency == Consistency::Primary
-            ? write.at < caller.began
-            : write.at < caller.began - MaxAge;
+        const bool old = consistency == Consistency::Primary ? write.at < caller.began
+                                                             : write.at < caller.began - MaxAge;
         const bool own = consistency == Consistency::OwnWrites && write.session == caller.session;
         if ((old || own) && (!newest || write.index > newest->index))
             newest = &write;
@@ -568,9 +568,8 @@
                        replicate(from, to, length, term);
                        SimInstance *later = this->instance(to);
                        SimInstance *leader = this->instance(from);
-                       if (!*told && leader->primary && leader->term == term
-                           && later->running && later->heldTerm == 0
-                           && later->log.size() >= length) {
+                       if (!*told && leader->primary && leader->term == term && later->running
+                           && later->heldTerm == 0 && later->log.size() >= length) {
                            *told = true;
                            acknowledged();
                        }
@@ -677,9 +676,8 @@
             m_highestToken = token;
             at(m_now + PromoteTime, [=, this] { executePromotion(id, token); });
         }
-        atHost(host, m_now + NetworkDelay, [=, this](SimHost *owner) {
-            owner->engine.onPromotion(m_now, "group", verdict);
-        });
+        atHost(host, m_now + NetworkDelay,
+               [=, this](SimHost *owner) { owner->engine.onPromotion(m_now, "group", verdict); });
     });
 }
 
@@ -938,8 +936,7 @@
         } else if (!inTransaction && dice < 4) {
             caller.readOnly = m_random.below(3) == 0;
             caller.left = 1 + static_cast<int>(m_random.below(3));
-            statement.kind
-                = caller.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
+            statement.kind = caller.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
         } else if (dice < 9 && !(inTransaction && caller.readOnly)) {
             statement.kind = StatementKind::Write;
             statement.name = item;
@@ -959,9 +956,8 @@
     caller.sent = statement;
     caller.sentAt = m_now;
     const SessionId session = caller.session;
-    atHost(caller.host, m_now, [=, this](SimHost *host) {
-        host->engine.onStatement(m_now, session, statement);
-    });
+    atHost(caller.host, m_now,
+           [=, this](SimHost *host) { host->engine.onStatement(m_now, session, statement); });
 }
 
 void World::answerCaller(std::size_t host, SessionId session, const StatementAnswer &answer)
@@ -1016,7 +1012,8 @@
     });
 }
 
-// Where the write is in the logs that hold it (the same place in all); behind everything if none does.
+// Where the write is in the logs that hold it (the same place in all); behind everything if none
+// does.
 std::size_t World::indexOf(const std::string &write) const
 {
     for (const auto &row : m_instances) {
--- a/test/sessionworld.h
+++ b/test/sessionworld.h
@@ -1,6 +1,6 @@
-// A small world in virtual time for SessionEngine: hosts, one semi-synchronously replicated group, the
-// platform's store and promotion service, callers, and failures drawn from a seed. It checks what
-// callers were told against what the instances did.
+// A small world in virtual time for SessionEngine: hosts, one semi-synchronously replicated group,
+// the platform's store and promotion service, callers, and failures drawn from a seed. It checks
+// what callers were told against what the instances did.
 #pragma once
 
 #include "base/millis.h"
