--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -59,6 +59,8 @@
                           .dataCentre = boot->dataCentre,
                           .callers = boot->callers,
                           .balancer = boot->balancer,
+                          .peers = boot->peers,
+                          .weight = boot->weight,
                           .grace = boot->grace},
                          &codec, &platform);
     if (!server.start(&reason)) {
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -2,6 +2,7 @@
 
 #include "process/log.h"
 #include "session/dutylease.h"
+#include "session/relaycodec.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,6 +21,13 @@
 constexpr Millis ConfigurationRetry(250); // After a failed call.
 constexpr Millis InstanceInterval(2000);  // Between readings of the instances' entries.
 constexpr Millis InstanceRetry(400);
+constexpr Millis HostRenewal(10'000); // Of this host's record; HostDirectory knows it too.
+constexpr Millis HostInterval(4000);  // Between readings of the hosts' records.
+constexpr Millis FirstHosts(600);     // Hosts that start together have registered by then.
+// A relayed batch may take this much longer than it may wait at the gateway.
+constexpr Millis RelayMargin(3000);
+constexpr const char *RelayPath = "/relay";
+constexpr const char *DropPath = "/drop";
 // Request log lines a second; refusals and failures may use all of it, answers only a half.
 constexpr int LogLinesPerSecond = 100;
 // Callers that connect before the configuration is known wait for it this long.
@@ -36,7 +44,7 @@
     , m_options(std::move(options))
     , m_codec(codec)
     , m_platform(platform)
-    , m_engine({.dataCentre = m_options.dataCentre, .fleet = {}}, this)
+    , m_engine({.host = m_options.host, .dataCentre = m_options.dataCentre, .fleet = {}}, this)
     , m_acceptor(*loop->context())
 {
 }
@@ -66,9 +74,21 @@
         reason);
     if (!m_balancer)
         return false;
+    m_peerServer = PeerServer::listen(
+        m_loop, m_options.peers,
+        [this](const PeerRequest &request, const PeerRespond &respond) {
+            handlePeer(request, respond);
+        },
+        reason);
+    if (!m_peerServer)
+        return false;
+    m_origin = m_options.host + "/" + std::to_string(timeOfDay().count());
     accept();
     pollConfiguration(Millis(0));
     pollInstances();
+    registerSelf();
+    m_loop->every(HostRenewal, [this] { registerSelf(); });
+    m_loop->after(FirstHosts, [this] { pollHosts(); });
     m_loop->every(TickInterval, [this] { tick(); });
     return true;
 }
@@ -83,6 +103,7 @@
     m_stoppingSince = now();
     logEvent(LogLevel::Info, "server.stopping",
              {{"sessions", static_cast<std::int64_t>(m_engine.sessions())}});
+    registerSelf();
     m_engine.drain(now(), m_options.grace / 2);
 }
 
@@ -370,6 +391,108 @@
     });
 }
 
+void SessionServer::pollHosts()
+{
+    m_platform->hosts([this](const std::optional<std::vector<HostRecord>> &hosts) {
+        setPlatformReachable("hosts", &m_hostsReachable, hosts.has_value());
+        if (hosts)
+            m_engine.onHosts(now(), *hosts);
+        m_loop->after(HostInterval, [this] { pollHosts(); });
+    });
+}
+
+// Keeps this host's record fresh; the last one says that it leaves.
+void SessionServer::registerSelf()
+{
+    const HostRecord record{.host = m_options.host,
+                            .dataCentre = m_options.dataCentre,
+                            .peers = m_options.peers,
+                            .weight = m_options.weight,
+                            .beat = ++m_beat,
+                            .leaving = m_stoppingSince.has_value()};
+    m_platform->registerHost(record, [](Verdict verdict) {
+        if (verdict != Verdict::Ran)
+            logEvent(LogLevel::Warning, "host.not-registered",
+                     {{"verdict", VerdictNames.name(verdict)}});
+    });
+}
+
+std::shared_ptr<PeerLink> SessionServer::linkTo(const std::string &host)
+{
+    const std::optional<Endpoint> endpoint = m_engine.peerEndpoint(host);
+    if (!endpoint)
+        return nullptr;
+    PeerConnection &peer = m_peers[host];
+    if (!peer.link || peer.endpoint != *endpoint) {
+        if (peer.link)
+            peer.link->close();
+        peer = {.endpoint = *endpoint, .link = PeerLink::create(m_loop, *endpoint)};
+    }
+    return peer.link;
+}
+
+void SessionServer::relayToGateway(ConnectionId connection, const std::string &gateway,
+                                   RelayBatch batch)
+{
+    const std::shared_ptr<PeerLink> link = linkTo(gateway);
+    const auto fail = [this, connection, gateway](Verdict verdict) {
+        logEvent(LogLevel::Warning, "gateway.failed",
+                 {{"gateway", gateway}, {"verdict", VerdictNames.name(verdict)}});
+        m_engine.onRelayReply(
+            now(), connection, gateway,
+            {.ended = true, .cause = Cause::Unreachable, .sent = verdict != Verdict::NotRun});
+    };
+    if (!link) {
+        m_loop->post([fail] { fail(Verdict::NotRun); });
+        return;
+    }
+    batch.origin = m_origin;
+    m_metrics.add("relays.sent");
+    link->call({.path = RelayPath, .body = encodeBatch(batch)}, batch.patience + RelayMargin,
+               [this, connection, gateway, fail](const PeerReply &answer) {
+                   Reason reason;
+                   const std::optional<RelayReply> reply = answer.verdict == Verdict::Ran
+                       ? decodeReply(answer.body, &reason)
+                       : std::nullopt;
+                   if (reply)
+                       m_engine.onRelayReply(now(), connection, gateway, *reply);
+                   else
+                       fail(answer.verdict == Verdict::Ran ? Verdict::MayHaveRun : answer.verdict);
+               });
+}
+
+void SessionServer::dropAtGateway(ConnectionId connection, const std::string &gateway)
+{
+    const std::shared_ptr<PeerLink> link = linkTo(gateway);
+    if (!link)
+        return;
+    const RelayBatch batch{.origin = m_origin, .channel = connection};
+    link->call({.path = DropPath, .body = encodeBatch(batch)}, RelayMargin,
+               [gateway](const PeerReply &answer) {
+                   if (answer.verdict != Verdict::Ran)
+                       logEvent(LogLevel::Warning, "gateway.drop-failed", {{"gateway", gateway}});
+               });
+}
+
+void SessionServer::handlePeer(const PeerRequest &request, const PeerRespond &respond)
+{
+    Reason reason;
+    std::optional<RelayBatch> batch = decodeBatch(request.body, &reason);
+    if (!batch) {
+        logEvent(LogLevel::Warning, "peer.request-unreadable", {{"reason", reason.text()}});
+        respond(encodeReply({.ended = true, .cause = Cause::Invalid}));
+        return;
+    }
+    if (request.path == DropPath) {
+        m_engine.onRelayDropped(now(), batch->origin, batch->channel);
+        respond({});
+        return;
+    }
+    m_metrics.add("relays.received");
+    m_engine.onRelayBatch(now(), std::move(*batch),
+                          [respond](const RelayReply &reply) { respond(encodeReply(reply)); });
+}
+
 void SessionServer::setPlatformReachable(std::string_view what, bool *reachable, bool now)
 {
     if (*reachable == now)
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -4,6 +4,7 @@
 
 #include "callersocket.h"
 #include "connection/http.h"
+#include "connection/peerlink.h"
 #include "process/eventloop.h"
 #include "process/metrics.h"
 #include "session/platformlink.h"
@@ -28,6 +29,8 @@
         std::string dataCentre;
         Endpoint callers;
         Endpoint balancer; // Readiness, and metrics under /metrics.
+        Endpoint peers;    // Where other hosts relay statements to.
+        double weight = 1; // The host's strength.
         Millis grace = Millis(6000);
     };
 
@@ -44,6 +47,9 @@
     void openTarget(ConnectionId connection, const RegisteredInstance &instance) override;
     void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements) override;
     void closeTarget(ConnectionId connection) override;
+    void relayToGateway(ConnectionId connection, const std::string &gateway,
+                        RelayBatch batch) override;
+    void dropAtGateway(ConnectionId connection, const std::string &gateway) override;
     void answerCaller(SessionId session, const StatementAnswer &answer) override;
     void closeCaller(SessionId session, Cause cause) override;
     void noteRequest(const RequestNote &note) override;
@@ -60,6 +66,10 @@
     void handleMessage(SessionId id, CallerMessage message);
     void pollConfiguration(Millis wait);
     void pollInstances();
+    void pollHosts();
+    void registerSelf();
+    std::shared_ptr<PeerLink> linkTo(const std::string &host);
+    void handlePeer(const PeerRequest &request, const PeerRespond &respond);
     void setPlatformReachable(std::string_view what, bool *reachable, bool now);
     void handleDuty(const std::string &group, Millis askedAt,
                     const std::optional<DutyRecord> &record);
@@ -68,6 +78,12 @@
     bool mayLog(const RequestNote &note);
     Millis now() const { return m_clock.now(); }
 
+    struct PeerConnection
+    {
+        Endpoint endpoint;
+        std::shared_ptr<PeerLink> link;
+    };
+
     // A caller that connected before the configuration was known.
     struct EarlyCaller
     {
@@ -85,6 +101,11 @@
     SessionEngine m_engine;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<HttpServer> m_balancer;
+    std::unique_ptr<PeerServer> m_peerServer;
+    std::map<std::string, PeerConnection> m_peers; // By host.
+    std::string m_origin;                          // This process, as gateways know it.
+    std::uint64_t m_beat = 0;
+    bool m_hostsReachable = true;
     std::map<SessionId, std::shared_ptr<CallerSocket>> m_callers;
     std::map<SessionId, bool> m_greeted; // Whether the session is open in the engine.
     std::deque<EarlyCaller> m_early;
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -20,7 +20,7 @@
 }
 
 void GroupControl::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                                const RoutingTable &routing)
+                                const RoutingTable &routing, const std::set<std::string> &watched)
 {
     m_now = now;
     std::map<std::string, std::vector<RegisteredInstance>, std::less<>> byGroup;
@@ -35,6 +35,7 @@
             group.change = std::make_unique<PrimaryChange>(name, static_cast<ChangeOutput *>(this));
         group.syncReplicas = settings.syncReplicas;
         group.members = byGroup[name];
+        group.belief.setWatching(watched.contains(name));
         group.belief.setInstances(now, group.members);
         reportLeader(name, &group);
     }
@@ -42,6 +43,12 @@
                   [&routing](const auto &row) { return !routing.groups.contains(row.first); });
 }
 
+void GroupControl::onTold(const std::string &instance)
+{
+    if (Group *group = groupOf(instance))
+        group->belief.onTold(instance);
+}
+
 void GroupControl::onTick(Millis now)
 {
     m_now = now;
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,11 @@
 
     // Must be called before anything else.
     void setFleet(TargetFleet *fleet) { m_fleet = fleet; }
+    // Groups that are not `watched` are left to the hosts that hold connections to them.
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                      const RoutingTable &routing);
+                      const RoutingTable &routing, const std::set<std::string> &watched);
+    // A gateway says that the instance leads its group.
+    void onTold(const std::string &instance);
     void onTick(Millis now);
     void onClaim(Millis now, const std::string &group, const ClaimResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
--- /dev/null
+++ b/src/session/hostdirectory.cpp
@@ -0,0 +1,170 @@
+#include "session/hostdirectory.h"
+
+#include "base/hash.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cicadagap {
+
+namespace json = boost::json;
+
+namespace {
+
+// Connections that stay free for hosts with another view, as a share.
+constexpr double SpareShare = 0.1;
+
+// The higher of two hosts holds the instance; the expected share of instances follows the weight.
+double score(const std::string &instance, const HostRecord &host)
+{
+    constexpr double Range = 18446744073709551616.0; // 2^64
+    const double uniform = (static_cast<double>(hash64(host.host + "/" + instance)) + 0.5) / Range;
+    return -std::max(host.weight, 0.01) / std::log(uniform);
+}
+
+} // namespace
+
+std::string hostRecordText(const HostRecord &record)
+{
+    return json::serialize(json::object{{"host", record.host},
+                                        {"dataCentre", record.dataCentre},
+                                        {"peers", record.peers.text()},
+                                        {"weight", record.weight},
+                                        {"beat", record.beat},
+                                        {"leaving", record.leaving}});
+}
+
+std::optional<HostRecord> parseHostRecord(std::string_view text, Reason *reason)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const auto member
+        = [object](json::string_view name) { return object ? object->if_contains(name) : nullptr; };
+    const json::value *host = member("host");
+    const json::value *dataCentre = member("dataCentre");
+    const json::value *peers = member("peers");
+    const json::value *weight = member("weight");
+    const json::value *beat = member("beat");
+    const json::value *leaving = member("leaving");
+    const bool complete = host && host->is_string() && dataCentre && dataCentre->is_string()
+        && peers && peers->is_string() && weight && weight->is_number() && beat && beat->is_number()
+        && leaving && leaving->is_bool();
+    if (!complete) {
+        setReason(reason, "a host's record lacks a member or has one of another type");
+        return std::nullopt;
+    }
+    const auto endpoint = parseEndpoint(std::string(peers->get_string()), reason);
+    if (!endpoint)
+        return std::nullopt;
+    return HostRecord{.host = std::string(host->get_string()),
+                      .dataCentre = std::string(dataCentre->get_string()),
+                      .peers = *endpoint,
+                      .weight = weight->to_number<double>(error),
+                      .beat = beat->to_number<std::uint64_t>(error),
+                      .leaving = leaving->get_bool()};
+}
+
+HostDirectory::HostDirectory(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void HostDirectory::setRecords(Millis now, const std::vector<HostRecord> &records)
+{
+    std::map<std::string, Known> hosts;
+    for (const HostRecord &record : records) {
+        const auto known = m_hosts.find(record.host);
+        Known entry{.record = record, .renewedAt = now};
+        if (known != m_hosts.end()) {
+            entry.avoidUntil = known->second.avoidUntil;
+            if (known->second.record.beat == record.beat)
+                entry.renewedAt = known->second.renewedAt;
+        }
+        const bool expired = now - entry.renewedAt > m_options.expiry;
+        if (!expired && !record.leaving)
+            hosts[record.host] = entry;
+    }
+    m_changed = m_changed || hosts.size() != m_hosts.size()
+        || !std::equal(hosts.begin(), hosts.end(), m_hosts.begin(),
+                       [](const auto &left, const auto &right) {
+                           return left.first == right.first
+                               && left.second.record.peers == right.second.record.peers;
+                       });
+    m_hosts = std::move(hosts);
+}
+
+void HostDirectory::onFailed(Millis now, const std::string &host)
+{
+    const auto found = m_hosts.find(host);
+    if (found != m_hosts.end())
+        found->second.avoidUntil = now + m_options.failureMemory;
+}
+
+bool HostDirectory::takeChanged()
+{
+    return std::exchange(m_changed, false);
+}
+
+InstanceAccess HostDirectory::access(const RegisteredInstance &instance, int maxConnections) const
+{
+    const double usable = maxConnections * (1 - SpareShare);
+    const std::size_t hosts = std::max<std::size_t>(1, m_hosts.size());
+    const auto share = static_cast<int>(usable / static_cast<double>(hosts));
+    if (share >= m_options.directShare || !m_hosts.contains(m_options.self))
+        return {.direct = true, .connections = std::max(share, m_options.directShare)};
+    std::vector<const Known *> chosen = candidates(instance.dataCentre);
+    std::sort(chosen.begin(), chosen.end(), [&instance](const Known *left, const Known *right) {
+        return score(instance.id, left->record) > score(instance.id, right->record);
+    });
+    chosen.resize(std::min(chosen.size(), m_options.gateways));
+    InstanceAccess access{.direct = false};
+    for (const Known *host : chosen) {
+        if (host->record.host == m_options.self) {
+            const double gateways = static_cast<double>(chosen.size());
+            return {.direct = true,
+                    .connections = std::max(1, static_cast<int>(usable / gateways))};
+        }
+        access.gateways.push_back(host->record.host);
+    }
+    // Each host prefers another one, so that the gateways share the work.
+    access.gateways = rendezvousOrder(m_options.self, access.gateways);
+    return access;
+}
+
+std::string HostDirectory::chooseGateway(Millis now, const InstanceAccess &access) const
+{
+    for (const std::string &host : access.gateways) {
+        const auto found = m_hosts.find(host);
+        if (found != m_hosts.end() && now >= found->second.avoidUntil)
+            return host;
+    }
+    return {};
+}
+
+const HostRecord *HostDirectory::find(const std::string &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second.record;
+}
+
+// The hosts of the data centre, or all if it has none.
+std::vector<const HostDirectory::Known *>
+HostDirectory::candidates(const std::string &dataCentre) const
+{
+    std::vector<const Known *> near;
+    std::vector<const Known *> all;
+    for (const auto &row : m_hosts) {
+        all.push_back(&row.second);
+        if (row.second.record.dataCentre == dataCentre)
+            near.push_back(&row.second);
+    }
+    return near.empty() ? all : near;
+}
+
+} // namespace cicadagap
--- a/src/session/leaderbelief.cpp
+++ b/src/session/leaderbelief.cpp
@@ -45,7 +45,7 @@
     const bool stoodStill = m_lastTick && now - *m_lastTick > m_options.gapLimit;
     m_lastTick = now;
     if (!stoodStill) {
-        if (leaderFailed(now)) {
+        if (m_watching && leaderFailed(now)) {
             m_failed = m_leader;
             lose(now);
         }
@@ -78,6 +78,14 @@
     }
 }
 
+void LeaderBelief::onTold(const std::string &instance)
+{
+    if (!m_watching && m_instances.contains(instance)) {
+        m_leader = instance;
+        m_lastLeader = instance;
+    }
+}
+
 void LeaderBelief::onDoesNotLead(Millis now, const std::string &instance)
 {
     const auto found = m_instances.find(instance);
@@ -123,6 +131,8 @@
 std::vector<std::string> LeaderBelief::toAsk(Millis now) const
 {
     std::vector<std::string> ids;
+    if (!m_watching)
+        return ids;
     for (const auto &[id, entry] : m_instances) {
         if (m_leader.empty() && now - entry.lastAsked >= m_options.searchInterval)
             ids.push_back(id);
@@ -142,7 +152,7 @@
 
 ChangeCause LeaderBelief::cause(Millis now) const
 {
-    if (m_instances.empty())
+    if (m_instances.empty() || !m_watching)
         return ChangeCause::None;
     if (unreachable(now))
         return ChangeCause::Unreachable;
@@ -188,7 +198,10 @@
 
 void LeaderBelief::adoptHint(Millis now)
 {
-    if (!m_leader.empty())
+    const auto leader = m_instances.find(m_leader);
+    const bool outdated
+        = !m_watching && (leader == m_instances.end() || !leader->second.registered.saysPrimary);
+    if (!m_leader.empty() && !outdated)
         return;
     for (const auto &[id, entry] : m_instances) {
         const bool credible = id != m_failed && now - entry.refusedLead > DenialMemory;
--- a/src/session/leaderbelief.h
+++ b/src/session/leaderbelief.h
@@ -42,6 +42,11 @@
     }
     explicit LeaderBelief(Options options);
 
+    // Whether this host asks the instances itself. One that does not believes their registered
+    // roles and whatever its statements show, and never holds anything against the primary.
+    void setWatching(bool watching) { m_watching = watching; }
+    // Another host, which watches, says that the instance leads.
+    void onTold(const std::string &instance);
     // The group's registered instances.
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances);
     void onTick(Millis now);
@@ -93,6 +98,7 @@
     std::map<std::string, Seen> m_instances;
     std::string m_leader;
     std::string m_lastLeader;
+    bool m_watching = true;
     std::string m_failed; // The leader that was given up because it does not answer.
     std::uint64_t m_term = 0;
     Millis m_confirmedAt = Millis(-1'000'000);
--- a/src/session/platformlink.h
+++ b/src/session/platformlink.h
@@ -5,6 +5,7 @@
 
 #include "base/millis.h"
 #include "base/verdict.h"
+#include "session/hostdirectory.h"
 #include "session/primarychange.h"
 #include "session/registry.h"
 #include "session/routing.h"
@@ -41,6 +42,9 @@
         = 0;
     virtual void instances(std::function<void(std::optional<std::vector<RegisteredInstance>>)> done)
         = 0;
+    // The system's hosts, and this host's own record among them.
+    virtual void hosts(std::function<void(std::optional<std::vector<HostRecord>>)> done) = 0;
+    virtual void registerHost(const HostRecord &record, std::function<void(Verdict)> done) = 0;
     virtual void readDuty(const std::string &group,
                           std::function<void(std::optional<DutyRecord>)> done)
         = 0;
--- /dev/null
+++ b/src/session/relay.cpp
@@ -0,0 +1,206 @@
+#include "session/relay.h"
+
+#include <algorithm>
+
+namespace cicadagap {
+
+namespace {
+
+// Takes the session's state out of the batch: the connection that serves it may hold parts of it.
+void takeState(std::vector<RelayedStatement> *statements, SessionValues *values,
+               std::optional<PreparedStatement> *prepared)
+{
+    std::erase_if(*statements, [&](const RelayedStatement &entry) {
+        if (entry.purpose != SendPurpose::Restore)
+            return false;
+        const Statement &statement = entry.statement;
+        if (statement.kind == StatementKind::SetValue)
+            (*values)[statement.name] = statement.argument;
+        if (statement.kind == StatementKind::Prepare)
+            *prepared = {.shape = statement.argument, .writes = statement.preparesWrite};
+        return true;
+    });
+}
+
+} // namespace
+
+Relay::Relay(TargetFleet *fleet, std::function<WorkId()> nextWork, CoveringSince coveringSince)
+    : m_fleet(fleet)
+    , m_nextWork(std::move(nextWork))
+    , m_coveringSince(std::move(coveringSince))
+{
+}
+
+void Relay::onBatch(Millis now, RelayBatch batch, Reply reply)
+{
+    const ChannelKey key{batch.origin, batch.channel};
+    if (batch.continues && !m_channels.contains(key)) {
+        // This process is younger than the transaction, or has ended it.
+        reply({.ended = true, .cause = Cause::NoTransaction});
+        return;
+    }
+    std::optional<Position> required;
+    if (batch.maxAge) {
+        required = m_coveringSince(batch.instance, now - *batch.maxAge);
+        if (!required) {
+            reply({.ended = true, .cause = Cause::TooOld});
+            return;
+        }
+    }
+    const auto [found, isNew] = m_channels.try_emplace(key);
+    Channel &channel = found->second;
+    if (channel.done) {
+        reply({.ended = true, .cause = Cause::Busy});
+        return;
+    }
+    channel.done = std::move(reply);
+    channel.reply = {};
+    channel.lastUsed = now;
+    channel.statements = std::move(batch.statements);
+    takeState(&channel.statements, &channel.values, &channel.prepared);
+    if (required && !channel.statements.empty()) {
+        std::optional<Position> &after = channel.statements.front().statement.after;
+        after = std::max(after.value_or(*required), *required);
+    }
+    if (!isNew) {
+        sendBatch(now, &channel);
+        return;
+    }
+    channel.instance = batch.instance;
+    channel.work = m_nextWork();
+    m_works[channel.work] = key;
+    channel.onlyReads = batch.maxAge.has_value();
+    TargetWork work{.id = channel.work,
+                    .priority = batch.priority,
+                    .giveUpAt = now + batch.patience,
+                    .needsSlot = batch.needsSlot,
+                    .values = &channel.values,
+                    .prepared = channel.prepared};
+    if (!m_fleet->isDirect(batch.instance)
+        || !m_fleet->submit(now, batch.instance, std::move(work)))
+        finish(key, Cause::Overloaded, /*sent=*/false);
+}
+
+void Relay::onDropped(Millis now, const std::string &origin, std::uint64_t channelId)
+{
+    const ChannelKey key{origin, channelId};
+    const auto found = m_channels.find(key);
+    if (found == m_channels.end())
+        return;
+    const Channel &channel = found->second;
+    if (channel.connection != 0)
+        m_fleet->discard(now, channel.connection);
+    else
+        m_fleet->cancel(channel.work);
+    finish(key, Cause::ConnectionLost, /*sent=*/true);
+}
+
+void Relay::onTick(Millis now, Millis limit)
+{
+    std::vector<ChannelKey> idle;
+    for (const auto &[key, channel] : m_channels) {
+        if (!channel.done && now - channel.lastUsed > limit)
+            idle.push_back(key);
+    }
+    for (const ChannelKey &key : idle)
+        onDropped(now, key.first, key.second);
+}
+
+bool Relay::onWorkStarted(Millis now, WorkId work, ConnectionId connection)
+{
+    ChannelKey key;
+    Channel *channel = find(work, &key);
+    if (!channel)
+        return false;
+    channel->connection = connection;
+    sendBatch(now, channel);
+    return true;
+}
+
+void Relay::sendBatch(Millis now, Channel *channel)
+{
+    const PreparedStatement *prepared = channel->prepared ? &*channel->prepared : nullptr;
+    m_fleet->restore(now, channel->connection, channel->values, prepared);
+    channel->awaited = channel->statements.size();
+    for (RelayedStatement &entry : channel->statements)
+        m_fleet->send(now, channel->connection, entry.purpose, std::move(entry.statement));
+    channel->statements.clear();
+}
+
+bool Relay::onWorkRefused(WorkId work, Cause cause)
+{
+    ChannelKey key;
+    if (!find(work, &key))
+        return false;
+    finish(key, cause, /*sent=*/false);
+    return true;
+}
+
+bool Relay::onWorkAnswer(Millis now, WorkId work, SendPurpose purpose,
+                         const StatementAnswer &answer)
+{
+    ChannelKey key;
+    Channel *channel = find(work, &key);
+    if (!channel)
+        return false;
+    if (purpose == SendPurpose::Restore)
+        return true;
+    channel->lastUsed = now;
+    channel->reply.answers.push_back(answer);
+    if (--channel->awaited > 0)
+        return true;
+    if (answer.phase == SessionPhase::Idle) {
+        m_fleet->release(now, channel->connection);
+        finish(key, Cause::None, /*sent=*/true);
+        return true;
+    }
+    const Reply done = std::exchange(channel->done, nullptr);
+    done(std::exchange(channel->reply, {}));
+    return true;
+}
+
+bool Relay::onWorkConnectionLost(WorkId work, bool workSent)
+{
+    ChannelKey key;
+    if (!find(work, &key))
+        return false;
+    finish(key, Cause::ConnectionLost, workSent);
+    return true;
+}
+
+bool Relay::onlyReads(WorkId work) const
+{
+    const auto found = m_works.find(work);
+    if (found == m_works.end())
+        return false;
+    const Channel &channel = m_channels.at(found->second);
+    return channel.onlyReads;
+}
+
+// Ends the channel; its connection has been given back or is gone.
+void Relay::finish(const ChannelKey &key, Cause cause, bool sent)
+{
+    const auto found = m_channels.find(key);
+    if (found == m_channels.end())
+        return;
+    Channel channel = std::move(found->second);
+    m_channels.erase(found);
+    m_works.erase(channel.work);
+    if (!channel.done)
+        return;
+    channel.reply.ended = true;
+    channel.reply.cause = cause;
+    channel.reply.sent = sent;
+    channel.done(std::move(channel.reply));
+}
+
+Relay::Channel *Relay::find(WorkId work, ChannelKey *key)
+{
+    const auto found = m_works.find(work);
+    if (found == m_works.end())
+        return nullptr;
+    *key = found->second;
+    return &m_channels.at(found->second);
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/src/session/relaycodec.cpp
@@ -0,0 +1,185 @@
+#include "session/relaycodec.h"
+
+#include "relaywire/relay.pb.h"
+
+namespace cicadagap {
+
+namespace {
+
+constexpr auto LastKind = static_cast<std::uint32_t>(StatementKind::StepDown);
+constexpr auto LastPurpose = static_cast<std::uint32_t>(SendPurpose::CloseTransaction);
+constexpr auto LastPhase = static_cast<std::uint32_t>(SessionPhase::FailedTransaction);
+constexpr auto LastCause = static_cast<std::uint32_t>(Cause::UnknownName);
+
+void write(const Position &position, relaywire::Position *out)
+{
+    out->set_term(position.term);
+    out->set_index(position.index);
+}
+
+Position read(const relaywire::Position &in)
+{
+    return {.term = in.term(), .index = in.index()};
+}
+
+void write(const RelayedStatement &entry, relaywire::Statement *out)
+{
+    const Statement &statement = entry.statement;
+    if (statement.id != OwnStatementId)
+        out->set_id(statement.id);
+    out->set_kind(static_cast<std::uint32_t>(statement.kind));
+    out->set_purpose(static_cast<std::uint32_t>(entry.purpose));
+    out->set_text(statement.text);
+    out->set_name(statement.text.empty() || statement.kind == StatementKind::Execute
+                      ? statement.name
+                      : std::string());
+    out->set_argument(statement.argument);
+    out->set_prepares_write(statement.preparesWrite);
+    if (statement.after)
+        write(*statement.after, out->mutable_after());
+}
+
+std::optional<RelayedStatement> read(const relaywire::Statement &in)
+{
+    if (in.kind() > LastKind || in.purpose() > LastPurpose)
+        return std::nullopt;
+    RelayedStatement entry{.purpose = static_cast<SendPurpose>(in.purpose())};
+    Statement &statement = entry.statement;
+    statement.id = in.id().empty() ? OwnStatementId : in.id();
+    statement.kind = static_cast<StatementKind>(in.kind());
+    statement.text = in.text();
+    statement.name = in.name();
+    statement.argument = in.argument();
+    statement.preparesWrite = in.prepares_write();
+    if (in.has_after())
+        statement.after = read(in.after());
+    return entry;
+}
+
+void write(const StatementAnswer &answer, relaywire::Answer *out)
+{
+    out->set_cause(static_cast<std::uint32_t>(answer.cause));
+    out->set_detail(answer.detail);
+    for (const std::string &row : answer.rows)
+        out->add_rows(row);
+    out->set_signature(answer.signature);
+    out->set_phase(static_cast<std::uint32_t>(answer.phase));
+    if (answer.position)
+        write(*answer.position, out->mutable_position());
+    if (!answer.status)
+        return;
+    relaywire::Status *status = out->mutable_status();
+    status->set_primary(answer.status->primary);
+    status->set_term(answer.status->term);
+    write(answer.status->received, status->mutable_received());
+    status->set_held_term(answer.status->heldTerm);
+}
+
+std::optional<StatementAnswer> read(const relaywire::Answer &in)
+{
+    if (in.cause() > LastCause || in.phase() > LastPhase)
+        return std::nullopt;
+    StatementAnswer answer{.cause = static_cast<Cause>(in.cause()),
+                           .detail = in.detail(),
+                           .rows = {in.rows().begin(), in.rows().end()},
+                           .signature = in.signature(),
+                           .phase = static_cast<SessionPhase>(in.phase())};
+    if (in.has_position())
+        answer.position = read(in.position());
+    if (in.has_status())
+        answer.status = InstanceStatus{.primary = in.status().primary(),
+                                       .term = in.status().term(),
+                                       .received = read(in.status().received()),
+                                       .heldTerm = in.status().held_term()};
+    return answer;
+}
+
+template <typename Message> bool parse(std::string_view bytes, Message *message, Reason *reason)
+{
+    if (message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return true;
+    setReason(reason, "not an encoded message");
+    return false;
+}
+
+} // namespace
+
+std::string encodeBatch(const RelayBatch &batch)
+{
+    relaywire::Batch out;
+    out.set_origin(batch.origin);
+    out.set_channel(batch.channel);
+    out.set_instance(batch.instance);
+    out.set_priority(static_cast<std::uint32_t>(batch.priority));
+    out.set_urgent(!batch.needsSlot);
+    out.set_continues(batch.continues);
+    out.set_patience_ms(static_cast<std::uint32_t>(batch.patience.count()));
+    if (batch.maxAge)
+        out.set_max_age_ms(static_cast<std::uint32_t>(batch.maxAge->count()));
+    for (const RelayedStatement &entry : batch.statements)
+        write(entry, out.add_statements());
+    return out.SerializeAsString();
+}
+
+std::string encodeReply(const RelayReply &reply)
+{
+    relaywire::Reply out;
+    for (const StatementAnswer &answer : reply.answers)
+        write(answer, out.add_answers());
+    out.set_ended(reply.ended);
+    out.set_cause(static_cast<std::uint32_t>(reply.cause));
+    out.set_sent(reply.sent);
+    out.set_leader(reply.leader);
+    return out.SerializeAsString();
+}
+
+std::optional<RelayBatch> decodeBatch(std::string_view bytes, Reason *reason)
+{
+    relaywire::Batch in;
+    if (!parse(bytes, &in, reason))
+        return std::nullopt;
+    RelayBatch batch{.origin = in.origin(),
+                     .channel = in.channel(),
+                     .instance = in.instance(),
+                     .continues = in.continues(),
+                     .priority = static_cast<int>(in.priority()),
+                     .needsSlot = !in.urgent(),
+                     .patience = Millis(in.patience_ms())};
+    if (in.has_max_age_ms())
+        batch.maxAge = Millis(in.max_age_ms());
+    for (const relaywire::Statement &statement : in.statements()) {
+        std::optional<RelayedStatement> entry = read(statement);
+        if (!entry) {
+            setReason(reason, "a statement of an unknown kind");
+            return std::nullopt;
+        }
+        batch.statements.push_back(std::move(*entry));
+    }
+    return batch;
+}
+
+std::optional<RelayReply> decodeReply(std::string_view bytes, Reason *reason)
+{
+    relaywire::Reply in;
+    if (!parse(bytes, &in, reason))
+        return std::nullopt;
+    if (in.cause() > LastCause) {
+        setReason(reason, "an unknown cause");
+        return std::nullopt;
+    }
+    RelayReply reply{.ended = in.ended(),
+                     .cause = static_cast<Cause>(in.cause()),
+                     .sent = in.sent(),
+                     .leader = in.leader()};
+    for (const relaywire::Answer &encoded : in.answers()) {
+        std::optional<StatementAnswer> answer = read(encoded);
+        if (!answer) {
+            setReason(reason, "an answer of an unknown kind");
+            return std::nullopt;
+        }
+        reply.answers.push_back(std::move(*answer));
+    }
+    return reply;
+}
+
+} // namespace cicadagap
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -29,8 +29,19 @@
 SessionEngine::SessionEngine(Options options, SessionOutput *output)
     : m_options(std::move(options))
     , m_output(output)
+    , m_hosts({.self = m_options.host})
     , m_control(output, [this] { return nextWork(); })
-    , m_fleet(m_options.fleet, output, this)
+    , m_fleet(
+          m_options.fleet, output, this,
+          [this](Millis now, const std::string &instance) { return chooseGateway(now, instance); })
+    , m_relay(
+          &m_fleet, [this] { return nextWork(); },
+          [this](const std::string &instance, Millis since) {
+              const auto found = m_instances.find(instance);
+              const LeaderBelief *belief
+                  = found == m_instances.end() ? nullptr : m_control.belief(found->second.group);
+              return belief ? belief->freshness().coveringSince(since) : std::nullopt;
+          })
 {
     m_control.setFleet(&m_fleet);
 }
@@ -41,7 +52,7 @@
         return;
     m_routing = routing;
     applyInstances(now);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances)
@@ -69,7 +80,7 @@
         }
     }
     applyInstances(now);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::applyInstances(Millis now)
@@ -82,12 +93,21 @@
         usable.push_back(instance);
         ids.insert(id);
     }
-    m_control.setInstances(now, usable, m_routing);
+    std::set<std::string> watched;
+    m_access.clear();
+    for (const RegisteredInstance &instance : usable) {
+        const int connections = m_routing.groups.at(instance.group).maxConnections;
+        const InstanceAccess &access = m_access[instance.id]
+            = m_hosts.access(instance, connections);
+        if (access.direct)
+            watched.insert(instance.group);
+    }
+    m_control.setInstances(now, usable, m_routing, watched);
     for (const RegisteredInstance &instance : usable) {
         // Connections are scarce: only those that the next statement may need stay open.
         const bool near = instance.dataCentre == m_options.dataCentre;
         const bool leads = m_control.leader(instance.group) == instance.id;
-        m_fleet.setInstance(now, instance, m_routing.groups.at(instance.group).maxConnections,
+        m_fleet.setInstance(now, instance, m_access.at(instance.id),
                             /*keepOpen=*/!instance.leaving && (near || leads));
     }
     for (const std::string &id : m_fleet.instances()) {
@@ -96,6 +116,65 @@
     }
 }
 
+void SessionEngine::onHosts(Millis now, const std::vector<HostRecord> &hosts)
+{
+    m_hosts.setRecords(now, hosts);
+    if (m_hosts.takeChanged())
+        applyInstances(now);
+    m_fleet.flush(now);
+}
+
+std::string SessionEngine::chooseGateway(Millis now, const std::string &instance) const
+{
+    const auto access = m_access.find(instance);
+    return access == m_access.end() ? std::string() : m_hosts.chooseGateway(now, access->second);
+}
+
+std::optional<Endpoint> SessionEngine::peerEndpoint(const std::string &host) const
+{
+    const HostRecord *record = m_hosts.find(host);
+    return record ? std::optional(record->peers) : std::nullopt;
+}
+
+void SessionEngine::onRelayReply(Millis now, ConnectionId connection, const std::string &gateway,
+                                 const RelayReply &reply)
+{
+    const bool gatewayFailed
+        = reply.ended && (reply.cause == Cause::Unreachable || reply.cause == Cause::Leaving);
+    if (gatewayFailed)
+        m_hosts.onFailed(now, gateway);
+    m_fleet.onRelayReply(now, connection, reply);
+    if (!reply.leader.empty())
+        m_control.onTold(reply.leader);
+    m_fleet.flush(now);
+}
+
+void SessionEngine::onRelayBatch(Millis now, RelayBatch batch, Relay::Reply reply)
+{
+    const bool known = m_relay.knows(batch.origin, batch.channel);
+    if (m_drainingSince && !known) {
+        reply({.ended = true, .cause = Cause::Leaving});
+        return;
+    }
+    const auto found = m_instances.find(batch.instance);
+    const std::string group = found == m_instances.end() ? std::string() : found->second.group;
+    const auto withLeader
+        = [this, group, asked = batch.instance, reply = std::move(reply)](RelayReply answer) {
+              const std::string leader = m_control.leader(group);
+              if (leader != asked)
+                  answer.leader = leader;
+              reply(std::move(answer));
+          };
+    m_relay.onBatch(now, std::move(batch), withLeader);
+    m_fleet.flush(now);
+}
+
+void SessionEngine::onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel)
+{
+    m_relay.onDropped(now, origin, channel);
+    m_fleet.flush(now);
+}
+
 Cause SessionEngine::onConnect(Millis now, SessionId session, const std::string &database)
 {
     static_cast<void>(now);
@@ -114,7 +193,7 @@
         session->pending.push_back(std::move(statement));
     else
         startStatement(now, id, session, std::move(statement));
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onCallerClosed(Millis now, SessionId id)
@@ -137,44 +216,44 @@
         endTransaction(now, session, /*rollBackFirst=*/true);
     m_active.erase(id);
     m_sessions.erase(id);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onTargetOpened(Millis now, ConnectionId connection)
 {
     m_fleet.onOpened(now, connection);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onTargetOpenFailed(Millis now, ConnectionId connection, bool full)
 {
     m_fleet.onOpenFailed(now, connection, full);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onTargetAnswer(Millis now, ConnectionId connection,
                                    const StatementAnswer &answer)
 {
     m_fleet.onAnswer(now, connection, answer);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onTargetClosed(Millis now, ConnectionId connection)
 {
     m_fleet.onClosed(now, connection);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onClaim(Millis now, const std::string &group, const ClaimResult &result)
 {
     m_control.onClaim(now, group, result);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onPromotion(Millis now, const std::string &group, PromotionVerdict verdict)
 {
     m_control.onPromotion(now, group, verdict);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::onTick(Millis now)
@@ -197,12 +276,13 @@
             oldest = std::min(oldest, operation.startedAt);
         }
     }
+    m_relay.onTick(now, m_routing.transactionIdle);
     m_control.setOldestWrites(oldestWrites);
     m_control.onTick(now);
     breakSilent(now);
     if (m_drainingSince)
         checkDrain(now);
-    m_fleet.flush();
+    m_fleet.flush(now);
 }
 
 void SessionEngine::drain(Millis now, Millis forTransactions)
@@ -341,11 +421,15 @@
     TargetWork work{.id = operation.work,
                     .priority = operation.route.priority,
                     .giveUpAt = operation.giveUpAt,
+                    .dataSince = operation.dataSince,
                     .values = &session->state.values,
                     .prepared = operation.prepared};
     if (!m_fleet.submit(now, operation.instance, std::move(work))) {
         m_works.erase(operation.work);
-        refuse(now, id, session, Cause::Overloaded);
+        if (m_fleet.isDirect(operation.instance))
+            refuse(now, id, session, Cause::Overloaded);
+        else
+            operation.stage = Stage::Waiting; // For a gateway.
     }
 }
 
@@ -353,6 +437,7 @@
 void SessionEngine::runInTransaction(Millis now, Session *session)
 {
     Operation &operation = *session->operation;
+    operation.opened = true;
     operation.connection = session->transaction->connection;
     operation.work = session->transaction->work;
     operation.instance = session->transaction->instance;
@@ -367,16 +452,20 @@
 {
     const std::string leader = m_control.leader(operation->route.group);
     operation->statement.after.reset();
+    operation->dataSince.reset();
     if (operation->needsPrimary)
         return leader;
     const std::optional<Position> required = requiredPosition(session, *operation);
     std::string best;
     Millis lowest;
     const LeaderBelief *belief = m_control.belief(operation->route.group);
-    if (required && belief) {
+    if (belief) {
         for (const RegisteredInstance &member : m_control.members(operation->route.group)) {
             const bool silent = belief->silentFor(now, member.id, operation->route.objective / 2);
-            if (member.leaving || silent || operation->avoid.contains(member.id))
+            const bool direct = m_fleet.isDirect(member.id);
+            const bool usable
+                = direct ? required.has_value() : !silent && !chooseGateway(now, member.id).empty();
+            if (member.leaving || silent || !usable || operation->avoid.contains(member.id))
                 continue;
             Millis distance = m_fleet.roundTrip(member.id);
             const bool near = member.dataCentre == m_options.dataCentre;
@@ -392,8 +481,15 @@
         }
     }
     if (!best.empty()) {
-        operation->statement.after = required;
         operation->wrapped = false;
+        if (m_fleet.isDirect(best)) {
+            operation->statement.after = required;
+        } else {
+            operation->dataSince = operation->arrived - operation->route.maxAge;
+            if (operation->route.consistency == Consistency::OwnWrites
+                && session.state.lastCommit.term > 0)
+                operation->statement.after = session.state.lastCommit;
+        }
         return best;
     }
     // No replica is known to be recent enough: the primary itself always is.
@@ -418,7 +514,8 @@
 
 void SessionEngine::onWorkStarted(Millis now, WorkId work, ConnectionId connection)
 {
-    if (m_control.onWorkStarted(now, work, connection))
+    if (m_control.onWorkStarted(now, work, connection)
+        || m_relay.onWorkStarted(now, work, connection))
         return;
     const auto found = m_works.find(work);
     Session *session = found == m_works.end() ? nullptr : find(found->second);
@@ -436,19 +533,30 @@
         return;
     }
     Statement opening{.kind = StatementKind::Begin, .after = operation.statement.after};
-    if (session->transaction && !operation.needsPrimary && operation.statement.after)
+    const bool replica = operation.statement.after || operation.dataSince;
+    if (session->transaction && !operation.needsPrimary && replica)
         opening.kind = StatementKind::BeginReadOnly;
     operation.statement.after.reset();
     operation.stage = Stage::Opening;
-    operation.startedAt = now;
+    setExpiry(now, &operation);
     m_fleet.send(now, connection, SendPurpose::OpenTransaction, std::move(opening));
 }
 
+// A statement has its route's time at the instance. What is relayed may wait at the gateway before.
+void SessionEngine::setExpiry(Millis now, Operation *operation) const
+{
+    const bool waits = operation->stage != Stage::Running || !operation->opened;
+    const bool relayed = !m_fleet.isDirect(operation->instance);
+    const Millis start = relayed && waits ? std::max(now, operation->giveUpAt) : now;
+    operation->startedAt = now;
+    operation->expiresAt = start + operation->route.statementTimeout;
+}
+
 void SessionEngine::sendOperation(Millis now, Session *session)
 {
     Operation &operation = *session->operation;
     operation.stage = Stage::Running;
-    operation.startedAt = now;
+    setExpiry(now, &operation);
     if (session->transaction) {
         session->transaction->lastUsed = now;
         session->transaction->wrote = session->transaction->wrote || operation.writes;
@@ -462,7 +570,7 @@
 
 void SessionEngine::onWorkRefused(Millis now, WorkId work, Cause cause)
 {
-    if (m_control.onWorkEnded(work))
+    if (m_control.onWorkEnded(work) || m_relay.onWorkRefused(work, cause))
         return;
     const auto found = m_works.find(work);
     if (found == m_works.end())
@@ -478,6 +586,8 @@
                                  SendPurpose purpose, StatementKind kind, Millis sentAt,
                                  const StatementAnswer &answer)
 {
+    if (m_relay.onWorkAnswer(now, work, purpose, answer))
+        return;
     if (purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work) {
         if (m_control.onWorkAnswer(now, work, connection, kind, sentAt, answer))
             return;
@@ -502,6 +612,7 @@
     Operation &operation = *session->operation;
     const bool mayWrite = operation.needsPrimary || operation.wrapped;
     if (answer.succeeded()) {
+        operation.opened = true;
         if (mayWrite && answer.position)
             m_control.onLeads(now, operation.instance, sentAt, *answer.position);
         if (session->transaction) {
@@ -583,8 +694,8 @@
     Operation &operation = *session->operation;
     operation.connection = 0;
     operation.work = 0;
-    if (cause == Cause::Behind || cause == Cause::Failed || cause == Cause::ConnectionLost
-        || cause == Cause::Leaving)
+    if (cause == Cause::Behind || cause == Cause::TooOld || cause == Cause::Failed
+        || cause == Cause::ConnectionLost || cause == Cause::Leaving)
         operation.avoid.insert(operation.instance);
     note(now, "request.retried", id, *session, cause);
     if (operation.attempts >= m_options.maxAttempts || now >= operation.giveUpAt) {
@@ -613,14 +724,14 @@
 }
 
 // The connection failed or the time is over while the statement ran.
-void SessionEngine::failRunning(Millis now, SessionId id, Session *session, Cause cause)
+void SessionEngine::failRunning(Millis now, SessionId id, Session *session, Cause cause, bool sent)
 {
     Operation &operation = *session->operation;
     const bool commit = operation.statement.kind == StatementKind::Commit;
     m_works.erase(operation.work);
     if (session->transaction) {
         session->transaction->connection = 0;
-        const bool uncertain = commit && operation.writes;
+        const bool uncertain = sent && commit && operation.writes;
         endTransaction(now, session, /*rollBackFirst=*/false);
         session->phase = commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
         note(now, "request.failed", id, *session, uncertain ? cause : Cause::Aborted);
@@ -639,7 +750,7 @@
                                          bool workSent)
 {
     static_cast<void>(connection);
-    if (m_control.onWorkEnded(work))
+    if (m_control.onWorkEnded(work) || m_relay.onWorkConnectionLost(work, workSent))
         return;
     const auto found = m_works.find(work);
     Session *session = found == m_works.end() ? nullptr : find(found->second);
@@ -654,13 +765,17 @@
         }
         return;
     }
+    if (session->transaction && session->transaction->connection != 0) {
+        failRunning(now, id, session, Cause::ConnectionLost, workSent);
+        return;
+    }
     const bool running = session->operation->stage == Stage::Running;
     if (!running || !workSent) {
         m_works.erase(work);
         retry(now, id, session, Cause::ConnectionLost);
         return;
     }
-    failRunning(now, id, session, Cause::ConnectionLost);
+    failRunning(now, id, session, Cause::ConnectionLost, /*sent=*/true);
 }
 
 void SessionEngine::onTargetAsked(Millis now, const std::string &instance)
@@ -758,14 +873,14 @@
         return;
     case Stage::Opening:
     case Stage::Running:
-        if (now - operation.startedAt <= operation.route.statementTimeout)
+        if (now <= operation.expiresAt)
             return;
         m_fleet.discard(now, operation.connection);
         if (operation.stage == Stage::Opening) {
             m_works.erase(operation.work);
             retry(now, id, session, Cause::ConnectionLost);
         } else {
-            failRunning(now, id, session, Cause::Timeout);
+            failRunning(now, id, session, Cause::Timeout, /*sent=*/true);
         }
         return;
     }
@@ -781,6 +896,8 @@
             if (!belief || !belief->silentFor(now, member.id, SilentReadLimit))
                 continue;
             m_fleet.breakConnections(now, member.id, [this](WorkId work) {
+                if (m_relay.onlyReads(work))
+                    return true;
                 const auto found = m_works.find(work);
                 const Session *session = found == m_works.end() ? nullptr : find(found->second);
                 return session && session->operation && !session->transaction
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -19,6 +19,8 @@
 #pragma once
 
 #include "session/groupcontrol.h"
+#include "session/hostdirectory.h"
+#include "session/relay.h"
 #include "session/routing.h"
 #include "session/sessionstate.h"
 #include "session/targetfleet.h"
@@ -62,6 +64,7 @@
 public:
     struct Options
     {
+        std::string host;
         std::string dataCentre;
         int maxAttempts = 5; // Of a statement that has not run.
         // Longest wait for a primary or for a slot, as a multiple of the objective, and at least.
@@ -81,6 +84,9 @@
     // The whole list of registered instances.
     void onInstances(Millis now, const std::vector<RegisteredInstance> &instances);
 
+    // The whole list of the system's hosts.
+    void onHosts(Millis now, const std::vector<HostRecord> &hosts);
+
     // A caller connected; the cause is None if the session is open.
     Cause onConnect(Millis now, SessionId session, const std::string &database);
     void onStatement(Millis now, SessionId session, Statement statement);
@@ -91,6 +97,13 @@
     void onTargetAnswer(Millis now, ConnectionId connection, const StatementAnswer &answer);
     void onTargetClosed(Millis now, ConnectionId connection);
 
+    // The answer to a batch that was relayed through a gateway.
+    void onRelayReply(Millis now, ConnectionId connection, const std::string &gateway,
+                      const RelayReply &reply);
+    // This host as a gateway: another host's batch, and a channel that it gives up.
+    void onRelayBatch(Millis now, RelayBatch batch, Relay::Reply reply);
+    void onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel);
+
     void onClaim(Millis now, const std::string &group, const ClaimResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionVerdict verdict);
 
@@ -101,6 +114,8 @@
     // Settings and instances are known, and no shutdown has begun.
     bool ready() const;
     std::size_t sessions() const { return m_sessions.size(); }
+    // The endpoint at which a host takes relayed batches; nothing if it is unknown.
+    std::optional<Endpoint> peerEndpoint(const std::string &host) const;
     std::size_t targetConnections() const { return m_fleet.connections(); }
     std::uint64_t configurationVersion() const { return m_routing.version; }
 
@@ -125,11 +140,14 @@
         Millis giveUpAt;
         int attempts = 0;
         std::set<std::string> avoid;
+        std::optional<Millis> dataSince; // Of reads that the gateway makes recent enough.
         std::string instance;
         WorkId work = 0;
         ConnectionId connection = 0;
         Stage stage = Stage::Waiting;
+        bool opened = false; // The transaction around it is open.
         Millis startedAt;
+        Millis expiresAt;
     };
 
     struct Transaction
@@ -171,8 +189,10 @@
     void dispatch(Millis now, SessionId id, Session *session);
     void runInTransaction(Millis now, Session *session);
     std::string chooseInstance(Millis now, const Session &session, Operation *operation) const;
+    std::string chooseGateway(Millis now, const std::string &instance) const;
     std::optional<Position> requiredPosition(const Session &session,
                                              const Operation &operation) const;
+    void setExpiry(Millis now, Operation *operation) const;
     void sendOperation(Millis now, Session *session);
     void finishOpening(Millis now, SessionId id, Session *session, Millis sentAt,
                        const StatementAnswer &answer);
@@ -181,7 +201,7 @@
     void finishCommit(Millis now, SessionId id, Session *session, const StatementAnswer &answer);
     void retry(Millis now, SessionId id, Session *session, Cause cause);
     void refuse(Millis now, SessionId id, Session *session, Cause cause);
-    void failRunning(Millis now, SessionId id, Session *session, Cause cause);
+    void failRunning(Millis now, SessionId id, Session *session, Cause cause, bool sent);
     void deliver(Millis now, SessionId id, Session *session, StatementAnswer answer);
     void answerLocally(Millis now, SessionId id, Session *session, Cause cause);
     void endOperation(Session *session);
@@ -199,8 +219,11 @@
 
     Options m_options;
     SessionOutput *m_output;
+    HostDirectory m_hosts;
+    std::map<std::string, InstanceAccess> m_access;
     GroupControl m_control;
     TargetFleet m_fleet;
+    Relay m_relay;
     RoutingTable m_routing;
     std::map<std::string, RegisteredInstance> m_instances;
     std::map<std::string, Millis> m_missingSince;
--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -30,24 +30,29 @@
 
 } // namespace
 
-TargetFleet::TargetFleet(Options options, TargetOutput *output, TargetListener *listener)
+TargetFleet::TargetFleet(Options options, TargetOutput *output, TargetListener *listener,
+                         ChooseGateway chooseGateway)
     : m_options(options)
     , m_output(output)
     , m_listener(listener)
+    , m_chooseGateway(std::move(chooseGateway))
 {
 }
 
-void TargetFleet::setInstance(Millis now, const RegisteredInstance &instance, int maxConnections,
-                              bool keepOpen)
+void TargetFleet::setInstance(Millis now, const RegisteredInstance &instance,
+                              const InstanceAccess &access, bool keepOpen)
 {
     Instance &entry = m_instances[instance.id];
     if (!entry.queue)
         entry.queue = std::make_unique<ClassQueue>(queueOptions(m_options.queueCapacity));
+    const bool wasDirect = entry.direct;
     entry.registered = instance;
     entry.removed = false;
-    entry.keepOpen = keepOpen;
-    const int share = static_cast<int>(maxConnections * m_options.connectionShare);
-    entry.maxConnections = std::max(1, share);
+    entry.direct = access.direct;
+    entry.keepOpen = keepOpen && access.direct;
+    entry.maxConnections = std::max(1, access.connections);
+    if (wasDirect && !access.direct)
+        refuseWaiting(now, instance.id, Cause::Unreachable);
     pump(now, instance.id);
 }
 
@@ -57,14 +62,7 @@
     if (found == m_instances.end())
         return;
     found->second.removed = true;
-    std::vector<WorkId> refused(found->second.urgent.begin(), found->second.urgent.end());
-    found->second.urgent.clear();
-    for (const QueueEntry &entry : found->second.queue->takeAll())
-        refused.push_back(entry.id);
-    for (const WorkId id : refused) {
-        if (m_waiting.erase(id) > 0)
-            m_listener->onWorkRefused(now, id, Cause::Leaving);
-    }
+    refuseWaiting(now, instance, Cause::Leaving);
     const std::set<ConnectionId> connections = found->second.connections;
     for (const ConnectionId id : connections) {
         const Connection *connection = find(id);
@@ -73,6 +71,26 @@
     }
 }
 
+// Work that waits has to find another way.
+void TargetFleet::refuseWaiting(Millis now, const std::string &instance, Cause cause)
+{
+    Instance &entry = m_instances.at(instance);
+    std::vector<WorkId> refused(entry.urgent.begin(), entry.urgent.end());
+    entry.urgent.clear();
+    for (const QueueEntry &waiting : entry.queue->takeAll())
+        refused.push_back(waiting.id);
+    for (const WorkId id : refused) {
+        if (m_waiting.erase(id) > 0)
+            m_listener->onWorkRefused(now, id, cause);
+    }
+}
+
+bool TargetFleet::isDirect(const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    return found != m_instances.end() && found->second.direct;
+}
+
 std::vector<std::string> TargetFleet::instances() const
 {
     std::vector<std::string> ids;
@@ -89,6 +107,8 @@
     if (found == m_instances.end() || found->second.removed)
         return false;
     const WorkId id = work.id;
+    if (!found->second.direct)
+        return startRelayed(now, &found->second, std::move(work));
     if (!work.needsSlot) {
         found->second.urgent.push_back(id);
         m_waiting[id] = {.work = std::move(work), .instance = instance};
@@ -128,22 +148,51 @@
     Instance &instance = m_instances.at(found->instance);
     if (needsSlot(statement.kind))
         ++instance.slotsTaken;
-    found->awaited.push_back({.purpose = purpose, .kind = statement.kind, .at = now});
+    // A gateway restores the session's state by itself and does not tell.
+    if (!found->relayed || purpose != SendPurpose::Restore)
+        found->awaited.push_back({.purpose = purpose, .kind = statement.kind, .at = now});
     found->workSent = found->workSent || purpose == SendPurpose::Work;
-    found->unsent.push_back(std::move(statement));
+    found->unsent.push_back({.statement = std::move(statement), .purpose = purpose});
     m_toFlush.insert(connection);
 }
 
 // Statements sent in one turn leave in one write.
-void TargetFleet::flush()
+void TargetFleet::flush(Millis now)
 {
     for (const ConnectionId id : std::exchange(m_toFlush, {})) {
         Connection *found = find(id);
-        if (found && !found->unsent.empty())
-            m_output->sendToTarget(id, std::exchange(found->unsent, {}));
+        if (!found || found->unsent.empty())
+            continue;
+        std::vector<RelayedStatement> unsent = std::exchange(found->unsent, {});
+        if (found->relayed) {
+            m_output->relayToGateway(id, found->gateway,
+                                     batchOf(now, id, *found, std::move(unsent)));
+            continue;
+        }
+        std::vector<Statement> statements;
+        statements.reserve(unsent.size());
+        for (RelayedStatement &entry : unsent)
+            statements.push_back(std::move(entry.statement));
+        m_output->sendToTarget(id, statements);
     }
 }
 
+RelayBatch TargetFleet::batchOf(Millis now, ConnectionId id, const Connection &connection,
+                                std::vector<RelayedStatement> statements)
+{
+    const TargetWork &work = *connection.relayed;
+    RelayBatch batch{.channel = id,
+                     .instance = connection.instance,
+                     .continues = connection.answered,
+                     .priority = work.priority,
+                     .needsSlot = work.needsSlot,
+                     .patience = std::max(Millis(1), work.giveUpAt - now),
+                     .statements = std::move(statements)};
+    if (work.dataSince && !connection.answered)
+        batch.maxAge = now - *work.dataSince;
+    return batch;
+}
+
 void TargetFleet::release(Millis now, ConnectionId connection)
 {
     Connection *found = find(connection);
@@ -227,6 +276,7 @@
     }
     const Sent sent = found->awaited.front();
     found->awaited.pop_front();
+    found->phase = answer.phase;
     noteAnswer(now, &m_instances.at(name), sent);
     if (sent.purpose == SendPurpose::Restore && !answer.succeeded()) {
         onClosed(now, connection);
@@ -266,6 +316,27 @@
     pump(now, name);
 }
 
+void TargetFleet::onRelayReply(Millis now, ConnectionId connection, const RelayReply &reply)
+{
+    for (const StatementAnswer &answer : reply.answers) {
+        if (Connection *found = find(connection))
+            found->answered = true;
+        onAnswer(now, connection, answer);
+    }
+    Connection *found = find(connection);
+    if (!found || !reply.ended || reply.cause == Cause::None)
+        return;
+    const bool owned = found->state == State::Owned;
+    const bool refused = !reply.sent && !found->answered;
+    const WorkId owner = found->owner;
+    found->ended = true;
+    forget(now, connection);
+    if (owned && refused)
+        m_listener->onWorkRefused(now, owner, reply.cause);
+    else if (owned)
+        m_listener->onWorkConnectionLost(now, owner, connection, reply.sent);
+}
+
 void TargetFleet::onTick(Millis now)
 {
     std::vector<std::string> names;
@@ -342,7 +413,7 @@
 bool TargetFleet::shutOut(Millis now, const std::string &instance) const
 {
     const auto found = m_instances.find(instance);
-    return found != m_instances.end() && now < found->second.fullUntil
+    return found != m_instances.end() && found->second.direct && now < found->second.fullUntil
         && found->second.connections.size() == found->second.opening;
 }
 
@@ -351,6 +422,8 @@
     const auto found = m_instances.find(instance);
     if (found == m_instances.end())
         return false;
+    if (!found->second.direct)
+        return true;
     const auto &ids = found->second.connections;
     return std::any_of(ids.begin(), ids.end(), [this](ConnectionId id) {
         return m_connections.at(id).state == State::Idle;
@@ -373,8 +446,8 @@
 void TargetFleet::openFresh(Millis now, const std::string &instance)
 {
     const auto found = m_instances.find(instance);
-    if (found == m_instances.end() || found->second.removed || found->second.opening > 0
-        || now < found->second.openAfter)
+    if (found == m_instances.end() || found->second.removed || !found->second.direct
+        || found->second.opening > 0 || now < found->second.openAfter)
         return;
     open(now, &found->second);
 }
@@ -382,12 +455,32 @@
 void TargetFleet::pump(Millis now, const std::string &instance)
 {
     const auto found = m_instances.find(instance);
-    if (found == m_instances.end() || found->second.removed)
+    if (found == m_instances.end() || found->second.removed || !found->second.direct)
         return;
     while (startNext(now, &found->second)) { }
     openMore(now, &found->second);
 }
 
+// Relayed work starts at once on a channel of its own; it waits at the gateway.
+bool TargetFleet::startRelayed(Millis now, Instance *instance, TargetWork work)
+{
+    std::string gateway = m_chooseGateway(now, instance->registered.id);
+    if (gateway.empty())
+        return false;
+    const ConnectionId id = ++m_lastConnection;
+    const WorkId owner = work.id;
+    work.values = nullptr;
+    m_connections[id] = {.instance = instance->registered.id,
+                         .state = State::Owned,
+                         .owner = owner,
+                         .since = now,
+                         .gateway = std::move(gateway),
+                         .relayed = std::move(work)};
+    instance->connections.insert(id);
+    m_listener->onWorkStarted(now, owner, id);
+    return true;
+}
+
 // Starts the first waiting work for which a connection is idle; false if there is none.
 bool TargetFleet::startNext(Millis now, Instance *instance)
 {
@@ -485,9 +578,16 @@
     }
     if (found->state == State::Opening)
         --instance.opening;
+    const bool relayed = found->relayed.has_value();
+    const std::string gateway = found->gateway;
+    const bool mayBeOpen
+        = !found->ended && (!found->awaited.empty() || found->phase != SessionPhase::Idle);
     instance.connections.erase(connection);
     m_connections.erase(connection);
-    m_output->closeTarget(connection);
+    if (!relayed)
+        m_output->closeTarget(connection);
+    else if (mayBeOpen)
+        m_output->dropAtGateway(connection, gateway);
 }
 
 // A released connection is idle again once nothing is awaited on it.
@@ -498,7 +598,7 @@
         return;
     found->state = State::Idle;
     found->since = now;
-    if (m_instances.at(found->instance).removed)
+    if (m_instances.at(found->instance).removed || found->relayed)
         forget(now, connection);
     else
         pump(now, found->instance);
--- a/src/session/targetfleet.h
+++ b/src/session/targetfleet.h
@@ -15,7 +15,9 @@
 
 #include "base/millis.h"
 #include "connection/classqueue.h"
+#include "session/hostdirectory.h"
 #include "session/registry.h"
+#include "session/relaybatch.h"
 #include "session/sessionstate.h"
 #include "session/statement.h"
 
@@ -34,14 +36,6 @@
 using ConnectionId = std::uint64_t;
 using WorkId = std::uint64_t;
 
-// Why a statement was sent on a connection.
-enum class SendPurpose {
-    Restore,          // Makes the connection fit the session.
-    OpenTransaction,  // The system's own opening of a transaction.
-    Work,             // The caller's statement, or an order.
-    CloseTransaction, // The system's own rollback.
-};
-
 // Receives what has to be done.
 class TargetOutput
 {
@@ -55,6 +49,12 @@
     virtual void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
         = 0;
     virtual void closeTarget(ConnectionId connection) = 0;
+    // Send a batch through a gateway; answered by onRelayReply().
+    virtual void relayToGateway(ConnectionId connection, const std::string &gateway,
+                                RelayBatch batch)
+        = 0;
+    // Give up a channel on which something may still run or be open.
+    virtual void dropAtGateway(ConnectionId connection, const std::string &gateway) = 0;
 };
 
 // Receives what happened. Work may be submitted from within these calls.
@@ -88,6 +88,7 @@
     WorkId id = 0;
     int priority = 0;                      // 0 goes first.
     Millis giveUpAt;                       // Refused if it has not started by then.
+    std::optional<Millis> dataSince;       // A read that must see what was committed until then.
     bool needsSlot = true;                 // Otherwise it goes before everything that does.
     const SessionValues *values = nullptr; // Null if any state of the connection will do.
     std::optional<PreparedStatement> prepared;
@@ -105,13 +106,18 @@
         Millis fullBackoff = Millis(60);     // After an instance had no connection left.
         Millis refusedBackoff = Millis(150); // After a refused or failed connection.
         Millis idleClose = Millis(1500);     // Of connections beyond the first.
-        double connectionShare = 0.6;        // Of an instance's connections that one host may take.
     };
 
-    TargetFleet(Options options, TargetOutput *output, TargetListener *listener);
+    // Chooses the gateway to an instance; empty if none can be used now.
+    using ChooseGateway = std::function<std::string(Millis now, const std::string &instance)>;
+
+    TargetFleet(Options options, TargetOutput *output, TargetListener *listener,
+                ChooseGateway chooseGateway);
 
-    void setInstance(Millis now, const RegisteredInstance &instance, int maxConnections,
+    void setInstance(Millis now, const RegisteredInstance &instance, const InstanceAccess &access,
                      bool keepOpen);
+    // This host holds connections to the instance itself.
+    bool isDirect(const std::string &instance) const;
     // Closes idle connections and refuses what waits; running work goes on.
     void removeInstance(Millis now, const std::string &instance);
     // The ids of all instances that were set and not removed.
@@ -123,7 +129,8 @@
     void cancel(WorkId work);
     // Sends on a connection that a work owns. Statements of the session's state go before others.
     void send(Millis now, ConnectionId connection, SendPurpose purpose, Statement statement);
-    void flush();
+    // Lets everything leave that was sent in this turn.
+    void flush(Millis now);
     // Restores the session's state; called once, before the work's first statement.
     void restore(Millis now, ConnectionId connection, const SessionValues &values,
                  const PreparedStatement *prepared);
@@ -140,6 +147,7 @@
     void onOpenFailed(Millis now, ConnectionId connection, bool full);
     void onAnswer(Millis now, ConnectionId connection, const StatementAnswer &answer);
     void onClosed(Millis now, ConnectionId connection);
+    void onRelayReply(Millis now, ConnectionId connection, const RelayReply &reply);
     void onTick(Millis now);
 
     // The expected time until work submitted now would be answered, without the network's share.
@@ -179,13 +187,20 @@
         WorkId owner = 0;
         Millis since; // Of its state.
         std::deque<Sent> awaited;
-        std::vector<Statement> unsent;
+        std::vector<RelayedStatement> unsent;
         bool workSent = false;
+        // Of relayed work only.
+        std::string gateway;
+        std::optional<TargetWork> relayed;
+        SessionPhase phase = SessionPhase::Idle;
+        bool answered = false;
+        bool ended = false; // At the gateway.
     };
 
     struct Instance
     {
         RegisteredInstance registered;
+        bool direct = true;
         int maxConnections = 1;
         bool keepOpen = false;
         bool removed = false;
@@ -206,6 +221,10 @@
         std::string instance;
     };
 
+    static RelayBatch batchOf(Millis now, ConnectionId id, const Connection &connection,
+                              std::vector<RelayedStatement> statements);
+    void refuseWaiting(Millis now, const std::string &instance, Cause cause);
+    bool startRelayed(Millis now, Instance *instance, TargetWork work);
     void pump(Millis now, const std::string &instance);
     bool startNext(Millis now, Instance *instance);
     std::optional<WorkId> nextWork(Millis now, Instance *instance);
@@ -221,6 +240,7 @@
     Options m_options;
     TargetOutput *m_output;
     TargetListener *m_listener;
+    ChooseGateway m_chooseGateway;
     std::map<std::string, Instance> m_instances;
     std::map<ConnectionId, Connection> m_connections;
     std::map<WorkId, Waiting> m_waiting;
--- a/test/sessionworld.h
+++ b/test/sessionworld.h
@@ -33,6 +33,7 @@
     std::uint64_t seed = 1;
     int hosts = 3;
     int sessionsPerHost = 6;
+    int maxConnections = 22; // Of an instance; few of them make hosts relay through gateways.
     Millis duration = Millis(20'000); // Failures end before the last quarter.
     std::vector<WorldFault> faults;   // In order, at random moments.
 };
