Test the small parts by tables; keep a host expired that does not renew

Cause: the parts that turn lines, documents and batches into types had no tests. Found: a host that stopped renewing came back into the directory at every second reading; the renewal is now remembered beyond the expiry. HostDirectory.ForgetsHostsThatDoNotRenew failed before and passes now.

--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -77,26 +77,27 @@
 
 void HostDirectory::setRecords(Millis now, const std::vector<HostRecord> &records)
 {
+    std::map<std::string, Renewal> renewals;
     std::map<std::string, Known> hosts;
     for (const HostRecord &record : records) {
+        const auto seen = m_renewals.find(record.host);
+        const bool renewed = seen == m_renewals.end() || seen->second.beat != record.beat;
+        const Millis at = renewed ? now : seen->second.at;
+        renewals[record.host] = {.beat = record.beat, .at = at};
+        if (now - at > m_options.expiry || record.leaving)
+            continue;
         const auto known = m_hosts.find(record.host);
-        Known entry{.record = record, .renewedAt = now};
-        if (known != m_hosts.end()) {
-            entry.avoidUntil = known->second.avoidUntil;
-            if (known->second.record.beat == record.beat)
-                entry.renewedAt = known->second.renewedAt;
-        }
-        const bool expired = now - entry.renewedAt > m_options.expiry;
-        if (!expired && !record.leaving)
-            hosts[record.host] = entry;
+        hosts[record.host]
+            = {.record = record,
+               .avoidUntil = known == m_hosts.end() ? Millis(0) : known->second.avoidUntil};
     }
+    const auto sameHost = [](const auto &left, const auto &right) {
+        return left.first == right.first && left.second.record.peers == right.second.record.peers;
+    };
     m_changed = m_changed || hosts.size() != m_hosts.size()
-        || !std::equal(hosts.begin(), hosts.end(), m_hosts.begin(),
-                       [](const auto &left, const auto &right) {
-                           return left.first == right.first
-                               && left.second.record.peers == right.second.record.peers;
-                       });
+        || !std::equal(hosts.begin(), hosts.end(), m_hosts.begin(), sameHost);
     m_hosts = std::move(hosts);
+    m_renewals = std::move(renewals);
 }
 
 void HostDirectory::onFailed(Millis now, const std::string &host)
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -84,14 +84,21 @@
     struct Known
     {
         HostRecord record;
-        Millis renewedAt;
         Millis avoidUntil;
     };
 
+    // The last change of a record, also of one that expired.
+    struct Renewal
+    {
+        std::uint64_t beat = 0;
+        Millis at;
+    };
+
     std::vector<const Known *> candidates(const std::string &dataCentre) const;
 
     Options m_options;
     std::map<std::string, Known> m_hosts;
+    std::map<std::string, Renewal> m_renewals;
     bool m_changed = false;
 };
 
--- /dev/null
+++ b/src/session/tst_session.cpp
@@ -0,0 +1,302 @@
+// Tables for the small parts: session state, duty, hosts, codec, lines.
+#include "connection/confirmation.h"
+#include "session/dutylease.h"
+#include "session/hostdirectory.h"
+#include "session/relaycodec.h"
+#include "session/sessioncodec.h"
+#include "session/sessionstate.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+namespace {
+
+struct RestoreCase
+{
+    std::string name;
+    SessionValues before; // Held by the connection.
+    SessionValues wanted;
+    std::vector<StatementKind> steps;
+};
+
+class Restore : public testing::TestWithParam<RestoreCase>
+{
+};
+
+TEST_P(Restore, SendsOnlyWhatDiffers)
+{
+    ConnectionMemory memory;
+    memory.restore(GetParam().before, nullptr);
+    std::vector<StatementKind> kinds;
+    for (const Statement &step : memory.restore(GetParam().wanted, nullptr))
+        kinds.push_back(step.kind);
+    EXPECT_EQ(kinds, GetParam().steps);
+    EXPECT_EQ(memory.restoreCost(GetParam().wanted, nullptr), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, Restore,
+    testing::Values(RestoreCase{"same", {{"a", "1"}}, {{"a", "1"}}, {}},
+                    RestoreCase{"added", {}, {{"a", "1"}}, {StatementKind::SetValue}},
+                    RestoreCase{"changed", {{"a", "1"}}, {{"a", "2"}}, {StatementKind::SetValue}},
+                    RestoreCase{"removed", {{"a", "1"}}, {}, {StatementKind::Reset}},
+                    RestoreCase{"swapped",
+                                {{"a", "1"}},
+                                {{"b", "1"}},
+                                {StatementKind::Reset, StatementKind::SetValue}}),
+    [](const auto &info) { return info.param.name; });
+
+TEST(ConnectionMemory, PreparesAShapeOnceForAllSessions)
+{
+    ConnectionMemory memory;
+    const PreparedStatement statement{.shape = "q2", .writes = true};
+    ASSERT_EQ(memory.restore({}, &statement).size(), 1U);
+    EXPECT_TRUE(memory.restore({}, &statement).empty());
+    const PreparedStatement reading{.shape = "q2", .writes = false};
+    EXPECT_EQ(memory.restore({}, &reading).size(), 1U);
+    // A reset forgets prepared statements too.
+    memory.restore({{"a", "1"}}, nullptr);
+    EXPECT_EQ(memory.restore({}, &statement).size(), 2U);
+}
+
+struct DutyCase
+{
+    std::string name;
+    std::optional<DutyRow> current;
+    std::optional<std::uint64_t> token; // Of the claim.
+};
+
+class Duty : public testing::TestWithParam<DutyCase>
+{
+};
+
+TEST_P(Duty, IsClaimedOnlyWhenFree)
+{
+    constexpr Millis StoreNow(1000);
+    const std::optional<DutyRow> claim = claimDuty(GetParam().current, "a", StoreNow);
+    ASSERT_EQ(claim.has_value(), GetParam().token.has_value());
+    if (!claim)
+        return;
+    EXPECT_EQ(claim->fencingToken, *GetParam().token);
+    EXPECT_EQ(claim->until, StoreNow + DutyLeaseTime);
+    EXPECT_EQ(parseDutyRow(dutyRowText(*claim), nullptr), claim);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, Duty,
+                         testing::Values(DutyCase{"absent", std::nullopt, 1},
+                                         DutyCase{"held", DutyRow{"b", 4, Millis(1001)},
+                                                  std::nullopt},
+                                         DutyCase{"lapsed", DutyRow{"b", 4, Millis(1000)}, 5},
+                                         DutyCase{"own", DutyRow{"a", 4, Millis(9000)}, 5}),
+                         [](const auto &info) { return info.param.name; });
+
+TEST(Duty, RefusesRowsOfOtherWriters)
+{
+    for (const char *text : {"", "{}", "[]", R"({"holder":1,"fencingToken":1,"untilMs":1})",
+                             R"({"holder":"a","fencingToken":-1,"untilMs":1})",
+                             R"({"holder":"a","fencingToken":1,"untilMs":"x"})"}) {
+        Reason reason;
+        EXPECT_FALSE(parseDutyRow(text, &reason)) << text;
+        EXPECT_FALSE(reason.text().empty());
+    }
+}
+
+std::vector<HostRecord> hostsOf(int count, int dataCentres)
+{
+    std::vector<HostRecord> hosts;
+    for (int i = 0; i < count; ++i)
+        hosts.push_back({.host = "h" + std::to_string(i),
+                         .dataCentre = "d" + std::to_string(i % dataCentres),
+                         .peers = {.address = "127.0.0.1", .port = 1}});
+    return hosts;
+}
+
+struct AccessCase
+{
+    std::string name;
+    int hosts = 1;
+    int connections = 1;
+    bool someDirect = true;
+    bool someRelay = false;
+};
+
+class Access : public testing::TestWithParam<AccessCase>
+{
+};
+
+// Whatever the numbers, hosts together hold no more connections than there are, and every host
+// reaches every instance.
+TEST_P(Access, SharesConnections)
+{
+    const RegisteredInstance instance{.id = "i1", .dataCentre = "d1"};
+    int held = 0;
+    int direct = 0;
+    for (int i = 0; i < GetParam().hosts; ++i) {
+        HostDirectory directory({.self = "h" + std::to_string(i)});
+        directory.setRecords(Millis(0), hostsOf(GetParam().hosts, 3));
+        const InstanceAccess access = directory.access(instance, GetParam().connections);
+        if (access.direct) {
+            ++direct;
+            held += access.connections;
+        } else {
+            EXPECT_FALSE(directory.chooseGateway(Millis(0), access).empty());
+        }
+    }
+    EXPECT_LE(held, GetParam().connections);
+    EXPECT_EQ(direct > 0, GetParam().someDirect);
+    EXPECT_EQ(direct < GetParam().hosts, GetParam().someRelay);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, Access,
+                         testing::Values(AccessCase{"few", 7, 22, true, false},
+                                         AccessCase{"grown", 74, 35, true, true},
+                                         AccessCase{"crowded", 300, 12, true, true},
+                                         AccessCase{"scarce", 60, 4, true, true}),
+                         [](const auto &info) { return info.param.name; });
+
+TEST(HostDirectory, ForgetsHostsThatDoNotRenew)
+{
+    HostDirectory directory({.self = "h0"});
+    std::vector<HostRecord> hosts = hostsOf(3, 1);
+    directory.setRecords(Millis(0), hosts);
+    EXPECT_EQ(directory.size(), 3U);
+    hosts[0].beat = 1;
+    hosts[1].beat = 1;
+    directory.setRecords(Millis(30'000), hosts);
+    directory.setRecords(Millis(40'000), hosts);
+    EXPECT_EQ(directory.size(), 2U);
+    hosts[1].leaving = true;
+    directory.setRecords(Millis(41'000), hosts);
+    EXPECT_EQ(directory.size(), 1U);
+}
+
+TEST(HostDirectory, AvoidsAGatewayThatFailed)
+{
+    HostDirectory directory({.self = "h0"});
+    directory.setRecords(Millis(0), hostsOf(60, 3));
+    const InstanceAccess access = directory.access({.id = "i2", .dataCentre = "d1"}, 20);
+    const std::string first = directory.chooseGateway(Millis(0), access);
+    directory.onFailed(Millis(0), first);
+    EXPECT_NE(directory.chooseGateway(Millis(10), access), first);
+    EXPECT_EQ(directory.chooseGateway(Millis(5000), access), first);
+}
+
+TEST(HostDirectory, PrefersStrongHosts)
+{
+    std::vector<HostRecord> hosts = hostsOf(40, 1);
+    for (int i = 0; i < 40; ++i)
+        hosts[i].weight = i < 20 ? 4 : 1;
+    std::map<bool, int> roles; // By strength.
+    for (int i = 0; i < 40; ++i) {
+        HostDirectory directory({.self = "h" + std::to_string(i)});
+        directory.setRecords(Millis(0), hosts);
+        for (int instance = 0; instance < 200; ++instance) {
+            const std::string id = "i" + std::to_string(instance);
+            roles[i < 20] += directory.access({.id = id, .dataCentre = "d0"}, 20).direct ? 1 : 0;
+        }
+    }
+    EXPECT_GT(roles[true], 2 * roles[false]);
+}
+
+TEST(HostRecord, IsWrittenAndRead)
+{
+    const HostRecord record{.host = "a",
+                            .dataCentre = "d",
+                            .peers = {.address = "10.0.0.1", .port = 7},
+                            .weight = 0.25,
+                            .beat = 9,
+                            .leaving = true};
+    EXPECT_EQ(parseHostRecord(hostRecordText(record), nullptr), record);
+    for (const char *text : {"", "{}", R"({"host":"a"})"}) {
+        Reason reason;
+        EXPECT_FALSE(parseHostRecord(text, &reason));
+        EXPECT_FALSE(reason.text().empty());
+    }
+}
+
+TEST(RelayCodec, KeepsBatches)
+{
+    RelayBatch batch{.origin = "h/1",
+                     .channel = 77,
+                     .instance = "i",
+                     .continues = true,
+                     .priority = 2,
+                     .needsSlot = false,
+                     .patience = Millis(900),
+                     .maxAge = Millis(1500)};
+    batch.statements.push_back(
+        {.statement = {.kind = StatementKind::SetValue, .name = "a", .argument = "b c"},
+         .purpose = SendPurpose::Restore});
+    batch.statements.push_back({.statement = {.id = "q1",
+                                              .kind = StatementKind::Execute,
+                                              .text = "EXECUTE s 1",
+                                              .name = "rq",
+                                              .argument = "1",
+                                              .after = Position{.term = 2, .index = 9}}});
+    EXPECT_EQ(decodeBatch(encodeBatch(batch), nullptr), batch);
+}
+
+TEST(RelayCodec, KeepsReplies)
+{
+    RelayReply reply{.ended = true, .cause = Cause::TooOld, .sent = true, .leader = "i3"};
+    reply.answers.push_back({.cause = Cause::Behind,
+                             .detail = "later",
+                             .rows = {"x", ""},
+                             .signature = "s",
+                             .phase = SessionPhase::Transaction,
+                             .position = Position{.term = 1, .index = 2},
+                             .status = InstanceStatus{.primary = true, .term = 3, .heldTerm = 4}});
+    const std::optional<RelayReply> read = decodeReply(encodeReply(reply), nullptr);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(encodeReply(*read), encodeReply(reply));
+    EXPECT_EQ(read->answers.front().rows, reply.answers.front().rows);
+    EXPECT_EQ(read->answers.front().status->heldTerm, 4U);
+}
+
+TEST(RelayCodec, SurvivesAnyBytes)
+{
+    EXPECT_TRUE(rc::check("bytes", [](const std::string &bytes) {
+        decodeBatch(bytes, nullptr);
+        decodeReply(bytes, nullptr);
+    }));
+}
+
+// However a stream is cut, the same lines come out.
+TEST(LineBuffer, DoesNotDependOnHowBytesArrive)
+{
+    EXPECT_TRUE(rc::check("cuts", [](const std::vector<std::string> &pieces) {
+        std::string whole;
+        LineBuffer cut;
+        std::vector<std::string> lines;
+        for (const std::string &piece : pieces) {
+            const std::string bytes = piece + (piece.size() % 2 == 0 ? "\r\n" : "");
+            whole += bytes;
+            cut.append(bytes);
+            while (const auto line = cut.next())
+                lines.emplace_back(*line);
+        }
+        LineBuffer atOnce;
+        atOnce.append(whole);
+        for (const std::string &expected : lines)
+            RC_ASSERT(atOnce.next() == std::optional<std::string_view>(expected));
+        RC_ASSERT(!atOnce.next());
+    }));
+}
+
+TEST(Freshness, FindsAPositionThatCovers)
+{
+    Freshness freshness;
+    freshness.addSample(Millis(100), {.term = 1, .index = 5});
+    freshness.addSample(Millis(200), {.term = 1, .index = 9});
+    EXPECT_EQ(freshness.coveringSince(Millis(50))->index, 5U);
+    EXPECT_EQ(freshness.coveringSince(Millis(150))->index, 9U);
+    EXPECT_FALSE(freshness.coveringSince(Millis(201)));
+}
+
+} // namespace
+} // namespace cicadagap
