Let one host of a data centre read the platform for the others

Change: BulletinBoard (what is known, its age, who waits), HostDirectory::reader (rendezvous), PlatformFeed; a reader that is cut off says so at once, and its followers read for themselves until it is back.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -17,17 +17,11 @@
 namespace {
 
 constexpr Millis TickInterval(20);
-constexpr Millis ConfigurationWait(3000); // For a change, at the store.
-constexpr Millis ConfigurationRetry(250); // After a failed call.
-constexpr Millis InstanceInterval(2000);  // Between readings of the instances' entries.
-constexpr Millis InstanceRetry(400);
-constexpr Millis HostRenewal(10'000); // Of this host's record; HostDirectory knows it too.
-constexpr Millis HostInterval(4000);  // Between readings of the hosts' records.
-constexpr Millis FirstHosts(600);     // Hosts that start together have registered by then.
 // A relayed batch may take this much longer than it may wait at the gateway.
 constexpr Millis RelayMargin(3000);
 constexpr const char *RelayPath = "/relay";
 constexpr const char *DropPath = "/drop";
+constexpr const char *BulletinPath = "/bulletin";
 // Request log lines a second; refusals and failures may use all of it, answers only a half.
 constexpr int LogLinesPerSecond = 100;
 // Callers that connect before the configuration is known wait for it this long.
@@ -84,11 +78,14 @@
         return false;
     m_origin = m_options.host + "/" + std::to_string(timeOfDay().count());
     accept();
-    pollConfiguration(Millis(0));
-    pollInstances();
-    registerSelf();
-    m_loop->every(HostRenewal, [this] { registerSelf(); });
-    m_loop->after(FirstHosts, [this] { pollHosts(); });
+    m_feed = std::make_unique<PlatformFeed>(
+        m_loop, &m_engine, m_platform,
+        HostRecord{.host = m_options.host,
+                   .dataCentre = m_options.dataCentre,
+                   .peers = m_options.peers,
+                   .weight = m_options.weight},
+        [this](const std::string &host) { return linkTo(host); }, [this] { greetEarly(); });
+    m_feed->start();
     m_loop->every(TickInterval, [this] { tick(); });
     return true;
 }
@@ -103,7 +100,7 @@
     m_stoppingSince = now();
     logEvent(LogLevel::Info, "server.stopping",
              {{"sessions", static_cast<std::int64_t>(m_engine.sessions())}});
-    registerSelf();
+    m_feed->leave();
     m_engine.drain(now(), m_options.grace / 2);
 }
 
@@ -363,60 +360,6 @@
                         });
 }
 
-void SessionServer::pollConfiguration(Millis wait)
-{
-    m_platform->configuration(wait, [this](const std::optional<RoutingTable> &table) {
-        setPlatformReachable("configuration", &m_configurationReachable, table.has_value());
-        if (table) {
-            if (table->version > m_engine.configurationVersion())
-                logEvent(LogLevel::Info, "configuration.in-force",
-                         {{"version", static_cast<std::int64_t>(table->version)},
-                          {"databases", static_cast<std::int64_t>(table->databases.size())}});
-            m_engine.onConfiguration(now(), *table);
-            greetEarly();
-            pollConfiguration(ConfigurationWait);
-        } else {
-            m_loop->after(ConfigurationRetry, [this] { pollConfiguration(Millis(0)); });
-        }
-    });
-}
-
-void SessionServer::pollInstances()
-{
-    m_platform->instances([this](const std::optional<std::vector<RegisteredInstance>> &instances) {
-        setPlatformReachable("instances", &m_instancesReachable, instances.has_value());
-        if (instances)
-            m_engine.onInstances(now(), *instances);
-        m_loop->after(instances ? InstanceInterval : InstanceRetry, [this] { pollInstances(); });
-    });
-}
-
-void SessionServer::pollHosts()
-{
-    m_platform->hosts([this](const std::optional<std::vector<HostRecord>> &hosts) {
-        setPlatformReachable("hosts", &m_hostsReachable, hosts.has_value());
-        if (hosts)
-            m_engine.onHosts(now(), *hosts);
-        m_loop->after(HostInterval, [this] { pollHosts(); });
-    });
-}
-
-// Keeps this host's record fresh; the last one says that it leaves.
-void SessionServer::registerSelf()
-{
-    const HostRecord record{.host = m_options.host,
-                            .dataCentre = m_options.dataCentre,
-                            .peers = m_options.peers,
-                            .weight = m_options.weight,
-                            .beat = ++m_beat,
-                            .leaving = m_stoppingSince.has_value()};
-    m_platform->registerHost(record, [](Verdict verdict) {
-        if (verdict != Verdict::Ran)
-            logEvent(LogLevel::Warning, "host.not-registered",
-                     {{"verdict", VerdictNames.name(verdict)}});
-    });
-}
-
 std::shared_ptr<PeerLink> SessionServer::linkTo(const std::string &host)
 {
     const std::optional<Endpoint> endpoint = m_engine.peerEndpoint(host);
@@ -476,6 +419,10 @@
 
 void SessionServer::handlePeer(const PeerRequest &request, const PeerRespond &respond)
 {
+    if (request.path == BulletinPath) {
+        m_feed->answerPeer(request, respond);
+        return;
+    }
     Reason reason;
     std::optional<RelayBatch> batch = decodeBatch(request.body, &reason);
     if (!batch) {
@@ -493,15 +440,6 @@
                           [respond](const RelayReply &reply) { respond(encodeReply(reply)); });
 }
 
-void SessionServer::setPlatformReachable(std::string_view what, bool *reachable, bool now)
-{
-    if (*reachable == now)
-        return;
-    *reachable = now;
-    logEvent(now ? LogLevel::Info : LogLevel::Warning, now ? "platform.regained" : "platform.lost",
-             {{"what", what}});
-}
-
 HttpResponse SessionServer::answerBalancer(const HttpRequest &request)
 {
     constexpr int Unavailable = 503;
@@ -513,6 +451,7 @@
 void SessionServer::tick()
 {
     m_engine.onTick(now());
+    m_feed->tick();
     greetEarly();
     if (!m_stoppingSince)
         return;
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -5,6 +5,7 @@
 #include "callersocket.h"
 #include "connection/http.h"
 #include "connection/peerlink.h"
+#include "platformfeed.h"
 #include "process/eventloop.h"
 #include "process/metrics.h"
 #include "session/platformlink.h"
@@ -64,13 +65,8 @@
     void greet(SessionId id, const std::string &database);
     void greetEarly();
     void handleMessage(SessionId id, CallerMessage message);
-    void pollConfiguration(Millis wait);
-    void pollInstances();
-    void pollHosts();
-    void registerSelf();
     std::shared_ptr<PeerLink> linkTo(const std::string &host);
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
-    void setPlatformReachable(std::string_view what, bool *reachable, bool now);
     void handleDuty(const std::string &group, Millis askedAt,
                     const std::optional<DutyRecord> &record);
     HttpResponse answerBalancer(const HttpRequest &request);
@@ -102,17 +98,14 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<HttpServer> m_balancer;
     std::unique_ptr<PeerServer> m_peerServer;
+    std::unique_ptr<PlatformFeed> m_feed;
     std::map<std::string, PeerConnection> m_peers; // By host.
     std::string m_origin;                          // This process, as gateways know it.
-    std::uint64_t m_beat = 0;
-    bool m_hostsReachable = true;
     std::map<SessionId, std::shared_ptr<CallerSocket>> m_callers;
     std::map<SessionId, bool> m_greeted; // Whether the session is open in the engine.
     std::deque<EarlyCaller> m_early;
     std::map<ConnectionId, std::shared_ptr<TargetSocket>> m_targets;
     SessionId m_lastSession = 0;
-    bool m_configurationReachable = true;
-    bool m_instancesReachable = true;
     std::optional<Millis> m_stoppingSince;
     int m_logBudget = 0;
     Millis m_logBudgetAt;
--- /dev/null
+++ b/src/session/bulletin.cpp
@@ -0,0 +1,339 @@
+#include "session/bulletin.h"
+
+#include "base/hash.h"
+#include "relaywire/relay.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr auto LastConsistency = static_cast<std::uint32_t>(Consistency::OwnWrites);
+
+std::uint32_t milliseconds(Millis value)
+{
+    constexpr std::int64_t Longest = 0xFFFFFFFF;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, Longest));
+}
+
+void write(const RoutingTable &routing, relaywire::Routing *out)
+{
+    out->set_version(routing.version);
+    out->set_transaction_idle_ms(milliseconds(routing.transactionIdle));
+    for (const auto &[name, route] : routing.databases) {
+        relaywire::Route *entry = out->add_routes();
+        entry->set_database(name);
+        entry->set_group(route.group);
+        entry->set_consistency(static_cast<std::uint32_t>(route.consistency));
+        entry->set_max_age_ms(milliseconds(route.maxAge));
+        entry->set_statement_timeout_ms(milliseconds(route.statementTimeout));
+        entry->set_objective_ms(milliseconds(route.objective));
+        entry->set_priority(static_cast<std::uint32_t>(route.priority));
+    }
+    for (const auto &[name, group] : routing.groups) {
+        relaywire::Group *entry = out->add_groups();
+        entry->set_name(name);
+        entry->set_max_connections(static_cast<std::uint32_t>(group.maxConnections));
+        entry->set_sync_replicas(static_cast<std::uint32_t>(group.syncReplicas));
+    }
+}
+
+std::optional<RoutingTable> read(const relaywire::Routing &in)
+{
+    RoutingTable routing{.version = in.version(),
+                         .transactionIdle = Millis(in.transaction_idle_ms())};
+    for (const relaywire::Route &entry : in.routes()) {
+        if (entry.consistency() > LastConsistency)
+            return std::nullopt;
+        routing.databases[entry.database()]
+            = {.database = entry.database(),
+               .group = entry.group(),
+               .consistency = static_cast<Consistency>(entry.consistency()),
+               .maxAge = Millis(entry.max_age_ms()),
+               .statementTimeout = Millis(entry.statement_timeout_ms()),
+               .objective = Millis(entry.objective_ms()),
+               .priority = static_cast<int>(entry.priority())};
+    }
+    for (const relaywire::Group &entry : in.groups())
+        routing.groups[entry.name()] = {.name = entry.name(),
+                                        .maxConnections = static_cast<int>(entry.max_connections()),
+                                        .syncReplicas = static_cast<int>(entry.sync_replicas())};
+    return routing;
+}
+
+void write(const RegisteredInstance &instance, relaywire::Instance *out)
+{
+    out->set_id(instance.id);
+    out->set_group(instance.group);
+    out->set_endpoint(instance.endpoint.text());
+    out->set_data_centre(instance.dataCentre);
+    out->set_slots(static_cast<std::uint32_t>(instance.slots));
+    out->set_leaving(instance.leaving);
+    out->set_says_primary(instance.saysPrimary);
+    out->set_incarnation(instance.incarnation);
+}
+
+std::optional<RegisteredInstance> read(const relaywire::Instance &in, Reason *reason)
+{
+    const std::optional<Endpoint> endpoint = parseEndpoint(in.endpoint(), reason);
+    if (!endpoint)
+        return std::nullopt;
+    return RegisteredInstance{.id = in.id(),
+                              .group = in.group(),
+                              .endpoint = *endpoint,
+                              .dataCentre = in.data_centre(),
+                              .slots = static_cast<int>(in.slots()),
+                              .leaving = in.leaving(),
+                              .saysPrimary = in.says_primary(),
+                              .incarnation = in.incarnation()};
+}
+
+void write(const HostRecord &host, relaywire::Host *out)
+{
+    out->set_host(host.host);
+    out->set_data_centre(host.dataCentre);
+    out->set_endpoint(host.peers.text());
+    out->set_weight(host.weight);
+    out->set_beat(host.beat);
+    out->set_leaving(host.leaving);
+}
+
+std::optional<HostRecord> read(const relaywire::Host &in, Reason *reason)
+{
+    const std::optional<Endpoint> endpoint = parseEndpoint(in.endpoint(), reason);
+    if (!endpoint)
+        return std::nullopt;
+    return HostRecord{.host = in.host(),
+                      .dataCentre = in.data_centre(),
+                      .peers = *endpoint,
+                      .weight = in.weight(),
+                      .beat = in.beat(),
+                      .leaving = in.leaving()};
+}
+
+// Reads all entries of a list, or none.
+template <typename Value, typename List>
+std::optional<std::vector<Value>> readAll(const List &list, Reason *reason)
+{
+    std::vector<Value> values;
+    for (const auto &entry : list) {
+        std::optional<Value> value = read(entry, reason);
+        if (!value)
+            return std::nullopt;
+        values.push_back(std::move(*value));
+    }
+    return values;
+}
+
+// The same contents have the same revision, whoever read them; 0 means nothing.
+template <typename Message, typename Value>
+std::uint64_t revisionOf(const std::vector<Value> &values)
+{
+    std::string whole;
+    for (const Value &value : values) {
+        Message message;
+        write(value, &message);
+        whole += message.SerializeAsString();
+    }
+    return hash64(whole) | 1U;
+}
+
+} // namespace
+
+std::string encodeBulletin(const Bulletin &bulletin)
+{
+    relaywire::Bulletin out;
+    if (bulletin.routing)
+        write(*bulletin.routing, out.mutable_routing());
+    out.set_has_instances(bulletin.instances.has_value());
+    if (bulletin.instances) {
+        for (const RegisteredInstance &instance : *bulletin.instances)
+            write(instance, out.add_instances());
+    }
+    out.set_has_hosts(bulletin.hosts.has_value());
+    if (bulletin.hosts) {
+        for (const HostRecord &host : *bulletin.hosts)
+            write(host, out.add_hosts());
+    }
+    out.set_instances_revision(bulletin.instancesRevision);
+    out.set_hosts_revision(bulletin.hostsRevision);
+    out.set_routing_age_ms(milliseconds(bulletin.routingAge));
+    out.set_instances_age_ms(milliseconds(bulletin.instancesAge));
+    out.set_hosts_age_ms(milliseconds(bulletin.hostsAge));
+    out.set_reaches_platform(bulletin.reachesPlatform);
+    return out.SerializeAsString();
+}
+
+std::optional<Bulletin> decodeBulletin(std::string_view bytes, Reason *reason)
+{
+    relaywire::Bulletin in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        setReason(reason, "not an encoded bulletin");
+        return std::nullopt;
+    }
+    Bulletin bulletin{.instancesRevision = in.instances_revision(),
+                      .hostsRevision = in.hosts_revision(),
+                      .routingAge = Millis(in.routing_age_ms()),
+                      .instancesAge = Millis(in.instances_age_ms()),
+                      .hostsAge = Millis(in.hosts_age_ms()),
+                      .reachesPlatform = in.reaches_platform()};
+    if (in.has_routing()) {
+        bulletin.routing = read(in.routing());
+        if (!bulletin.routing) {
+            setReason(reason, "a route of an unknown consistency");
+            return std::nullopt;
+        }
+    }
+    if (in.has_instances()) {
+        bulletin.instances = readAll<RegisteredInstance>(in.instances(), reason);
+        if (!bulletin.instances)
+            return std::nullopt;
+    }
+    if (in.has_hosts()) {
+        bulletin.hosts = readAll<HostRecord>(in.hosts(), reason);
+        if (!bulletin.hosts)
+            return std::nullopt;
+    }
+    return bulletin;
+}
+
+std::string encodeBulletinRequest(const BulletinRequest &request)
+{
+    relaywire::BulletinRequest out;
+    out.set_routing_version(request.routingVersion);
+    out.set_instances_revision(request.instancesRevision);
+    out.set_hosts_revision(request.hostsRevision);
+    out.set_wait_ms(milliseconds(request.wait));
+    return out.SerializeAsString();
+}
+
+std::optional<BulletinRequest> decodeBulletinRequest(std::string_view bytes, Reason *reason)
+{
+    relaywire::BulletinRequest in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        setReason(reason, "not an encoded request");
+        return std::nullopt;
+    }
+    return BulletinRequest{.routingVersion = in.routing_version(),
+                           .instancesRevision = in.instances_revision(),
+                           .hostsRevision = in.hosts_revision(),
+                           .wait = Millis(in.wait_ms())};
+}
+
+void BulletinBoard::setRouting(Millis now, const RoutingTable &routing, Millis age)
+{
+    m_routingAt = std::max(m_routingAt, now - age);
+    if (m_routing && routing.version <= m_routing->version)
+        return;
+    m_routing = routing;
+    answerWaiting(now, Answer::News);
+}
+
+void BulletinBoard::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                                 Millis age)
+{
+    if (now - age < m_instancesAt)
+        return;
+    m_instancesAt = now - age;
+    m_instances = instances;
+    m_instancesRevision = revisionOf<relaywire::Instance>(instances);
+    answerWaiting(now, Answer::News);
+}
+
+void BulletinBoard::setHosts(Millis now, const std::vector<HostRecord> &hosts, Millis age)
+{
+    if (now - age < m_hostsAt)
+        return;
+    m_hostsAt = now - age;
+    m_hosts = hosts;
+    m_hostsRevision = revisionOf<relaywire::Host>(hosts);
+    answerWaiting(now, Answer::News);
+}
+
+void BulletinBoard::setReachesPlatform(Millis now, bool reaches)
+{
+    if (m_reachesPlatform == reaches)
+        return;
+    m_reachesPlatform = reaches;
+    answerWaiting(now, Answer::All);
+}
+
+void BulletinBoard::refresh(Millis now, const Bulletin &bulletin)
+{
+    if (bulletin.routing)
+        setRouting(now, *bulletin.routing, bulletin.routingAge);
+    else
+        m_routingAt = std::max(m_routingAt, now - bulletin.routingAge);
+    if (bulletin.instances)
+        setInstances(now, *bulletin.instances, bulletin.instancesAge);
+    else if (bulletin.instancesRevision == m_instancesRevision)
+        m_instancesAt = std::max(m_instancesAt, now - bulletin.instancesAge);
+    if (bulletin.hosts)
+        setHosts(now, *bulletin.hosts, bulletin.hostsAge);
+    else if (bulletin.hostsRevision == m_hostsRevision)
+        m_hostsAt = std::max(m_hostsAt, now - bulletin.hostsAge);
+}
+
+BulletinRequest BulletinBoard::request(Millis wait) const
+{
+    return {.routingVersion = m_routing ? m_routing->version : 0,
+            .instancesRevision = m_instancesRevision,
+            .hostsRevision = m_hostsRevision,
+            .wait = wait};
+}
+
+void BulletinBoard::ask(Millis now, const BulletinRequest &request, Reply reply)
+{
+    if (hasNews(request) || request.wait <= Millis(0))
+        reply(bulletinFor(now, request));
+    else
+        m_waiting.push_back(
+            {.request = request, .until = now + request.wait, .reply = std::move(reply)});
+}
+
+void BulletinBoard::onTick(Millis now)
+{
+    answerWaiting(now, Answer::NewsOrExpired);
+}
+
+bool BulletinBoard::hasNews(const BulletinRequest &request) const
+{
+    return (m_routing && m_routing->version > request.routingVersion)
+        || (m_instances && m_instancesRevision != request.instancesRevision);
+}
+
+Bulletin BulletinBoard::bulletinFor(Millis now, const BulletinRequest &request) const
+{
+    Bulletin bulletin{.instancesRevision = m_instancesRevision,
+                      .hostsRevision = m_hostsRevision,
+                      .routingAge = now - m_routingAt,
+                      .instancesAge = now - m_instancesAt,
+                      .hostsAge = now - m_hostsAt,
+                      .reachesPlatform = m_reachesPlatform};
+    if (m_routing && m_routing->version > request.routingVersion)
+        bulletin.routing = m_routing;
+    if (m_instances && m_instancesRevision != request.instancesRevision)
+        bulletin.instances = m_instances;
+    // Hosts renew their records all the time; they come along with other news.
+    if (m_hosts && m_hostsRevision != request.hostsRevision)
+        bulletin.hosts = m_hosts;
+    return bulletin;
+}
+
+void BulletinBoard::answerWaiting(Millis now, Answer which)
+{
+    std::vector<Waiting> answered;
+    std::erase_if(m_waiting, [&](Waiting &waiting) {
+        const bool expired = which == Answer::NewsOrExpired && now >= waiting.until;
+        if (which != Answer::All && !expired && !hasNews(waiting.request))
+            return false;
+        answered.push_back(std::move(waiting));
+        return true;
+    });
+    for (const Waiting &waiting : answered)
+        waiting.reply(bulletinFor(now, waiting.request));
+}
+
+} // namespace cicadagap
--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -87,9 +87,8 @@
         if (now - at > m_options.expiry || record.leaving)
             continue;
         const auto known = m_hosts.find(record.host);
-        hosts[record.host]
-            = {.record = record,
-               .avoidUntil = known == m_hosts.end() ? Millis(0) : known->second.avoidUntil};
+        hosts[record.host] = known == m_hosts.end() ? Known{} : known->second;
+        hosts[record.host].record = record;
     }
     const auto sameHost = [](const auto &left, const auto &right) {
         return left.first == right.first && left.second.record.peers == right.second.record.peers;
@@ -107,6 +106,26 @@
         found->second.avoidUntil = now + m_options.failureMemory;
 }
 
+void HostDirectory::onReaderFailed(Millis now, const std::string &host)
+{
+    const auto found = m_hosts.find(host);
+    if (found != m_hosts.end())
+        found->second.noReaderUntil = now + m_options.readerMemory;
+}
+
+std::string HostDirectory::reader(Millis now) const
+{
+    const HostRecord *self = find(m_options.self);
+    if (!self)
+        return {};
+    std::vector<std::string> near;
+    for (const Known *host : candidates(self->dataCentre)) {
+        if (now >= host->noReaderUntil || host->record.host == m_options.self)
+            near.push_back(host->record.host);
+    }
+    return rendezvousTop("reader/" + self->dataCentre, near, 1).front();
+}
+
 bool HostDirectory::takeChanged()
 {
     return std::exchange(m_changed, false);
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -62,6 +62,7 @@
         std::size_t gateways = 3;            // Of an instance.
         Millis renewal = Millis(10'000);     // Of a host's own record.
         Millis expiry = Millis(35'000);      // Of a record that is not renewed.
+        Millis readerMemory = Millis(8000);  // The same, for a reader of the platform.
         Millis failureMemory = Millis(1500); // A host that did not answer is avoided for this long.
     };
 
@@ -77,6 +78,9 @@
     InstanceAccess access(const RegisteredInstance &instance, int maxConnections) const;
     // The gateway to use now; empty if every one failed recently.
     std::string chooseGateway(Millis now, const InstanceAccess &access) const;
+    // The host that reads the platform for this host's data centre; empty while none is known.
+    std::string reader(Millis now) const;
+    void onReaderFailed(Millis now, const std::string &host);
     const HostRecord *find(const std::string &host) const;
     std::size_t size() const { return m_hosts.size(); }
 
@@ -85,6 +89,7 @@
     {
         HostRecord record;
         Millis avoidUntil;
+        Millis noReaderUntil;
     };
 
     // The last change of a record, also of one that expired.
--- a/src/session/relaycodec.h
+++ b/src/session/relaycodec.h
@@ -1,4 +1,4 @@
-// The compact encoding of relayed batches and replies (src/relaywire/relay.proto).
+// The compact encoding of relayed batches and replies (generated/relaywire/relay.proto).
 #pragma once
 
 #include "base/reason.h"
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -450,7 +450,7 @@
 std::string SessionEngine::chooseInstance(Millis now, const Session &session,
                                           Operation *operation) const
 {
-    const std::string leader = m_control.leader(operation->route.group);
+    std::string leader = m_control.leader(operation->route.group);
     operation->statement.after.reset();
     operation->dataSince.reset();
     if (operation->needsPrimary)
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -114,6 +114,9 @@
     // Settings and instances are known, and no shutdown has begun.
     bool ready() const;
     std::size_t sessions() const { return m_sessions.size(); }
+    // The host that reads the platform for this data centre; empty while no hosts are known.
+    std::string reader(Millis now) const { return m_hosts.reader(now); }
+    void onReaderFailed(Millis now, const std::string &host) { m_hosts.onReaderFailed(now, host); }
     // The endpoint at which a host takes relayed batches; nothing if it is unknown.
     std::optional<Endpoint> peerEndpoint(const std::string &host) const;
     std::size_t targetConnections() const { return m_fleet.connections(); }
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -1,5 +1,6 @@
 // Tables for the small parts: session state, duty, hosts, codec, lines.
 #include "connection/confirmation.h"
+#include "session/bulletin.h"
 #include "session/dutylease.h"
 #include "session/hostdirectory.h"
 #include "session/relaycodec.h"
@@ -298,5 +299,99 @@
     EXPECT_FALSE(freshness.coveringSince(Millis(201)));
 }
 
+class BulletinTest : public testing::Test
+{
+protected:
+    BulletinBoard::Reply keep()
+    {
+        return [this](const Bulletin &bulletin) { answers.push_back(bulletin); };
+    }
+
+    BulletinBoard reader;
+    BulletinBoard follower;
+    std::vector<Bulletin> answers;
+};
+
+TEST_F(BulletinTest, TellsOnlyNews)
+{
+    reader.setRouting(Millis(0), {.version = 3});
+    reader.setInstances(Millis(0), {{.id = "i1"}});
+    reader.ask(Millis(100), follower.request(Millis(1000)), keep());
+    ASSERT_EQ(answers.size(), 1U);
+    follower.refresh(Millis(100), answers.front());
+    reader.ask(Millis(200), follower.request(Millis(1000)), keep());
+    EXPECT_EQ(answers.size(), 1U);
+    reader.setRouting(Millis(300), {.version = 4});
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers.back().routing->version, 4U);
+    EXPECT_FALSE(answers.back().instances);
+    EXPECT_EQ(answers.back().instancesAge, Millis(300));
+}
+
+TEST_F(BulletinTest, NeverGoesBackToAnOlderVersion)
+{
+    follower.setRouting(Millis(0), {.version = 5});
+    Bulletin old{.routing = RoutingTable{.version = 4}};
+    follower.refresh(Millis(10), old);
+    EXPECT_EQ(follower.request(Millis(0)).routingVersion, 5U);
+}
+
+// The platform turns just the reader away: those who wait on it must hear of it at once.
+TEST_F(BulletinTest, TellsAtOnceThatTheReaderIsCutOff)
+{
+    reader.setReachesPlatform(Millis(0), true);
+    reader.setRouting(Millis(0), {.version = 3});
+    follower.setRouting(Millis(0), {.version = 3});
+    reader.ask(Millis(100), follower.request(Millis(5000)), keep());
+    EXPECT_TRUE(answers.empty());
+    reader.setReachesPlatform(Millis(200), false);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_FALSE(answers.front().reachesPlatform);
+}
+
+TEST_F(BulletinTest, IsWrittenAndRead)
+{
+    RoutingTable routing{.version = 9};
+    routing.databases["d"] = {.database = "d",
+                              .group = "g",
+                              .consistency = Consistency::OwnWrites,
+                              .maxAge = Millis(2500),
+                              .statementTimeout = Millis(800),
+                              .objective = Millis(400),
+                              .priority = 2};
+    routing.groups["g"] = {.name = "g", .maxConnections = 22, .syncReplicas = 1};
+    reader.setRouting(Millis(0), routing);
+    reader.setInstances(Millis(0),
+                        {{.id = "i1",
+                          .group = "g",
+                          .endpoint = {.address = "10.0.0.1", .port = 5},
+                          .dataCentre = "x",
+                          .slots = 3,
+                          .leaving = true,
+                          .saysPrimary = true,
+                          .incarnation = 77}});
+    reader.ask(Millis(5), {}, keep());
+    const std::optional<Bulletin> read = decodeBulletin(encodeBulletin(answers.front()), nullptr);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(encodeBulletin(*read), encodeBulletin(answers.front()));
+    EXPECT_EQ(read->instances, reader.instances());
+    EXPECT_EQ(read->routing->databases.at("d").maxAge, Millis(2500));
+}
+
+TEST(HostDirectory, ChoosesOneReaderForADataCentre)
+{
+    std::map<std::string, int> readers;
+    for (int i = 0; i < 30; ++i) {
+        HostDirectory directory({.self = "h" + std::to_string(i)});
+        directory.setRecords(Millis(0), hostsOf(30, 3));
+        const std::string reader = directory.reader(Millis(0));
+        ++readers[reader];
+        directory.onReaderFailed(Millis(0), reader);
+        const bool self = reader == "h" + std::to_string(i);
+        EXPECT_EQ(directory.reader(Millis(100)) == reader, self);
+    }
+    EXPECT_EQ(readers.size(), 3U);
+}
+
 } // namespace
 } // namespace cicadagap
