Wait where instances are crowded; do not take a busy gateway for a silent instance

A log of one refused read (Behind, Behind, then three times connection-lost within 60 ms) showed that hosts behind gateways took half a second without an answer for silence and broke their own reads; and an instance with a full queue was asked again at once until the attempts were used up. Change: only hosts with connections judge silence; after a full queue the statement goes elsewhere or waits for the next tick, and the host sends that instance one statement at a time for 60 ms.

--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -461,10 +461,11 @@
     const LeaderBelief *belief = m_control.belief(operation->route.group);
     if (belief) {
         for (const RegisteredInstance &member : m_control.members(operation->route.group)) {
-            const bool silent = belief->silentFor(now, member.id, operation->route.objective / 2);
             const bool direct = m_fleet.isDirect(member.id);
+            const bool silent
+                = direct && belief->silentFor(now, member.id, operation->route.objective / 2);
             const bool usable
-                = direct ? required.has_value() : !silent && !chooseGateway(now, member.id).empty();
+                = direct ? required.has_value() : !chooseGateway(now, member.id).empty();
             if (member.leaving || silent || !usable || operation->avoid.contains(member.id))
                 continue;
             Millis distance = m_fleet.roundTrip(member.id);
@@ -652,6 +653,13 @@
     }
     if (session->transaction) {
         session->transaction->lastUsed = now;
+        const bool mayWait = answer.cause == Cause::Overloaded
+            && answer.phase == SessionPhase::Transaction && now < operation.giveUpAt;
+        if (mayWait) {
+            note(now, "request.retried", id, *session, answer.cause);
+            operation.stage = Stage::Waiting; // Sent again at the next tick.
+            return;
+        }
         if (answer.phase != SessionPhase::Transaction)
             endTransaction(now, session, /*rollBackFirst=*/true);
         session->phase = answer.succeeded() && answer.phase == SessionPhase::Transaction
@@ -698,14 +706,22 @@
         || cause == Cause::ConnectionLost || cause == Cause::Leaving)
         operation.avoid.insert(operation.instance);
     note(now, "request.retried", id, *session, cause);
-    if (operation.attempts >= m_options.maxAttempts || now >= operation.giveUpAt) {
+    const bool full = cause == Cause::Overloaded;
+    if ((!full && operation.attempts >= m_options.maxAttempts) || now >= operation.giveUpAt) {
         refuse(now, id, session, Cause::Overloaded);
         return;
     }
-    if (cause == Cause::Overloaded && operation.needsPrimary) {
-        // Asked again at the next tick, when the instance may have room.
-        operation.stage = Stage::Waiting;
-        return;
+    if (full) {
+        const std::size_t tried = operation.avoid.size();
+        operation.avoid.insert(operation.instance);
+        const bool nowhereElse = operation.needsPrimary || operation.avoid.size() == tried
+            || operation.avoid.size() >= m_control.members(operation.route.group).size();
+        if (nowhereElse) {
+            // Asked again at the next tick, when an instance may have room.
+            operation.avoid.clear();
+            operation.stage = Stage::Waiting;
+            return;
+        }
     }
     dispatch(now, id, session);
 }
@@ -893,7 +909,9 @@
     for (const auto &[name, settings] : m_routing.groups) {
         const LeaderBelief *belief = m_control.belief(name);
         for (const RegisteredInstance &member : m_control.members(name)) {
-            if (!belief || !belief->silentFor(now, member.id, SilentReadLimit))
+            // Of a relayed instance, its gateway knows more.
+            if (!belief || !m_fleet.isDirect(member.id)
+                || !belief->silentFor(now, member.id, SilentReadLimit))
                 continue;
             m_fleet.breakConnections(now, member.id, [this](WorkId work) {
                 if (m_relay.onlyReads(work))
--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -12,6 +12,9 @@
 // By this factor the shortest time seen grows with each answer, so that an old one is forgotten.
 constexpr double FastestDecay = 1.002;
 
+// After an instance refused a statement because its queue was full, this host sends it one at a time
+// for this long.
+constexpr Millis CrowdedTime(60);
 // An instance that had no connection left probably has none for this long.
 constexpr Millis FullMemory(300);
 
@@ -277,6 +280,8 @@
     const Sent sent = found->awaited.front();
     found->awaited.pop_front();
     found->phase = answer.phase;
+    if (answer.cause == Cause::Overloaded)
+        m_instances.at(name).crowdedUntil = now + CrowdedTime;
     noteAnswer(now, &m_instances.at(name), sent);
     if (sent.purpose == SendPurpose::Restore && !answer.succeeded()) {
         onClosed(now, connection);
@@ -512,6 +517,8 @@
         instance->urgent.pop_front();
         return id;
     }
+    if (now < instance->crowdedUntil && instance->slotsTaken > 0)
+        return std::nullopt;
     if (instance->slotsTaken >= static_cast<std::size_t>(std::max(1, instance->registered.slots)))
         return std::nullopt;
     const std::optional<QueueEntry> entry = instance->queue->pop(now, /*topOnly=*/false);
--- a/src/session/targetfleet.h
+++ b/src/session/targetfleet.h
@@ -210,6 +210,7 @@
         std::size_t opening = 0;
         std::size_t slotsTaken = 0;
         Millis openAfter;
+        Millis crowdedUntil;
         Millis fullUntil;       // It refused us for lack of connections not long ago.
         double serviceMs = 10;  // Moving average of a statement's time at the instance.
         double fastestMs = 1e9; // Slowly forgotten minimum.
