Leave instances sealed while an order may still be carried out

Cause: read through the hazards of late orders: an attempt that got no answer to its promotion let its replicas go; the old primary could then acknowledge with one of them, and the late order promote the other: a lost write. Change: after an order nothing is let go until the heir leads; a primary that stalls because its replicas stay sealed is ordered again under a higher token first (no change for the present primary), so that no earlier order counts.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -55,13 +55,13 @@
         return;
     case ChangeStage::Ordering:
         if (now >= m_actUntil)
-            abandon(now, "the platform did not answer the order");
+            waitAfterOrder(now, "the platform did not answer the order");
         else if (now >= m_nextSend)
             sendPromotion(now);
         return;
     case ChangeStage::Confirming:
         if (now - m_stageSince > ConfirmTimeout)
-            abandon(now, "the promoted instance does not lead");
+            waitAfterOrder(now, "the promoted instance does not lead");
         return;
     }
 }
@@ -151,6 +151,9 @@
         m_toResume.erase(instance);
         resumeSealed();
     } else if (m_stage == ChangeStage::Ordering && ours) {
+        // Seen at work before the platform's answer; of a stalled primary only that tells.
+        if (m_cause == ChangeCause::Stalled)
+            return;
         onPromotion(now, PromotionVerdict::Accepted);
         onLeader(now, instance, term);
     }
@@ -177,6 +180,14 @@
     resumeSealed();
 }
 
+// The order may still be carried out, even seconds later. What was sealed stays sealed, so that the
+// heir lacks nothing then; the next attempt, by whichever host, draws a higher token.
+void PrimaryChange::waitAfterOrder(Millis now, const std::string &reason)
+{
+    enter(now, ChangeStage::Idle, reason);
+    m_retryAt = now + RetryAfter;
+}
+
 // Instances that vanish without having announced it count until their log cannot come back.
 void PrimaryChange::remember(Millis now, const std::vector<RegisteredInstance> &instances)
 {
@@ -225,7 +236,7 @@
         m_nextSend = now + CatchUpInterval;
         return;
     case ChangeCause::Stalled:
-        finishStalled(now);
+        orderStalledAgain(now);
         return;
     case ChangeCause::None:
         return;
@@ -263,14 +274,17 @@
     m_output->order(m_heir, {.kind = StatementKind::Status});
 }
 
-// Replicas that an earlier attempt left sealed are let go.
-void PrimaryChange::finishStalled(Millis now)
+// Replicas that an earlier attempt left sealed are let go, but only after the present primary was
+// ordered again under a higher token: from then on no earlier order can be carried out.
+void PrimaryChange::orderStalledAgain(Millis now)
 {
     for (const auto &row : m_present) {
         if (row.first != m_oldPrimary)
             m_toResume.insert(row.first);
     }
-    abandon(now, "released the replicas of a stalled primary");
+    m_heir = m_oldPrimary;
+    enter(now, ChangeStage::Ordering, m_heir);
+    sendPromotion(now);
 }
 
 void PrimaryChange::chooseHeir()
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -146,7 +146,8 @@
     void sendSeals(Millis now);
     void sealFailing();
     void sealLeaving();
-    void finishStalled(Millis now);
+    void waitAfterOrder(Millis now, const std::string &reason);
+    void orderStalledAgain(Millis now);
     void chooseHeir();
     bool heirHasAll() const;
     std::string bestSealed() const;
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -158,9 +158,30 @@
 TEST_F(PrimaryChangeTest, LetsTheReplicasOfAStalledPrimaryGo)
 {
     begin(ChangeCause::Stalled);
+    // No earlier order may be carried out afterwards: the present primary is ordered again first.
+    EXPECT_EQ(recorder.take(), Actions{"promote a 7"});
+    change.onLeader(Start, "a", 4);
+    EXPECT_EQ(recorder.take(), Actions{});
+    change.onPromotion(Start, PromotionVerdict::Accepted);
+    change.onLeader(Start, "a", 4);
     EXPECT_EQ(recorder.take(), (Actions{"resume b", "resume c"}));
 }
 
+// An order without an answer may be carried out later, when the old primary could have acknowledged
+// more with a replica that was let go.
+TEST_F(PrimaryChangeTest, LeavesInstancesSealedAfterAnOrderWithoutAnswer)
+{
+    begin(ChangeCause::Unreachable);
+    held("b", 10);
+    held("c", 12);
+    recorder.take();
+    change.onPromotion(Start, PromotionVerdict::Unknown);
+    change.onTick(ActUntil, ChangeCause::None, knowledge());
+    EXPECT_EQ(change.stage(), ChangeStage::Idle);
+    EXPECT_FALSE(recorder.has("resume b"));
+    EXPECT_FALSE(recorder.has("resume c"));
+}
+
 struct VerdictCase
 {
     PromotionVerdict verdict;
