--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -12,8 +12,8 @@
 // By this factor the shortest time seen grows with each answer, so that an old one is forgotten.
 constexpr double FastestDecay = 1.002;
 
-// After an instance refused a statement because its queue was full, this host sends it one at a time
-// for this long.
+// After an instance refused a statement because its queue was full, this host sends it one at a
+// time for this long.
 constexpr Millis CrowdedTime(60);
 // An instance that had no connection left probably has none for this long.
 constexpr Millis FullMemory(300);
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -110,6 +110,7 @@
 std::vector<HostRecord> hostsOf(int count, int dataCentres)
 {
     std::vector<HostRecord> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         hosts.push_back({.host = "h" + std::to_string(i),
                          .dataCentre = "d" + std::to_string(i % dataCentres),
--- a/test/sessionworld.cpp
+++ b/test/sessionworld.cpp
@@ -939,6 +939,7 @@
         = {.name = "group", .maxConnections = m_options.maxConnections, .syncReplicas = 1};
     m_hosts[index]->engine.onConfiguration(m_now, routing);
     std::vector<HostRecord> hosts;
+    hosts.reserve(m_hosts.size());
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
         hosts.push_back({.host = "host" + std::to_string(i),
                          .dataCentre = "dc" + std::to_string(i),
