Do not let a host wait on a reader that is already cut off

Ruled out: the age limit (1.8 s) alone; it cannot be met with waits of 1.5 s. Change: a reader that does not reach the platform answers at once. Figures: BulletinTest.TellsAtOnceThatTheReaderIsCutOff failed with the new lines and passes now.

--- a/src/session/bulletin.cpp
+++ b/src/session/bulletin.cpp
@@ -286,7 +286,7 @@
 
 void BulletinBoard::ask(Millis now, const BulletinRequest &request, Reply reply)
 {
-    if (hasNews(request) || request.wait <= Millis(0))
+    if (hasNews(request) || !m_reachesPlatform || request.wait <= Millis(0))
         reply(bulletinFor(now, request));
     else
         m_waiting.push_back(
--- a/src/session/bulletin.h
+++ b/src/session/bulletin.h
@@ -69,7 +69,8 @@
 
     // What to ask the reader for.
     BulletinRequest request(Millis wait) const;
-    // Answers at once if there is news, else with the next news or when the wait is over.
+    // Answers at once if there is news, or if this host does not reach the platform; else with the
+    // next news or when the wait is over.
     void ask(Millis now, const BulletinRequest &request, Reply reply);
     void onTick(Millis now);
 
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -315,6 +315,7 @@
 
 TEST_F(BulletinTest, TellsOnlyNews)
 {
+    reader.setReachesPlatform(Millis(0), true);
     reader.setRouting(Millis(0), {.version = 3});
     reader.setInstances(Millis(0), {{.id = "i1"}});
     reader.ask(Millis(100), follower.request(Millis(1000)), keep());
@@ -348,6 +349,9 @@
     reader.setReachesPlatform(Millis(200), false);
     ASSERT_EQ(answers.size(), 1U);
     EXPECT_FALSE(answers.front().reachesPlatform);
+    // Whoever asks only now must not wait either.
+    reader.ask(Millis(210), follower.request(Millis(5000)), keep());
+    EXPECT_EQ(answers.size(), 2U);
 }
 
 TEST_F(BulletinTest, IsWrittenAndRead)
