--- a/src/process/log.h
+++ b/src/process/log.h
@@ -61,7 +61,7 @@
 // Starts logging. Call once, before any thread logs.
 void startLog(const LogOptions &options);
 
-// Writes one line. `event` is a stable dotted name; docs/OPERATING.md lists them. Thread-safe.
+// Writes one line. `event` is a stable dotted name; docs/OPERATIONS.md lists them. Thread-safe.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
 } // namespace cicadagap
--- a/src/version/schema.h
+++ b/src/version/schema.h
@@ -1,5 +1,5 @@
 // The tables of keys that settings files may contain. One table checks a file, supplies defaults
-// and prints the reference in docs/OPERATING.md, so that the three agree.
+// and prints the reference in docs/OPERATIONS.md, so that the three agree.
 #pragma once
 
 #include "base/names.h"
--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -110,10 +110,10 @@
 
 TEST(Schema, ReferenceInTheDocsIsTheTable)
 {
-    std::ifstream file(SOURCE_ROOT "/docs/OPERATING.md");
+    std::ifstream file(SOURCE_ROOT "/docs/OPERATIONS.md");
     const std::string docs(std::istreambuf_iterator<char>(file), {});
     EXPECT_NE(docs.find(reference(teamRules())), std::string::npos)
-        << "run `build/cicadagap reference` and put the tables into docs/OPERATING.md";
+        << "run `build/cicadagap reference` and put the tables into docs/OPERATIONS.md";
     EXPECT_NE(docs.find(reference(hostRules())), std::string::npos);
 }
 
