--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -117,7 +117,8 @@
             m_board.setInstances(now(), *instances);
             m_engine->onInstances(now(), *instances);
         }
-        m_loop->after(instances ? InstanceInterval : InstanceRetry, [this] { readInstances(); });
+        const bool calm = instances && !m_engine->missesInstances();
+        m_loop->after(calm ? InstanceInterval : InstanceRetry, [this] { readInstances(); });
     });
 }
 
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -111,6 +111,12 @@
     m_fleet.flush(now);
 }
 
+bool SessionEngine::missesInstances() const
+{
+    return std::any_of(m_routing.groups.begin(), m_routing.groups.end(),
+                       [this](const auto &row) { return m_control.leader(row.first).empty(); });
+}
+
 std::string SessionEngine::chooseGateway(Millis now, const std::string &instance) const
 {
     const auto access = m_access.find(instance);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -114,6 +114,8 @@
     // Settings and instances are known, and no shutdown has begun.
     bool ready() const;
     std::size_t sessions() const { return m_sessions.size(); }
+    // A configured group has no instance or no primary yet: the next list of instances is urgent.
+    bool missesInstances() const;
     // The host that reads the platform for this data centre; empty while no hosts are known.
     std::string reader(Millis now) const { return m_hosts.reader(now); }
     void onReaderFailed(Millis now, const std::string &host) { m_hosts.onReaderFailed(now, host); }
--- a/src/session/tst_world.cpp
+++ b/src/session/tst_world.cpp
@@ -2,6 +2,7 @@
 #include "sessionworld.h"
 
 #include "base/hash.h"
+#include "session/sessionengine.h"
 
 #include <gtest/gtest.h>
 
@@ -82,6 +83,42 @@
         return reach + std::get<1>(info.param).name;
     });
 
+// After the store was away its list is empty at first: until each group has a primary, the next
+// list is wanted soon.
+TEST(SessionEngine, WantsInstancesUntilEveryGroupHasAPrimary)
+{
+    class Nothing : public SessionOutput
+    {
+    public:
+        void openTarget(ConnectionId, const RegisteredInstance &) override { }
+        void sendToTarget(ConnectionId, const std::vector<Statement> &) override { }
+        void closeTarget(ConnectionId) override { }
+        void relayToGateway(ConnectionId, const std::string &, RelayBatch) override { }
+        void dropAtGateway(ConnectionId, const std::string &) override { }
+        void claimDuty(const std::string &) override { }
+        void orderPromotion(const std::string &, const std::string &, std::uint64_t) override { }
+        void groupChanged(const std::string &, std::string_view, const std::string &, std::uint64_t,
+                          const std::string &) override
+        {
+        }
+        void answerCaller(SessionId, const StatementAnswer &) override { }
+        void closeCaller(SessionId, Cause) override { }
+        void noteRequest(const RequestNote &) override { }
+    };
+    Nothing output;
+    SessionEngine engine({.host = "h", .dataCentre = "d"}, &output);
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 10, .syncReplicas = 1};
+    engine.onConfiguration(Millis(0), routing);
+    EXPECT_TRUE(engine.missesInstances());
+    engine.onInstances(Millis(0), {});
+    EXPECT_TRUE(engine.missesInstances());
+    engine.onInstances(Millis(400), {{.id = "i1", .group = "g", .saysPrimary = false}});
+    EXPECT_TRUE(engine.missesInstances());
+    engine.onInstances(Millis(800), {{.id = "i1", .group = "g", .saysPrimary = true}});
+    EXPECT_FALSE(engine.missesInstances());
+}
+
 // Schedules of several failures that overlap, drawn from the seed.
 TEST(SessionWorldRandom, KeepsItsPromises)
 {
