End a session that sends too far ahead; keep a platform's name out of the program

Cause: a caller that sends statements without waiting, while none can be answered, grew its session without bound; and the help text named the platform's variable outside of platform/. Change: 64 statements may wait in a session, then it is refused and closed with a log line.

--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -91,7 +91,9 @@
             "Serves callers' sessions on one host.\n"
             "Exit codes: 0 stopped, 1 cannot start, 2 wrong usage or settings.");
         auto add = options.add_options();
-        add("settings", "The host's settings file; otherwise the one that CICADAGAP_BOOT names",
+        add("settings",
+            std::string("The host's settings file; otherwise the one that the variable ")
+                + BootFileVariable + " names",
             cxxopts::value<std::string>());
         add("check", "Check the settings file and exit");
         add("help", "Print this text");
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -182,6 +182,12 @@
     Session *session = find(id);
     if (!session)
         return;
+    if (session->operation && session->pending.size() >= m_options.maxPending) {
+        note(now, "session.flooding", id, *session, Cause::Overloaded);
+        m_output->closeCaller(id, Cause::Overloaded);
+        onCallerClosed(now, id);
+        return;
+    }
     if (session->operation)
         session->pending.push_back(std::move(statement));
     else
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -70,6 +70,7 @@
         // Longest wait for a primary or for a slot, as a multiple of the objective, and at least.
         int patienceObjectives = 2;
         Millis minPatience = Millis(1600);
+        std::size_t maxPending = 64;          // Statements that one session may send ahead.
         Millis missingGrace = Millis(2500);   // Before an unregistered instance counts as leaving.
         Millis missingRemoval = Millis(5000); // Before it is forgotten.
         // Graceful shutdown: callers' new connections go on arriving for this long.
--- a/src/session/tst_world.cpp
+++ b/src/session/tst_world.cpp
@@ -83,28 +83,32 @@
         return reach + std::get<1>(info.param).name;
     });
 
+// Takes actions and does nothing.
+class Nothing : public SessionOutput
+{
+public:
+    void openTarget(ConnectionId, const RegisteredInstance &) override { }
+    void sendToTarget(ConnectionId, const std::vector<Statement> &) override { }
+    void closeTarget(ConnectionId) override { }
+    void relayToGateway(ConnectionId, const std::string &, RelayBatch) override { }
+    void dropAtGateway(ConnectionId, const std::string &) override { }
+    void claimDuty(const std::string &) override { }
+    void orderPromotion(const std::string &, const std::string &, std::uint64_t) override { }
+    void groupChanged(const std::string &, std::string_view, const std::string &, std::uint64_t,
+                      const std::string &) override
+    {
+    }
+    void answerCaller(SessionId, const StatementAnswer &) override { }
+    void closeCaller(SessionId, Cause cause) override { closed = cause; }
+    void noteRequest(const RequestNote &) override { }
+
+    Cause closed = Cause::None;
+};
+
 // After the store was away its list is empty at first: until each group has a primary, the next
 // list is wanted soon.
 TEST(SessionEngine, WantsInstancesUntilEveryGroupHasAPrimary)
 {
-    class Nothing : public SessionOutput
-    {
-    public:
-        void openTarget(ConnectionId, const RegisteredInstance &) override { }
-        void sendToTarget(ConnectionId, const std::vector<Statement> &) override { }
-        void closeTarget(ConnectionId) override { }
-        void relayToGateway(ConnectionId, const std::string &, RelayBatch) override { }
-        void dropAtGateway(ConnectionId, const std::string &) override { }
-        void claimDuty(const std::string &) override { }
-        void orderPromotion(const std::string &, const std::string &, std::uint64_t) override { }
-        void groupChanged(const std::string &, std::string_view, const std::string &, std::uint64_t,
-                          const std::string &) override
-        {
-        }
-        void answerCaller(SessionId, const StatementAnswer &) override { }
-        void closeCaller(SessionId, Cause) override { }
-        void noteRequest(const RequestNote &) override { }
-    };
     Nothing output;
     SessionEngine engine({.host = "h", .dataCentre = "d"}, &output);
     RoutingTable routing{.version = 1};
@@ -119,6 +123,24 @@
     EXPECT_FALSE(engine.missesInstances());
 }
 
+// A caller that sends without end while nothing can be answered loses its session, not our memory.
+TEST(SessionEngine, EndsASessionThatSendsTooFarAhead)
+{
+    Nothing output;
+    SessionEngine engine({.host = "h", .dataCentre = "d", .maxPending = 10}, &output);
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 10, .syncReplicas = 1};
+    routing.databases["db"] = {.database = "db", .group = "g", .objective = Millis(400)};
+    engine.onConfiguration(Millis(0), routing);
+    ASSERT_EQ(engine.onConnect(Millis(0), 1, "db"), Cause::None);
+    for (int i = 0; i < 11; ++i)
+        engine.onStatement(Millis(1), 1, {.id = "q", .kind = StatementKind::Read, .text = "r"});
+    EXPECT_EQ(output.closed, Cause::None);
+    engine.onStatement(Millis(1), 1, {.id = "q", .kind = StatementKind::Read, .text = "r"});
+    EXPECT_EQ(output.closed, Cause::Overloaded);
+    EXPECT_EQ(engine.sessions(), 0U);
+}
+
 // Schedules of several failures that overlap, drawn from the seed.
 TEST(SessionWorldRandom, KeepsItsPromises)
 {
