--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -42,7 +42,6 @@
     bool onWorkAnswer(Millis now, WorkId work, SendPurpose purpose, const StatementAnswer &answer);
     bool onWorkConnectionLost(WorkId work, bool workSent);
 
-    std::size_t channels() const { return m_channels.size(); }
     bool knows(const std::string &origin, std::uint64_t channel) const
     {
         return m_channels.contains({origin, channel});
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -122,7 +122,6 @@
     void onReaderFailed(Millis now, const std::string &host) { m_hosts.onReaderFailed(now, host); }
     // The endpoint at which a host takes relayed batches; nothing if it is unknown.
     std::optional<Endpoint> peerEndpoint(const std::string &host) const;
-    std::size_t targetConnections() const { return m_fleet.connections(); }
     std::uint64_t configurationVersion() const { return m_routing.version; }
 
 private:
@@ -210,7 +209,6 @@
     void failRunning(Millis now, SessionId id, Session *session, Cause cause, bool sent);
     void deliver(Millis now, SessionId id, Session *session, StatementAnswer answer);
     void answerLocally(Millis now, SessionId id, Session *session, Cause cause);
-    void endOperation(Session *session);
     void endTransaction(Millis now, Session *session, bool rollBackFirst);
     void startPending(Millis now, SessionId id);
     void checkSession(Millis now, SessionId id, Session *session);
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -353,13 +353,10 @@
     }
     if (answer.cause == Cause::NotPrimary)
         m_control.onDoesNotLead(now, operation.instance);
-    if (answer.phase == SessionPhase::Idle) {
-        m_fleet.release(now, operation.connection);
-    } else {
+    if (answer.phase != SessionPhase::Idle)
         m_fleet.send(now, operation.connection, SendPurpose::CloseTransaction,
                      {.kind = StatementKind::Rollback});
-        m_fleet.release(now, operation.connection);
-    }
+    m_fleet.release(now, operation.connection);
     m_works.erase(operation.work);
     retry(now, id, session, answer.cause);
 }
@@ -541,7 +538,7 @@
     answer.phase = session->phase;
     note(now, answer.succeeded() ? "request.answered" : "request.ended", id, *session,
          answer.cause);
-    endOperation(session);
+    session->operation.reset();
     if (!session->transaction)
         m_active.erase(id);
     m_output->answerCaller(id, answer);
@@ -566,11 +563,6 @@
     startStatement(now, id, session, std::move(next));
 }
 
-void SessionEngine::endOperation(Session *session)
-{
-    session->operation.reset();
-}
-
 // Gives the transaction's connection back. The session's phase becomes Idle.
 void SessionEngine::endTransaction(Millis now, Session *session, bool rollBackFirst)
 {
