Do not take the word of an instance that restarted; seal again what closed its connections

The virtual world plays it now (RestartReplica, at times with an empty log): the promoter counted a pause that had ended with the process, and an instance that no longer holds what it had acknowledged. Ruled out: relying on the entry alone; it tells of a restart up to a heartbeat late, the broken connection at once. Change: an instance that closes or refuses a connection while others are being sealed is sealed again; one whose entry shows a new start counts only if it is as far as all others, or after 10 s. One bound is stated anew, for the new case alone: if the primary is down and the only other copy is gone, nobody may be promoted before the primary is back (5.5 s in the world), so the gap of 6 s starts then.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -114,8 +114,11 @@
 
 void GroupControl::onRefused(Millis now, const std::string &instance)
 {
-    if (Group *group = groupOf(instance))
-        group->belief.onRefused(now, instance);
+    Group *group = groupOf(instance);
+    if (!group)
+        return;
+    group->belief.onRefused(now, instance);
+    group->change->onConnectionLost(now, instance);
 }
 
 void GroupControl::setOldestWrites(const std::map<std::string, Millis> &byGroup)
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -19,6 +19,8 @@
 constexpr Millis RetryAfterFence(5000); // The other host's lease has to end first.
 // An instance that vanished without notice may come back with its log for this long.
 constexpr Millis VanishedMemory(60'000);
+// A restarted instance has received the primary's whole log by then.
+constexpr Millis RestartMemory(10'000);
 
 } // namespace
 
@@ -132,6 +134,12 @@
     tryToOrder(now);
 }
 
+void PrimaryChange::onConnectionLost(Millis now, const std::string &instance)
+{
+    if (m_stage == ChangeStage::Sealing && m_sealed.erase(instance) > 0)
+        m_nextSend = now;
+}
+
 void PrimaryChange::onPromotion(Millis now, PromotionVerdict verdict)
 {
     if (m_stage != ChangeStage::Ordering)
@@ -216,7 +224,13 @@
     for (const RegisteredInstance &instance : instances) {
         present[instance.id] = instance;
         m_vanished.erase(instance.id);
+        const auto known = m_present.find(instance.id);
+        if (known == m_present.end() || known->second.incarnation == instance.incarnation)
+            continue;
+        m_restarted[instance.id] = now;
+        m_sealed.erase(instance.id);
     }
+    std::erase_if(m_restarted, [now](const auto &row) { return now - row.second > RestartMemory; });
     for (const auto &[id, instance] : m_present) {
         if (!present.contains(id) && !instance.leaving)
             m_vanished[id] = now;
@@ -243,6 +257,19 @@
     return std::max(all > sync ? all - sync : 0, sync + 1);
 }
 
+// Sealed instances that hold what they ever acknowledged. One that restarted lately may have lost
+// it, unless it is as far as all others.
+std::size_t PrimaryChange::witnesses() const
+{
+    Position highest;
+    for (const auto &row : m_sealed)
+        highest = std::max(highest, row.second.received);
+    return static_cast<std::size_t>(
+        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
+            return !m_restarted.contains(row.first) || row.second.received == highest;
+        }));
+}
+
 void PrimaryChange::sendSeals(Millis now)
 {
     if (now < m_nextSend)
@@ -371,7 +398,7 @@
         if (m_heir.empty() || m_sealed.size() < others || !heirHasAll())
             return;
     } else {
-        if (m_sealed.size() < sealsNeeded())
+        if (witnesses() < sealsNeeded())
             return;
         m_heir = bestSealed();
     }
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -128,6 +128,8 @@
     void onClaim(Millis now, const ClaimResult &result);
     void onStatus(Millis now, const std::string &instance, StatementKind order,
                   const InstanceStatus &status);
+    // The instance closed a connection or refused one: it may have restarted, which ends its pause.
+    void onConnectionLost(Millis now, const std::string &instance);
     void onPromotion(Millis now, PromotionVerdict verdict);
     // Some instance is known to lead `term`.
     void onLeader(Millis now, const std::string &instance, std::uint64_t term);
@@ -143,6 +145,7 @@
     void remember(Millis now, const std::vector<RegisteredInstance> &instances);
     std::set<std::string> participants() const;
     std::size_t sealsNeeded() const;
+    std::size_t witnesses() const;
     void sendSeals(Millis now);
     void sealFailing();
     void sealLeaving();
@@ -161,7 +164,8 @@
     ChangeOutput *m_output;
     GroupKnowledge m_knowledge;
     std::map<std::string, RegisteredInstance> m_present;
-    std::map<std::string, Millis> m_vanished; // Without having announced that they leave.
+    std::map<std::string, Millis> m_vanished;  // Without having announced that they leave.
+    std::map<std::string, Millis> m_restarted; // Processes that may have lost their log.
     ChangeStage m_stage = ChangeStage::Idle;
     ChangeCause m_cause = ChangeCause::None;
     std::uint64_t m_token = 0;
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -132,6 +132,74 @@
     EXPECT_TRUE(recorder.has("promote a 7"));
 }
 
+// An instance that restarted with an empty log does not hold what it had acknowledged before.
+TEST_F(PrimaryChangeTest, DoesNotCountAnInstanceThatRestartedBehindTheOthers)
+{
+    change.onTick(Start - Millis(1000), ChangeCause::None, knowledge());
+    instances[2].incarnation = 1;
+    change.onTick(Start - Millis(500), ChangeCause::None, knowledge());
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    held("c", 0);
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    held("a", 11);
+    EXPECT_TRUE(recorder.has("promote a 7"));
+}
+
+// It counts once it has the others' log again, or was up long enough to have received it.
+TEST_F(PrimaryChangeTest, CountsARestartedInstanceThatHasCaughtUp)
+{
+    change.onTick(Start - Millis(1000), ChangeCause::None, knowledge());
+    instances[2].incarnation = 1;
+    change.onTick(Start - Millis(500), ChangeCause::None, knowledge());
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    held("c", 10);
+    EXPECT_TRUE(recorder.has("promote b 7"));
+}
+
+TEST_F(PrimaryChangeTest, CountsAnInstanceThatRestartedLongAgo)
+{
+    change.onTick(Start - Millis(20'000), ChangeCause::None, knowledge());
+    instances[2].incarnation = 1;
+    change.onTick(Start - Millis(19'000), ChangeCause::None, knowledge());
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    held("c", 9);
+    EXPECT_TRUE(recorder.has("promote b 7"));
+}
+
+// A restart ends the pause: what was sealed before has to be sealed again.
+TEST_F(PrimaryChangeTest, SealsAgainWhatRestartedMeanwhile)
+{
+    begin(ChangeCause::Unreachable);
+    recorder.take();
+    held("b", 10);
+    instances[1].incarnation = 1;
+    change.onTick(Start + Millis(400), ChangeCause::Unreachable, knowledge());
+    EXPECT_TRUE(recorder.has("pause b 5"));
+    held("c", 12);
+    EXPECT_FALSE(recorder.has("promote c 7"));
+}
+
+// Its connections break before its entry tells of the restart.
+TEST_F(PrimaryChangeTest, SealsAgainWhatClosedItsConnections)
+{
+    begin(ChangeCause::Unreachable);
+    held("b", 10);
+    recorder.take();
+    change.onConnectionLost(Start, "b");
+    held("c", 12);
+    EXPECT_FALSE(recorder.has("promote c 7"));
+    change.onTick(Start + Millis(20), ChangeCause::Unreachable, knowledge());
+    EXPECT_TRUE(recorder.has("pause b 5"));
+    held("b", 10);
+    EXPECT_TRUE(recorder.has("promote c 7"));
+}
+
 TEST_F(PrimaryChangeTest, CountsAnInstanceThatVanishedWithoutNotice)
 {
     change.onTick(Start, ChangeCause::None, knowledge());
--- a/src/session/tst_world.cpp
+++ b/src/session/tst_world.cpp
@@ -66,6 +66,12 @@
             WorldCase{"calm", {}, Millis(500)},
             WorldCase{"crashPrimary", {WorldFault::CrashPrimary}},
             WorldCase{"silencePrimary", {WorldFault::SilencePrimary}},
+            WorldCase{
+                // If the primary crashes and a replica forgets its log, nobody may be promoted
+                // before the primary is back, which takes up to 5.5 s.
+                "restartReplica",
+                {WorldFault::RestartReplica, WorldFault::CrashPrimary, WorldFault::RestartReplica},
+                Millis(6000 + 5500)},
             WorldCase{"cutHosts", {WorldFault::CutHost, WorldFault::CutHost, WorldFault::CutHost}},
             WorldCase{"lagReplicas", {WorldFault::LagReplicas, WorldFault::CrashPrimary}},
             WorldCase{"loseAnswers", {WorldFault::LoseAnswers, WorldFault::LoseAnswers}},
@@ -144,7 +150,7 @@
 // Schedules of several failures that overlap, drawn from the seed.
 TEST(SessionWorldRandom, KeepsItsPromises)
 {
-    constexpr int FaultCount = 11;
+    constexpr int FaultCount = 12;
     for (std::uint64_t seed = 1000; seed < 1060; ++seed) {
         Random random(seed);
         const Reach reach = seed % 2 == 0 ? Reach::Direct : Reach::Gateways;
--- a/test/sessionworld.cpp
+++ b/test/sessionworld.cpp
@@ -1,5 +1,7 @@
 #include "sessionworld.h"
 
+#include "promises.h"
+
 #include "base/hash.h"
 #include "session/dutylease.h"
 #include "session/relaycodec.h"
@@ -25,11 +27,11 @@
 constexpr Millis StatementTime(8);
 constexpr Millis ReplicationDelay(6);
 constexpr Millis PromoteTime(300);
+constexpr Millis RestartTime(150); // Of an instance.
 constexpr Millis TickInterval(20);
 constexpr Millis RegistryInterval(1000);
 constexpr Millis RegistryMemory(3600); // A silent instance stays registered for this long.
 constexpr Millis MaxAge(1500);
-constexpr int Items = 20;
 
 // The databases, one for each way to read.
 constexpr std::array<std::pair<const char *, Consistency>, 3> Databases{{
@@ -96,30 +98,13 @@
     Millis frozenUntil;
 };
 
-// A write that a caller was told of.
-struct Acknowledged
-{
-    std::string write;
-    std::size_t index = 0; // In the log.
-    Millis at;
-    SessionId session = 0;
-};
-
 // A caller with one session, which it opens again on the same host.
 struct Caller
 {
     std::size_t host = 0;
-    SessionId session = 0;
+    std::size_t number = 0; // In the checker.
     std::size_t database = 0;
-    SessionPhase phase = SessionPhase::Idle;
-    SessionValues values; // Acknowledged.
-    SessionValues wanted; // Sent, not acknowledged yet.
-    int left = 0;         // Statements left in the transaction.
-    bool readOnly = false;
-    std::optional<Statement> sent;
-    Millis sentAt;
-    Millis began; // First byte of the statement or of its transaction.
-    std::set<std::string> transactionWrites;
+    SessionId session = 0;
 };
 
 class World : private GroupEnvironment
@@ -129,6 +114,7 @@
         : m_options(options)
         , m_random(options.seed)
         , m_group(this)
+        , m_checker({.seed = options.seed, .maxAge = MaxAge}, &m_group)
     {
     }
 
@@ -173,6 +159,7 @@
     std::vector<RegisteredInstance> registered() const;
     void applyFault(WorldFault fault, Millis length);
     void leavePrimary();
+    void restartReplica();
     void killHost(std::size_t index);
     void breakConnections(const std::string &id);
     void after(Millis delay, std::function<void()> function) override;
@@ -180,16 +167,12 @@
     Millis receiveDelay() override;
     void onRead(const GroupInstance &instance, const GroupConnection &connection,
                 const Statement &statement) override;
-    void onWrite(const GroupInstance &, const GroupConnection &, const Statement &) override { }
+    void onWrite(const GroupInstance &instance, const GroupConnection &connection,
+                 const Statement &statement) override;
     void onPromoted(const GroupInstance &heir) override;
     void executePromotion(const std::string &id, std::uint64_t token);
     void startCaller(std::size_t index);
     void nextStatement(std::size_t index);
-    void finishStatement(std::size_t index, const StatementAnswer &answer);
-    void checkRead(const Caller &caller, const GroupInstance &instance, const Statement &statement);
-    std::size_t indexOf(const std::string &write) const;
-    void checkAtTheEnd();
-    void violate(const std::string &text);
 
     WorldOptions m_options;
     Random m_random;
@@ -200,11 +183,9 @@
     std::vector<std::unique_ptr<SimHost>> m_hosts;
     ReplicaGroup m_group;
     std::map<std::string, Reach> m_reach;
+    PromiseChecker m_checker;
     std::vector<Caller> m_callers;
     std::map<std::pair<std::size_t, SessionId>, std::size_t> m_sessionOwner;
-    std::map<std::string, std::size_t> m_statementOwner;
-    std::vector<Acknowledged> m_acknowledged;
-    std::set<std::string> m_promisedNotKept;
     std::set<std::pair<std::size_t, std::string>> m_cuts;
     std::optional<DutyRow> m_duty;
     std::uint64_t m_dutyVersion = 0;
@@ -214,8 +195,6 @@
     Millis m_loseAnswersUntil;
     Millis m_lateOrdersUntil;
     Millis m_latePromotionsUntil;
-    std::optional<Millis> m_lastWrite;
-    std::uint64_t m_lastId = 0;
     SessionId m_lastSession = 0;
 };
 
@@ -424,39 +403,13 @@
 void World::onRead(const GroupInstance &instance, const GroupConnection &connection,
                    const Statement &statement)
 {
-    const auto owner = m_statementOwner.find(statement.id);
-    if (owner == m_statementOwner.end()) {
-        violate("a statement ran that no caller sent: " + statement.id);
-        return;
-    }
-    const Caller &caller = m_callers[owner->second];
-    if (!caller.sent || caller.sent->id != statement.id)
-        return;
-    checkRead(caller, instance, statement);
-    if (connection.values != caller.values)
-        violate("a read ran with another session's values");
-    m_report.replicaReads += instance.primary ? 0 : 1;
-}
-
-void World::checkRead(const Caller &caller, const GroupInstance &instance,
-                      const Statement &statement)
-{
-    const std::size_t visible = instance.primary ? instance.log.size() : instance.applied;
-    const Consistency consistency = Databases[caller.database].second;
-    const Acknowledged *newest = nullptr;
-    for (const Acknowledged &write : m_acknowledged) {
-        const bool old = consistency == Consistency::Primary ? write.at < caller.began
-                                                             : write.at < caller.began - MaxAge;
-        const bool own = consistency == Consistency::OwnWrites && write.session == caller.session;
-        if ((old || own) && (!newest || write.index > newest->index))
-            newest = &write;
-    }
-    // Logs that agree in one entry agree in all before it.
-    const bool held = !newest
-        || (newest->index < visible && instance.log[newest->index].write == newest->write);
-    if (!held)
-        violate("read " + statement.id + " on " + instance.id + " lacks " + newest->write + " ("
-                + Databases[caller.database].first + ")");
+    m_checker.onRead(instance, connection, statement, m_now);
+}
+
+void World::onWrite(const GroupInstance &instance, const GroupConnection &connection,
+                    const Statement &statement)
+{
+    m_checker.onWrite(instance, connection, statement, m_now);
 }
 
 void World::claim(std::size_t host, const std::string &group)
@@ -498,7 +451,7 @@
     at(m_now + NetworkDelay, [=, this] {
         const auto holder = m_tokenHolder.emplace(token, host).first->second;
         if (holder != host)
-            violate("two hosts used one fencing token");
+            m_checker.violate(m_now, "two hosts used one fencing token");
         if (m_now < m_latePromotionsUntil && m_random.below(2) == 0) {
             at(m_now + Millis(1000 + std::int64_t(m_random.below(4000))),
                [=, this] { executePromotion(id, token); });
@@ -529,13 +482,7 @@
 
 void World::onPromoted(const GroupInstance &heir)
 {
-    std::set<std::string> kept;
-    for (const GroupEntry &entry : heir.log)
-        kept.insert(entry.write);
-    for (const Acknowledged &row : m_acknowledged) {
-        if (!kept.contains(row.write))
-            violate("acknowledged write " + row.write + " is lost by the promotion of " + heir.id);
-    }
+    m_checker.onPromoted(heir, m_now);
 }
 
 std::vector<RegisteredInstance> World::registered() const
@@ -582,6 +529,9 @@
         if (leader)
             m_reach[leader->id].silentUntil = m_now + length;
         return;
+    case WorldFault::RestartReplica:
+        restartReplica();
+        return;
     case WorldFault::CutHost: {
         auto it = m_reach.begin();
         std::advance(it, static_cast<std::ptrdiff_t>(m_random.below(m_reach.size())));
@@ -621,6 +571,31 @@
     }
 }
 
+// A replica's process ends and starts again under its id. What it had received may be gone.
+void World::restartReplica()
+{
+    std::vector<std::string> replicas;
+    for (const auto &[id, instance] : m_group.instances()) {
+        if (instance.running && !instance.primary && !instance.gone)
+            replicas.push_back(id);
+    }
+    if (replicas.empty())
+        return;
+    const std::string id = replicas[m_random.below(replicas.size())];
+    const bool losesLog = m_random.below(2) == 0;
+    m_group.crash(id);
+    breakConnections(id);
+    at(m_now + RestartTime, [=, this] {
+        GroupInstance *back = m_group.find(id);
+        back->incarnation = m_now.count();
+        if (losesLog) {
+            back->log.clear();
+            back->applied = 0;
+        }
+        m_group.restart(id);
+    });
+}
+
 // The primary announces that it leaves, serves on for some seconds, and hands its log to a new one.
 void World::leavePrimary()
 {
@@ -648,7 +623,7 @@
         Caller &caller = m_callers[i];
         if (caller.host != index)
             continue;
-        caller.sent.reset();
+        m_checker.startSession(caller.number);
         at(m_now + Millis(300), [this, i] { startCaller(i); });
     }
 }
@@ -707,57 +682,20 @@
 void World::startCaller(std::size_t index)
 {
     Caller &caller = m_callers[index];
-    const std::size_t host = caller.host;
-    const std::size_t database = caller.database;
+    SessionEngine &engine = m_hosts[caller.host]->engine;
     if (caller.session != 0)
-        m_hosts[host]->engine.onCallerClosed(m_now, caller.session);
-    caller = {.host = host, .session = ++m_lastSession, .database = database};
-    m_sessionOwner[{host, caller.session}] = index;
-    m_hosts[host]->engine.onConnect(m_now, caller.session, Databases[database].first);
+        engine.onCallerClosed(m_now, caller.session);
+    caller.session = ++m_lastSession;
+    m_checker.startSession(caller.number);
+    m_sessionOwner[{caller.host, caller.session}] = index;
+    engine.onConnect(m_now, caller.session, Databases[caller.database].first);
     nextStatement(index);
 }
 
 void World::nextStatement(std::size_t index)
 {
-    Caller &caller = m_callers[index];
-    const std::string id = "q" + std::to_string(++m_lastId);
-    const std::string item = std::to_string(m_random.below(Items));
-    Statement statement{.id = id};
-    if (caller.phase == SessionPhase::FailedTransaction) {
-        statement.kind = StatementKind::Rollback;
-    } else if (caller.phase == SessionPhase::Transaction && caller.left-- <= 0) {
-        statement.kind = StatementKind::Commit;
-    } else {
-        const std::uint64_t dice = m_random.below(20);
-        const bool inTransaction = caller.phase == SessionPhase::Transaction;
-        if (!inTransaction && dice == 0) {
-            statement.kind = StatementKind::SetValue;
-            statement.name = "v" + std::to_string(m_random.below(2));
-            statement.argument = id;
-            caller.wanted = caller.values;
-            caller.wanted[statement.name] = id;
-        } else if (!inTransaction && dice < 4) {
-            caller.readOnly = m_random.below(3) == 0;
-            caller.left = 1 + static_cast<int>(m_random.below(3));
-            statement.kind = caller.readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
-        } else if (dice < 9 && !(inTransaction && caller.readOnly)) {
-            statement.kind = StatementKind::Write;
-            statement.name = item;
-        } else {
-            statement.kind = StatementKind::Read;
-            statement.name = item;
-        }
-    }
-    statement.text = id;
-    if (caller.phase == SessionPhase::Idle) {
-        caller.began = m_now;
-        caller.transactionWrites.clear();
-    }
-    if (statement.kind == StatementKind::Write)
-        caller.transactionWrites.insert(id);
-    m_statementOwner[id] = index;
-    caller.sent = statement;
-    caller.sentAt = m_now;
+    const Caller &caller = m_callers[index];
+    const Statement statement = m_checker.nextStatement(caller.number, m_now);
     const SessionId session = caller.session;
     atHost(caller.host, m_now,
            [=, this](SimHost *host) { host->engine.onStatement(m_now, session, statement); });
@@ -769,95 +707,17 @@
     if (owner == m_sessionOwner.end())
         return;
     at(m_now, [this, index = owner->second, session, answer] {
-        if (m_callers[index].session == session)
-            finishStatement(index, answer);
-    });
-}
-
-void World::finishStatement(std::size_t index, const StatementAnswer &answer)
-{
-    Caller &caller = m_callers[index];
-    if (!caller.sent) {
-        violate("an answer came to nothing");
-        return;
-    }
-    const Statement statement = *std::exchange(caller.sent, std::nullopt);
-    const bool wasIdle = caller.phase == SessionPhase::Idle;
-    const bool decides = statement.kind == StatementKind::Commit
-        || (statement.kind == StatementKind::Write && wasIdle);
-    caller.phase = answer.phase;
-    if (answer.succeeded()) {
-        ++m_report.answered;
-        if (statement.kind == StatementKind::SetValue)
-            caller.values = caller.wanted;
-        if (decides && !caller.transactionWrites.empty()) {
-            for (const std::string &write : caller.transactionWrites) {
-                m_acknowledged.push_back({.write = write,
-                                          .index = indexOf(write),
-                                          .at = m_now,
-                                          .session = caller.session});
-            }
-            const Millis gap = m_lastWrite ? m_now - *m_lastWrite : Millis(0);
-            m_report.longestWriteGap = std::max(m_report.longestWriteGap, gap);
-            m_lastWrite = m_now;
-        }
-    } else {
-        const bool uncertain = answer.cause == Cause::ConnectionLost
-            || answer.cause == Cause::Timeout || answer.cause == Cause::Failed;
-        ++(uncertain ? m_report.uncertain : m_report.refused);
-        if (!uncertain)
-            m_promisedNotKept.insert(caller.transactionWrites.begin(),
-                                     caller.transactionWrites.end());
-    }
-    at(m_now + Millis(5 + std::int64_t(m_random.below(60))), [this, index] {
-        if (!m_callers[index].sent)
-            nextStatement(index);
+        const Caller &caller = m_callers[index];
+        if (caller.session != session)
+            return;
+        m_checker.onAnswer(caller.number, answer, m_now);
+        at(m_now + Millis(5 + std::int64_t(m_random.below(60))), [this, index] {
+            if (!m_checker.awaitsAnswer(m_callers[index].number))
+                nextStatement(index);
+        });
     });
 }
 
-// Where the write is in the logs that hold it (the same place in all); behind everything if none
-// does.
-std::size_t World::indexOf(const std::string &write) const
-{
-    for (const auto &row : m_group.instances()) {
-        const std::vector<GroupEntry> &log = row.second.log;
-        for (std::size_t i = log.size(); i > 0; --i) {
-            if (log[i - 1].write == write)
-                return i - 1;
-        }
-    }
-    return SIZE_MAX;
-}
-
-void World::checkAtTheEnd()
-{
-    const GroupInstance *leader = m_group.primary();
-    if (!leader) {
-        violate("no instance leads at the end");
-        return;
-    }
-    std::map<std::string, int> counts;
-    for (const GroupEntry &entry : leader->log)
-        ++counts[entry.write];
-    for (const Acknowledged &row : m_acknowledged) {
-        if (counts[row.write] != 1)
-            violate("acknowledged write " + row.write + " is there "
-                    + std::to_string(counts[row.write]) + " times");
-    }
-    for (const auto &[write, count] : counts) {
-        if (count > 1)
-            violate("write " + write + " took effect twice");
-        if (m_promisedNotKept.contains(write))
-            violate("write " + write + " is kept though its caller was told that it is not");
-    }
-    m_report.servesAtTheEnd = m_lastWrite && m_now - *m_lastWrite < Millis(1000);
-}
-
-void World::violate(const std::string &text)
-{
-    m_report.violations.push_back(std::to_string(m_now.count()) + " ms: " + text);
-}
-
 void World::start()
 {
     for (int i = 0; i < 3; ++i) {
@@ -871,8 +731,10 @@
         startHost(i);
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
         for (int i = 0; i < m_options.sessionsPerHost; ++i) {
-            m_callers.push_back(
-                {.host = host, .database = static_cast<std::size_t>(i) % Databases.size()});
+            const std::size_t database = static_cast<std::size_t>(i) % Databases.size();
+            m_callers.push_back({.host = host,
+                                 .number = m_checker.addCaller(Databases[database].second),
+                                 .database = database});
             const std::size_t index = m_callers.size() - 1;
             at(Millis(500 + 10 * i), [this, index] { startCaller(index); });
         }
@@ -895,7 +757,15 @@
         event.function();
     }
     m_now = m_options.duration;
-    checkAtTheEnd();
+    m_checker.checkAtTheEnd(m_now);
+    const PromiseReport &promises = m_checker.report();
+    m_report.violations = promises.violations;
+    m_report.answered = promises.answered;
+    m_report.refused = promises.refused;
+    m_report.uncertain = promises.uncertain;
+    m_report.replicaReads = promises.replicaReads;
+    m_report.longestWriteGap = promises.longestWriteGap;
+    m_report.servesAtTheEnd = promises.lastWrite && m_now - *promises.lastWrite < Millis(1000);
     return m_report;
 }
 
--- a/test/sessionworld.h
+++ b/test/sessionworld.h
@@ -17,6 +17,7 @@
 enum class WorldFault {
     CrashPrimary,   // Its connections break; it comes back with its log.
     SilencePrimary, // Nothing reaches or leaves it for a while.
+    RestartReplica, // Its process restarts at once; at times with an empty log.
     CutHost,        // One host and one instance do not reach each other.
     LagReplicas,    // Replicas apply seconds late.
     LoseAnswers,    // Statements run and their answers are lost.
