Connect to nobody before the hosts are known

Ruled out: the store (its answers took 264 ms, configurations were in force after 0.4 s); slots (idle then). Change: no access, direct or relayed, before a list of hosts was read; it is read at once at the start; the own record always counts; a connection that is accepted and then closed is want of room.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -15,6 +15,7 @@
 constexpr Millis HostRenewal(10'000); // Of this host's record; HostDirectory knows it too.
 constexpr Millis HostInterval(4000);  // Between readings of the hosts' records.
 constexpr Millis FirstHosts(600);     // Hosts that start together have registered by then.
+constexpr Millis HostRetry(400);      // While no list of hosts is known.
 constexpr Millis IdleCheck(200);      // Between looks whether the platform has to be read.
 constexpr Millis BulletinWait(1500);  // For news, at the reader.
 constexpr Millis BulletinMargin(1000);
@@ -38,14 +39,13 @@
 
 void PlatformFeed::start()
 {
+    m_startedAt = now();
     readConfiguration();
-    readInstances();
     registerSelf();
+    readHosts();
+    readInstances();
     m_loop->every(HostRenewal, [this] { registerSelf(); });
-    m_loop->after(FirstHosts, [this] {
-        readHosts();
-        follow();
-    });
+    m_loop->after(FirstHosts, [this] { follow(); });
 }
 
 void PlatformFeed::leave()
@@ -132,12 +132,23 @@
         setReachable("hosts", &m_hostsReachable, hosts.has_value());
         if (hosts) {
             m_board.setHosts(now(), *hosts);
-            m_engine->onHosts(now(), *hosts);
+            applyHosts(*hosts);
         }
-        m_loop->after(HostInterval, [this] { readHosts(); });
+        // Hosts that start together see only some of the others at first.
+        const bool early = now() < m_startedAt + FirstHosts;
+        const Millis next = early ? FirstHosts : HostInterval;
+        m_loop->after(hosts ? next : HostRetry, [this] { readHosts(); });
     });
 }
 
+// This host is one of them, also while its record is missing or still that of the process before.
+void PlatformFeed::applyHosts(std::vector<HostRecord> hosts)
+{
+    std::erase_if(hosts, [this](const HostRecord &record) { return record.host == m_self.host; });
+    hosts.push_back(m_self);
+    m_engine->onHosts(now(), hosts);
+}
+
 // Asks the reader again and again; falls back to the platform while it does not answer.
 void PlatformFeed::follow()
 {
@@ -185,7 +196,7 @@
     if (fresh && m_board.instances())
         m_engine->onInstances(now(), *m_board.instances());
     if (bulletin.hosts)
-        m_engine->onHosts(now(), *bulletin.hosts);
+        applyHosts(*bulletin.hosts);
 }
 
 void PlatformFeed::applyRouting(const RoutingTable &routing)
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cicadagap {
 
@@ -37,6 +38,7 @@
     void readHosts();
     void follow();
     void takeBulletin(const Bulletin &bulletin);
+    void applyHosts(std::vector<HostRecord> hosts);
     void applyRouting(const RoutingTable &routing);
     void registerSelf();
     bool readsItself();
@@ -50,6 +52,7 @@
     LinkTo m_linkTo;
     std::function<void()> m_configured;
     BootClock m_clock;
+    Millis m_startedAt;
     BulletinBoard m_board;
     std::string m_following; // Empty while this host reads by itself.
     bool m_readerIsFresh = false;
--- a/src/programs/cicadagap-sessiond/targetsocket.cpp
+++ b/src/programs/cicadagap-sessiond/targetsocket.cpp
@@ -46,6 +46,9 @@
                                    self->fail();
                                    return;
                                }
+                               // What accepts and then closes has no room for us; a process
+                               // that stopped refuses.
+                               self->m_full = true;
                                setSocketOptions(&self->m_socket, SilenceLimit);
                                self->write();
                                self->read();
@@ -123,7 +126,7 @@
         m_handlers.opened();
         return;
     }
-    m_full = message.cause == Cause::NoConnection;
+    m_full = message.cause != Cause::WrongInstance;
     fail();
 }
 
--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -93,8 +93,9 @@
     const auto sameHost = [](const auto &left, const auto &right) {
         return left.first == right.first && left.second.record.peers == right.second.record.peers;
     };
-    m_changed = m_changed || hosts.size() != m_hosts.size()
+    m_changed = m_changed || !m_known || hosts.size() != m_hosts.size()
         || !std::equal(hosts.begin(), hosts.end(), m_hosts.begin(), sameHost);
+    m_known = true;
     m_hosts = std::move(hosts);
     m_renewals = std::move(renewals);
 }
@@ -133,6 +134,8 @@
 
 InstanceAccess HostDirectory::access(const RegisteredInstance &instance, int maxConnections) const
 {
+    if (!m_known)
+        return {.direct = false};
     const double usable = maxConnections * (1 - SpareShare);
     const std::size_t hosts = std::max<std::size_t>(1, m_hosts.size());
     const auto share = static_cast<int>(usable / static_cast<double>(hosts));
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -75,6 +75,7 @@
     // Whether the list changed in a way that may change accesses; cleared by the call.
     bool takeChanged();
 
+    // Neither direct nor by gateways before the hosts are known.
     InstanceAccess access(const RegisteredInstance &instance, int maxConnections) const;
     // The gateway to use now; empty if every one failed recently.
     std::string chooseGateway(Millis now, const InstanceAccess &access) const;
@@ -104,6 +105,7 @@
     Options m_options;
     std::map<std::string, Known> m_hosts;
     std::map<std::string, Renewal> m_renewals;
+    bool m_known = false; // A list was read.
     bool m_changed = false;
 };
 
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -161,6 +161,18 @@
                                          AccessCase{"scarce", 60, 4, true, true}),
                          [](const auto &info) { return info.param.name; });
 
+// All hosts that start at once would connect directly otherwise, and use up every connection.
+TEST(HostDirectory, ConnectsToNobodyBeforeTheHostsAreKnown)
+{
+    HostDirectory directory({.self = "h1"});
+    InstanceAccess access = directory.access({.id = "i", .dataCentre = "d"}, 22);
+    EXPECT_FALSE(access.direct);
+    EXPECT_TRUE(access.gateways.empty());
+    directory.setRecords(Millis(0), {{.host = "h1", .dataCentre = "d"}});
+    access = directory.access({.id = "i", .dataCentre = "d"}, 22);
+    EXPECT_TRUE(access.direct);
+}
+
 TEST(HostDirectory, ForgetsHostsThatDoNotRenew)
 {
     HostDirectory directory({.self = "h0"});
