Play a fault soak on real processes

Found on the way, all in the soak itself: a handler dropped while it ran, timers of a lost session, two soaks on one address.

--- a/test/promises.cpp
+++ b/test/promises.cpp
@@ -161,13 +161,46 @@
 void PromiseChecker::acknowledgeWrites(const Caller &caller, Millis now)
 {
     for (const std::string &write : caller.transactionWrites)
-        m_acknowledged.push_back(
+        acknowledge(
             {.write = write, .index = indexOf(write), .at = now, .session = caller.session});
     const Millis gap = m_report.lastWrite ? now - *m_report.lastWrite : Millis(0);
     m_report.longestWriteGap = std::max(m_report.longestWriteGap, gap);
     m_report.lastWrite = now;
 }
 
+void PromiseChecker::acknowledge(const Acknowledged &write)
+{
+    const std::size_t place = m_acknowledged.size();
+    m_acknowledged.push_back(write);
+    const auto higher = [&](std::size_t other) {
+        return m_acknowledged[other].index >= write.index ? other : place;
+    };
+    m_newest.push_back(m_newest.empty() ? place : higher(m_newest.back()));
+    const auto own = m_newestOfSession.emplace(write.session, place).first;
+    own->second = higher(own->second);
+}
+
+// Of the writes that the caller's read must see, the one that is highest in the log; null if it
+// need not see any.
+const PromiseChecker::Acknowledged *PromiseChecker::newestFor(const Caller &caller) const
+{
+    const Millis before = caller.consistency == Consistency::Primary
+        ? caller.began
+        : caller.began - m_options.maxAge;
+    const auto end
+        = std::lower_bound(m_acknowledged.begin(), m_acknowledged.end(), before,
+                           [](const Acknowledged &write, Millis at) { return write.at < at; });
+    const Acknowledged *newest = nullptr;
+    if (end != m_acknowledged.begin())
+        newest
+            = &m_acknowledged[m_newest[static_cast<std::size_t>(end - m_acknowledged.begin()) - 1]];
+    const auto own = m_newestOfSession.find(caller.session);
+    if (caller.consistency != Consistency::OwnWrites || own == m_newestOfSession.end())
+        return newest;
+    const Acknowledged *ownNewest = &m_acknowledged[own->second];
+    return !newest || ownNewest->index > newest->index ? ownNewest : newest;
+}
+
 const PromiseChecker::Caller *PromiseChecker::sender(const Statement &statement) const
 {
     const auto owner = m_statementOwner.find(statement.id);
@@ -216,16 +249,7 @@
                                const Statement &statement)
 {
     const std::size_t visible = instance.primary ? instance.log.size() : instance.applied;
-    const Acknowledged *newest = nullptr;
-    for (const Acknowledged &write : m_acknowledged) {
-        const bool old = caller.consistency == Consistency::Primary
-            ? write.at < caller.began
-            : write.at < caller.began - m_options.maxAge;
-        const bool own
-            = caller.consistency == Consistency::OwnWrites && write.session == caller.session;
-        if ((old || own) && (!newest || write.index > newest->index))
-            newest = &write;
-    }
+    const Acknowledged *newest = newestFor(caller);
     // Logs that agree in one entry agree in all before it.
     const bool held = !newest
         || (newest->index < visible && instance.log[newest->index].write == newest->write);
--- a/test/promises.h
+++ b/test/promises.h
@@ -56,6 +56,10 @@
     Statement nextStatement(std::size_t caller, Millis now);
     void onAnswer(std::size_t caller, const StatementAnswer &answer, Millis now);
     bool awaitsAnswer(std::size_t caller) const { return m_callers[caller].sent.has_value(); }
+    bool awaits(std::size_t caller, const std::string &id) const
+    {
+        return awaitsAnswer(caller) && m_callers[caller].sent->id == id;
+    }
     SessionPhase phase(std::size_t caller) const { return m_callers[caller].phase; }
 
     // What instances run; see GroupEnvironment.
@@ -100,6 +104,8 @@
                    const Statement &statement);
     void checkSuccess(Millis now, const Statement &statement, const StatementAnswer &answer);
     void acknowledgeWrites(const Caller &caller, Millis now);
+    void acknowledge(const Acknowledged &write);
+    const Acknowledged *newestFor(const Caller &caller) const;
     const Caller *sender(const Statement &statement) const;
     std::size_t indexOf(const std::string &write) const;
 
@@ -109,7 +115,9 @@
     PromiseReport m_report;
     std::vector<Caller> m_callers;
     std::map<std::string, std::size_t> m_statementOwner;
-    std::vector<Acknowledged> m_acknowledged;
+    std::vector<Acknowledged> m_acknowledged; // In the order of time.
+    std::vector<std::size_t> m_newest; // Of the first that many: which is highest in the log.
+    std::map<std::uint64_t, std::size_t> m_newestOfSession;
     std::set<std::string> m_refusedWrites;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_lastSession = 0;
--- /dev/null
+++ b/test/soak/faultproxy.cpp
@@ -0,0 +1,166 @@
+#include "faultproxy.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Millis HoldCheck(20); // Between looks whether held bytes may pass.
+
+} // namespace
+
+struct FaultProxy::Impl
+{
+    explicit Impl(asio::io_context *context)
+        : acceptor(*context)
+    {
+    }
+
+    tcp::acceptor acceptor;
+};
+
+// One connection through the proxy.
+class FaultProxy::Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(tcp::socket client, FaultProxy *proxy)
+        : m_client(std::move(client))
+        , m_server(m_client.get_executor())
+        , m_proxy(proxy)
+    {
+    }
+
+    void start(const Endpoint &server)
+    {
+        const tcp::endpoint endpoint(asio::ip::make_address(server.address), server.port);
+        m_server.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->pump(&self->m_client, &self->m_server, &self->m_toServer, &Faults::holdToServer);
+            self->pump(&self->m_server, &self->m_client, &self->m_toClient, &Faults::holdToClient);
+        });
+    }
+
+    void close()
+    {
+        if (std::exchange(m_closed, true))
+            return;
+        error_code ignored;
+        m_client.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_server.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_client.close(ignored);
+        m_server.close(ignored);
+        m_proxy->m_links.erase(shared_from_this());
+    }
+
+    void silence() { m_silent = true; }
+
+private:
+    using Buffer = std::array<char, 8192>;
+    using Hold = bool Faults::*;
+
+    void pump(tcp::socket *from, tcp::socket *to, Buffer *buffer, Hold hold)
+    {
+        from->async_read_some(
+            asio::buffer(*buffer),
+            [=, self = shared_from_this()](const error_code &error, std::size_t length) {
+                if (error)
+                    self->close();
+                else
+                    self->pass(from, to, buffer, length, hold, self->m_proxy->m_faults.delay);
+            });
+    }
+
+    void pass(tcp::socket *from, tcp::socket *to, Buffer *buffer, std::size_t length, Hold hold,
+              Millis delay)
+    {
+        const bool held = m_silent || m_proxy->m_faults.*hold;
+        if (held || delay > Millis(0)) {
+            m_proxy->m_loop->after(held ? HoldCheck : delay, [=, self = shared_from_this()] {
+                if (!self->m_closed)
+                    self->pass(from, to, buffer, length, hold, Millis(0));
+            });
+            return;
+        }
+        asio::async_write(*to, asio::buffer(buffer->data(), length),
+                          [=, self = shared_from_this()](const error_code &error, std::size_t) {
+                              if (error)
+                                  self->close();
+                              else
+                                  self->pump(from, to, buffer, hold);
+                          });
+    }
+
+    tcp::socket m_client;
+    tcp::socket m_server;
+    FaultProxy *m_proxy;
+    Buffer m_toServer{};
+    Buffer m_toClient{};
+    bool m_silent = false;
+    bool m_closed = false;
+};
+
+FaultProxy::FaultProxy(EventLoop *loop, Endpoint server)
+    : m_loop(loop)
+    , m_server(std::move(server))
+    , m_impl(std::make_unique<Impl>(loop->context()))
+{
+}
+
+FaultProxy::~FaultProxy() = default;
+
+bool FaultProxy::start(Reason *reason)
+{
+    error_code error;
+    tcp::acceptor &acceptor = m_impl->acceptor;
+    const tcp::endpoint any(asio::ip::make_address(m_server.address), 0);
+    acceptor.open(any.protocol(), error);
+    if (!error)
+        acceptor.bind(any, error);
+    if (!error)
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (error) {
+        setReason(reason, "a proxy cannot listen: " + error.message());
+        return false;
+    }
+    m_endpoint = {.address = m_server.address, .port = acceptor.local_endpoint().port()};
+    accept();
+    return true;
+}
+
+void FaultProxy::accept()
+{
+    m_impl->acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error)
+            return;
+        const auto link = std::make_shared<Link>(std::move(socket), this);
+        m_links.insert(link);
+        link->start(m_server);
+        accept();
+    });
+}
+
+void FaultProxy::resetAll()
+{
+    for (const std::shared_ptr<Link> &link : std::set(m_links))
+        link->close();
+}
+
+void FaultProxy::silenceOpen()
+{
+    for (const std::shared_ptr<Link> &link : m_links)
+        link->silence();
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/test/soak/hostprocess.cpp
@@ -0,0 +1,65 @@
+#include "hostprocess.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <cstring>
+
+namespace cicadagap {
+
+HostProcess::~HostProcess()
+{
+    if (m_pid == 0)
+        return;
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+}
+
+bool HostProcess::start(Reason *reason)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr mode_t LogMode = 0644;
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_options.log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, LogMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::string flag = "--settings";
+    const std::array<char *, 4> arguments{m_options.program.data(), flag.data(),
+                                          m_options.settings.data(), nullptr};
+    const std::array<char *, 1> environment{nullptr};
+    const int error = ::posix_spawn(&m_pid, m_options.program.c_str(), &actions, nullptr,
+                                    arguments.data(), environment.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        m_pid = 0;
+        setReason(reason, m_options.program + " cannot be started: " + std::strerror(error));
+        return false;
+    }
+    ++m_incarnation;
+    m_stopping = false;
+    return true;
+}
+
+void HostProcess::signal(int number)
+{
+    if (!running())
+        return;
+    m_stopping = m_stopping || number == SIGTERM || number == SIGKILL;
+    ::kill(m_pid, number);
+}
+
+bool HostProcess::running()
+{
+    if (m_pid == 0)
+        return false;
+    if (::waitpid(m_pid, nullptr, WNOHANG) == 0)
+        return true;
+    m_pid = 0;
+    m_endedByItself = m_endedByItself || !m_stopping;
+    return false;
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,98 @@
+// cicadagap-soak: plays seeds of the fault soak and reports each as a JSON line.
+#include "process/log.h"
+#include "soak.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace cicadagap;
+
+namespace {
+
+constexpr int ExitViolated = 1;
+constexpr int ExitUsage = 2;
+
+boost::json::array textList(const std::vector<std::string> &texts)
+{
+    boost::json::array list;
+    for (const std::string &text : texts)
+        list.emplace_back(text);
+    return list;
+}
+
+void print(const SoakOptions &options, const SoakReport &report)
+{
+    std::cout << boost::json::serialize(
+        boost::json::object{{"seed", options.seed},
+                            {"violations", textList(report.violations)},
+                            {"answered", report.answered},
+                            {"refused", report.refused},
+                            {"uncertain", report.uncertain},
+                            {"replicaReads", report.replicaReads},
+                            {"promotions", report.promotions},
+                            {"configurations", report.configurations},
+                            {"longestWriteGapMs", report.longestWriteGap.count()},
+                            {"faults", textList(report.faults)}})
+              << std::endl;
+}
+
+int run(const cxxopts::ParseResult &arguments)
+{
+    SoakOptions options{.hosts = arguments["hosts"].as<int>(),
+                        .groups = arguments["groups"].as<int>(),
+                        .callers = arguments["callers"].as<int>(),
+                        .connections = arguments["connections"].as<int>(),
+                        .duration = Millis(arguments["seconds"].as<int>() * 1000),
+                        .address = arguments["address"].as<std::string>(),
+                        .program = arguments["program"].as<std::string>(),
+                        .work = arguments["work"].as<std::string>()};
+    options.seed = arguments["seed"].as<std::uint64_t>();
+    startLog({.program = "cicadagap-soak", .host = "soak", .level = LogLevel::Error});
+    SoakReport report;
+    Reason reason;
+    Soak soak(options);
+    if (!soak.play(&report, &reason)) {
+        std::cerr << reason.text() << '\n';
+        return ExitUsage;
+    }
+    print(options, report);
+    return report.violations.empty() ? 0 : ExitViolated;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        cxxopts::Options options("cicadagap-soak",
+                                 "Plays one seed of the fault soak on real processes.\n"
+                                 "Exit codes: 0 every promise kept, 1 one broken, 2 not started.");
+        auto add = options.add_options();
+        add("seed", "Of failures and callers", cxxopts::value<std::uint64_t>()->default_value("1"));
+        add("seconds", "Of failures", cxxopts::value<int>()->default_value("15"));
+        add("hosts", "Session servers", cxxopts::value<int>()->default_value("4"));
+        add("groups", "Database groups of three", cxxopts::value<int>()->default_value("2"));
+        add("callers", "Sessions", cxxopts::value<int>()->default_value("36"));
+        add("connections", "That an instance accepts", cxxopts::value<int>()->default_value("22"));
+        add("program", "The session server",
+            cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
+        add("address", "Loopback address of all listeners",
+            cxxopts::value<std::string>()->default_value("127.0.0.1"));
+        add("work", "Directory for settings and logs",
+            cxxopts::value<std::string>()->default_value("/tmp"));
+        add("help", "Print this text");
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            std::cout << options.help();
+            return 0;
+        }
+        return run(arguments);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << "; try --help\n";
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/test/soak/soak.cpp
@@ -0,0 +1,468 @@
+#include "soak.h"
+
+#include "base64.h"
+#include "session/hostdirectory.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr Millis RestartDelay(300);
+constexpr Millis WatchInterval(50);
+constexpr Millis ProbeInterval(150);
+// Long after everything is well again: a deployment that has not recovered by then never will.
+constexpr Millis RecoveryLimit(60'000);
+constexpr int AnswersToRecover = 30; // Of each group.
+
+Endpoint freeEndpoint(EventLoop *loop, const std::string &address)
+{
+    using boost::asio::ip::tcp;
+    const tcp::endpoint any(boost::asio::ip::make_address(address), 0);
+    const tcp::acceptor acceptor(*loop->context(), any);
+    return {.address = address, .port = acceptor.local_endpoint().port()};
+}
+
+StandinDeployment::Options deploymentOptions(const SoakOptions &options)
+{
+    return {.groups = options.groups,
+            .connections = static_cast<std::size_t>(options.connections),
+            .address = options.address};
+}
+
+} // namespace
+
+Soak::Soak(SoakOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_loop({.threads = 1})
+    , m_deployment(&m_loop, deploymentOptions(m_options), this)
+{
+}
+
+Soak::~Soak() = default;
+
+bool Soak::play(SoakReport *report, Reason *reason)
+{
+    m_startedAt = now();
+    if (!start(reason))
+        return false;
+    m_loop.run();
+    for (auto &row : m_checks) {
+        const PromiseReport &seen = row.second.checker->report();
+        for (const std::string &text : seen.violations)
+            m_report.violations.push_back(row.first + " " + text);
+        m_report.answered += seen.answered;
+        m_report.refused += seen.refused;
+        m_report.uncertain += seen.uncertain;
+        m_report.replicaReads += seen.replicaReads;
+        m_report.longestWriteGap = std::max(m_report.longestWriteGap, seen.longestWriteGap);
+    }
+    m_report.configurations = static_cast<int>(m_deployment.configurationVersion());
+    *report = m_report;
+    return true;
+}
+
+bool Soak::start(Reason *reason)
+{
+    if (!m_deployment.start(reason) || !startInstances(reason))
+        return false;
+    // Hosts reach each other through proxies: their records are changed on the way.
+    m_deployment.storeServer().setRewrite([this](TableRow *row) {
+        std::optional<HostRecord> record = parseHostRecord(decodeBase64(row->value), nullptr);
+        if (row->table != "hosts" || !record)
+            return;
+        const auto index = static_cast<std::size_t>(std::stoi(record->host.substr(1)));
+        record->peers = m_hosts[index]->peers->endpoint();
+        row->value = encodeBase64(hostRecordText(*record));
+    });
+    for (int i = 0; i < m_options.hosts; ++i) {
+        m_hosts.push_back(std::make_unique<Host>());
+        if (!startHost(i, reason))
+            return false;
+    }
+    startCallers();
+    scheduleFaults();
+    m_loop.every(WatchInterval, [this] { watchHosts(); });
+    m_loop.every(ProbeInterval, [this] { probeConfigurations(); });
+    return true;
+}
+
+bool Soak::startInstances(Reason *reason)
+{
+    for (const std::string &id : m_deployment.instances()) {
+        auto proxy = std::make_unique<FaultProxy>(&m_loop, m_deployment.server(id).endpoint());
+        if (!proxy->start(reason))
+            return false;
+        m_deployment.setPublished(id, proxy->endpoint());
+        m_instanceProxies[id] = std::move(proxy);
+    }
+    for (const std::string &group : m_deployment.groups()) {
+        GroupCheck &check = m_checks[group];
+        check.checker = std::make_unique<PromiseChecker>(
+            PromiseChecker::Options{.seed = m_random.next(), .idPrefix = group + "q"},
+            &m_deployment.group(group));
+    }
+    return true;
+}
+
+bool Soak::startHost(int index, Reason *reason)
+{
+    Host &host = *m_hosts[static_cast<std::size_t>(index)];
+    const std::string name = "h" + std::to_string(index);
+    const Endpoint peers = freeEndpoint(&m_loop, m_options.address);
+    host.callers = freeEndpoint(&m_loop, m_options.address);
+    host.store = std::make_unique<FaultProxy>(&m_loop, m_deployment.store());
+    host.peers = std::make_unique<FaultProxy>(&m_loop, peers);
+    if (!host.store->start(reason) || !host.peers->start(reason))
+        return false;
+    const std::string settings = m_options.work + "/" + name + ".conf";
+    std::ofstream(settings) << m_deployment.hostSettings(
+        {.name = name,
+         .dataCentre = index % 3,
+         .callers = host.callers,
+         .balancer = freeEndpoint(&m_loop, m_options.address),
+         .peers = peers.port,
+         .store = host.store->endpoint()});
+    host.process = std::make_unique<HostProcess>(
+        HostProcess::Options{.program = m_options.program,
+                             .settings = settings,
+                             .log = m_options.work + "/" + name + ".log"});
+    return host.process->start(reason);
+}
+
+void Soak::startCallers()
+{
+    const std::vector<StandinDatabase> &databases = m_deployment.databases();
+    for (int i = 0; i < m_options.callers; ++i) {
+        const StandinDatabase &database = databases[static_cast<std::size_t>(i) % databases.size()];
+        PromiseChecker *checker = m_checks.at(database.group).checker.get();
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            &m_loop, SoakCaller::Options{.database = database.name, .seed = m_random.next()},
+            checker, checker->addCaller(database.consistency),
+            [this] { return m_hosts[m_random.below(m_hosts.size())]->callers; }));
+        SoakCaller *caller = m_callers.back().get();
+        m_loop.after(Millis(200 + 5 * i), [caller] { caller->start(); });
+    }
+}
+
+// Several at a time: each begins within the first two thirds and lasts up to a quarter.
+void Soak::scheduleFaults()
+{
+    const auto span = static_cast<std::uint64_t>(m_options.duration.count());
+    const std::uint64_t count = 3 + m_random.below(1 + span / 1000);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const auto fault = static_cast<SoakFault>(m_random.below(SoakFaultNames.rows.size()));
+        const Millis when(1500 + static_cast<std::int64_t>(m_random.below(span * 2 / 3)));
+        const Millis length(200 + static_cast<std::int64_t>(m_random.below(span / 4)));
+        m_loop.after(when, [this, fault, length] { apply(fault, length); });
+    }
+    m_loop.after(m_options.duration, [this] { endFaults(); });
+}
+
+void Soak::apply(SoakFault fault, Millis length)
+{
+    m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
+                              + std::string(SoakFaultNames.name(fault)) + " "
+                              + std::to_string(length.count()));
+    if (fault <= SoakFault::ReloadHost || fault == SoakFault::AllHostsKilled)
+        applyToHost(fault, length);
+    else if (fault <= SoakFault::LateOrders)
+        applyToInstance(fault, length);
+    else if (fault >= SoakFault::DelayedLinks && fault <= SoakFault::HeldStore)
+        applyToLinks(fault, length);
+    else
+        applyToStore(fault, length);
+}
+
+void Soak::applyToHost(SoakFault fault, Millis length)
+{
+    Host *host = m_hosts[m_random.below(m_hosts.size())].get();
+    HostProcess *process = host->process.get();
+    switch (fault) {
+    case SoakFault::KillHost:
+        host->mayRun = false;
+        process->signal(SIGKILL);
+        m_loop.after(length, [host] { host->mayRun = true; });
+        return;
+    case SoakFault::AllHostsKilled:
+        for (const std::unique_ptr<Host> &each : m_hosts)
+            each->process->signal(SIGKILL);
+        return;
+    case SoakFault::FreezeHost:
+        process->signal(SIGSTOP);
+        m_loop.after(length, [process] { process->signal(SIGCONT); });
+        return;
+    case SoakFault::StopHost:
+        process->signal(SIGTERM);
+        return;
+    default:
+        process->signal(SIGHUP);
+        return;
+    }
+}
+
+void Soak::applyToInstance(SoakFault fault, Millis length)
+{
+    const std::string id = anyInstance();
+    InstanceServer *server = &m_deployment.server(id);
+    const std::string group = id.substr(0, id.find('-'));
+    switch (fault) {
+    case SoakFault::CrashInstance:
+        m_deployment.crash(id);
+        m_loop.after(length, [this, id] { m_deployment.restart(id); });
+        return;
+    case SoakFault::LeavingInstance:
+        m_deployment.leave(id);
+        return;
+    case SoakFault::SlowInstance:
+        server->faults().extraTime = Millis(40);
+        m_loop.after(length, [server] { server->faults().extraTime = Millis(0); });
+        return;
+    case SoakFault::FailingInstance:
+        server->faults().failEvery = 4;
+        m_loop.after(length, [server] { server->faults().failEvery = 0; });
+        return;
+    case SoakFault::LostAnswers:
+        server->faults().loseAnswers = 5;
+        return;
+    case SoakFault::LaggingReplicas:
+        m_deployment.setApplyDelay(group, Millis(800));
+        m_loop.after(length, [this, group] { m_deployment.setApplyDelay(group, Millis(8)); });
+        return;
+    case SoakFault::UnlinkedInstance:
+        m_deployment.setLinked(id, false);
+        m_loop.after(length, [this, id] { m_deployment.setLinked(id, true); });
+        return;
+    default:
+        server->faults().ordersLate = Millis(1500);
+        m_loop.after(length, [server] { server->faults().ordersLate = Millis(0); });
+        return;
+    }
+}
+
+void Soak::applyToLinks(SoakFault fault, Millis length)
+{
+    const Host &host = *m_hosts[m_random.below(m_hosts.size())];
+    const bool peers = fault == SoakFault::HeldPeers || fault == SoakFault::ResetPeers;
+    FaultProxy *proxy = instanceProxy(anyInstance());
+    if (peers)
+        proxy = host.peers.get();
+    else if (fault == SoakFault::HeldStore)
+        proxy = host.store.get();
+    FaultProxy::Faults &faults = proxy->faults();
+    switch (fault) {
+    case SoakFault::ResetLinks:
+    case SoakFault::ResetPeers:
+        proxy->resetAll();
+        return;
+    case SoakFault::SilentLinks:
+        proxy->silenceOpen();
+        return;
+    case SoakFault::DelayedLinks:
+        faults.delay = Millis(120);
+        break;
+    case SoakFault::HeldOneWay:
+        faults.holdToClient = true;
+        break;
+    default:
+        faults.holdToServer = true;
+        faults.holdToClient = true;
+        break;
+    }
+    m_loop.after(length, [proxy] { proxy->faults() = {}; });
+}
+
+void Soak::applyToStore(SoakFault fault, Millis length)
+{
+    StoreFaults &faults = m_deployment.storeServer().faults();
+    switch (fault) {
+    case SoakFault::LatePromotions:
+        faults.promotionsLate = Millis(2500);
+        break;
+    case SoakFault::StoreDown:
+        faults.down = true;
+        break;
+    case SoakFault::StoreMute:
+        faults.mute = true;
+        break;
+    case SoakFault::StoreSlow:
+        faults.delay = Millis(400);
+        break;
+    case SoakFault::StoreLosesAnswers:
+        faults.loseAnswers = 6;
+        return;
+    case SoakFault::StoreForgets:
+        m_deployment.storeServer().dropHistory();
+        return;
+    default:
+        m_deployment.changeConfiguration();
+        return;
+    }
+    m_loop.after(length, [this] { m_deployment.storeServer().faults() = {}; });
+}
+
+// Starts processes that have ended, as the platform does.
+void Soak::watchHosts()
+{
+    for (const std::unique_ptr<Host> &host : m_hosts) {
+        if (!host->mayRun || host->process->running())
+            continue;
+        host->mayRun = false;
+        m_loop.after(RestartDelay, [this, host = host.get()] {
+            Reason reason;
+            host->mayRun = true;
+            if (!host->process->start(&reason))
+                violate("a host cannot be started again: " + reason.text());
+        });
+    }
+}
+
+// Each configuration has a database of its own. A process that served a version's database must
+// not serve an earlier version's to a caller that connects later.
+void Soak::probeConfigurations()
+{
+    const std::uint64_t newest = m_deployment.configurationVersion();
+    const std::size_t index = m_random.below(m_hosts.size());
+    const Host &host = *m_hosts[index];
+    const std::uint64_t version = newest > 1 && m_random.below(2) == 0 ? newest - 1 : newest;
+    const std::uint64_t seen
+        = host.seenIncarnation == host.process->incarnation() ? host.seenVersion : 0;
+    probeDatabase(
+        &m_loop, host.callers, StandinDeployment::versionDatabase(version),
+        [=, this, incarnation = host.process->incarnation()](const std::optional<bool> &accepted) {
+            onProbe(index, incarnation, seen, version, accepted);
+        });
+}
+
+void Soak::onProbe(std::size_t index, int incarnation, std::uint64_t seen, std::uint64_t version,
+                   std::optional<bool> accepted)
+{
+    Host &host = *m_hosts[index];
+    if (!accepted.value_or(false) || incarnation != host.process->incarnation())
+        return;
+    if (version < seen)
+        violate("host " + std::to_string(index) + " went back from version " + std::to_string(seen)
+                + " to " + std::to_string(version));
+    const bool same = host.seenIncarnation == incarnation;
+    host.seenVersion = same ? std::max(host.seenVersion, version) : version;
+    host.seenIncarnation = incarnation;
+}
+
+// Everything works again; what was in progress ends by its own timers.
+void Soak::endFaults()
+{
+    m_deployment.storeServer().faults() = {};
+    for (const std::string &id : m_deployment.instances()) {
+        m_deployment.server(id).faults() = {};
+        m_deployment.setLinked(id, true);
+        m_deployment.restart(id);
+    }
+    for (const std::string &group : m_deployment.groups())
+        m_answeredBefore[group] = m_checks.at(group).checker->report().answered;
+    m_faultsEndedAt = now();
+    waitForRecovery();
+}
+
+// Each group has to answer, and each host to serve the newest configuration.
+void Soak::waitForRecovery()
+{
+    const bool groupsAnswer
+        = std::all_of(m_checks.begin(), m_checks.end(), [this](const auto &row) {
+              const PromiseReport &seen = row.second.checker->report();
+              return seen.answered >= m_answeredBefore[row.first] + AnswersToRecover
+                  && seen.lastWrite && *seen.lastWrite > m_faultsEndedAt;
+          });
+    const bool hostsServe = std::all_of(m_hosts.begin(), m_hosts.end(), [this](const auto &host) {
+        return host->seenIncarnation == host->process->incarnation()
+            && host->seenVersion == m_deployment.configurationVersion();
+    });
+    const bool late = now() - m_faultsEndedAt > RecoveryLimit;
+    if (late && !groupsAnswer)
+        violate("a group has not recovered");
+    if (late && !hostsServe)
+        violate("a host does not serve the newest configuration");
+    if (!late && (!groupsAnswer || !hostsServe)) {
+        m_loop.after(WatchInterval, [this] { waitForRecovery(); });
+        return;
+    }
+    for (const std::unique_ptr<SoakCaller> &caller : m_callers)
+        caller->stop();
+    finish();
+}
+
+void Soak::finish()
+{
+    const bool stopped = std::all_of(m_callers.begin(), m_callers.end(),
+                                     [](const auto &caller) { return caller->stopped(); });
+    if (!stopped && now() - m_faultsEndedAt < RecoveryLimit * 2) {
+        m_loop.after(WatchInterval, [this] { finish(); });
+        return;
+    }
+    for (auto &row : m_checks)
+        row.second.checker->checkAtTheEnd(now());
+    for (const std::unique_ptr<Host> &host : m_hosts) {
+        if (host->process->endedByItself())
+            violate("a host's process ended by itself");
+    }
+    m_loop.stop();
+}
+
+// Half of the time a primary.
+std::string Soak::anyInstance()
+{
+    if (m_random.below(2) == 0) {
+        const std::vector<std::string> groups = m_deployment.groups();
+        const std::string primary = m_deployment.primary(groups[m_random.below(groups.size())]);
+        if (!primary.empty())
+            return primary;
+    }
+    const std::vector<std::string> ids = m_deployment.instances();
+    return ids[m_random.below(ids.size())];
+}
+
+// A successor is reached through its predecessor's proxy.
+FaultProxy *Soak::instanceProxy(const std::string &instance)
+{
+    const std::string first = instance.substr(0, instance.find('n'));
+    return m_instanceProxies.at(first).get();
+}
+
+void Soak::violate(const std::string &text)
+{
+    m_report.violations.push_back(std::to_string((now() - m_startedAt).count()) + " ms: " + text);
+}
+
+void Soak::onRead(const std::string &group, const GroupInstance &instance,
+                  const GroupConnection &connection, const Statement &statement)
+{
+    m_checks.at(group).checker->onRead(instance, connection, statement, now());
+}
+
+void Soak::onWrite(const std::string &group, const GroupInstance &instance,
+                   const GroupConnection &connection, const Statement &statement)
+{
+    m_checks.at(group).checker->onWrite(instance, connection, statement, now());
+}
+
+void Soak::onPromoted(const std::string &group, const GroupInstance &heir)
+{
+    ++m_report.promotions;
+    m_checks.at(group).checker->onPromoted(heir, now());
+}
+
+void Soak::onPromotionOrder(const StoreServer::PromotionOrder &order)
+{
+    std::map<std::uint64_t, std::string> &holders = m_checks.at(order.group).tokenHolders;
+    const std::string &holder = holders.emplace(order.fencingToken, order.holder).first->second;
+    if (holder != order.holder)
+        violate("two hosts used one fencing token");
+}
+
+} // namespace cicadagap
--- /dev/null
+++ b/test/soak/soakcaller.cpp
@@ -0,0 +1,231 @@
+#include "soakcaller.h"
+
+#include "session/sessioncodec.h"
+#include "wirecodec.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace cicadagap {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+const WireCodec codec;
+constexpr std::string_view LineEnd = "\r\n";
+
+} // namespace
+
+// A connection to a host. After close() none of its handlers runs.
+class SoakCaller::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    struct Handlers
+    {
+        std::function<void(bool accepted)> opened;
+        std::function<void(const StatementAnswer &)> answered;
+        std::function<void()> lost;
+    };
+
+    Session(EventLoop *loop, Handlers handlers)
+        : m_socket(*loop->context())
+        , m_handlers(std::move(handlers))
+        , m_collector(&codec)
+    {
+    }
+
+    void open(const Endpoint &host, const std::string &database)
+    {
+        m_output = "CONNECT " + database + " soak" + std::string(LineEnd);
+        const tcp::endpoint endpoint(asio::ip::make_address(host.address), host.port);
+        m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
+            if (error) {
+                self->lose();
+                return;
+            }
+            self->write();
+            self->read();
+        });
+    }
+
+    void setHandlers(Handlers handlers) { m_handlers = std::move(handlers); }
+
+    void send(Statement statement)
+    {
+        m_kind = statement.kind;
+        statement.text.clear(); // Composed from its parts.
+        codec.writeStatement(statement, &m_output);
+        write();
+    }
+
+    void close()
+    {
+        m_handlers = {};
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    void write()
+    {
+        if (!m_writing.empty() || m_output.empty())
+            return;
+        m_writing = std::exchange(m_output, {});
+        asio::async_write(m_socket, asio::buffer(m_writing),
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              self->m_writing.clear();
+                              if (error)
+                                  self->lose();
+                              else
+                                  self->write();
+                          });
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(
+            asio::buffer(m_input),
+            [self = shared_from_this()](const error_code &error, std::size_t length) {
+                if (error) {
+                    self->lose();
+                    return;
+                }
+                self->m_lines.append({self->m_input.data(), length});
+                while (const std::optional<std::string_view> line = self->m_lines.next())
+                    self->take(*line);
+                self->read();
+            });
+    }
+
+    void take(std::string_view line)
+    {
+        std::optional<TargetMessage> message = codec.parseTarget(line, nullptr);
+        if (!message) {
+            lose();
+            return;
+        }
+        if (!m_open) {
+            m_open = message->kind == TargetMessage::Kind::Ready;
+            // The handler may close the session, which drops it.
+            const std::function<void(bool)> opened = m_handlers.opened;
+            if (opened)
+                opened(m_open);
+            return;
+        }
+        const std::optional<StatementAnswer> answer = m_collector.add(std::move(*message), m_kind);
+        const std::function<void(const StatementAnswer &)> answered = m_handlers.answered;
+        if (answer && answered)
+            answered(*answer);
+    }
+
+    void lose()
+    {
+        const std::function<void()> lost = std::exchange(m_handlers, {}).lost;
+        error_code ignored;
+        m_socket.close(ignored);
+        if (lost)
+            lost();
+    }
+
+    tcp::socket m_socket;
+    Handlers m_handlers;
+    AnswerCollector m_collector;
+    LineBuffer m_lines;
+    std::array<char, 4096> m_input{};
+    std::string m_output;
+    std::string m_writing;
+    StatementKind m_kind = StatementKind::Unknown;
+    bool m_open = false;
+};
+
+SoakCaller::SoakCaller(EventLoop *loop, Options options, PromiseChecker *checker,
+                       std::size_t number, std::function<Endpoint()> chooseHost)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_checker(checker)
+    , m_number(number)
+    , m_chooseHost(std::move(chooseHost))
+    , m_random(m_options.seed)
+{
+}
+
+void SoakCaller::connect()
+{
+    if (m_stopping) {
+        m_stopped = true;
+        return;
+    }
+    m_checker->startSession(m_number);
+    m_session = std::make_shared<Session>(
+        m_loop,
+        Session::Handlers{.opened =
+                              [this](bool accepted) {
+                                  if (accepted)
+                                      sendNext();
+                                  else
+                                      onLost();
+                              },
+                          .answered = [this](const StatementAnswer &answer) { onAnswer(answer); },
+                          .lost = [this] { onLost(); }});
+    m_session->open(m_chooseHost(), m_options.database);
+}
+
+void SoakCaller::sendNext()
+{
+    if (m_stopping && m_checker->phase(m_number) == SessionPhase::Idle) {
+        m_session->close();
+        m_stopped = true;
+        return;
+    }
+    const Statement statement = m_checker->nextStatement(m_number, m_clock.now());
+    m_session->send(statement);
+    m_loop->after(m_options.patience,
+                  [this, session = std::weak_ptr(m_session), id = statement.id] {
+                      if (session.expired() || session.lock() != m_session
+                          || !m_checker->awaits(m_number, id))
+                          return;
+                      m_session->close();
+                      onLost();
+                  });
+}
+
+void SoakCaller::onAnswer(const StatementAnswer &answer)
+{
+    m_checker->onAnswer(m_number, answer, m_clock.now());
+    constexpr std::uint64_t LongestThought = 60; // ms
+    m_loop->after(Millis(1 + std::int64_t(m_random.below(LongestThought))),
+                  [this, session = std::weak_ptr(m_session)] {
+                      if (!session.expired() && session.lock() == m_session)
+                          sendNext();
+                  });
+}
+
+void SoakCaller::onLost()
+{
+    constexpr std::uint64_t LongestPause = 300; // ms
+    m_session.reset();
+    m_checker->startSession(m_number);
+    m_loop->after(Millis(50 + std::int64_t(m_random.below(LongestPause))), [this] { connect(); });
+}
+
+void probeDatabase(EventLoop *loop, const Endpoint &host, const std::string &database,
+                   std::function<void(std::optional<bool>)> done)
+{
+    const auto session
+        = std::make_shared<SoakCaller::Session>(loop, SoakCaller::Session::Handlers{});
+    session->setHandlers({.opened =
+                              [session, done](bool accepted) {
+                                  session->close();
+                                  done(accepted);
+                              },
+                          .answered = {},
+                          .lost = [done] { done(std::nullopt); }});
+    session->open(host, database);
+}
+
+} // namespace cicadagap
