--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -149,7 +149,7 @@
     if (!found)
         return;
     Instance &instance = m_instances.at(found->instance);
-    if (needsSlot(statement.kind))
+    if (needsSlot(statement.kind) && !std::exchange(found->reserved, false))
         ++instance.slotsTaken;
     // A gateway restores the session's state by itself and does not tell.
     if (!found->relayed || purpose != SendPurpose::Restore)
@@ -204,6 +204,7 @@
     found->state = State::Draining;
     found->owner = 0;
     found->workSent = false;
+    giveBackReserved(found);
     settle(now, connection);
 }
 
@@ -505,6 +506,8 @@
     connection.owner = work.id;
     connection.since = now;
     connection.workSent = false;
+    connection.reserved = work.needsSlot;
+    instance->slotsTaken += work.needsSlot ? 1 : 0;
     m_listener->onWorkStarted(now, work.id, *chosen);
     return true;
 }
@@ -585,6 +588,7 @@
     }
     if (found->state == State::Opening)
         --instance.opening;
+    giveBackReserved(found);
     const bool relayed = found->relayed.has_value();
     const std::string gateway = found->gateway;
     const bool mayBeOpen
@@ -611,6 +615,13 @@
         pump(now, found->instance);
 }
 
+// Its work ended without a statement that needs a slot.
+void TargetFleet::giveBackReserved(Connection *connection)
+{
+    if (std::exchange(connection->reserved, false))
+        --m_instances.at(connection->instance).slotsTaken;
+}
+
 void TargetFleet::noteAnswer(Millis now, Instance *instance, const Sent &sent)
 {
     const auto took = static_cast<double>((now - sent.at).count());
--- a/src/session/targetfleet.h
+++ b/src/session/targetfleet.h
@@ -1,10 +1,11 @@
 // This host's connections to all instances, and the work that waits for them.
 //
 // Each instance has a queue in order of priority. A work item starts when one of the instance's
-// slots is free as far as this host knows, and a connection is idle; connections are opened on
-// demand, kept, and closed when they stay idle. An instance that refuses a connection because other
-// hosts hold them all is asked again later; the work waits here, where it can still be ordered,
-// moved or refused.
+// slots is free as far as this host knows, and a connection is idle; it keeps that slot until its
+// first statement takes it, however long a transaction takes to open before. Connections are opened
+// on demand, kept, and closed when they stay idle. An instance that refuses a connection because
+// other hosts hold them all is asked again later; the work waits here, where it can still be
+// ordered, moved or refused.
 //
 // Load pattern: several times more statements than slots, all hosts at once. Waiting in this queue
 // instead of the instance's keeps the order by priority and the refusals truthful.
@@ -189,6 +190,7 @@
         std::deque<Sent> awaited;
         std::vector<RelayedStatement> unsent;
         bool workSent = false;
+        bool reserved = false; // A slot is kept for the work's first statement.
         // Of relayed work only.
         std::string gateway;
         std::optional<TargetWork> relayed;
@@ -236,6 +238,7 @@
     void forget(Millis now, ConnectionId connection);
     void settle(Millis now, ConnectionId connection);
     void noteAnswer(Millis now, Instance *instance, const Sent &sent);
+    void giveBackReserved(Connection *connection);
     Connection *find(ConnectionId connection);
 
     Options m_options;
--- a/test/soak/hostprocess.cpp
+++ b/test/soak/hostprocess.cpp
@@ -26,6 +26,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_options.log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, LogMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // The child would keep our listening sockets open otherwise.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string flag = "--settings";
     const std::array<char *, 4> arguments{m_options.program.data(), flag.data(),
                                           m_options.settings.data(), nullptr};
--- a/test/soak/soakcaller.cpp
+++ b/test/soak/soakcaller.cpp
@@ -189,7 +189,6 @@
                       if (session.expired() || session.lock() != m_session
                           || !m_checker->awaits(m_number, id))
                           return;
-                      m_session->close();
                       onLost();
                   });
 }
@@ -208,6 +207,8 @@
 void SoakCaller::onLost()
 {
     constexpr std::uint64_t LongestPause = 300; // ms
+    // A refused session would be lost once more when the host closes it.
+    m_session->close();
     m_session.reset();
     m_checker->startSession(m_number);
     m_loop->after(Millis(50 + std::int64_t(m_random.below(LongestPause))), [this] { connect(); });
