Send a relayed transaction's opening and first statement together

Cause: a strict read took two round trips to its gateway, and its kept slot stood idle during the second. Change: the gateway gets both, sends the statement once the opening has succeeded, and never if it was refused.

--- a/src/session/relay.cpp
+++ b/src/session/relay.cpp
@@ -1,6 +1,7 @@
 #include "session/relay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadagap {
 
@@ -122,9 +123,21 @@
     const PreparedStatement *prepared = channel->prepared ? &*channel->prepared : nullptr;
     m_fleet->restore(now, channel->connection, channel->values, prepared);
     channel->awaited = channel->statements.size();
-    for (RelayedStatement &entry : channel->statements)
+    const bool opens = !channel->statements.empty()
+        && channel->statements.front().purpose == SendPurpose::OpenTransaction;
+    if (!opens) {
+        sendStatements(now, channel);
+        return;
+    }
+    RelayedStatement opening = std::move(channel->statements.front());
+    channel->statements.erase(channel->statements.begin());
+    m_fleet->send(now, channel->connection, opening.purpose, std::move(opening.statement));
+}
+
+void Relay::sendStatements(Millis now, Channel *channel)
+{
+    for (RelayedStatement &entry : std::exchange(channel->statements, {}))
         m_fleet->send(now, channel->connection, entry.purpose, std::move(entry.statement));
-    channel->statements.clear();
 }
 
 bool Relay::onWorkRefused(WorkId work, Cause cause)
@@ -147,11 +160,20 @@
         return true;
     channel->lastUsed = now;
     channel->reply.answers.push_back(answer);
-    if (--channel->awaited > 0)
+    --channel->awaited;
+    const bool refused = purpose == SendPurpose::OpenTransaction && !answer.succeeded();
+    if (refused) {
+        // What was to run inside the transaction does not run.
+        channel->statements.clear();
+        channel->awaited = 0;
+    }
+    if (purpose == SendPurpose::OpenTransaction)
+        sendStatements(now, channel);
+    if (channel->awaited > 0)
         return true;
     if (answer.phase == SessionPhase::Idle) {
         m_fleet->release(now, channel->connection);
-        finish(key, Cause::None, /*sent=*/true);
+        finish(key, Cause::None, /*sent=*/!refused);
         return true;
     }
     const Reply done = std::exchange(channel->done, nullptr);
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -2,7 +2,8 @@
 //
 // A channel stands for one piece of another host's work: a single statement, or a transaction. It
 // takes a connection with its first batch, keeps it while a transaction is open, and gives it back
-// as soon as the connection is idle. A batch is answered as a whole, in order.
+// as soon as the connection is idle. A batch is answered as a whole, in order. If it opens a
+// transaction, the rest is sent once the instance has opened it, and never if it has refused.
 //
 // Pure and not thread-safe: actions go to a RelayOutput.
 #pragma once
@@ -68,6 +69,7 @@
     };
 
     void sendBatch(Millis now, Channel *channel);
+    void sendStatements(Millis now, Channel *channel);
     void finish(const ChannelKey &key, Cause cause, bool sent);
     Channel *find(WorkId work, ChannelKey *key);
 
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -328,7 +328,7 @@
         if (now <= operation.expiresAt)
             return;
         m_fleet.discard(now, operation.connection);
-        if (operation.stage == Stage::Opening) {
+        if (operation.stage == Stage::Opening || (operation.sentAhead && !operation.opened)) {
             m_works.erase(operation.work);
             retry(now, id, session, Cause::ConnectionLost);
         } else {
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -150,7 +150,8 @@
         WorkId work = 0;
         ConnectionId connection = 0;
         Stage stage = Stage::Waiting;
-        bool opened = false; // The transaction around it is open.
+        bool opened = false;    // The transaction around it is open.
+        bool sentAhead = false; // With the opening; the gateway runs it once that has succeeded.
         Millis startedAt;
         Millis expiresAt;
     };
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -268,6 +268,10 @@
     operation.stage = Stage::Opening;
     setExpiry(now, &operation);
     m_fleet.send(now, connection, SendPurpose::OpenTransaction, std::move(opening));
+    operation.opened = false;
+    operation.sentAhead = !m_fleet.isDirect(operation.instance);
+    if (operation.sentAhead)
+        sendOperation(now, session);
 }
 
 // A statement has its route's time at the instance. What is relayed may wait at the gateway before.
@@ -348,12 +352,13 @@
             session->transaction->work = operation.work;
             session->transaction->instance = operation.instance;
         }
-        sendOperation(now, session);
+        if (!operation.sentAhead)
+            sendOperation(now, session);
         return;
     }
     if (answer.cause == Cause::NotPrimary)
         m_control.onDoesNotLead(now, operation.instance, sentAt);
-    if (answer.phase != SessionPhase::Idle)
+    if (answer.phase != SessionPhase::Idle && !operation.sentAhead)
         m_fleet.send(now, operation.connection, SendPurpose::CloseTransaction,
                      {.kind = StatementKind::Rollback});
     m_fleet.release(now, operation.connection);
--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -330,7 +330,7 @@
         onAnswer(now, connection, answer);
     }
     Connection *found = find(connection);
-    if (!found || !reply.ended || reply.cause == Cause::None)
+    if (!found || !reply.ended)
         return;
     const bool owned = found->state == State::Owned;
     const bool refused = !reply.sent && !found->answered;
--- a/src/session/tst_targetfleet.cpp
+++ b/src/session/tst_targetfleet.cpp
@@ -1,4 +1,5 @@
 // How much work a host starts at an instance, and when the next piece may follow.
+#include "session/relay.h"
 #include "session/targetfleet.h"
 
 #include <gtest/gtest.h>
@@ -101,5 +102,96 @@
     EXPECT_EQ(opener.started.size(), std::size_t(Slots) + 2);
 }
 
+// Hands everything to a relay, as a gateway does.
+class Gateway : public TargetListener
+{
+public:
+    void onWorkStarted(Millis now, WorkId work, ConnectionId connection) override
+    {
+        relay->onWorkStarted(now, work, connection);
+    }
+    void onWorkRefused(Millis, WorkId work, Cause cause) override
+    {
+        relay->onWorkRefused(work, cause);
+    }
+    void onWorkAnswer(Millis now, WorkId work, ConnectionId, SendPurpose purpose, StatementKind,
+                      Millis, const StatementAnswer &answer) override
+    {
+        relay->onWorkAnswer(now, work, purpose, answer);
+    }
+    void onWorkConnectionLost(Millis, WorkId work, ConnectionId, bool workSent) override
+    {
+        relay->onWorkConnectionLost(work, workSent);
+    }
+    void onTargetAsked(Millis, const std::string &) override { }
+    void onTargetHeard(Millis, const std::string &) override { }
+    void onTargetRefused(Millis, const std::string &) override { }
+
+    Relay *relay = nullptr;
+};
+
+// A read in a transaction of its own arrives as one batch.
+class RelayedRead : public testing::Test
+{
+protected:
+    RelayedRead()
+    {
+        gateway.relay = &relay;
+        fleet.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
+        fleet.onOpened(Millis(0), wire.opening.back());
+        relay.onBatch(Millis(1),
+                      {.origin = "o",
+                       .channel = 1,
+                       .instance = "i",
+                       .patience = Millis(1000),
+                       .statements = {{.statement = {.kind = StatementKind::Begin},
+                                       .purpose = SendPurpose::OpenTransaction},
+                                      {.statement = {.id = "q", .kind = StatementKind::Read}},
+                                      {.statement = {.kind = StatementKind::Rollback},
+                                       .purpose = SendPurpose::CloseTransaction}}},
+                      [this](const RelayReply &answer) { reply = answer; });
+        fleet.flush(Millis(1));
+    }
+
+    void answer(const StatementAnswer &answer)
+    {
+        fleet.onAnswer(Millis(2), wire.opening.back(), answer);
+        fleet.flush(Millis(2));
+    }
+
+    Wire wire;
+    Gateway gateway;
+    std::optional<RelayReply> reply;
+    WorkId lastWork = 0;
+    TargetFleet fleet{{}, &wire, &gateway, [](Millis, const std::string &) { return ""; }};
+    Relay relay{&fleet, [this] { return ++lastWork; },
+                [](const std::string &, Millis) { return std::nullopt; }};
+};
+
+TEST_F(RelayedRead, RunsOnlyOnceItsTransactionIsOpen)
+{
+    EXPECT_EQ(wire.sent, 1U);
+    answer({.phase = SessionPhase::Transaction});
+    EXPECT_EQ(wire.sent, 3U);
+    EXPECT_FALSE(reply);
+    answer({.rows = {"row"}, .phase = SessionPhase::Transaction});
+    answer({});
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->answers.size(), 3U);
+    EXPECT_TRUE(reply->ended);
+}
+
+TEST_F(RelayedRead, DoesNotRunIfItsTransactionIsRefused)
+{
+    answer({.cause = Cause::NotPrimary});
+    EXPECT_EQ(wire.sent, 1U);
+    ASSERT_TRUE(reply);
+    ASSERT_EQ(reply->answers.size(), 1U);
+    EXPECT_EQ(reply->answers[0].cause, Cause::NotPrimary);
+    EXPECT_TRUE(reply->ended);
+    EXPECT_FALSE(reply->sent);
+    EXPECT_TRUE(fleet.hasIdle("i"));
+}
+
 } // namespace
 } // namespace cicadagap
--- a/test/sessionworld.cpp
+++ b/test/sessionworld.cpp
@@ -368,7 +368,8 @@
                     return;
                 }
                 at(m_now + NetworkDelay, [=, this] {
-                    if (!reaches(host, id))
+                    // A killed host's answers do not reach its successor.
+                    if (!reaches(host, id) || m_hosts[host]->incarnation != incarnation)
                         return;
                     atHost(host, m_now, [=, this](SimHost *owner) {
                         owner->engine.onTargetAnswer(m_now, connection, answer);
