Let gateways notice writes that a primary does not acknowledge

Cause: a stalled primary is told by writes that wait, and only those of the host's own callers counted; where hosts relay, those who may replace a primary have few callers. Change: writes on relayed channels count too.

--- a/src/session/relay.cpp
+++ b/src/session/relay.cpp
@@ -136,8 +136,27 @@
 
 void Relay::sendStatements(Millis now, Channel *channel)
 {
-    for (RelayedStatement &entry : std::exchange(channel->statements, {}))
+    const bool preparedWrite = channel->prepared && channel->prepared->writes;
+    for (RelayedStatement &entry : std::exchange(channel->statements, {})) {
+        const StatementKind kind = entry.statement.kind;
+        const bool writes = kind == StatementKind::Write || kind == StatementKind::Commit
+            || (kind == StatementKind::Execute && preparedWrite);
+        if (writes)
+            channel->writingSince = now;
         m_fleet->send(now, channel->connection, entry.purpose, std::move(entry.statement));
+    }
+}
+
+std::map<std::string, Millis> Relay::oldestWrites() const
+{
+    std::map<std::string, Millis> oldest;
+    for (const auto &[key, channel] : m_channels) {
+        if (!channel.writingSince)
+            continue;
+        Millis &since = oldest.emplace(channel.instance, *channel.writingSince).first->second;
+        since = std::min(since, *channel.writingSince);
+    }
+    return oldest;
 }
 
 bool Relay::onWorkRefused(WorkId work, Cause cause)
@@ -171,6 +190,7 @@
         sendStatements(now, channel);
     if (channel->awaited > 0)
         return true;
+    channel->writingSince.reset();
     if (answer.phase == SessionPhase::Idle) {
         m_fleet->release(now, channel->connection);
         finish(key, Cause::None, /*sent=*/!refused);
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -47,6 +47,8 @@
     {
         return m_channels.contains({origin, channel});
     }
+    // By instance, since when a write that was sent has had no answer.
+    std::map<std::string, Millis> oldestWrites() const;
     // Whether the work only reads and may be tried elsewhere.
     bool onlyReads(WorkId work) const;
 
@@ -66,6 +68,7 @@
         Reply done; // Set while a batch is in progress.
         Millis lastUsed;
         bool onlyReads = false;
+        std::optional<Millis> writingSince; // A write or a commit was sent, and not answered yet.
     };
 
     void sendBatch(Millis now, Channel *channel);
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -276,6 +276,13 @@
         }
     }
     m_relay.onTick(now, m_routing.transactionIdle);
+    for (const auto &[instance, since] : m_relay.oldestWrites()) {
+        const auto known = m_instances.find(instance);
+        if (known == m_instances.end())
+            continue;
+        Millis &oldest = oldestWrites.emplace(known->second.group, since).first->second;
+        oldest = std::min(oldest, since);
+    }
     m_control.setOldestWrites(oldestWrites);
     m_control.onTick(now);
     breakSilent(now);
--- a/src/session/tst_targetfleet.cpp
+++ b/src/session/tst_targetfleet.cpp
@@ -193,5 +193,32 @@
     EXPECT_TRUE(fleet.hasIdle("i"));
 }
 
+// A primary that acknowledges nothing is noticed by the gateways: other hosts' writes wait there.
+TEST(RelayedWrite, IsKnownToWaitUntilItIsAnswered)
+{
+    Wire wire;
+    Gateway gateway;
+    WorkId lastWork = 0;
+    TargetFleet fleet({}, &wire, &gateway, [](Millis, const std::string &) { return ""; });
+    Relay relay(
+        &fleet, [&] { return ++lastWork; },
+        [](const std::string &, Millis) { return std::nullopt; });
+    gateway.relay = &relay;
+    fleet.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
+    fleet.onOpened(Millis(0), wire.opening.back());
+    relay.onBatch(Millis(5),
+                  {.origin = "o",
+                   .channel = 1,
+                   .instance = "i",
+                   .patience = Millis(1000),
+                   .statements = {{.statement = {.id = "q", .kind = StatementKind::Write}}}},
+                  [](const RelayReply &) {});
+    fleet.flush(Millis(5));
+    const std::map<std::string, Millis> waiting{{"i", Millis(5)}};
+    EXPECT_EQ(relay.oldestWrites(), waiting);
+    fleet.onAnswer(Millis(9), wire.opening.back(), {});
+    EXPECT_TRUE(relay.oldestWrites().empty());
+}
+
 } // namespace
 } // namespace cicadagap
