Explain a request from log files; write metrics as text with histograms

Change: `cicadagap explain ID LOG...`; Metrics::text(), served at /metrics of the session server; the relay's codec has names of its own.

--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -31,6 +31,8 @@
     void observe(std::string_view name, Millis value);
     // {"counters": {...}, "latencies": {NAME: {"count", "meanMs", "p50Ms", "p99Ms", "maxMs"}}}
     std::string json() const;
+    // The same in the text format of the usual collectors, with a histogram of each distribution.
+    std::string text() const;
 
 private:
     struct Shard;
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -391,11 +391,11 @@
     }
     batch.origin = m_origin;
     m_metrics.add("relays.sent");
-    link->call({.path = RelayPath, .body = encodeBatch(batch)}, batch.patience + RelayMargin,
+    link->call({.path = RelayPath, .body = encodeRelayBatch(batch)}, batch.patience + RelayMargin,
                [this, connection, gateway, fail](const PeerReply &answer) {
                    Reason reason;
                    const std::optional<RelayReply> reply = answer.verdict == Verdict::Ran
-                       ? decodeReply(answer.body, &reason)
+                       ? decodeRelayReply(answer.body, &reason)
                        : std::nullopt;
                    if (reply)
                        m_engine.onRelayReply(now(), connection, gateway, *reply);
@@ -410,7 +410,7 @@
     if (!link)
         return;
     const RelayBatch batch{.origin = m_origin, .channel = connection};
-    link->call({.path = DropPath, .body = encodeBatch(batch)}, RelayMargin,
+    link->call({.path = DropPath, .body = encodeRelayBatch(batch)}, RelayMargin,
                [gateway](const PeerReply &answer) {
                    if (answer.verdict != Verdict::Ran)
                        logEvent(LogLevel::Warning, "gateway.drop-failed", {{"gateway", gateway}});
@@ -424,10 +424,10 @@
         return;
     }
     Reason reason;
-    std::optional<RelayBatch> batch = decodeBatch(request.body, &reason);
+    std::optional<RelayBatch> batch = decodeRelayBatch(request.body, &reason);
     if (!batch) {
         logEvent(LogLevel::Warning, "peer.request-unreadable", {{"reason", reason.text()}});
-        respond(encodeReply({.ended = true, .cause = Cause::Invalid}));
+        respond(encodeRelayReply({.ended = true, .cause = Cause::Invalid}));
         return;
     }
     if (request.path == DropPath) {
@@ -437,14 +437,15 @@
     }
     m_metrics.add("relays.received");
     m_engine.onRelayBatch(now(), std::move(*batch),
-                          [respond](const RelayReply &reply) { respond(encodeReply(reply)); });
+                          [respond](const RelayReply &reply) { respond(encodeRelayReply(reply)); });
 }
 
 HttpResponse SessionServer::answerBalancer(const HttpRequest &request)
 {
     constexpr int Unavailable = 503;
     if (targetPath(request.target) == "/metrics")
-        return {.body = m_metrics.json()};
+        return {.headers = {{"content-type", "text/plain; version=0.0.4"}},
+                .body = m_metrics.text()};
     return {.status = m_engine.ready() ? 200 : Unavailable};
 }
 
--- a/src/programs/cicadagap/commands.cpp
+++ b/src/programs/cicadagap/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "explain.h"
+
 #include "burnreport.h"
 #include "connection/blocking.h"
 #include "connection/wire.h"
@@ -16,6 +18,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <memory>
 #include <thread>
 
 namespace cicadagap {
@@ -333,6 +336,28 @@
     return ExitDone;
 }
 
+int explain(const std::string &requestId, const std::vector<std::string> &files)
+{
+    std::vector<std::unique_ptr<std::ifstream>> opened;
+    std::vector<std::istream *> logs;
+    for (const std::string &name : files) {
+        if (name == "-") {
+            logs.push_back(&std::cin);
+            continue;
+        }
+        opened.push_back(std::make_unique<std::ifstream>(name));
+        if (!*opened.back()) {
+            std::cerr << "cannot read " << name << '\n';
+            return ExitUsage;
+        }
+        logs.push_back(opened.back().get());
+    }
+    if (explainRequest({.requestId = requestId}, logs, &std::cout))
+        return ExitDone;
+    std::cerr << "no line mentions " << requestId << '\n';
+    return ExitFailed;
+}
+
 int printReference()
 {
     std::cout << "### Team settings\n\n"
--- a/src/programs/cicadagap/commands.h
+++ b/src/programs/cicadagap/commands.h
@@ -65,6 +65,9 @@
 // The service-level burn of all hosts together.
 int showBurn(const BurnOptions &options);
 
+// Tells from log files ("-": standard input) what became of a request and why.
+int explain(const std::string &requestId, const std::vector<std::string> &files);
+
 // Replaces the platform's host list with one made from host settings files.
 int registerHosts(const Endpoint &platform, const std::vector<std::string> &files);
 
--- a/src/programs/cicadagap/main.cpp
+++ b/src/programs/cicadagap/main.cpp
@@ -19,6 +19,7 @@
   status                     what a host knows: hosts, primaries, gateways
   outcome                    what became of a request id; one that has not run is cancelled
   burn                       service-level burn by team and class
+  explain ID FILE...         what became of a request and why, from log files ("-": standard input)
   register FILE...           give the platform's stand-in its host list
   reference                  print the reference of all settings
 
@@ -28,6 +29,7 @@
   cicadagap wait --team valle --version 4 --entry 127.0.0.1:8001
   cicadagap outcome --team valle --group tensile --request-id pull-77 --entry 127.0.0.1:8001
   cicadagap burn --entry 127.0.0.1:8001 --svg burn.svg
+  cicadagap explain 5c0e7a21d94b36f8 host1.log host2.log
 
 Exit codes
   0 done   1 something did not answer   2 wrong usage or settings
@@ -105,6 +107,14 @@
         return showBurn({.entry = endpointOption(arguments, "entry"),
                          .json = arguments.count("json") > 0,
                          .svg = text("svg")});
+    if (command == "explain") {
+        std::vector<std::string> logs = files(arguments);
+        const std::string requestId = logs.front();
+        logs.erase(logs.begin());
+        if (logs.empty())
+            throw cxxopts::exceptions::exception("expected an id and log files");
+        return explain(requestId, logs);
+    }
     if (command == "register")
         return registerHosts(endpointOption(arguments, "platform"), files(arguments));
     if (command == "reference")
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -104,7 +104,7 @@
 
 } // namespace
 
-std::string encodeBatch(const RelayBatch &batch)
+std::string encodeRelayBatch(const RelayBatch &batch)
 {
     relaywire::Batch out;
     out.set_origin(batch.origin);
@@ -121,7 +121,7 @@
     return out.SerializeAsString();
 }
 
-std::string encodeReply(const RelayReply &reply)
+std::string encodeRelayReply(const RelayReply &reply)
 {
     relaywire::Reply out;
     for (const StatementAnswer &answer : reply.answers)
@@ -133,7 +133,7 @@
     return out.SerializeAsString();
 }
 
-std::optional<RelayBatch> decodeBatch(std::string_view bytes, Reason *reason)
+std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason)
 {
     relaywire::Batch in;
     if (!parse(bytes, &in, reason))
@@ -158,7 +158,7 @@
     return batch;
 }
 
-std::optional<RelayReply> decodeReply(std::string_view bytes, Reason *reason)
+std::optional<RelayReply> decodeRelayReply(std::string_view bytes, Reason *reason)
 {
     relaywire::Reply in;
     if (!parse(bytes, &in, reason))
--- a/src/session/relaycodec.h
+++ b/src/session/relaycodec.h
@@ -10,11 +10,11 @@
 
 namespace cicadagap {
 
-std::string encodeBatch(const RelayBatch &batch);
-std::string encodeReply(const RelayReply &reply);
+std::string encodeRelayBatch(const RelayBatch &batch);
+std::string encodeRelayReply(const RelayReply &reply);
 
 // Nothing, and a reason, for bytes that are not a batch or a reply.
-std::optional<RelayBatch> decodeBatch(std::string_view bytes, Reason *reason);
-std::optional<RelayReply> decodeReply(std::string_view bytes, Reason *reason);
+std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason);
+std::optional<RelayReply> decodeRelayReply(std::string_view bytes, Reason *reason);
 
 } // namespace cicadagap
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -252,7 +252,7 @@
                                               .name = "rq",
                                               .argument = "1",
                                               .after = Position{.term = 2, .index = 9}}});
-    EXPECT_EQ(decodeBatch(encodeBatch(batch), nullptr), batch);
+    EXPECT_EQ(decodeRelayBatch(encodeRelayBatch(batch), nullptr), batch);
 }
 
 TEST(RelayCodec, KeepsReplies)
@@ -265,9 +265,9 @@
                              .phase = SessionPhase::Transaction,
                              .position = Position{.term = 1, .index = 2},
                              .status = InstanceStatus{.primary = true, .term = 3, .heldTerm = 4}});
-    const std::optional<RelayReply> read = decodeReply(encodeReply(reply), nullptr);
+    const std::optional<RelayReply> read = decodeRelayReply(encodeRelayReply(reply), nullptr);
     ASSERT_TRUE(read);
-    EXPECT_EQ(encodeReply(*read), encodeReply(reply));
+    EXPECT_EQ(encodeRelayReply(*read), encodeRelayReply(reply));
     EXPECT_EQ(read->answers.front().rows, reply.answers.front().rows);
     EXPECT_EQ(read->answers.front().status->heldTerm, 4U);
 }
@@ -275,8 +275,8 @@
 TEST(RelayCodec, SurvivesAnyBytes)
 {
     EXPECT_TRUE(rc::check("bytes", [](const std::string &bytes) {
-        decodeBatch(bytes, nullptr);
-        decodeReply(bytes, nullptr);
+        decodeRelayBatch(bytes, nullptr);
+        decodeRelayReply(bytes, nullptr);
     }));
 }
 
--- a/test/sessionworld.cpp
+++ b/test/sessionworld.cpp
@@ -287,17 +287,18 @@
 {
     const std::size_t to = std::stoul(gateway.substr(4));
     batch.origin = "host" + std::to_string(host) + "/" + std::to_string(m_hosts[host]->incarnation);
-    const std::string bytes = encodeBatch(batch);
+    const std::string bytes = encodeRelayBatch(batch);
     const std::uint64_t incarnation = m_hosts[to]->incarnation;
     const auto answer = [=, this](const RelayReply &reply) {
-        const std::string encoded = encodeReply(reply);
+        const std::string encoded = encodeRelayReply(reply);
         atHost(host, m_now + NetworkDelay, [=, this](SimHost *origin) {
-            origin->engine.onRelayReply(m_now, connection, gateway, *decodeReply(encoded, nullptr));
+            origin->engine.onRelayReply(m_now, connection, gateway,
+                                        *decodeRelayReply(encoded, nullptr));
         });
     };
     const auto answered = std::make_shared<bool>(false);
     atHost(to, m_now + NetworkDelay, [=, this](SimHost *target) {
-        target->engine.onRelayBatch(m_now, *decodeBatch(bytes, nullptr),
+        target->engine.onRelayBatch(m_now, *decodeRelayBatch(bytes, nullptr),
                                     [=](const RelayReply &reply) {
                                         *answered = true;
                                         answer(reply);
