Let statements of open transactions wait for a slot where they are sent

Cause: a transaction's later statements went to the instance at once; refused as busy, they came again at each tick. Change: they wait for a slot on the host or gateway, before all new work.

--- a/src/session/targetfleet.cpp
+++ b/src/session/targetfleet.cpp
@@ -149,14 +149,46 @@
     if (!found)
         return;
     Instance &instance = m_instances.at(found->instance);
-    if (needsSlot(statement.kind) && !std::exchange(found->reserved, false))
+    RelayedStatement entry{.statement = std::move(statement), .purpose = purpose};
+    // A gateway holds back what it is sent.
+    const bool waits = !found->relayed && !found->reserved && needsSlot(entry.statement.kind)
+        && !slotFree(now, instance);
+    if (!waits && found->held.empty()) {
+        sendNow(now, connection, found, std::move(entry));
+        return;
+    }
+    if (found->held.empty())
+        instance.holding.push_back(connection);
+    found->held.push_back(std::move(entry));
+}
+
+void TargetFleet::sendNow(Millis now, ConnectionId id, Connection *connection,
+                          RelayedStatement entry)
+{
+    Instance &instance = m_instances.at(connection->instance);
+    const StatementKind kind = entry.statement.kind;
+    if (needsSlot(kind) && !std::exchange(connection->reserved, false))
         ++instance.slotsTaken;
     // A gateway restores the session's state by itself and does not tell.
-    if (!found->relayed || purpose != SendPurpose::Restore)
-        found->awaited.push_back({.purpose = purpose, .kind = statement.kind, .at = now});
-    found->workSent = found->workSent || purpose == SendPurpose::Work;
-    found->unsent.push_back({.statement = std::move(statement), .purpose = purpose});
-    m_toFlush.insert(connection);
+    if (!connection->relayed || entry.purpose != SendPurpose::Restore)
+        connection->awaited.push_back({.purpose = entry.purpose, .kind = kind, .at = now});
+    connection->workSent = connection->workSent || entry.purpose == SendPurpose::Work;
+    connection->unsent.push_back(std::move(entry));
+    m_toFlush.insert(id);
+}
+
+// Lets statements of open transactions go, as far as slots are free.
+void TargetFleet::sendHeld(Millis now, Instance *instance)
+{
+    while (!instance->holding.empty() && slotFree(now, *instance)) {
+        const ConnectionId id = instance->holding.front();
+        instance->holding.pop_front();
+        Connection *connection = find(id);
+        if (!connection)
+            continue; // It is closed.
+        for (RelayedStatement &entry : std::exchange(connection->held, {}))
+            sendNow(now, id, connection, std::move(entry));
+    }
 }
 
 // Statements sent in one turn leave in one write.
@@ -294,7 +326,7 @@
     found = find(connection);
     if (found && found->state == State::Draining) {
         const bool clean = answer.phase == SessionPhase::Idle;
-        if (found->awaited.empty() && !clean)
+        if (found->awaited.empty() && found->held.empty() && !clean)
             forget(now, connection);
         else
             settle(now, connection);
@@ -404,7 +436,7 @@
     const Instance &entry = found->second;
     const auto slots = static_cast<double>(std::max(1, entry.registered.slots));
     const double ahead = static_cast<double>(entry.queue->ahead(classOf(priority)))
-        + static_cast<double>(entry.slotsTaken);
+        + static_cast<double>(entry.slotsTaken + entry.holding.size());
     return Millis(static_cast<std::int64_t>(entry.serviceMs * (ahead / slots)));
 }
 
@@ -463,6 +495,7 @@
     const auto found = m_instances.find(instance);
     if (found == m_instances.end() || found->second.removed || !found->second.direct)
         return;
+    sendHeld(now, &found->second);
     while (startNext(now, &found->second)) { }
     openMore(now, &found->second);
 }
@@ -512,6 +545,14 @@
     return true;
 }
 
+// While an instance is crowded, it gets one statement at a time.
+bool TargetFleet::slotFree(Millis now, const Instance &instance)
+{
+    if (now < instance.crowdedUntil && instance.slotsTaken > 0)
+        return false;
+    return instance.slotsTaken < static_cast<std::size_t>(std::max(1, instance.registered.slots));
+}
+
 // Urgent work waits only for a connection, other work also for a slot.
 std::optional<WorkId> TargetFleet::nextWork(Millis now, Instance *instance)
 {
@@ -520,9 +561,7 @@
         instance->urgent.pop_front();
         return id;
     }
-    if (now < instance->crowdedUntil && instance->slotsTaken > 0)
-        return std::nullopt;
-    if (instance->slotsTaken >= static_cast<std::size_t>(std::max(1, instance->registered.slots)))
+    if (!slotFree(now, *instance))
         return std::nullopt;
     const std::optional<QueueEntry> entry = instance->queue->pop(now, /*topOnly=*/false);
     if (!entry)
@@ -605,7 +644,7 @@
 void TargetFleet::settle(Millis now, ConnectionId connection)
 {
     Connection *found = find(connection);
-    if (!found || !found->awaited.empty())
+    if (!found || !found->awaited.empty() || !found->held.empty())
         return;
     found->state = State::Idle;
     found->since = now;
--- a/src/session/targetfleet.h
+++ b/src/session/targetfleet.h
@@ -2,7 +2,8 @@
 //
 // Each instance has a queue in order of priority. A work item starts when one of the instance's
 // slots is free as far as this host knows, and a connection is idle; it keeps that slot until its
-// first statement takes it, however long a transaction takes to open before. Connections are opened
+// first statement takes it, however long a transaction takes to open before. Later statements of an
+// open transaction wait for a slot too, before all new work. Connections are opened
 // on demand, kept, and closed when they stay idle. An instance that refuses a connection because
 // other hosts hold them all is asked again later; the work waits here, where it can still be
 // ordered, moved or refused.
@@ -189,6 +190,7 @@
         Millis since; // Of its state.
         std::deque<Sent> awaited;
         std::vector<RelayedStatement> unsent;
+        std::vector<RelayedStatement> held; // Until a slot is free.
         bool workSent = false;
         bool reserved = false; // A slot is kept for the work's first statement.
         // Of relayed work only.
@@ -207,7 +209,8 @@
         bool keepOpen = false;
         bool removed = false;
         std::unique_ptr<ClassQueue> queue;
-        std::deque<WorkId> urgent; // Work that needs no slot.
+        std::deque<WorkId> urgent;        // Work that needs no slot.
+        std::deque<ConnectionId> holding; // Connections whose next statement waits for a slot.
         std::set<ConnectionId> connections;
         std::size_t opening = 0;
         std::size_t slotsTaken = 0;
@@ -239,6 +242,9 @@
     void settle(Millis now, ConnectionId connection);
     void noteAnswer(Millis now, Instance *instance, const Sent &sent);
     void giveBackReserved(Connection *connection);
+    static bool slotFree(Millis now, const Instance &instance);
+    void sendNow(Millis now, ConnectionId id, Connection *connection, RelayedStatement entry);
+    void sendHeld(Millis now, Instance *instance);
     Connection *find(ConnectionId connection);
 
     Options m_options;
--- a/src/session/tst_targetfleet.cpp
+++ b/src/session/tst_targetfleet.cpp
@@ -92,6 +92,38 @@
     EXPECT_EQ(opener.started.size(), std::size_t(Slots) + 1);
 }
 
+// Statements of open transactions wait here too, before all new work: the instance would refuse
+// them when its queue is full, and they would come again and again.
+TEST_F(Fleet, HoldsAnOpenTransactionsNextStatementUntilASlotIsFree)
+{
+    const ConnectionId first = opener.started[0];
+    const ConnectionId second = opener.started[1];
+    for (const ConnectionId connection : {first, second})
+        fleet.onAnswer(Millis(2), connection, {.phase = SessionPhase::Transaction});
+    fleet.flush(Millis(2));
+    const std::size_t before = wire.sent;
+    // Both slots are taken; a transaction has more to do.
+    fleet.send(Millis(3), first, SendPurpose::Work, {.kind = StatementKind::Read});
+    fleet.flush(Millis(3));
+    EXPECT_EQ(wire.sent, before);
+    EXPECT_EQ(opener.started.size(), std::size_t(Slots));
+    fleet.onAnswer(Millis(4), second, {});
+    fleet.flush(Millis(4));
+    EXPECT_EQ(wire.sent, before + 1);
+    EXPECT_EQ(opener.started.size(), std::size_t(Slots));
+}
+
+TEST_F(Fleet, ForgetsWhatAClosedConnectionHeldBack)
+{
+    const ConnectionId first = opener.started[0];
+    for (const ConnectionId connection : std::vector(opener.started))
+        fleet.onAnswer(Millis(2), connection, {.phase = SessionPhase::Transaction});
+    fleet.send(Millis(3), first, SendPurpose::Work, {.kind = StatementKind::Read});
+    fleet.discard(Millis(4), first);
+    fleet.onTick(Millis(5));
+    EXPECT_EQ(opener.started.size(), std::size_t(Slots) + 1);
+}
+
 TEST_F(Fleet, GivesTheSlotBackIfTheOpeningFails)
 {
     fleet.discard(Millis(2), opener.started[0]);
