--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -46,7 +46,7 @@
                         .groups = arguments["groups"].as<int>(),
                         .callers = arguments["callers"].as<int>(),
                         .connections = arguments["connections"].as<int>(),
-                        .duration = Millis(arguments["seconds"].as<int>() * 1000),
+                        .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
                         .work = arguments["work"].as<std::string>()};
@@ -73,7 +73,7 @@
                                  "Exit codes: 0 every promise kept, 1 one broken, 2 not started.");
         auto add = options.add_options();
         add("seed", "Of failures and callers", cxxopts::value<std::uint64_t>()->default_value("1"));
-        add("seconds", "Of failures", cxxopts::value<int>()->default_value("15"));
+        add("seconds", "Of failures", cxxopts::value<std::int64_t>()->default_value("15"));
         add("hosts", "Session servers", cxxopts::value<int>()->default_value("4"));
         add("groups", "Database groups of three", cxxopts::value<int>()->default_value("2"));
         add("callers", "Sessions", cxxopts::value<int>()->default_value("36"));
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -419,7 +419,7 @@
 {
     if (m_random.below(2) == 0) {
         const std::vector<std::string> groups = m_deployment.groups();
-        const std::string primary = m_deployment.primary(groups[m_random.below(groups.size())]);
+        std::string primary = m_deployment.primary(groups[m_random.below(groups.size())]);
         if (!primary.empty())
             return primary;
     }
