--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -21,13 +21,29 @@
 constexpr Millis RecoveryLimit(60'000);
 constexpr int AnswersToRecover = 30; // Of each group.
 
-Endpoint freeEndpoint(EventLoop *loop, const std::string &address)
+// Keeps ports for processes that do not listen yet, so that nobody else is given them.
+class PortReservation
 {
-    using boost::asio::ip::tcp;
-    const tcp::endpoint any(boost::asio::ip::make_address(address), 0);
-    const tcp::acceptor acceptor(*loop->context(), any);
-    return {.address = address, .port = acceptor.local_endpoint().port()};
-}
+public:
+    PortReservation(EventLoop *loop, const std::string &address)
+        : m_loop(loop)
+        , m_address(boost::asio::ip::make_address(address))
+    {
+    }
+
+    Endpoint take()
+    {
+        m_held.emplace_back(*m_loop->context(), tcp::endpoint(m_address, 0));
+        return {.address = m_address.to_string(), .port = m_held.back().local_endpoint().port()};
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    EventLoop *m_loop;
+    boost::asio::ip::address m_address;
+    std::vector<tcp::acceptor> m_held;
+};
 
 StandinDeployment::Options deploymentOptions(const SoakOptions &options)
 {
@@ -82,9 +98,10 @@
         record->peers = m_hosts[index]->peers->endpoint();
         row->value = encodeBase64(hostRecordText(*record));
     });
-    for (int i = 0; i < m_options.hosts; ++i) {
-        m_hosts.push_back(std::make_unique<Host>());
-        if (!startHost(i, reason))
+    if (!prepareHosts(reason))
+        return false;
+    for (const std::unique_ptr<Host> &host : m_hosts) {
+        if (!host->process->start(reason))
             return false;
     }
     startCallers();
@@ -112,29 +129,32 @@
     return true;
 }
 
-bool Soak::startHost(int index, Reason *reason)
+// All ports are taken before the first process starts.
+bool Soak::prepareHosts(Reason *reason)
 {
-    Host &host = *m_hosts[static_cast<std::size_t>(index)];
-    const std::string name = "h" + std::to_string(index);
-    const Endpoint peers = freeEndpoint(&m_loop, m_options.address);
-    host.callers = freeEndpoint(&m_loop, m_options.address);
-    host.store = std::make_unique<FaultProxy>(&m_loop, m_deployment.store());
-    host.peers = std::make_unique<FaultProxy>(&m_loop, peers);
-    if (!host.store->start(reason) || !host.peers->start(reason))
-        return false;
-    const std::string settings = m_options.work + "/" + name + ".conf";
-    std::ofstream(settings) << m_deployment.hostSettings(
-        {.name = name,
-         .dataCentre = index % 3,
-         .callers = host.callers,
-         .balancer = freeEndpoint(&m_loop, m_options.address),
-         .peers = peers.port,
-         .store = host.store->endpoint()});
-    host.process = std::make_unique<HostProcess>(
-        HostProcess::Options{.program = m_options.program,
-                             .settings = settings,
-                             .log = m_options.work + "/" + name + ".log"});
-    return host.process->start(reason);
+    PortReservation ports(&m_loop, m_options.address);
+    for (int i = 0; i < m_options.hosts; ++i) {
+        const std::string name = "h" + std::to_string(i);
+        const std::string settings = m_options.work + "/" + name + ".conf";
+        const Endpoint peers = ports.take();
+        Host &host = *m_hosts.emplace_back(std::make_unique<Host>());
+        host.callers = ports.take();
+        host.store = std::make_unique<FaultProxy>(&m_loop, m_deployment.store());
+        host.peers = std::make_unique<FaultProxy>(&m_loop, peers);
+        if (!host.store->start(reason) || !host.peers->start(reason))
+            return false;
+        std::ofstream(settings) << m_deployment.hostSettings({.name = name,
+                                                              .dataCentre = i % 3,
+                                                              .callers = host.callers,
+                                                              .balancer = ports.take(),
+                                                              .peers = peers.port,
+                                                              .store = host.store->endpoint()});
+        host.process = std::make_unique<HostProcess>(
+            HostProcess::Options{.program = m_options.program,
+                                 .settings = settings,
+                                 .log = m_options.work + "/" + name + ".log"});
+    }
+    return true;
 }
 
 void Soak::startCallers()
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -143,7 +143,7 @@
 
     bool start(Reason *reason);
     bool startInstances(Reason *reason);
-    bool startHost(int index, Reason *reason);
+    bool prepareHosts(Reason *reason);
     void startCallers();
     void scheduleFaults();
     void apply(SoakFault fault, Millis length);
