--- a/src/programs/cicadagap/explain.cpp
+++ b/src/programs/cicadagap/explain.cpp
@@ -22,7 +22,6 @@
     std::string host;
     std::string event;
     std::string request;
-    std::string instance;
     std::string fields; // Everything else.
 };
 
@@ -65,7 +64,6 @@
                    .host = member(*object, "host"),
                    .event = member(*object, "event"),
                    .request = member(*object, "request"),
-                   .instance = member(*object, "instance"),
                    .fields = fieldsOf(*object)};
 }
 
@@ -105,12 +103,12 @@
         return false;
     const auto earlier
         = [](const LogLine &left, const LogLine &right) { return left.at < right.at; };
-    std::stable_sort(own.begin(), own.end(), earlier);
+    const auto [oldest, newest] = std::minmax_element(own.begin(), own.end(), earlier);
+    const Millis from = oldest->at - options.before;
+    const Millis until = newest->at;
     std::set<std::string> hosts;
     for (const LogLine &line : own)
         hosts.insert(line.host);
-    const Millis from = own.front().at - options.before;
-    const Millis until = own.back().at;
     for (LogLine &line : beliefs) {
         if (hosts.contains(line.host) && line.at >= from && line.at <= until)
             own.push_back(std::move(line));
--- a/test/promises.h
+++ b/test/promises.h
@@ -45,7 +45,7 @@
         std::string idPrefix = "q"; // Of statements; differs between groups.
     };
 
-    // The group may be null; then nothing is checked at the instances.
+    // The group must outlive the checker.
     PromiseChecker(Options options, ReplicaGroup *group);
 
     // A caller with a session; returns its number.
--- a/test/soak/soakcaller.cpp
+++ b/test/soak/soakcaller.cpp
@@ -186,20 +186,25 @@
     m_session->send(statement);
     m_loop->after(m_options.patience,
                   [this, session = std::weak_ptr(m_session), id = statement.id] {
-                      if (session.expired() || session.lock() != m_session
-                          || !m_checker->awaits(m_number, id))
+                      if (!isCurrent(session) || !m_checker->awaits(m_number, id))
                           return;
                       onLost();
                   });
 }
 
+// Whether a timer that was started for the session still concerns the caller.
+bool SoakCaller::isCurrent(const std::weak_ptr<Session> &session) const
+{
+    return m_session && session.lock() == m_session;
+}
+
 void SoakCaller::onAnswer(const StatementAnswer &answer)
 {
     m_checker->onAnswer(m_number, answer, m_clock.now());
     constexpr std::uint64_t LongestThought = 60; // ms
     m_loop->after(Millis(1 + std::int64_t(m_random.below(LongestThought))),
                   [this, session = std::weak_ptr(m_session)] {
-                      if (!session.expired() && session.lock() == m_session)
+                      if (isCurrent(session))
                           sendNext();
                   });
 }
--- a/test/soak/soakcaller.h
+++ b/test/soak/soakcaller.h
@@ -42,6 +42,7 @@
     void connect();
     void sendNext();
     void onAnswer(const StatementAnswer &answer);
+    bool isCurrent(const std::weak_ptr<Session> &session) const;
     void onLost();
 
     EventLoop *m_loop;
