--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -63,7 +63,8 @@
                           .readinessEndpoint = boot->readinessEndpoint,
                           .peerEndpoint = boot->peerEndpoint,
                           .weight = boot->weight,
-                          .gracePeriod = boot->gracePeriod},
+                          .gracePeriod = boot->gracePeriod,
+                          .fencedPromotions = boot->fencedPromotions},
                          &codec, &platform);
     if (!server.start(&reason)) {
         std::cerr << reason.text() << '\n';
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -42,7 +42,11 @@
     , m_options(std::move(options))
     , m_codec(codec)
     , m_platform(platform)
-    , m_engine({.host = m_options.host, .dataCentre = m_options.dataCentre, .pool = {}}, this)
+    , m_engine({.host = m_options.host,
+                .dataCentre = m_options.dataCentre,
+                .fencedPromotions = m_options.fencedPromotions,
+                .pool = {}},
+               this)
     , m_acceptor(*loop->context())
 {
 }
@@ -346,21 +350,61 @@
         m_engine.onLeaseResult(now(), group, {.heldFor = current->until - record->storeNow});
         return;
     }
-    m_platform->writeLease(
-        group, leaseText(*wantedLease), record->version,
-        [this, group, requestedAt, token = wantedLease->fencingToken](Verdict verdict) {
-            const bool acquired = verdict == Verdict::Ran;
-            logEvent(LogLevel::Info, acquired ? "duty.claimed" : "duty.claim-failed",
-                     {{"group", group},
-                      {"fencingToken", static_cast<std::int64_t>(token)},
-                      {"verdict", VerdictNames.name(verdict)}});
-            LeaseResult result{.actUntil = requestedAt + LeaseActingTime};
-            if (acquired)
-                result.fencingToken = token;
-            m_engine.onLeaseResult(now(), group, result);
+    m_platform->writeLease(group, leaseText(*wantedLease), record->version,
+                           [this, group, requestedAt, wanted = *wantedLease, readAt = now(),
+                            storeNow = record->storeNow](Verdict verdict) {
+                               const std::uint64_t token = wanted.fencingToken;
+                               const bool acquired = verdict == Verdict::Ran;
+                               logEvent(LogLevel::Info,
+                                        acquired ? "duty.claimed" : "duty.claim-failed",
+                                        {{"group", group},
+                                         {"fencingToken", static_cast<std::int64_t>(token)},
+                                         {"verdict", VerdictNames.name(verdict)}});
+                               LeaseResult result{.actUntil = requestedAt + LeaseActingTime};
+                               if (acquired)
+                                   result.fencingToken = token;
+                               result.openCandidate = wanted.candidate;
+                               // The store's clock was read before `readAt`.
+                               result.openUntil = readAt + (wanted.candidateUntil - storeNow);
+                               m_engine.onLeaseResult(now(), group, result);
+                           });
+}
+
+void SessionServer::recordCandidate(const std::string &group, const std::string &candidate,
+                                    std::uint64_t fencingToken)
+{
+    m_platform->readLease(
+        group, [this, group, candidate, fencingToken](const std::optional<LeaseRecord> &record) {
+            writeCandidate(group, candidate, fencingToken, record);
         });
 }
 
+void SessionServer::writeCandidate(const std::string &group, const std::string &candidate,
+                                   std::uint64_t fencingToken,
+                                   const std::optional<LeaseRecord> &record)
+{
+    Reason reason;
+    std::optional<PromotionLease> current;
+    if (record)
+        current = parseLease(record->text, &reason);
+    const std::optional<PromotionLease> next = leaseWithCandidate(
+        current, m_options.host, fencingToken, candidate, record ? record->storeNow : Millis(0));
+    const auto report = [this, group, candidate, fencingToken](bool recorded) {
+        logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.candidate",
+                 {{"group", group},
+                  {"instance", candidate},
+                  {"fencingToken", static_cast<std::int64_t>(fencingToken)},
+                  {"recorded", recorded}});
+        m_engine.onCandidateRecorded(now(), group, candidate, recorded);
+    };
+    if (!next) {
+        report(false);
+        return;
+    }
+    m_platform->writeLease(group, leaseText(*next), record->version,
+                           [report](Verdict verdict) { report(verdict == Verdict::Ran); });
+}
+
 void SessionServer::requestPromotion(const std::string &group, const std::string &instance,
                                      std::uint64_t fencingToken)
 {
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -37,6 +37,7 @@
         Endpoint peerEndpoint;      // Listens for other hosts, which relay statements to this one.
         double weight = 1;          // The host's capacity, as a share of a processor core.
         Millis gracePeriod = Millis(6000); // Time between the request to stop and SIGKILL.
+        bool fencedPromotions = true;      // See PrimaryChange::Options.
     };
 
     SessionServer(EventLoop *loop, Options options, const SessionCodec *codec,
@@ -65,6 +66,8 @@
     void acquireLease(const std::string &group) override;
     void requestPromotion(const std::string &group, const std::string &instance,
                           std::uint64_t fencingToken) override;
+    void recordCandidate(const std::string &group, const std::string &candidate,
+                         std::uint64_t fencingToken) override;
     void logGroupEvent(const std::string &group, std::string_view event,
                        const std::string &instance, std::uint64_t term,
                        const std::string &detail) override;
@@ -78,6 +81,8 @@
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
     void handleLeaseRecord(const std::string &group, Millis requestedAt,
                            const std::optional<LeaseRecord> &record);
+    void writeCandidate(const std::string &group, const std::string &candidate,
+                        std::uint64_t fencingToken, const std::optional<LeaseRecord> &record);
     HttpResponse answerReadinessCheck(const HttpRequest &request);
     void onTick();
     bool takeLogLine(const RequestEvent &requestEvent);
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-GroupControl::GroupControl(GroupControlOutput *output, std::function<WorkId()> nextWork)
+GroupControl::GroupControl(GroupControlOutput *output, std::function<WorkId()> nextWork,
+                           bool fencedPromotions)
     : m_output(output)
     , m_nextWork(std::move(nextWork))
+    , m_fencedPromotions(fencedPromotions)
 {
 }
 
@@ -33,23 +35,26 @@
     }
     for (const auto &[name, settings] : routing.groups) {
         Group &group = m_groups[name];
-        if (!group.change)
-            group.change
-                = std::make_unique<PrimaryChange>(name, static_cast<PrimaryChangeOutput *>(this));
+        if (!group.change) {
+            group.tracker = PrimaryTracker({.needsReadLease = !m_fencedPromotions});
+            group.change = std::make_unique<PrimaryChange>(
+                name, static_cast<PrimaryChangeOutput *>(this),
+                PrimaryChange::Options{.fencedPromotions = m_fencedPromotions});
+        }
         group.syncReplicas = settings.syncReplicas;
         group.members = byGroup[name];
         group.tracker.setProbing(probed.contains(name));
-        group.tracker.setInstances(now, group.members);
+        group.tracker.setInstances(now, group.members, group.syncReplicas);
         reportPrimary(name, &group);
     }
     std::erase_if(m_groups,
                   [&routing](const auto &row) { return !routing.groups.contains(row.first); });
 }
 
-void GroupControl::onReportedPrimary(const std::string &instance)
+void GroupControl::onReportedPrimary(Millis now, const std::string &instance)
 {
     if (Group *group = groupOf(instance))
-        group->tracker.onReportedPrimary(instance);
+        group->tracker.onReportedPrimary(now, instance);
 }
 
 void GroupControl::onTick(Millis now)
@@ -59,6 +64,8 @@
         group.tracker.onTick(now);
         for (const std::string &id : group.tracker.instancesToProbe(now))
             probe(now, id);
+        for (const std::string &id : group.tracker.instancesToQuery(now))
+            submit(id, {.kind = StatementKind::Status});
         reportPrimary(name, &group);
         const GroupState state{.instances = group.members,
                                .primary = group.tracker.lastPrimary(),
@@ -84,6 +91,38 @@
         found->second.change->onPromotion(now, result);
 }
 
+void GroupControl::onCandidateRecorded(Millis now, const std::string &group,
+                                       const std::string &candidate, bool recorded)
+{
+    m_now = now;
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end())
+        found->second.change->onCandidateRecorded(now, candidate, recorded);
+}
+
+void GroupControl::onCommitAcknowledged(const std::string &instance, Millis sentAt)
+{
+    if (Group *group = groupOf(instance))
+        group->tracker.onCommitAcknowledged(instance, sentAt);
+}
+
+void GroupControl::onPosition(Millis now, const std::string &instance, Millis sentAt, Position end)
+{
+    if (Group *group = groupOf(instance))
+        group->tracker.onPosition(now, instance, sentAt, end);
+}
+
+bool GroupControl::wasPrimaryAt(Millis now, const std::string &instance, Millis instant)
+{
+    Group *group = groupOf(instance);
+    if (!group)
+        return false;
+    const bool proven = group->tracker.wasPrimaryAt(instance, instant);
+    if (!proven && group->tracker.primary() == instance)
+        group->tracker.onWaitForReadLease(now, instant);
+    return proven;
+}
+
 void GroupControl::onProvenPrimary(Millis now, const std::string &instance, Millis sentAt,
                                    Position position)
 {
@@ -172,11 +211,26 @@
         return true;
     }
     Group *group = groupOf(pending.instance);
-    if (group && answer.status)
+    if (group && answer.status) {
+        group->tracker.onStatus(now, pending.instance, sentAt, *answer.status);
         group->change->onStatus(now, pending.instance, kind, *answer.status);
+    }
     return true;
 }
 
+std::optional<Position> GroupControl::positionCovering(const std::string &instance,
+                                                       Millis since) const
+{
+    const Group *group = groupOf(instance);
+    return group ? group->tracker.replicaAge().coveringSince(since) : std::nullopt;
+}
+
+bool GroupControl::concernsPrimary(const std::string &instance, Millis sentAt) const
+{
+    const Group *group = groupOf(instance);
+    return group && group->tracker.concernsPrimary(instance, sentAt);
+}
+
 std::string GroupControl::primary(const std::string &group) const
 {
     const auto found = m_groups.find(group);
@@ -217,6 +271,12 @@
     m_output->requestPromotion(group, instance, fencingToken);
 }
 
+void GroupControl::recordCandidate(const std::string &group, const std::string &candidate,
+                                   std::uint64_t fencingToken)
+{
+    m_output->recordCandidate(group, candidate, fencingToken);
+}
+
 void GroupControl::stageChanged(const std::string &group, PrimaryChangeStage stage,
                                 PrimaryChangeCause cause, const std::string &detail)
 {
@@ -259,13 +319,17 @@
 }
 
 GroupControl::Group *GroupControl::groupOf(const std::string &instance)
+{
+    return const_cast<Group *>(std::as_const(*this).groupOf(instance));
+}
+
+const GroupControl::Group *GroupControl::groupOf(const std::string &instance) const
 {
     const auto found = m_instances.find(instance);
-    if (found != m_instances.end()) {
-        const auto group = m_groups.find(found->second.group);
-        return group == m_groups.end() ? nullptr : &group->second;
-    }
-    return nullptr;
+    if (found == m_instances.end())
+        return nullptr;
+    const auto group = m_groups.find(found->second.group);
+    return group == m_groups.end() ? nullptr : &group->second;
 }
 
 } // namespace cicadagap
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -2,6 +2,7 @@
 // stalls.
 #pragma once
 
+#include "session/groupknowledge.h"
 #include "session/primarychange.h"
 #include "session/primarytracker.h"
 #include "session/routing.h"
@@ -33,6 +34,11 @@
     virtual void requestPromotion(const std::string &group, const std::string &instance,
                                   std::uint64_t fencingToken)
         = 0;
+    // Records the candidate for the promotion in the lease's row; see PrimaryChangeOutput. Answered
+    // by onCandidateRecorded().
+    virtual void recordCandidate(const std::string &group, const std::string &candidate,
+                                 std::uint64_t fencingToken)
+        = 0;
     // Logs that another primary is known for the group, or that its replacement entered another
     // stage. In the second case `instance` holds the cause of the replacement.
     virtual void logGroupEvent(const std::string &group, std::string_view event,
@@ -46,11 +52,13 @@
 //
 // A deterministic state machine: performs no I/O and reads no clock; requests to the platform go to
 // a GroupControlOutput, which must outlive it. Not thread-safe.
-class GroupControl : private PrimaryChangeOutput
+class GroupControl : public GroupKnowledge, private PrimaryChangeOutput
 {
 public:
-    // `nextWork` returns a new id, unique among all work submitted to the pool.
-    GroupControl(GroupControlOutput *output, std::function<WorkId()> nextWork);
+    // `nextWork` returns a new id, unique among all work submitted to the pool. For
+    // `fencedPromotions` see PrimaryChange::Options.
+    GroupControl(GroupControlOutput *output, std::function<WorkId()> nextWork,
+                 bool fencedPromotions);
 
     // Must be called before anything else. The pool must outlive this object.
     void setPool(TargetPool *pool) { m_pool = pool; }
@@ -59,19 +67,24 @@
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
                       const RoutingTable &routing, const std::set<std::string> &probed);
     // A gateway reported that the instance is the primary of its group.
-    void onReportedPrimary(const std::string &instance);
+    void onReportedPrimary(Millis now, const std::string &instance);
     void onTick(Millis now);
     void onLeaseResult(Millis now, const std::string &group, const LeaseResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionResult verdict);
+    void onCandidateRecorded(Millis now, const std::string &group, const std::string &candidate,
+                             bool recorded);
 
     // Evidence from callers' statements and from connections; see PrimaryTracker. `sentAt` is when
     // the answered request was sent.
     void onProvenPrimary(Millis now, const std::string &instance, Millis sentAt, Position position);
     void onNotPrimary(Millis now, const std::string &instance, Millis sentAt);
+    void onCommitAcknowledged(const std::string &instance, Millis sentAt) override;
+    void onPosition(Millis now, const std::string &instance, Millis sentAt, Position end);
     void onRequestSent(Millis now, const std::string &instance);
     void onReceived(Millis now, const std::string &instance);
     void onConnectionFailed(Millis now, const std::string &instance);
     // For each group with an unacknowledged write, since when the oldest has waited.
+    // Writes count only if concernsPrimary() holds for them.
     void setOldestWrites(const std::map<std::string, Millis> &byGroup);
 
     // Events of work on the pool's connections. Returns false if the work was not submitted by this
@@ -81,6 +94,10 @@
     bool onWorkAnswer(Millis now, WorkId work, ConnectionId connection, StatementKind kind,
                       Millis sentAt, const StatementAnswer &answer);
 
+    bool wasPrimaryAt(Millis now, const std::string &instance, Millis instant) override;
+    std::optional<Position> positionCovering(const std::string &instance,
+                                             Millis since) const override;
+    bool concernsPrimary(const std::string &instance, Millis sentAt) const override;
     // The instance to send the group's writes to; empty while no primary is known.
     std::string primary(const std::string &group) const;
     // Null if the group is not in the routing table.
@@ -111,15 +128,19 @@
     void sendCommand(const std::string &instance, const Statement &statement) override;
     void promote(const std::string &group, const std::string &instance,
                  std::uint64_t fencingToken) override;
+    void recordCandidate(const std::string &group, const std::string &candidate,
+                         std::uint64_t fencingToken) override;
     void stageChanged(const std::string &group, PrimaryChangeStage stage, PrimaryChangeCause cause,
                       const std::string &detail) override;
     void probe(Millis now, const std::string &instance);
     void submit(const std::string &instance, const Statement &statement);
     void reportPrimary(const std::string &name, Group *group);
     Group *groupOf(const std::string &instance);
+    const Group *groupOf(const std::string &instance) const;
 
     GroupControlOutput *m_output;
     std::function<WorkId()> m_nextWork;
+    bool m_fencedPromotions;
     TargetPool *m_pool = nullptr;
     Millis m_now; // Of the event that is being handled.
     std::map<std::string, Group, std::less<>> m_groups;
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -1,5 +1,7 @@
 #include "session/primarychange.h"
 
+#include "session/readlease.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -34,9 +36,10 @@
 
 } // namespace
 
-PrimaryChange::PrimaryChange(std::string group, PrimaryChangeOutput *output)
+PrimaryChange::PrimaryChange(std::string group, PrimaryChangeOutput *output, Options options)
     : m_group(std::move(group))
     , m_output(output)
+    , m_options(options)
 {
 }
 
@@ -55,10 +58,11 @@
         return;
     case PrimaryChangeStage::Sealing:
         if (now >= m_actUntil) {
-            abandon(now, "too few instances were sealed in time");
+            abandon(now, "the promotion could not be requested in time");
             return;
         }
-        if (cause == PrimaryChangeCause::None) {
+        // Once the old primary has stepped down there is none, until this attempt has succeeded.
+        if (cause == PrimaryChangeCause::None && !m_steppedDown) {
             abandon(now, "the primary works again");
             return;
         }
@@ -94,8 +98,18 @@
         m_retryAt = now + RetryAfter;
         return;
     }
+    if (m_cause == PrimaryChangeCause::Stalled && !m_options.fencedPromotions)
+        m_cause = PrimaryChangeCause::Unreachable;
     m_fencingToken = *result.fencingToken;
     m_actUntil = result.actUntil;
+    m_openCandidate = result.openCandidate;
+    m_openUntil = result.openUntil;
+    m_recordedCandidate.clear();
+    m_unansweredPromotions = 0;
+    m_outdatedPrimaries.clear();
+    m_sealedSince.reset();
+    m_nextRecordAt = now;
+    m_nextStepDownAt = now;
     m_sealed.clear();
     m_candidate.clear();
     m_candidatePosition.reset();
@@ -111,11 +125,12 @@
                              const InstanceStatus &status)
 {
     m_sealTerm = std::max(m_sealTerm, status.term + 1);
+    m_newestTerm = std::max({m_newestTerm, m_groupState.term, status.term});
     if (command == StatementKind::Resume) {
         m_toResume.erase(instance);
         return;
     }
-    if (m_stage != PrimaryChangeStage::Sealing)
+    if (m_stage != PrimaryChangeStage::Sealing || now >= m_actUntil)
         return;
     if (m_cause == PrimaryChangeCause::Stalled) {
         if (command != StatementKind::Status || instance != m_oldPrimary)
@@ -126,6 +141,12 @@
             abandon(now, instance + " is not primary of term " + std::to_string(m_groupState.term));
         return;
     }
+    const bool outdated = !m_options.fencedPromotions && status.term < m_newestTerm;
+    if (status.primary && instance != m_oldPrimary && outdated) {
+        if (m_outdatedPrimaries.insert(instance).second)
+            m_nextSendAt = now;
+        return;
+    }
     if (status.primary && instance != m_oldPrimary) {
         m_toResume.erase(instance);
         abandon(now, instance + " is primary of term " + std::to_string(status.term));
@@ -134,9 +155,11 @@
     if (command == StatementKind::StepDown && !status.primary) {
         // It is a replica now, and may receive from a primary that this host does not know of. It
         // has to be sealed like the others, in a higher term.
-        m_steppedDown = true;
+        m_outdatedPrimaries.erase(instance);
+        m_steppedDown = m_steppedDown || instance == m_oldPrimary;
         ++m_sealTerm;
         m_nextSendAt = now;
+        requestPromotionIfSealed(now);
         return;
     }
     if (command == StatementKind::Status && instance == m_candidate)
@@ -148,8 +171,18 @@
 
 void PrimaryChange::onConnectionLost(Millis now, const std::string &instance)
 {
-    if (m_stage == PrimaryChangeStage::Sealing && m_sealed.erase(instance) > 0)
+    if (m_stage == PrimaryChangeStage::Sealing && m_sealed.erase(instance) > 0) {
         m_nextSendAt = now;
+        m_sealedSince.reset();
+    }
+}
+
+void PrimaryChange::onCandidateRecorded(Millis now, const std::string &candidate, bool recorded)
+{
+    if (m_stage != PrimaryChangeStage::Sealing || !recorded || now >= m_actUntil)
+        return;
+    m_recordedCandidate = candidate;
+    requestPromotionIfSealed(now);
 }
 
 void PrimaryChange::onPromotion(Millis now, PromotionResult verdict)
@@ -159,6 +192,8 @@
     const std::string detail = m_candidate + " " + std::string(PromotionResultNames.name(verdict));
     if (verdict == PromotionResult::NotRunning || verdict == PromotionResult::NotDone)
         --m_openPromotions;
+    if (verdict != PromotionResult::Unknown)
+        --m_unansweredPromotions;
     switch (verdict) {
     case PromotionResult::Accepted:
         enter(now, PrimaryChangeStage::Confirming, detail);
@@ -189,12 +224,13 @@
         m_openPromotions = 0;
         m_toResume.erase(instance);
         resumeSealed();
+        forgetCandidate();
     } else if (m_stage == PrimaryChangeStage::RequestingPromotion && isCandidate) {
         // The candidate was seen as primary before the platform answered. A stalled primary is
         // its own candidate and was primary all the time, so only the platform's answer counts.
         if (m_cause == PrimaryChangeCause::Stalled)
             return;
-        onPromotion(now, PromotionResult::Accepted);
+        enter(now, PrimaryChangeStage::Confirming, m_candidate + " was seen as primary");
         onPrimary(now, instance, term);
     }
 }
@@ -218,8 +254,10 @@
 {
     enter(now, PrimaryChangeStage::Idle, reason);
     m_retryAt = now + RetryAfter;
-    if (m_openPromotions == 0)
+    if (m_openPromotions == 0) {
         resumeSealed();
+        forgetCandidate();
+    }
 }
 
 // Ends the attempt after a promotion request that may still be carried out, even seconds later. The
@@ -244,7 +282,8 @@
         if (known == m_registered.end() || known->second.incarnation == instance.incarnation)
             continue;
         m_restarted[instance.id] = now;
-        m_sealed.erase(instance.id);
+        if (m_sealed.erase(instance.id) > 0)
+            m_sealedSince.reset();
     }
     std::erase_if(m_restarted, [now](const auto &row) { return now - row.second > RestartMemory; });
     for (const auto &[id, instance] : m_registered) {
@@ -317,7 +356,8 @@
     for (const std::string &id : possibleLogHolders()) {
         if (m_sealed.contains(id) || !isRegistered(id))
             continue;
-        const bool mayBePrimary = id == m_oldPrimary && !m_steppedDown;
+        const bool mayBePrimary
+            = (id == m_oldPrimary && !m_steppedDown) || m_outdatedPrimaries.contains(id);
         if (!mayBePrimary)
             m_toResume.insert(id);
         m_output->sendCommand(
@@ -366,6 +406,10 @@
     m_candidate.clear();
     m_candidatePosition.reset();
     for (const auto &row : m_registered) {
+        // While a request to promote another instance may be carried out, that one is preferred.
+        if (m_openCandidate != row.first && m_openCandidate != m_oldPrimary
+            && mayBeCandidate(m_openCandidate))
+            continue;
         if (row.first != m_oldPrimary && mayBeCandidate(row.first)) {
             m_candidate = row.first;
             m_sealed.erase(m_candidate);
@@ -412,30 +456,110 @@
     });
 }
 
-// Requests the promotion once enough instances are sealed.
+// Requests the promotion once enough instances are sealed and, without fenced promotions, once the
+// old primary can do no harm and the candidate is recorded.
 void PrimaryChange::requestPromotionIfSealed(Millis now)
 {
     if (m_stage != PrimaryChangeStage::Sealing)
         return;
-    if (m_cause == PrimaryChangeCause::Leaving) {
-        const std::size_t others = m_registered.size()
-            - (m_registered.contains(m_oldPrimary) ? 1 : 0)
-            - (m_registered.contains(m_candidate) ? 1 : 0);
-        if (m_candidate.empty() || m_sealed.size() < others || !candidateHasCaughtUp())
-            return;
-    } else {
-        if (countableSeals() < sealsNeeded())
+    const bool leaving = m_cause == PrimaryChangeCause::Leaving;
+    if (leaving ? !leavingPrimaryIsSealed() : !chooseSealedCandidate(now))
+        return;
+    if (!m_options.fencedPromotions) {
+        if (!preferOpenCandidate(now) || !candidateIsRecorded(now) || !oldPrimaryIsHarmless(now))
             return;
-        m_candidate = bestSealed();
     }
     enter(now, PrimaryChangeStage::RequestingPromotion, m_candidate);
     sendPromotionRequest(now);
 }
 
+// Whether the candidate holds all that the leaving primary has acknowledged, and will.
+bool PrimaryChange::leavingPrimaryIsSealed() const
+{
+    const std::size_t others = m_registered.size() - (m_registered.contains(m_oldPrimary) ? 1 : 0)
+        - (m_registered.contains(m_candidate) ? 1 : 0);
+    const auto sealedOthers = static_cast<std::size_t>(
+        std::count_if(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
+            return row.first != m_oldPrimary && row.first != m_candidate;
+        }));
+    return !m_candidate.empty() && sealedOthers >= others && candidateHasCaughtUp();
+}
+
+// Chooses the candidate once enough instances are sealed; false before.
+bool PrimaryChange::chooseSealedCandidate(Millis now)
+{
+    if (countableSeals() < sealsNeeded()) {
+        m_sealedSince.reset();
+        return false;
+    }
+    if (!m_sealedSince)
+        m_sealedSince = now;
+    m_candidate = bestSealed();
+    return true;
+}
+
+// If a request to promote another instance may still be carried out, makes that instance the
+// candidate. False if it lacks commits or cannot be the candidate now.
+bool PrimaryChange::preferOpenCandidate(Millis now)
+{
+    if (m_openCandidate.empty() || now >= m_openUntil || m_openCandidate == m_candidate)
+        return true;
+    const auto open = m_sealed.find(m_openCandidate);
+    const auto chosen = m_sealed.find(m_candidate);
+    if (open == m_sealed.end() || chosen == m_sealed.end()
+        || !open->second.received.covers(chosen->second.received))
+        return false;
+    m_candidate = m_openCandidate;
+    return true;
+}
+
+// Whether no host can take the old primary for the present one: it has stepped down, or hosts have
+// stopped to trust it. A leaving primary still has a receiver, so it has to step down.
+bool PrimaryChange::oldPrimaryIsHarmless(Millis now)
+{
+    const std::set<std::string> all = possibleLogHolders();
+    const bool allSealed = std::all_of(
+        all.begin(), all.end(), [this](const std::string &id) { return m_sealed.contains(id); });
+    if (m_steppedDown || allSealed)
+        return true;
+    if (m_cause != PrimaryChangeCause::Leaving)
+        return m_sealedSince && now > *m_sealedSince + ReadLeaseDuration;
+    if (now >= m_nextStepDownAt) {
+        m_nextStepDownAt = now + ResendInterval;
+        m_output->sendCommand(
+            m_oldPrimary,
+            {.kind = StatementKind::StepDown, .argument = std::to_string(m_sealTerm)});
+    }
+    return false;
+}
+
+// Whether the lease's row names the candidate; has it written if it does not.
+bool PrimaryChange::candidateIsRecorded(Millis now)
+{
+    if (m_recordedCandidate == m_candidate)
+        return true;
+    if (now >= m_nextRecordAt) {
+        m_nextRecordAt = now + ResendInterval;
+        m_output->recordCandidate(m_group, m_candidate, m_fencingToken);
+    }
+    return false;
+}
+
+// Lets later holders of the lease choose freely, if no request of this attempt can be carried out
+// any more.
+void PrimaryChange::forgetCandidate()
+{
+    if (m_recordedCandidate.empty() || m_unansweredPromotions > 0)
+        return;
+    m_recordedCandidate.clear();
+    m_output->recordCandidate(m_group, {}, m_fencingToken);
+}
+
 void PrimaryChange::sendPromotionRequest(Millis now)
 {
     m_nextSendAt = now + AnswerTimeout;
     ++m_openPromotions;
+    ++m_unansweredPromotions;
     m_output->promote(m_group, m_candidate, m_fencingToken);
 }
 
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -15,7 +15,17 @@
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
-// model/promotion.pml checks these rules.
+// On a platform that checks no fencing token, a replaced primary goes on serving reads until it
+// hears of its successor, and a promotion request without an answer may be carried out after newer
+// ones. There, three more rules hold:
+//
+// - The old primary steps down before the request, or the request waits until no host trusts the
+//   old primary any more (see session/readlease.h).
+// - The candidate is recorded in the lease's row before the request. While a request for it may
+//   still be carried out, no host requests the promotion of another instance.
+// - A primary that stalls is replaced. Promoting it again would not stop earlier requests.
+//
+// model/promotion.pml, model/unfenced.pml and model/primaryread.pml check these rules.
 #pragma once
 
 #include "base/millis.h"
@@ -27,6 +37,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadagap {
@@ -95,6 +106,10 @@
     std::optional<std::uint64_t> fencingToken; // Set if the lease was acquired.
     Millis actUntil; // With a token: the instant, on this host's clock, until which it may be used.
     Millis heldFor;  // Without a token: how much longer another host holds the lease.
+    // With a token: the candidate that an earlier holder recorded. A request to promote it may be
+    // carried out until the instant, on this host's clock. Empty if there is none.
+    std::string openCandidate;
+    Millis openUntil;
 };
 
 // Carries out the actions of a PrimaryChange.
@@ -115,6 +130,11 @@
     virtual void promote(const std::string &group, const std::string &instance,
                          std::uint64_t fencingToken)
         = 0;
+    // Records the candidate in the row of the lease, or, if it is empty, that no promotion request
+    // may be carried out any more; answered by onCandidateRecorded().
+    virtual void recordCandidate(const std::string &group, const std::string &candidate,
+                                 std::uint64_t fencingToken)
+        = 0;
     // Reports a change of stage, for the log.
     virtual void stageChanged(const std::string &group, PrimaryChangeStage stage,
                               PrimaryChangeCause cause, const std::string &detail)
@@ -129,7 +149,18 @@
 class PrimaryChange
 {
 public:
-    PrimaryChange(std::string group, PrimaryChangeOutput *output);
+    struct Options
+    {
+        // The platform refuses a promotion with a lower fencing token than it has seen, whenever
+        // it is carried out, and the old primary stops serving when another one is promoted.
+        bool fencedPromotions = true;
+    };
+
+    PrimaryChange(std::string group, PrimaryChangeOutput *output)
+        : PrimaryChange(std::move(group), output, Options{})
+    {
+    }
+    PrimaryChange(std::string group, PrimaryChangeOutput *output, Options options);
 
     // `cause` is why this host would replace the primary now; None if it would not.
     void onTick(Millis now, PrimaryChangeCause cause, const GroupState &state);
@@ -140,6 +171,8 @@
     // The instance closed a connection or refused one. It may have restarted, which unseals it.
     void onConnectionLost(Millis now, const std::string &instance);
     void onPromotion(Millis now, PromotionResult result);
+    // The answer to recordCandidate(); `recorded` is false if the row may lack the candidate.
+    void onCandidateRecorded(Millis now, const std::string &candidate, bool recorded);
     // An instance proved that it is primary of `term`.
     void onPrimary(Millis now, const std::string &instance, std::uint64_t term);
 
@@ -165,12 +198,19 @@
     std::string bestSealed() const;
     bool mayBeCandidate(const std::string &instance) const;
     void requestPromotionIfSealed(Millis now);
+    bool leavingPrimaryIsSealed() const;
+    bool chooseSealedCandidate(Millis now);
+    bool preferOpenCandidate(Millis now);
+    bool oldPrimaryIsHarmless(Millis now);
+    bool candidateIsRecorded(Millis now);
+    void forgetCandidate();
     void sendPromotionRequest(Millis now);
     void resumeSealed();
     bool isRegistered(const std::string &instance) const;
 
     std::string m_group;
     PrimaryChangeOutput *m_output;
+    Options m_options;
     GroupState m_groupState;
     std::map<std::string, RegisteredInstance> m_registered;
     // Instances that are no longer registered although they did not announce that they leave, and
@@ -194,6 +234,17 @@
     std::string m_leaseSoughtFor; // The primary when the lease was requested.
     bool m_steppedDown = false;   // The old primary became a replica in this attempt.
     int m_openPromotions = 0;     // Promotion requests that may still be carried out.
+    // The following are used only without fenced promotions.
+    std::uint64_t m_newestTerm = 0; // The highest one that an instance reported.
+    // Instances that were primary of an earlier term and go on leading; they have to step down.
+    std::set<std::string> m_outdatedPrimaries;
+    int m_unansweredPromotions = 0;      // Requests of this attempt without an answer.
+    std::optional<Millis> m_sealedSince; // Since when enough instances are sealed.
+    std::string m_openCandidate;         // See LeaseResult.
+    Millis m_openUntil;
+    std::string m_recordedCandidate; // What the lease's row holds, as far as this host wrote it.
+    Millis m_nextRecordAt;
+    Millis m_nextStepDownAt;
 };
 
 } // namespace cicadagap
--- a/src/session/primarytracker.cpp
+++ b/src/session/primarytracker.cpp
@@ -15,6 +15,12 @@
 constexpr Millis FailureSpan(150);
 // After an instance denied that it is primary, its registered role is ignored for this long.
 constexpr Millis DenialMemory(400);
+// Between two status queries on behalf of statements that wait for the read lease.
+constexpr Millis StatusQueryInterval(60);
+// A statement that has not said for this long that it waits does not wait any more.
+constexpr Millis LeaseNeedLifetime(100);
+// Samples that are kept until the read lease covers them.
+constexpr std::size_t MaxUnprovenSamples = 32;
 
 } // namespace
 
@@ -24,14 +30,19 @@
 {
 }
 
-void PrimaryTracker::setInstances(Millis now, const std::vector<RegisteredInstance> &instances)
+void PrimaryTracker::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                                  int syncReplicas)
 {
+    m_syncReplicas = syncReplicas;
+    m_readLease.setSyncReplicas(syncReplicas);
     std::map<std::string, TrackedInstance> tracked;
     for (const RegisteredInstance &instance : instances) {
         const auto known = m_instances.find(instance.id);
         const bool same = known != m_instances.end()
             && known->second.registered.incarnation == instance.incarnation;
         TrackedInstance entry = same ? known->second : TrackedInstance{};
+        if (!same && instance.id == m_lastPrimary)
+            m_readLease.reset();
         entry.registered = instance;
         entry.roleOutdated = entry.roleOutdated && instance.registeredAsPrimary;
         tracked[instance.id] = entry;
@@ -67,32 +78,154 @@
 void PrimaryTracker::onProvenPrimary(Millis now, const std::string &instance, Millis sentAt,
                                      Position position)
 {
-    if (position.term < m_term)
+    // The log of a new primary ends in an earlier term until its first commit.
+    const auto found = m_instances.find(instance);
+    const std::uint64_t ledTerm = found == m_instances.end() ? 0 : found->second.ledTerm;
+    const std::uint64_t term = std::max(position.term, ledTerm);
+    if (term < m_term)
         return;
-    setPrimary(instance);
-    m_term = position.term;
+    if (found != m_instances.end())
+        found->second.ledTerm = term;
+    setPrimary(now, instance, term);
     m_confirmedAt = now;
     m_proofSentAt = std::max(m_proofSentAt, sentAt);
     m_lostAt.reset();
     m_failedPrimary.clear();
     if (now - m_lastSample >= m_options.sampleInterval) {
         m_lastSample = now;
-        m_replicaAge.addSample(sentAt, position);
+        addSample(sentAt, position);
+    }
+}
+
+// Records where the primary's log ended at `at`, once it is certain that it was primary then.
+void PrimaryTracker::addSample(Millis at, Position end)
+{
+    if (!needsReadLease() || m_readLease.covers(at)) {
+        m_replicaAge.addSample(at, end);
+        return;
+    }
+    m_unprovenSamples.push_back({.at = at, .end = end});
+    if (m_unprovenSamples.size() > MaxUnprovenSamples)
+        m_unprovenSamples.pop_front();
+}
+
+bool PrimaryTracker::needsReadLease() const
+{
+    return m_options.needsReadLease && m_syncReplicas > 0 && m_instances.size() > 1;
+}
+
+// Uses the evidence that was added to the lease.
+void PrimaryTracker::renewReadLease()
+{
+    while (!m_unprovenSamples.empty() && m_readLease.covers(m_unprovenSamples.front().at)) {
+        m_replicaAge.addSample(m_unprovenSamples.front().at, m_unprovenSamples.front().end);
+        m_unprovenSamples.pop_front();
+    }
+    if (m_leaseNeededFor && m_readLease.covers(*m_leaseNeededFor))
+        m_leaseNeededFor.reset();
+}
+
+void PrimaryTracker::onCommitAcknowledged(const std::string &instance, Millis sentAt)
+{
+    if (!needsReadLease() || instance != m_lastPrimary)
+        return;
+    m_readLease.onCommitAcknowledged(sentAt);
+    renewReadLease();
+}
+
+void PrimaryTracker::onPosition(Millis now, const std::string &instance, Millis sentAt,
+                                Position end)
+{
+    if (!needsReadLease())
+        return;
+    m_newestTerm = std::max(m_newestTerm, end.term);
+    if (instance == m_lastPrimary) {
+        m_readLease.onPrimaryPosition(sentAt, end);
+        return;
+    }
+    const auto found = m_instances.find(instance);
+    // Entries of a term in which the instance was primary itself were not received from another.
+    if (found == m_instances.end() || found->second.registered.registeredAsPrimary
+        || end.term <= found->second.ledTerm)
+        return;
+    if (m_term > 0 && end.term > m_term) {
+        onNotPrimary(now, m_primary, now);
+        return;
+    }
+    m_readLease.onReplicaPosition(instance, end);
+    renewReadLease();
+}
+
+void PrimaryTracker::onStatus(Millis now, const std::string &instance, Millis sentAt,
+                              const InstanceStatus &status)
+{
+    const auto found = m_instances.find(instance);
+    if (!needsReadLease() || found == m_instances.end())
+        return;
+    m_newestTerm = std::max(m_newestTerm, status.term);
+    if (!status.primary) {
+        if (instance == m_primary)
+            onNotPrimary(now, instance, sentAt);
+        else if (status.pausedTerm == 0 && status.term == m_term)
+            m_readLease.onReplicaUnsealed(instance, sentAt);
+        renewReadLease();
+        return;
     }
+    found->second.ledTerm = std::max(found->second.ledTerm, status.term);
+    if (status.term >= m_newestTerm)
+        onProvenPrimary(now, instance, sentAt, status.received);
+    else if (instance == m_primary)
+        onNotPrimary(now, instance, now); // Another instance is primary of a later term.
+}
+
+bool PrimaryTracker::wasPrimaryAt(const std::string &instance, Millis instant) const
+{
+    if (!needsReadLease())
+        return instance == m_primary;
+    return instance == m_primary && instance == m_provenPrimary && m_readLease.covers(instant);
+}
+
+void PrimaryTracker::onWaitForReadLease(Millis now, Millis instant)
+{
+    m_leaseNeededFor = std::max(m_leaseNeededFor.value_or(instant), instant);
+    m_leaseNeededAt = now;
 }
 
-void PrimaryTracker::onReportedPrimary(const std::string &instance)
+std::vector<std::string> PrimaryTracker::instancesToQuery(Millis now)
+{
+    if (m_leaseNeededFor && now - m_leaseNeededAt > LeaseNeedLifetime)
+        m_leaseNeededFor.reset();
+    if (!m_leaseNeededFor || !m_probing || m_primary.empty() || now < m_nextQuery)
+        return {};
+    m_nextQuery = now + StatusQueryInterval;
+    std::vector<std::string> replicas;
+    for (const auto &[id, entry] : m_instances) {
+        if (id != m_primary)
+            replicas.push_back(id);
+    }
+    if (replicas.empty())
+        return {};
+    std::rotate(replicas.begin(),
+                replicas.begin() + static_cast<std::ptrdiff_t>(m_queries++ % replicas.size()),
+                replicas.end());
+    replicas.resize(std::min(replicas.size(), static_cast<std::size_t>(m_syncReplicas)));
+    if (m_newestTerm > m_term)
+        replicas.push_back(m_primary);
+    return replicas;
+}
+
+void PrimaryTracker::onReportedPrimary(Millis now, const std::string &instance)
 {
     if (!m_probing && m_instances.contains(instance))
-        setPrimary(instance);
+        setPrimary(now, instance, m_term);
 }
 
-// Records evidence that the instance is primary. Other instances' registered roles are outdated
-// then.
-void PrimaryTracker::setPrimary(const std::string &instance)
+// Records evidence that the instance is primary of `term`. Other instances' registered roles are
+// outdated then.
+void PrimaryTracker::setPrimary(Millis now, const std::string &instance, std::uint64_t term)
 {
-    m_primary = instance;
-    m_lastPrimary = instance;
+    assumePrimary(now, instance, term);
+    m_provenPrimary = instance;
     for (auto &[id, entry] : m_instances)
         entry.roleOutdated = entry.registered.registeredAsPrimary && id != instance;
 }
@@ -224,11 +357,24 @@
         const bool credible
             = id != m_failedPrimary && !entry.roleOutdated && now - entry.deniedAt > DenialMemory;
         if (entry.registered.registeredAsPrimary && credible) {
-            m_primary = id;
-            m_lastPrimary = id;
+            assumePrimary(now, id, m_term);
             return;
         }
     }
 }
 
+// Makes the instance the known primary. Evidence about another one, or an earlier term, does not
+// hold for it.
+void PrimaryTracker::assumePrimary(Millis now, const std::string &instance, std::uint64_t term)
+{
+    if (instance != m_lastPrimary || term > m_term) {
+        m_readLease.reset();
+        m_unprovenSamples.clear();
+        m_primarySince = now;
+    }
+    m_primary = instance;
+    m_lastPrimary = instance;
+    m_term = term;
+}
+
 } // namespace cicadagap
--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -15,8 +15,12 @@
 #include "base/position.h"
 #include "connection/majoritytracker.h"
 #include "session/primarychange.h"
+#include "session/readlease.h"
 #include "session/registry.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -56,6 +60,8 @@
         Millis sampleInterval = Millis(50);
         // A longer time between two ticks means that this process was suspended.
         Millis suspensionLimit = Millis(300);
+        // A primary that was replaced may go on serving, so it is trusted only under a ReadLease.
+        bool needsReadLease = false;
     };
 
     PrimaryTracker()
@@ -69,9 +75,11 @@
     // hosts' reports, and never reports a cause for replacing the primary.
     void setProbing(bool probing) { m_probing = probing; }
     // Another host, which probes the group, reported the instance as primary.
-    void onReportedPrimary(const std::string &instance);
-    // Replaces the list of the group's registered instances.
-    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances);
+    void onReportedPrimary(Millis now, const std::string &instance);
+    // Replaces the list of the group's registered instances. `syncReplicas` replicas must hold a
+    // commit before it is acknowledged.
+    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                      int syncReplicas = 1);
     void onTick(Millis now);
     // The instance accepted or acknowledged something that only a primary does, as the answer to a
     // request that was sent at `sentAt`. `position` is the end of its log when it answered. A
@@ -80,6 +88,13 @@
     // The instance answered that it is not primary. Ignored for the last known primary if the
     // request was sent before the one behind its newest proof.
     void onNotPrimary(Millis now, const std::string &instance, Millis sentAt);
+    // The instance acknowledged a commit that was sent at `sentAt`.
+    void onCommitAcknowledged(const std::string &instance, Millis sentAt);
+    // The instance's log ended at `end` when it answered a request that was sent at `sentAt`.
+    void onPosition(Millis now, const std::string &instance, Millis sentAt, Position end);
+    // The instance answered a status query that was sent at `sentAt`.
+    void onStatus(Millis now, const std::string &instance, Millis sentAt,
+                  const InstanceStatus &status);
     // A request that the instance has to answer was sent, or a connection to it is being opened.
     void onRequestSent(Millis now, const std::string &instance);
     // Something arrived from the instance, whatever it was.
@@ -87,11 +102,26 @@
     // The instance refused a connection, closed one, or did not accept it in time.
     void onConnectionFailed(Millis now, const std::string &instance);
     // Sets since when the oldest unacknowledged write has waited at the primary; nothing if no
-    // write waits.
+    // write waits. Only writes for which concernsPrimary() holds count.
     void setOldestWrite(std::optional<Millis> since) { m_oldestWrite = since; }
+    // Whether a write that was sent to the instance at `sentAt` shows whether the present primary
+    // acknowledges writes. One that was sent before a change of primary may never be answered.
+    bool concernsPrimary(const std::string &instance, Millis sentAt) const
+    {
+        return instance == m_primary && sentAt >= m_primarySince;
+    }
 
     // The instance to send writes to; empty while no primary is known.
     const std::string &primary() const { return m_primary; }
+    // Whether the instance is the known primary, and had not been replaced at `instant`. Always
+    // true for the known primary unless Options::needsReadLease is set.
+    bool wasPrimaryAt(const std::string &instance, Millis instant) const;
+    // A statement that arrived at `instant` waits for wasPrimaryAt(). To be repeated while it
+    // waits.
+    void onWaitForReadLease(Millis now, Millis instant);
+    // The instances whose status shows whether the primary was replaced, while a statement waits to
+    // know; empty if none waits.
+    std::vector<std::string> instancesToQuery(Millis now);
     // Whether an instance proved that it is primary within the last `silenceLimit`.
     bool confirmed(Millis now) const;
     // The highest term in which an instance proved to be primary; 0 before the first proof.
@@ -118,9 +148,21 @@
         bool roleOutdated = false;
         int failedConnections = 0; // In a row.
         Millis firstFailure;
+        std::uint64_t ledTerm = 0; // The highest term in which it has been seen to be primary.
+    };
+
+    // Where the primary's log ended at an instant.
+    struct PositionSample
+    {
+        Millis at;
+        Position end;
     };
 
-    void setPrimary(const std::string &instance);
+    void setPrimary(Millis now, const std::string &instance, std::uint64_t term);
+    void assumePrimary(Millis now, const std::string &instance, std::uint64_t term);
+    bool needsReadLease() const;
+    void renewReadLease();
+    void addSample(Millis at, Position end);
     void losePrimary(Millis now);
     void adoptRegisteredRole(Millis now);
     bool primaryFailed(Millis now) const;
@@ -130,6 +172,7 @@
     std::map<std::string, TrackedInstance> m_instances;
     std::string m_primary;
     std::string m_lastPrimary;
+    Millis m_primarySince; // When the last known primary, or a later term of it, became known.
     bool m_probing = true;
     std::string m_failedPrimary; // Given up because primaryFailed() was true.
     std::uint64_t m_term = 0;
@@ -141,6 +184,17 @@
     std::optional<Millis> m_lastTick;
     Millis m_lastSample = Millis(-1'000'000);
     ReplicaAge m_replicaAge;
+    int m_syncReplicas = 1;
+    std::string m_provenPrimary; // Proved that it is primary of m_term; the lease is its own.
+    ReadLease m_readLease;
+    // Samples of the primary's position that the lease does not cover yet, the oldest first.
+    std::deque<PositionSample> m_unprovenSamples;
+    // The newest arrival of a statement that waits for the lease, and when that was last said.
+    std::optional<Millis> m_leaseNeededFor;
+    Millis m_leaseNeededAt;
+    std::uint64_t m_newestTerm = 0; // The highest term that any instance reported.
+    Millis m_nextQuery;
+    std::size_t m_queries = 0; // How many were made, to query the replicas by turns.
 };
 
 } // namespace cicadagap
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -10,9 +10,14 @@
 
 std::string leaseText(const PromotionLease &lease)
 {
-    return json::serialize(json::object{{"holder", lease.holder},
-                                        {"fencingToken", lease.fencingToken},
-                                        {"untilMs", lease.until.count()}});
+    json::object row{{"holder", lease.holder},
+                     {"fencingToken", lease.fencingToken},
+                     {"untilMs", lease.until.count()}};
+    if (!lease.candidate.empty()) {
+        row["candidate"] = lease.candidate;
+        row["candidateUntilMs"] = lease.candidateUntil.count();
+    }
+    return json::serialize(row);
 }
 
 std::optional<PromotionLease> parseLease(std::string_view text, Reason *reason)
@@ -33,9 +38,20 @@
         setReason(reason, "the fencing token is not a whole number");
         return std::nullopt;
     }
-    return PromotionLease{.holder = std::string(holder->get_string()),
-                          .fencingToken = fencingToken,
-                          .until = Millis(until->get_int64())};
+    PromotionLease lease{.holder = std::string(holder->get_string()),
+                         .fencingToken = fencingToken,
+                         .until = Millis(until->get_int64())};
+    const json::value *candidate = object->if_contains("candidate");
+    const json::value *candidateUntil = object->if_contains("candidateUntilMs");
+    if (!candidate && !candidateUntil)
+        return lease;
+    if (!candidate || !candidate->is_string() || !candidateUntil || !candidateUntil->is_int64()) {
+        setReason(reason, "the lease's row has a candidate without a name or an end");
+        return std::nullopt;
+    }
+    lease.candidate = candidate->get_string();
+    lease.candidateUntil = Millis(candidateUntil->get_int64());
+    return lease;
 }
 
 std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
@@ -43,9 +59,27 @@
 {
     if (current && current->holder != self && current->until > storeNow)
         return std::nullopt;
-    return PromotionLease{.holder = self,
-                          .fencingToken = (current ? current->fencingToken : 0) + 1,
-                          .until = storeNow + LeaseDuration};
+    PromotionLease next{.holder = self,
+                        .fencingToken = (current ? current->fencingToken : 0) + 1,
+                        .until = storeNow + LeaseDuration};
+    if (current && current->candidateUntil > storeNow) {
+        next.candidate = current->candidate;
+        next.candidateUntil = current->candidateUntil;
+    }
+    return next;
+}
+
+std::optional<PromotionLease> leaseWithCandidate(const std::optional<PromotionLease> &current,
+                                                 const std::string &self,
+                                                 std::uint64_t fencingToken,
+                                                 const std::string &candidate, Millis storeNow)
+{
+    if (!current || current->holder != self || current->fencingToken != fencingToken)
+        return std::nullopt;
+    PromotionLease next = *current;
+    next.candidate = candidate;
+    next.candidateUntil = candidate.empty() ? Millis(0) : storeNow + LatePromotionLimit;
+    return next;
 }
 
 } // namespace cicadagap
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -29,6 +29,9 @@
 // The difference covers the time in which a request that the holder sent is still on its way.
 inline constexpr Millis LeaseDuration(5000);
 inline constexpr Millis LeaseActingTime(2500);
+// A promotion request without an answer may be carried out for this long after the candidate was
+// recorded.
+inline constexpr Millis LatePromotionLimit(10'000);
 
 // The content of the lease's row.
 struct PromotionLease
@@ -36,6 +39,10 @@
     std::string holder;
     std::uint64_t fencingToken = 0;
     Millis until; // When it ends, on the store's clock.
+    // The instance whose promotion was requested last, while the request may still be carried out:
+    // until `candidateUntil` on the store's clock. Empty if there is none.
+    std::string candidate;
+    Millis candidateUntil;
 
     bool operator==(const PromotionLease &) const = default;
 };
@@ -49,4 +56,12 @@
 std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
                                         const std::string &self, Millis storeNow);
 
+// The lease that its holder has to write before it requests the promotion of `candidate`, or, with
+// an empty candidate, once no such request can be carried out any more. Nothing if `current` is not
+// the lease of `self` under `fencingToken`.
+std::optional<PromotionLease> leaseWithCandidate(const std::optional<PromotionLease> &current,
+                                                 const std::string &self,
+                                                 std::uint64_t fencingToken,
+                                                 const std::string &candidate, Millis storeNow);
+
 } // namespace cicadagap
--- a/src/session/relaybatch.h
+++ b/src/session/relaybatch.h
@@ -41,6 +41,8 @@
     bool needsSlot = true;        // Work that needs none goes ahead of all work that does.
     Millis maxWait;               // How long it may wait for a connection and a slot.
     std::optional<Millis> maxAge; // For reads: the age that the data may have.
+    // For work at the primary: the instance must have been primary this long ago.
+    std::optional<Millis> primaryAge;
     std::vector<RelayedStatement> statements;
 
     bool operator==(const RelayBatch &) const = default;
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -117,6 +117,8 @@
     out.set_patience_ms(static_cast<std::uint32_t>(batch.maxWait.count()));
     if (batch.maxAge)
         out.set_max_age_ms(static_cast<std::uint32_t>(batch.maxAge->count()));
+    if (batch.primaryAge)
+        out.set_primary_age_ms(static_cast<std::uint32_t>(batch.primaryAge->count()));
     for (const RelayedStatement &entry : batch.statements)
         write(entry, out.add_statements());
     return out.SerializeAsString();
@@ -148,6 +150,8 @@
                      .maxWait = Millis(in.patience_ms())};
     if (in.has_max_age_ms())
         batch.maxAge = Millis(in.max_age_ms());
+    if (in.has_primary_age_ms())
+        batch.primaryAge = Millis(in.primary_age_ms());
     for (const relaywire::Statement &statement : in.statements()) {
         std::optional<RelayedStatement> entry = read(statement);
         if (!entry) {
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -27,14 +27,42 @@
 } // namespace
 
 RelayGateway::RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork,
-                           PositionCovering positionCovering)
+                           GroupKnowledge *groups)
     : m_pool(pool)
     , m_nextWork(std::move(nextWork))
-    , m_positionCovering(std::move(positionCovering))
+    , m_groups(groups)
 {
 }
 
 void RelayGateway::onBatch(Millis now, RelayBatch batch, Reply reply)
+{
+    const Millis primaryAsOf = now - batch.primaryAge.value_or(Millis(0));
+    if (!batch.primaryAge || m_groups->wasPrimaryAt(now, batch.instance, primaryAsOf)) {
+        startBatch(now, std::move(batch), std::move(reply));
+        return;
+    }
+    const Millis deadline = now + batch.maxWait;
+    m_unproven.push_back({.batch = std::move(batch),
+                          .reply = std::move(reply),
+                          .primaryAsOf = primaryAsOf,
+                          .deadline = deadline});
+}
+
+void RelayGateway::startProvenBatches(Millis now)
+{
+    for (UnprovenBatch &waiting : std::exchange(m_unproven, {})) {
+        if (m_groups->wasPrimaryAt(now, waiting.batch.instance, waiting.primaryAsOf)) {
+            waiting.batch.maxWait = std::max(Millis(1), waiting.deadline - now);
+            startBatch(now, std::move(waiting.batch), std::move(waiting.reply));
+        } else if (now >= waiting.deadline || !m_pool->isDirect(waiting.batch.instance)) {
+            waiting.reply({.ended = true, .cause = Cause::Overloaded});
+        } else {
+            m_unproven.push_back(std::move(waiting));
+        }
+    }
+}
+
+void RelayGateway::startBatch(Millis now, RelayBatch batch, Reply reply)
 {
     const ChannelKey key{batch.origin, batch.channel};
     if (batch.continues && !m_channels.contains(key)) {
@@ -44,7 +72,7 @@
     }
     std::optional<Position> required;
     if (batch.maxAge) {
-        required = m_positionCovering(batch.instance, now - *batch.maxAge);
+        required = m_groups->positionCovering(batch.instance, now - *batch.maxAge);
         if (!required) {
             reply({.ended = true, .cause = Cause::TooOld});
             return;
@@ -86,6 +114,9 @@
 void RelayGateway::onDropped(Millis now, const std::string &origin, std::uint64_t channelId)
 {
     const ChannelKey key{origin, channelId};
+    std::erase_if(m_unproven, [&](const UnprovenBatch &waiting) {
+        return waiting.batch.origin == origin && waiting.batch.channel == channelId;
+    });
     const auto found = m_channels.find(key);
     if (found == m_channels.end())
         return;
@@ -106,6 +137,7 @@
     }
     for (const ChannelKey &key : idle)
         onDropped(now, key.first, key.second);
+    startProvenBatches(now);
 }
 
 bool RelayGateway::onWorkStarted(Millis now, WorkId work, ConnectionId connection)
@@ -144,6 +176,7 @@
             || (kind == StatementKind::Execute && preparedWrite);
         if (writes)
             channel->writeSentAt = now;
+        channel->wrote = channel->wrote || (writes && kind != StatementKind::Commit);
         m_pool->send(now, channel->connection, entry.purpose, std::move(entry.statement));
     }
 }
@@ -152,7 +185,8 @@
 {
     std::map<std::string, Millis> oldest;
     for (const auto &[key, channel] : m_channels) {
-        if (!channel.writeSentAt)
+        if (!channel.writeSentAt
+            || !m_groups->concernsPrimary(channel.instance, *channel.writeSentAt))
             continue;
         Millis &since = oldest.emplace(channel.instance, *channel.writeSentAt).first->second;
         since = std::min(since, *channel.writeSentAt);
@@ -169,8 +203,8 @@
     return true;
 }
 
-bool RelayGateway::onWorkAnswer(Millis now, WorkId work, SendPurpose purpose,
-                                const StatementAnswer &answer)
+bool RelayGateway::onWorkAnswer(Millis now, WorkId work, SendPurpose purpose, StatementKind kind,
+                                Millis sentAt, const StatementAnswer &answer)
 {
     ChannelKey key;
     Channel *channel = find(work, &key);
@@ -179,6 +213,11 @@
     if (purpose == SendPurpose::Restore)
         return true;
     channel->lastUsed = now;
+    // Outside of a transaction, and at its end, the answer to a write acknowledges a commit.
+    const bool committed = answer.succeeded() && answer.phase == SessionPhase::Idle
+        && purpose == SendPurpose::Work && kind != StatementKind::Read && channel->wrote;
+    if (committed)
+        m_groups->onCommitAcknowledged(channel->instance, sentAt);
     channel->reply.answers.push_back(answer);
     --channel->unanswered;
     const bool refused = purpose == SendPurpose::OpenTransaction && !answer.succeeded();
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -8,6 +8,7 @@
 // never if the instance has refused.
 #pragma once
 
+#include "session/groupknowledge.h"
 #include "session/relaybatch.h"
 #include "session/targetpool.h"
 
@@ -32,25 +33,23 @@
 public:
     // Called exactly once for each batch, possibly from within onBatch().
     using Reply = std::function<void(RelayReply)>;
-    // Returns a position that covers everything that the primary of the instance's group had at
-    // `since`; nothing if none is known.
-    using PositionCovering
-        = std::function<std::optional<Position>(const std::string &instance, Millis since)>;
 
-    RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork,
-                 PositionCovering positionCovering);
+    // `groups` must outlive this object.
+    RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork, GroupKnowledge *groups);
 
     // Another host sent a batch.
     void onBatch(Millis now, RelayBatch batch, Reply reply);
     // The origin gave the channel up. Its connection is closed, which rolls a transaction back.
     void onDropped(Millis now, const std::string &origin, std::uint64_t channel);
-    // Ends transactions that have been idle for longer than `limit`.
+    // Ends transactions that have been idle for longer than `limit`, and starts or refuses batches
+    // that wait for evidence that the instance is still primary.
     void onTick(Millis now, Millis limit);
 
     // Results from the pool. Return false if the work was not submitted by this object.
     bool onWorkStarted(Millis now, WorkId work, ConnectionId connection);
     bool onWorkRefused(WorkId work, Cause cause);
-    bool onWorkAnswer(Millis now, WorkId work, SendPurpose purpose, const StatementAnswer &answer);
+    bool onWorkAnswer(Millis now, WorkId work, SendPurpose purpose, StatementKind kind,
+                      Millis sentAt, const StatementAnswer &answer);
     bool onWorkConnectionLost(WorkId work, bool workSent);
 
     // Whether the channel exists here.
@@ -58,7 +57,7 @@
     {
         return m_channels.contains({origin, channel});
     }
-    // For each instance with an unanswered write, when the oldest one was sent.
+    // For each primary with an unanswered write, when the oldest one was sent.
     std::map<std::string, Millis> oldestWrites() const;
     // Whether the work only reads, so that it may be tried on another instance.
     bool onlyReads(WorkId work) const;
@@ -79,9 +78,21 @@
         Reply respond; // Set only while a batch is in progress.
         Millis lastUsed;
         bool onlyReads = false;
+        bool wrote = false;                // A write was sent on it.
         std::optional<Millis> writeSentAt; // Of an unanswered write or commit.
     };
 
+    // A batch that waits for evidence that its instance is still primary.
+    struct UnprovenBatch
+    {
+        RelayBatch batch;
+        Reply reply;
+        Millis primaryAsOf;
+        Millis deadline;
+    };
+
+    void startBatch(Millis now, RelayBatch batch, Reply reply);
+    void startProvenBatches(Millis now);
     void sendBatch(Millis now, Channel *channel);
     void sendStatements(Millis now, Channel *channel);
     void endChannel(const ChannelKey &key, Cause cause, bool sent);
@@ -89,7 +100,8 @@
 
     TargetPool *m_pool;
     std::function<WorkId()> m_nextWork;
-    PositionCovering m_positionCovering;
+    GroupKnowledge *m_groups;
+    std::vector<UnprovenBatch> m_unproven;
     std::map<ChannelKey, Channel> m_channels;
     std::map<WorkId, ChannelKey> m_channelByWork;
 };
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -19,18 +19,13 @@
     : m_options(std::move(options))
     , m_output(output)
     , m_hosts({.self = m_options.host})
-    , m_control(output, [this] { return nextWork(); })
+    , m_control(
+          output, [this] { return nextWork(); }, m_options.fencedPromotions)
     , m_pool(
           m_options.pool, output, this,
           [this](Millis now, const std::string &instance) { return chooseGateway(now, instance); })
     , m_relayGateway(
-          &m_pool, [this] { return nextWork(); },
-          [this](const std::string &instance, Millis since) {
-              const auto found = m_instances.find(instance);
-              const PrimaryTracker *tracker
-                  = found == m_instances.end() ? nullptr : m_control.tracker(found->second.group);
-              return tracker ? tracker->replicaAge().coveringSince(since) : std::nullopt;
-          })
+          &m_pool, [this] { return nextWork(); }, &m_control)
 {
     m_control.setPool(&m_pool);
 }
@@ -140,7 +135,7 @@
         m_hosts.onGatewayFailed(now, gateway);
     m_pool.onRelayReply(now, connection, reply);
     if (!reply.primary.empty())
-        m_control.onReportedPrimary(reply.primary);
+        m_control.onReportedPrimary(now, reply.primary);
     m_pool.flush(now);
 }
 
@@ -257,6 +252,13 @@
     m_pool.flush(now);
 }
 
+void SessionEngine::onCandidateRecorded(Millis now, const std::string &group,
+                                        const std::string &candidate, bool recorded)
+{
+    m_control.onCandidateRecorded(now, group, candidate, recorded);
+    m_pool.flush(now);
+}
+
 void SessionEngine::onTick(Millis now)
 {
     m_pool.onTick(now);
@@ -271,7 +273,8 @@
         if (!session || !session->operation)
             continue;
         const Operation &operation = *session->operation;
-        if (operation.writes && operation.stage == Stage::Running) {
+        if (operation.writes && operation.stage == Stage::Running
+            && m_control.concernsPrimary(operation.instance, operation.startedAt)) {
             Millis &oldest
                 = oldestWrites.emplace(operation.route.group, operation.startedAt).first->second;
             oldest = std::min(oldest, operation.startedAt);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -93,6 +93,8 @@
         Millis removedAfterMissing = Millis(5000);
         // In a graceful shutdown, callers' new connections go on arriving for this long.
         Millis drainDelay = Millis(2300);
+        // See PrimaryChange::Options.
+        bool fencedPromotions = true;
         TargetPool::Options pool;
     };
 
@@ -123,9 +125,11 @@
     void onRelayBatch(Millis now, RelayBatch batch, RelayGateway::Reply reply);
     void onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel);
 
-    // The answers to acquireLease() and requestPromotion().
+    // The answers to acquireLease(), requestPromotion() and recordCandidate().
     void onLeaseResult(Millis now, const std::string &group, const LeaseResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionResult verdict);
+    void onCandidateRecorded(Millis now, const std::string &group, const std::string &candidate,
+                             bool recorded);
 
     void onTick(Millis now);
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
@@ -173,6 +177,9 @@
         std::set<std::string> excludedInstances;
         // Relayed reads only: the data must include everything committed by then.
         std::optional<Millis> freshAsOf;
+        // It must see everything that was acknowledged by then, at the primary: when it, or the
+        // transaction around it, arrived, less the age that its data may have.
+        Millis seesCommitsOf;
         std::string instance;
         WorkId work = 0;
         ConnectionId connection = 0;
@@ -193,6 +200,7 @@
         ConnectionId connection = 0; // 0 before the first statement.
         WorkId work = 0;
         std::string instance;
+        Millis beganAt;
         Millis lastUsed;
     };
 
@@ -222,7 +230,10 @@
     void startForwarded(Millis now, SessionId id, Session *session, Statement statement);
     void dispatch(Millis now, SessionId id, Session *session);
     void runInTransaction(Millis now, Session *session);
-    std::string chooseInstance(Millis now, const Session &session, Operation *operation) const;
+    std::string chooseInstance(Millis now, const Session &session, Operation *operation);
+    std::string usablePrimary(Millis now, const Session &session, const Operation &operation);
+    void recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose, Millis sentAt,
+                        const StatementAnswer &answer);
     std::string chooseGateway(Millis now, const std::string &instance) const;
     std::optional<Position> requiredPosition(const Session &session,
                                              const Operation &operation) const;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -65,6 +65,7 @@
     }
     session->transaction = Transaction{.route = *found,
                                        .readOnly = statement.kind == StatementKind::BeginReadOnly,
+                                       .beganAt = now,
                                        .lastUsed = now};
     session->phase = SessionPhase::Transaction;
     m_active.insert(id);
@@ -116,6 +117,9 @@
     operation.inInternalTransaction = !inTransaction && strong && !operation.writes;
     if (kind == StatementKind::Commit)
         operation.writes = session->transaction->wrote;
+    operation.seesCommitsOf = inTransaction ? session->transaction->beganAt : now;
+    if (!strong)
+        operation.seesCommitsOf = operation.seesCommitsOf - found->maxAge;
     operation.statement = std::move(statement);
     operation.deadline
         = now + std::max(found->latencyObjective * m_options.waitObjectives, m_options.minWait);
@@ -156,6 +160,11 @@
                     .freshAsOf = operation.freshAsOf,
                     .values = &session->state.values,
                     .prepared = operation.prepared};
+    const bool needsProof = session->transaction || !operation.writes;
+    const bool onReplica
+        = operation.freshAsOf || (!operation.needsPrimary && operation.statement.requiredPosition);
+    if (!m_options.fencedPromotions && needsProof && !onReplica)
+        work.primaryAsOf = operation.seesCommitsOf;
     if (!m_pool.submit(now, operation.instance, std::move(work))) {
         m_sessionByWork.erase(operation.work);
         if (m_pool.isDirect(operation.instance))
@@ -180,14 +189,18 @@
 
 // The instance that is expected to answer soonest among those that may serve the operation; empty
 // if none can be chosen now. Sets what the instance's data has to include for a read.
-std::string SessionEngine::chooseInstance(Millis now, const Session &session,
-                                          Operation *operation) const
+std::string SessionEngine::chooseInstance(Millis now, const Session &session, Operation *operation)
 {
-    std::string primary = m_control.primary(operation->route.group);
     operation->statement.requiredPosition.reset();
     operation->freshAsOf.reset();
-    if (operation->needsPrimary)
-        return primary;
+    if (operation->needsPrimary) {
+        // A transaction finds its session's commits at the primary, unless that was replaced.
+        const bool own = operation->route.consistency == Consistency::ReadYourWrites;
+        if (!m_options.fencedPromotions && own && session.transaction
+            && session.state.lastCommit.term > 0)
+            operation->statement.requiredPosition = session.state.lastCommit;
+        return usablePrimary(now, session, *operation);
+    }
     const std::optional<Position> required = requiredPosition(session, *operation);
     std::string best;
     Millis lowest;
@@ -229,7 +242,25 @@
     }
     // No instance is known to hold recent enough data. The primary always does.
     operation->inInternalTransaction = !session.transaction;
-    return primary;
+    return usablePrimary(now, session, *operation);
+}
+
+// The primary, if it holds all that the operation has to see; empty while that is not known. Behind
+// a gateway, the gateway makes sure of it.
+std::string SessionEngine::usablePrimary(Millis now, const Session &session,
+                                         const Operation &operation)
+{
+    std::string primary = m_control.primary(operation.route.group);
+    if (primary.empty() || m_options.fencedPromotions || !m_pool.isDirect(primary))
+        return primary;
+    if (m_control.wasPrimaryAt(now, primary, operation.seesCommitsOf))
+        return primary;
+    // A write outside of a transaction reads nothing. It waits too, since a primary that was
+    // replaced acknowledges nothing, but not for long: its acknowledgement may be the only
+    // evidence.
+    const bool mayTry
+        = operation.writes && !session.transaction && now - operation.arrivedAt > ReadLeaseDuration;
+    return mayTry ? primary : std::string();
 }
 
 // The position that a replica's log must hold for the read; nothing if there is no sample of the
@@ -328,7 +359,8 @@
                                  SendPurpose purpose, StatementKind kind, Millis sentAt,
                                  const StatementAnswer &answer)
 {
-    if (m_relayGateway.onWorkAnswer(now, work, purpose, answer))
+    recordEvidence(now, connection, purpose, sentAt, answer);
+    if (m_relayGateway.onWorkAnswer(now, work, purpose, kind, sentAt, answer))
         return;
     if (purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work) {
         if (m_control.onWorkAnswer(now, work, connection, kind, sentAt, answer))
@@ -347,6 +379,14 @@
     }
 }
 
+// Every answer shows where the instance's log ended.
+void SessionEngine::recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose,
+                                   Millis sentAt, const StatementAnswer &answer)
+{
+    if (answer.position && purpose != SendPurpose::Restore)
+        m_control.onPosition(now, m_pool.instanceOf(connection), sentAt, *answer.position);
+}
+
 // Handles the answer to the opening of the transaction around the statement.
 void SessionEngine::finishOpening(Millis now, SessionId id, Session *session, Millis sentAt,
                                   const StatementAnswer &answer)
@@ -366,7 +406,9 @@
             sendOperation(now, session);
         return;
     }
-    if (answer.cause == Cause::NotPrimary)
+    // A primary that lacks a commit of the session was replaced.
+    const bool replaced = operation.needsPrimary && answer.cause == Cause::Behind;
+    if (answer.cause == Cause::NotPrimary || replaced)
         m_control.onNotPrimary(now, operation.instance, sentAt);
     if (answer.phase != SessionPhase::Idle && !operation.sentWithOpening)
         m_pool.send(now, operation.connection, SendPurpose::CloseTransaction,
@@ -382,8 +424,10 @@
     Operation &operation = *session->operation;
     const bool commit = operation.statement.kind == StatementKind::Commit;
     if (answer.succeeded() && operation.writes && answer.position
-        && (commit || !session->transaction))
+        && (commit || !session->transaction)) {
         m_control.onProvenPrimary(now, operation.instance, sentAt, *answer.position);
+        m_control.onCommitAcknowledged(operation.instance, sentAt);
+    }
     if (answer.cause == Cause::NotPrimary)
         m_control.onNotPrimary(now, operation.instance, sentAt);
     if (commit) {
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -224,6 +224,8 @@
                      .statements = std::move(statements)};
     if (work.freshAsOf && !connection.answered)
         batch.maxAge = now - *work.freshAsOf;
+    if (work.primaryAsOf && !connection.answered)
+        batch.primaryAge = std::max(Millis(0), now - *work.primaryAsOf);
     return batch;
 }
 
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -104,6 +104,8 @@
     Millis deadline;  // The work is refused if it has not started by then.
     // Relayed reads only: the data must include everything committed by then.
     std::optional<Millis> freshAsOf;
+    // Relayed work at the primary only: it must have been primary at this instant.
+    std::optional<Millis> primaryAsOf;
     bool needsSlot = true; // Work that needs none goes ahead of all work that does.
     // The session's values, which must stay valid until the work starts. Null if the connection's
     // values don't matter.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -37,6 +37,12 @@
     {
         actions.push_back("promote " + instance + " " + std::to_string(token));
     }
+    void recordCandidate(const std::string &, const std::string &candidate,
+                         std::uint64_t token) override
+    {
+        actions.push_back("record " + (candidate.empty() ? std::string("none") : candidate) + " "
+                          + std::to_string(token));
+    }
     void stageChanged(const std::string &, PrimaryChangeStage, PrimaryChangeCause,
                       const std::string &) override
     {
--- a/src/session/tst_primarytracker.cpp
+++ b/src/session/tst_primarytracker.cpp
@@ -48,7 +48,7 @@
             tracker->onNotPrimary(event.at, event.instance, event.sentAt);
             return;
         case Event::Kind::ReportedPrimary:
-            tracker->onReportedPrimary(event.instance);
+            tracker->onReportedPrimary(event.at, event.instance);
             return;
         case Event::Kind::RegisteredA:
         case Event::Kind::RegisteredB:
--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -99,6 +99,77 @@
         return access + std::get<1>(info.param).name;
     });
 
+// On a platform that checks no fencing tokens, a primary that was replaced goes on leading, and
+// promotions are carried out in any order.
+class UnfencedSimulation : public testing::TestWithParam<std::tuple<Access, SimulationCase>>
+{
+};
+
+TEST_P(UnfencedSimulation, KeepsItsGuarantees)
+{
+    const auto &[access, faults] = GetParam();
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        const SimulationReport report = runSimulation({.seed = seed,
+                                                       .hosts = 4,
+                                                       .maxConnections = connectionsFor(access),
+                                                       .fencedPromotions = false,
+                                                       .faults = faults.faults});
+        EXPECT_TRUE(report.violations.empty()) << "seed " << seed << "\n" << text(report);
+        EXPECT_TRUE(report.servesAtTheEnd) << "seed " << seed;
+        EXPECT_GT(report.answered, 1000) << "seed " << seed;
+        EXPECT_LE(report.longestWriteGap, faults.writeGap) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, UnfencedSimulation,
+    testing::Combine(
+        testing::Values(Access::Direct, Access::Gateways),
+        testing::Values(SimulationCase{"calm", {}, Millis(500)},
+                        SimulationCase{"crashPrimary", {SimulatedFault::CrashPrimary}},
+                        SimulationCase{"silencePrimary", {SimulatedFault::SilencePrimary}},
+                        SimulationCase{"splitPrimary", {SimulatedFault::SplitPrimary}},
+                        SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
+                        SimulationCase{
+                            "splitAndLateCommands",
+                            {SimulatedFault::SplitPrimary, SimulatedFault::DelayCommands}},
+                        SimulationCase{"splitAndKilledHosts",
+                                       {SimulatedFault::SplitPrimary, SimulatedFault::KillHost,
+                                        SimulatedFault::KillHost}},
+                        SimulationCase{"splitAndFrozenHost",
+                                       {SimulatedFault::SplitPrimary, SimulatedFault::FreezeHost,
+                                        SimulatedFault::FreezeHost}},
+                        SimulationCase{"splitAndStoreDown",
+                                       {SimulatedFault::SplitPrimary, SimulatedFault::StoreDown},
+                                       Millis(20'000)},
+                        SimulationCase{"splitTwice",
+                                       {SimulatedFault::SplitPrimary, SimulatedFault::SplitPrimary},
+                                       Millis(20'000)},
+                        SimulationCase{"latePromotions",
+                                       {SimulatedFault::DelayPromotions,
+                                        SimulatedFault::SplitPrimary, SimulatedFault::CrashPrimary},
+                                       Millis(20'000)})),
+    [](const auto &info) {
+        const std::string access
+            = std::get<0>(info.param) == Access::Direct ? "direct" : "gateways";
+        return access + std::get<1>(info.param).name;
+    });
+
+// Shows that the simulation notices what the rules for such a platform prevent.
+TEST(UnfencedSimulation, NoticesHostsThatIgnoreTheMissingFence)
+{
+    std::size_t violations = 0;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        violations += runSimulation({.seed = seed,
+                                     .hosts = 4,
+                                     .fencedPromotions = false,
+                                     .hostsIgnoreMissingFence = true,
+                                     .faults = {SimulatedFault::SplitPrimary}})
+                          .violations.size();
+    }
+    EXPECT_GT(violations, 0U);
+}
+
 // Ignores all actions except the end of a session.
 class NullOutput : public SessionOutput
 {
@@ -110,6 +181,7 @@
     void dropAtGateway(ConnectionId, const std::string &) override { }
     void acquireLease(const std::string &) override { }
     void requestPromotion(const std::string &, const std::string &, std::uint64_t) override { }
+    void recordCandidate(const std::string &, const std::string &, std::uint64_t) override { }
     void logGroupEvent(const std::string &, std::string_view, const std::string &, std::uint64_t,
                        const std::string &) override
     {
@@ -159,6 +231,24 @@
 }
 
 // Several overlapping faults, drawn from the seed.
+TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
+{
+    constexpr int FaultCount = 13;
+    for (std::uint64_t seed = 2000; seed < 2060; ++seed) {
+        Random random(seed);
+        const Access access = seed % 2 == 0 ? Access::Direct : Access::Gateways;
+        SimulationOptions options{.seed = seed,
+                                  .hosts = 4,
+                                  .maxConnections = connectionsFor(access),
+                                  .fencedPromotions = false,
+                                  .faults = {SimulatedFault::SplitPrimary}};
+        for (std::uint64_t i = 0; i < 1 + random.below(4); ++i)
+            options.faults.push_back(static_cast<SimulatedFault>(random.below(FaultCount)));
+        const SimulationReport report = runSimulation(options);
+        EXPECT_TRUE(report.violations.empty()) << "seed " << seed << "\n" << text(report);
+    }
+}
+
 TEST(SessionSimulationRandom, KeepsItsGuarantees)
 {
     constexpr int FaultCount = 12;
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -150,10 +150,10 @@
     {
         relay->onWorkRefused(work, cause);
     }
-    void onWorkAnswer(Millis now, WorkId work, ConnectionId, SendPurpose purpose, StatementKind,
-                      Millis, const StatementAnswer &answer) override
+    void onWorkAnswer(Millis now, WorkId work, ConnectionId, SendPurpose purpose,
+                      StatementKind kind, Millis sentAt, const StatementAnswer &answer) override
     {
-        relay->onWorkAnswer(now, work, purpose, answer);
+        relay->onWorkAnswer(now, work, purpose, kind, sentAt, answer);
     }
     void onWorkConnectionLost(Millis, WorkId work, ConnectionId, bool workSent) override
     {
@@ -166,6 +166,33 @@
     RelayGateway *relay = nullptr;
 };
 
+// Knows nothing but what a test sets.
+class SettableGroups : public GroupKnowledge
+{
+public:
+    std::optional<Position> positionCovering(const std::string &, Millis) const override
+    {
+        return std::nullopt;
+    }
+    bool wasPrimaryAt(Millis, const std::string &, Millis instant) override
+    {
+        return instant <= primaryUntil;
+    }
+    bool concernsPrimary(const std::string &instance, Millis sentAt) const override
+    {
+        return instance == primary && sentAt >= primarySince;
+    }
+    void onCommitAcknowledged(const std::string &, Millis sentAt) override
+    {
+        acknowledged = sentAt;
+    }
+
+    std::string primary = "i";
+    Millis primarySince;
+    Millis primaryUntil;
+    std::optional<Millis> acknowledged; // When the newest acknowledged commit was sent.
+};
+
 // A read inside an internal transaction, which another host relays as one batch.
 class RelayedRead : public testing::Test
 {
@@ -200,8 +227,8 @@
     std::optional<RelayReply> reply;
     WorkId lastWork = 0;
     TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
-    RelayGateway relay{&pool, [this] { return ++lastWork; },
-                       [](const std::string &, Millis) { return std::nullopt; }};
+    SettableGroups groups;
+    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
 };
 
 TEST_F(RelayedRead, RunsOnlyOnceItsTransactionIsOpen)
@@ -237,9 +264,9 @@
     GatewayListener gatewayListener;
     WorkId lastWork = 0;
     TargetPool pool({}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; });
+    SettableGroups groups;
     RelayGateway relay(
-        &pool, [&] { return ++lastWork; },
-        [](const std::string &, Millis) { return std::nullopt; });
+        &pool, [&] { return ++lastWork; }, &groups);
     gatewayListener.relay = &relay;
     pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
     pool.onOpened(Millis(0), output.opening.back());
@@ -253,8 +280,81 @@
     pool.flush(Millis(5));
     const std::map<std::string, Millis> waiting{{"i", Millis(5)}};
     EXPECT_EQ(relay.oldestWrites(), waiting);
+    // A write from before the last change of primary tells nothing about the new one.
+    groups.primarySince = Millis(6);
+    EXPECT_TRUE(relay.oldestWrites().empty());
+    groups.primarySince = Millis(0);
     pool.onAnswer(Millis(9), output.opening.back(), {});
     EXPECT_TRUE(relay.oldestWrites().empty());
+    EXPECT_EQ(groups.acknowledged, Millis(5));
+}
+
+// A primary that was replaced may go on serving reads. A batch that has to see all commits up to
+// its arrival waits for evidence that its instance was still primary then.
+class UnprovenBatch : public testing::Test
+{
+protected:
+    UnprovenBatch()
+    {
+        gatewayListener.relay = &relay;
+        pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
+        pool.onOpened(Millis(0), output.opening.back());
+        groups.primaryUntil = Millis(90);
+        relay.onBatch(Millis(100),
+                      {.origin = "o",
+                       .channel = 1,
+                       .instance = "i",
+                       .maxWait = Millis(200),
+                       .primaryAge = Millis(5),
+                       .statements = {{.statement = {.id = "q", .kind = StatementKind::Read}}}},
+                      [this](const RelayReply &answer) { reply = answer; });
+        pool.flush(Millis(100));
+    }
+
+    void tick(Millis now)
+    {
+        relay.onTick(now, Millis(3000));
+        pool.flush(now);
+    }
+
+    RecordingOutput output;
+    GatewayListener gatewayListener;
+    std::optional<RelayReply> reply;
+    WorkId lastWork = 0;
+    TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
+    SettableGroups groups;
+    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
+};
+
+TEST_F(UnprovenBatch, RunsOnceTheInstanceIsKnownToHaveBeenPrimary)
+{
+    EXPECT_EQ(output.sent, 0U);
+    groups.primaryUntil = Millis(94);
+    tick(Millis(120));
+    EXPECT_EQ(output.sent, 0U);
+    groups.primaryUntil = Millis(95);
+    tick(Millis(140));
+    EXPECT_EQ(output.sent, 1U);
+}
+
+TEST_F(UnprovenBatch, IsRefusedAsNotRunWhenItsTimeIsOver)
+{
+    tick(Millis(299));
+    EXPECT_FALSE(reply);
+    tick(Millis(300));
+    ASSERT_TRUE(reply);
+    EXPECT_TRUE(reply->ended);
+    EXPECT_FALSE(reply->sent);
+    EXPECT_EQ(output.sent, 0U);
+}
+
+TEST_F(UnprovenBatch, IsForgottenWhenItsOriginGivesItUp)
+{
+    relay.onDropped(Millis(110), "o", 1);
+    groups.primaryUntil = Millis(1000);
+    tick(Millis(120));
+    EXPECT_EQ(output.sent, 0U);
+    EXPECT_FALSE(reply);
 }
 
 } // namespace
--- a/src/standin_core/replicagroup.cpp
+++ b/src/standin_core/replicagroup.cpp
@@ -10,6 +10,8 @@
 
 // Between attempts to send a commit to a replica that has not received it yet.
 constexpr Millis ResendInterval(100);
+// From the moment at which a replaced primary can reach its successor until it stops leading.
+constexpr Millis DemotionDelay(1000);
 
 // Whether the transaction began in a term of which the instance is no longer primary.
 bool lostPrimaryRole(const GroupInstance &instance, const InstanceConnection &connection)
@@ -46,11 +48,14 @@
 
 GroupInstance *ReplicaGroup::primary()
 {
+    GroupInstance *newest = nullptr;
     for (auto &row : m_instances) {
-        if (row.second.primary && row.second.running && !row.second.removed)
-            return &row.second;
+        GroupInstance &instance = row.second;
+        if (instance.primary && instance.running && !instance.removed
+            && (!newest || instance.term > newest->term))
+            newest = &instance;
     }
-    return nullptr;
+    return newest;
 }
 
 void ReplicaGroup::execute(GroupInstance *instance, InstanceConnection *connection,
@@ -101,6 +106,7 @@
         break;
     case StatementKind::Rollback:
         connection->phase = SessionPhase::Idle;
+        connection->readOnly = false;
         connection->writes.clear();
         break;
     case StatementKind::Commit: {
@@ -111,6 +117,7 @@
             connection->writes.clear();
         }
         connection->phase = SessionPhase::Idle;
+        connection->readOnly = false;
         answer.signature = "signed." + statement.id;
         break;
     }
@@ -230,8 +237,9 @@
     const GroupInstance *sender = find(from);
     GroupInstance *receiver = find(to);
     const bool canReceive = sender->running && sender->primary && sender->term == term
-        && receiver->running && !receiver->removed && receiver->pausedTerm == 0
-        && receiver->term <= term && m_environment->canReplicate(from, to);
+        && receiver->running && !receiver->removed && !receiver->primary
+        && receiver->pausedTerm == 0 && receiver->term <= term
+        && m_environment->canReplicate(from, to) && !hearsOfLaterPrimary(to, term);
     if (!canReceive)
         return false;
     receiver->term = term;
@@ -282,7 +290,10 @@
     std::uint64_t highestTerm = 0;
     for (auto &row : m_instances) {
         highestTerm = std::max(highestTerm, row.second.term);
-        row.second.primary = false;
+        if (m_options.replacedPrimaryGoesOn && row.second.primary)
+            demoteWhenReachable(row.first, row.second.term);
+        else
+            row.second.primary = false;
     }
     newPrimary->primary = true;
     newPrimary->term = highestTerm + 1;
@@ -291,20 +302,54 @@
     m_environment->onPromoted(*newPrimary);
     for (auto &row : m_instances) {
         GroupInstance &other = row.second;
-        if (row.first == id || !other.running)
-            continue;
-        const std::size_t sharedLength = std::min(other.log.size(), newPrimary->log.size());
-        const bool isPrefix = other.log.size() <= newPrimary->log.size()
-            && std::equal(other.log.begin(), other.log.end(), newPrimary->log.begin());
-        if (isPrefix)
-            continue;
-        other.log.assign(newPrimary->log.begin(),
-                         newPrimary->log.begin() + static_cast<std::ptrdiff_t>(sharedLength));
-        other.applied = std::min(other.applied, other.log.size());
+        if (row.first != id && other.running && !other.primary)
+            rollBack(&other, *newPrimary);
     }
     return true;
 }
 
+void ReplicaGroup::rollBack(GroupInstance *instance, const GroupInstance &primary)
+{
+    const std::size_t sharedLength = std::min(instance->log.size(), primary.log.size());
+    const bool isPrefix = instance->log.size() <= primary.log.size()
+        && std::equal(instance->log.begin(), instance->log.end(), primary.log.begin());
+    if (isPrefix)
+        return;
+    instance->log.assign(primary.log.begin(),
+                         primary.log.begin() + static_cast<std::ptrdiff_t>(sharedLength));
+    instance->applied = std::min(instance->applied, instance->log.size());
+}
+
+void ReplicaGroup::demoteWhenReachable(const std::string &replaced, std::uint64_t term)
+{
+    m_environment->after(ResendInterval, [=, this] {
+        GroupInstance *instance = find(replaced);
+        if (!instance->primary || instance->term != term || instance->removed)
+            return;
+        if (!instance->running || !hearsOfLaterPrimary(replaced, term)) {
+            demoteWhenReachable(replaced, term);
+            return;
+        }
+        m_environment->after(DemotionDelay, [=, this] {
+            GroupInstance *demoted = find(replaced);
+            const GroupInstance *successor = primary();
+            if (!demoted->primary || demoted->term != term || !successor)
+                return;
+            demoted->primary = false;
+            rollBack(demoted, *successor);
+        });
+    });
+}
+
+bool ReplicaGroup::hearsOfLaterPrimary(const std::string &id, std::uint64_t term)
+{
+    return std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &row) {
+        const GroupInstance &other = row.second;
+        return row.first != id && other.running && other.primary && other.term > term
+            && m_environment->canReplicate(row.first, id);
+    });
+}
+
 void ReplicaGroup::crash(const std::string &id)
 {
     if (GroupInstance *instance = find(id))
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -5,7 +5,8 @@
 // acknowledges the commit once one replica has received them; replicas apply them later. A paused
 // instance receives nothing until it is resumed, promoted or restarted. A promotion makes an
 // instance the primary of the next term with the log that it had received; instances whose logs are
-// not the beginning of that log are rolled back.
+// not the beginning of that log are rolled back. The old primary stops leading at that moment or,
+// as Options say, goes on until it steps down or has been able to reach its successor for a while.
 //
 // Performs no I/O and reads no clock: delays and randomness come from a ReplicaGroupEnvironment.
 // Not thread-safe.
@@ -105,8 +106,19 @@
 public:
     using Reply = std::function<void(const StatementAnswer &)>;
 
+    struct Options
+    {
+        // A primary that was replaced goes on leading until it hears of its successor.
+        bool replacedPrimaryGoesOn = false;
+    };
+
     explicit ReplicaGroup(ReplicaGroupEnvironment *environment)
+        : ReplicaGroup(environment, Options{})
+    {
+    }
+    ReplicaGroup(ReplicaGroupEnvironment *environment, Options options)
         : m_environment(environment)
+        , m_options(options)
     {
     }
 
@@ -116,7 +128,7 @@
     GroupInstance *find(const std::string &id);
     const std::map<std::string, GroupInstance> &instances() const { return m_instances; }
     std::map<std::string, GroupInstance> &instances() { return m_instances; }
-    // Returns the primary, or null if none is running.
+    // Returns the primary of the highest term, or null if none is running.
     GroupInstance *primary();
 
     // Runs a statement and passes the answer to `reply`. A commit with writes is answered when a
@@ -158,7 +170,15 @@
     bool receive(const std::string &from, const std::string &to, std::size_t length,
                  std::uint64_t term);
 
+    // Makes a primary that was replaced a replica once it hears of its successor.
+    void demoteWhenReachable(const std::string &replaced, std::uint64_t term);
+    // Takes the entries out of the instance's log that the primary does not have.
+    static void rollBack(GroupInstance *instance, const GroupInstance &primary);
+    // Whether the instance hears of a primary of a higher term than `term`.
+    bool hearsOfLaterPrimary(const std::string &id, std::uint64_t term);
+
     ReplicaGroupEnvironment *m_environment;
+    Options m_options;
     std::map<std::string, GroupInstance> m_instances;
 };
 
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -33,6 +33,7 @@
 constexpr Millis
     RegistrationExpiry(3600); // After that time an unreachable instance's entry is removed.
 constexpr Millis MaxAge(1500);
+constexpr Millis StoreClockLead(1'000'000); // Of the store's clock over the simulation's.
 
 // The databases, one for each consistency.
 constexpr std::array<std::pair<const char *, Consistency>, 3> Databases{{
@@ -62,12 +63,13 @@
 class SimulatedHost : public SessionOutput
 {
 public:
-    SimulatedHost(SessionSimulation *simulation, std::size_t index)
+    SimulatedHost(SessionSimulation *simulation, std::size_t index, bool fencedPromotions)
         : m_simulation(simulation)
         , m_index(index)
-        , engine(
-              {.host = "host" + std::to_string(index), .dataCentre = "dc" + std::to_string(index)},
-              this)
+        , engine({.host = "host" + std::to_string(index),
+                  .dataCentre = "dc" + std::to_string(index),
+                  .fencedPromotions = fencedPromotions},
+                 this)
     {
     }
 
@@ -83,6 +85,8 @@
     void acquireLease(const std::string &group) override;
     void requestPromotion(const std::string &group, const std::string &instance,
                           std::uint64_t fencingToken) override;
+    void recordCandidate(const std::string &group, const std::string &candidate,
+                         std::uint64_t fencingToken) override;
     void logGroupEvent(const std::string &, std::string_view, const std::string &, std::uint64_t,
                        const std::string &) override
     {
@@ -114,7 +118,7 @@
     explicit SessionSimulation(const SimulationOptions &options)
         : m_options(options)
         , m_random(options.seed)
-        , m_group(this)
+        , m_group(this, {.replacedPrimaryGoesOn = !options.fencedPromotions})
         , m_checker({.seed = options.seed, .maxAge = MaxAge}, &m_group)
     {
     }
@@ -140,6 +144,8 @@
     void dropAtGateway(std::size_t host, ConnectionId connection, const std::string &gateway);
     void acquireLease(std::size_t host, const std::string &group);
     void promote(std::size_t host, const std::string &instance, std::uint64_t token);
+    void recordCandidate(std::size_t host, const std::string &group, const std::string &candidate,
+                         std::uint64_t token);
 
 private:
     struct Event
@@ -154,6 +160,10 @@
         }
     };
 
+    bool hostsAssumeFencing() const
+    {
+        return m_options.fencedPromotions || m_options.hostsIgnoreMissingFence;
+    }
     void start();
     void startHost(std::size_t index);
     void tickHost(std::size_t index, std::uint64_t incarnation);
@@ -162,6 +172,7 @@
     void applyFault(SimulatedFault fault, Millis length);
     void leavePrimary();
     void restartReplica();
+    void splitPrimary(Millis length);
     void killHost(std::size_t index);
     void breakConnections(const std::string &id);
     void after(Millis delay, std::function<void()> function) override;
@@ -193,6 +204,7 @@
     std::uint64_t m_leaseVersion = 0;
     std::uint64_t m_highestToken = 0;
     std::map<std::uint64_t, std::size_t> m_tokenHolders;
+    std::string m_splitInstance; // Cut off from the other instances; empty if none is.
     Millis m_storeDownUntil;
     Millis m_loseAnswersUntil;
     Millis m_delayCommandsUntil;
@@ -246,6 +258,12 @@
     m_simulation->promote(m_index, instance, fencingToken);
 }
 
+void SimulatedHost::recordCandidate(const std::string &group, const std::string &candidate,
+                                    std::uint64_t fencingToken)
+{
+    m_simulation->recordCandidate(m_index, group, candidate, fencingToken);
+}
+
 void SessionSimulation::atHost(std::size_t host, Millis when,
                                std::function<void(SimulatedHost *)> function)
 {
@@ -402,7 +420,10 @@
 
 bool SessionSimulation::canReplicate(const std::string &from, const std::string &to)
 {
-    return m_now >= m_instanceReach[from].silentUntil && m_now >= m_instanceReach[to].silentUntil;
+    const bool split
+        = !m_splitInstance.empty() && (from == m_splitInstance || to == m_splitInstance);
+    return !split && m_now >= m_instanceReach[from].silentUntil
+        && m_now >= m_instanceReach[to].silentUntil;
 }
 
 Millis SessionSimulation::receiveDelay()
@@ -435,9 +456,9 @@
     const std::optional<PromotionLease> current = m_lease;
     const std::uint64_t version = m_leaseVersion;
     const std::optional<PromotionLease> newLease
-        = nextLease(current, "host" + std::to_string(host), m_now + Millis(1'000'000));
+        = nextLease(current, "host" + std::to_string(host), m_now + StoreClockLead);
     if (!newLease) {
-        const Millis heldFor = current->until - (m_now + Millis(1'000'000));
+        const Millis heldFor = current->until - (m_now + StoreClockLead);
         atHost(host, m_now + NetworkDelay * 2, [=, this](SimulatedHost *requester) {
             requester->engine.onLeaseResult(m_now, group, {.heldFor = heldFor});
         });
@@ -450,14 +471,34 @@
             ++m_leaseVersion;
         }
         LeaseResult result{.actUntil = askedAt + LeaseActingTime};
-        if (granted)
+        if (granted) {
             result.fencingToken = newLease->fencingToken;
+            result.openCandidate = newLease->candidate;
+            result.openUntil = newLease->candidateUntil - StoreClockLead;
+        }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onLeaseResult(m_now, group, result);
         });
     });
 }
 
+void SessionSimulation::recordCandidate(std::size_t host, const std::string &group,
+                                        const std::string &candidate, std::uint64_t token)
+{
+    at(m_now + NetworkDelay * 3, [=, this] {
+        const std::optional<PromotionLease> next = leaseWithCandidate(
+            m_lease, "host" + std::to_string(host), token, candidate, m_now + StoreClockLead);
+        const bool recorded = next && m_now >= m_storeDownUntil;
+        if (recorded) {
+            m_lease = next;
+            ++m_leaseVersion;
+        }
+        atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
+            requester->engine.onCandidateRecorded(m_now, group, candidate, recorded);
+        });
+    });
+}
+
 void SessionSimulation::promote(std::size_t host, const std::string &id, std::uint64_t token)
 {
     at(m_now + NetworkDelay, [=, this] {
@@ -471,12 +512,14 @@
         }
         PromotionResult verdict = PromotionResult::Accepted;
         const GroupInstance *target = m_group.find(id);
-        if (token < m_highestToken)
+        if (!m_options.fencedPromotions && token < m_highestToken)
+            m_checker.addViolation(m_now, "a fencing token went down");
+        if (m_options.fencedPromotions && token < m_highestToken)
             verdict = PromotionResult::Fenced;
         else if (!target->running || target->removed)
             verdict = PromotionResult::NotRunning;
         if (verdict == PromotionResult::Accepted) {
-            m_highestToken = token;
+            m_highestToken = std::max(m_highestToken, token);
             at(m_now + PromotionTime, [=, this] { executePromotion(id, token); });
         }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
@@ -487,9 +530,9 @@
 
 void SessionSimulation::executePromotion(const std::string &id, std::uint64_t token)
 {
-    if (token < m_highestToken || !m_group.promote(id))
+    if ((m_options.fencedPromotions && token < m_highestToken) || !m_group.promote(id))
         return;
-    m_highestToken = token;
+    m_highestToken = std::max(m_highestToken, token);
     ++m_report.promotions;
 }
 
@@ -582,9 +625,31 @@
     case SimulatedFault::StoreDown:
         m_storeDownUntil = m_now + length;
         return;
+    case SimulatedFault::SplitPrimary:
+        splitPrimary(length);
+        return;
     }
 }
 
+// Cuts the primary off from its replicas and from every second host.
+void SessionSimulation::splitPrimary(Millis length)
+{
+    const GroupInstance *primary = m_group.primary();
+    if (!primary)
+        return;
+    const std::string id = primary->id;
+    m_splitInstance = id;
+    std::vector<std::pair<std::size_t, std::string>> cuts;
+    for (std::size_t host = m_random.below(2); host < m_hosts.size(); host += 2)
+        cuts.emplace_back(host, id);
+    m_cutLinks.insert(cuts.begin(), cuts.end());
+    at(m_now + length, [this, cuts] {
+        m_splitInstance.clear();
+        for (const auto &cut : cuts)
+            m_cutLinks.erase(cut);
+    });
+}
+
 // A replica's process ends and is started again with the same id. It may lose its log.
 void SessionSimulation::restartReplica()
 {
@@ -631,7 +696,7 @@
         std::erase_if(row.second.connections,
                       [index](const auto &entry) { return entry.first.first == index; });
     const std::uint64_t incarnation = m_hosts[index]->incarnation + 1;
-    m_hosts[index] = std::make_unique<SimulatedHost>(this, index);
+    m_hosts[index] = std::make_unique<SimulatedHost>(this, index, hostsAssumeFencing());
     m_hosts[index]->incarnation = incarnation;
     startHost(index);
     for (std::size_t i = 0; i < m_callers.size(); ++i) {
@@ -742,7 +807,8 @@
         m_instanceReach[id] = {};
     }
     for (int i = 0; i < m_options.hosts; ++i)
-        m_hosts.push_back(std::make_unique<SimulatedHost>(this, static_cast<std::size_t>(i)));
+        m_hosts.push_back(std::make_unique<SimulatedHost>(this, static_cast<std::size_t>(i),
+                                                          hostsAssumeFencing()));
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
         startHost(i);
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -28,6 +28,7 @@
     KillHost,        // A host's process is killed and started again at once.
     FreezeHost,      // A host's process is suspended.
     StoreDown,       // The store does not answer.
+    SplitPrimary,    // The primary is cut off from its replicas and from some hosts.
 };
 
 struct SimulationOptions
@@ -36,7 +37,11 @@
     int hosts = 3;
     int sessionsPerHost = 6;
     int maxConnections = 22; // That an instance accepts; with few, hosts relay through gateways.
-    Millis duration = Millis(20'000);   // Faults begin between 1 s and half of it plus 1 s.
+    Millis duration = Millis(20'000); // Faults begin between 1 s and half of it plus 1 s.
+    // The platform checks fencing tokens; if not, a replaced primary goes on leading for a while.
+    bool fencedPromotions = true;
+    // Hosts act as if the platform checked fencing tokens, to show what that breaks.
+    bool hostsIgnoreMissingFence = false;
     std::vector<SimulatedFault> faults; // Each is injected once, at a random time.
 };
 
