--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -2,6 +2,8 @@
 // primary of term 4), b and c, and one replica must hold a commit before it is acknowledged.
 #include "session/primarychange.h"
 
+#include "session/readlease.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -309,6 +311,228 @@
     EXPECT_EQ(recorder.take(), Actions{});
 }
 
+// A holder that was suspended handles the answers that came meanwhile before its next tick.
+TEST_F(PrimaryChangeTest, IgnoresAnswersAfterTheLease)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    recorder.take();
+    change.onStatus(ActUntil, "c", StatementKind::Pause,
+                    {.term = 4, .received = {.term = 4, .index = 12}, .pausedTerm = 5});
+    EXPECT_FALSE(recorder.has("promote c 7"));
+}
+
+TEST_F(PrimaryChangeTest, IgnoresAStalledPrimarysAnswerAfterTheLease)
+{
+    begin(PrimaryChangeCause::Stalled);
+    recorder.take();
+    change.onStatus(ActUntil, "a", StatementKind::Status, {.primary = true, .term = 4});
+    EXPECT_FALSE(recorder.has("promote a 7"));
+}
+
+// A platform that checks no fencing token carries out promotions in any order, and a primary that
+// was replaced goes on serving reads for a while.
+class UnfencedPrimaryChangeTest : public PrimaryChangeTest
+{
+protected:
+    UnfencedPrimaryChangeTest() { change = unfenced(); }
+
+    PrimaryChange unfenced() { return {"group", &recorder, {.fencedPromotions = false}}; }
+
+    void beginWith(PrimaryChangeCause cause, const std::string &openCandidate, Millis openUntil)
+    {
+        change.onTick(Start, cause, groupState());
+        change.onLeaseResult(Start,
+                             {.fencingToken = 7,
+                              .actUntil = ActUntil,
+                              .openCandidate = openCandidate,
+                              .openUntil = openUntil});
+    }
+
+    void sealReplicas()
+    {
+        reportPaused("b", 10);
+        reportPaused("c", 12);
+    }
+
+    // Reports that the old primary has stepped down and is sealed.
+    void sealOldPrimary()
+    {
+        change.onStatus(Start, "a", StatementKind::StepDown,
+                        {.term = 4, .received = {.term = 4, .index = 12}});
+        reportPaused("a", 12);
+    }
+};
+
+TEST_F(UnfencedPrimaryChangeTest, RecordsTheCandidateBeforeThePromotion)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    sealOldPrimary();
+    recorder.take();
+    reportPaused("c", 12);
+    EXPECT_EQ(recorder.take(), Actions{"record a 7"});
+    change.onCandidateRecorded(Start, "a", true);
+    EXPECT_EQ(recorder.take(), Actions{"promote a 7"});
+}
+
+TEST_F(UnfencedPrimaryChangeTest, RecordsTheCandidateAgainIfTheRowMayLackIt)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    sealOldPrimary();
+    reportPaused("c", 12);
+    recorder.take();
+    change.onCandidateRecorded(Start, "a", false);
+    change.onTick(Start + Millis(400), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("record a 7"));
+    EXPECT_FALSE(recorder.has("promote a 7"));
+}
+
+// Hosts may still trust the old primary, which did not answer.
+TEST_F(UnfencedPrimaryChangeTest, WaitsUntilNoHostTrustsTheOldPrimary)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    sealReplicas();
+    change.onCandidateRecorded(Start, "c", true);
+    change.onTick(Start + ReadLeaseDuration, PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_FALSE(recorder.has("promote c 7"));
+    change.onTick(Start + ReadLeaseDuration + Millis(1), PrimaryChangeCause::Unreachable,
+                  groupState());
+    EXPECT_TRUE(recorder.has("promote c 7"));
+}
+
+// The wait begins anew after a restart, which ends a pause.
+TEST_F(UnfencedPrimaryChangeTest, WaitsAnewAfterASealWasLost)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    sealReplicas();
+    change.onCandidateRecorded(Start, "c", true);
+    change.onConnectionLost(Start + Millis(200), "b");
+    const Millis sealedAgain = Start + Millis(250);
+    change.onStatus(sealedAgain, "b", StatementKind::Pause,
+                    {.term = 4, .received = {.term = 4, .index = 10}, .pausedTerm = 5});
+    change.onTick(sealedAgain + ReadLeaseDuration, PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_FALSE(recorder.has("promote c 7"));
+    change.onTick(sealedAgain + ReadLeaseDuration + Millis(1), PrimaryChangeCause::Unreachable,
+                  groupState());
+    EXPECT_TRUE(recorder.has("promote c 7"));
+}
+
+TEST_F(UnfencedPrimaryChangeTest, LetsALeavingPrimaryStepDownFirst)
+{
+    instances[0].leaving = true;
+    begin(PrimaryChangeCause::Leaving);
+    reportPaused("c", 12);
+    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 12}});
+    EXPECT_TRUE(recorder.has("record b 7"));
+    EXPECT_FALSE(recorder.has("stepdown a 5"));
+    recorder.take();
+    change.onCandidateRecorded(Start, "b", true);
+    EXPECT_EQ(recorder.take(), Actions{"stepdown a 5"});
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.term = 4, .received = {.term = 4, .index = 12}});
+    EXPECT_EQ(recorder.take(), Actions{"promote b 7"});
+}
+
+// A host that was cut off from the store still takes the old primary for the present one.
+TEST_F(UnfencedPrimaryChangeTest, StepsDownAPrimaryOfAnEarlierTerm)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    change.onStatus(Start, "b", StatementKind::Pause,
+                    {.term = 6, .received = {.term = 6, .index = 14}, .pausedTerm = 7});
+    recorder.take();
+    change.onStatus(Start, "c", StatementKind::Pause,
+                    {.primary = true, .term = 4, .received = {.term = 4, .index = 12}});
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Sealing);
+    change.onTick(Start + Millis(400), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("stepdown c 7"));
+}
+
+// Promoting it again would not stop earlier requests.
+TEST_F(UnfencedPrimaryChangeTest, ReplacesAStalledPrimary)
+{
+    begin(PrimaryChangeCause::Stalled);
+    EXPECT_EQ(recorder.take(), (Actions{"stepdown a 5", "pause b 5", "pause c 5"}));
+}
+
+struct OpenCandidateCase
+{
+    std::string name;
+    std::string openCandidate;
+    Millis openUntil;
+    std::string recorded; // The candidate that is recorded; empty if none is.
+};
+
+class OpenCandidates : public UnfencedPrimaryChangeTest,
+                       public testing::WithParamInterface<OpenCandidateCase>
+{
+};
+
+TEST_P(OpenCandidates, AreFinishedFirst)
+{
+    beginWith(PrimaryChangeCause::Unreachable, GetParam().openCandidate, GetParam().openUntil);
+    recorder.take();
+    reportPaused("b", 12);
+    reportPaused("c", 12);
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.term = 4, .received = {.term = 4, .index = 11}});
+    const Actions actions = recorder.take();
+    const std::string &recorded = GetParam().recorded;
+    EXPECT_EQ(actions, recorded.empty() ? Actions{} : Actions{"record " + recorded + " 7"});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, OpenCandidates,
+    testing::Values(OpenCandidateCase{"none", "", Millis(0), "b"},
+                    OpenCandidateCase{"another", "c", Start + Millis(1), "c"},
+                    OpenCandidateCase{"lapsed", "c", Start, "b"},
+                    // It lacks commits, so nothing may be promoted before its request has lapsed.
+                    OpenCandidateCase{"thatLacksCommits", "a", Start + Millis(1), ""},
+                    OpenCandidateCase{"thatIsNotRegistered", "d", Start + Millis(1), ""}),
+    [](const auto &info) { return info.param.name; });
+
+struct RowAfterCase
+{
+    std::string name;
+    std::vector<PromotionResult> results; // The platform's answers, in order.
+    bool cleared = false;                 // The row is left without a candidate.
+};
+
+class RowsAfterAPromotion : public UnfencedPrimaryChangeTest,
+                            public testing::WithParamInterface<RowAfterCase>
+{
+};
+
+// The row names the candidate for as long as a request may still be carried out.
+TEST_P(RowsAfterAPromotion, NameTheCandidateOfOpenRequests)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    sealOldPrimary();
+    reportPaused("c", 12);
+    change.onCandidateRecorded(Start, "a", true);
+    Millis now = Start;
+    for (const PromotionResult result : GetParam().results) {
+        change.onPromotion(now, result);
+        now = now + Millis(500);
+        change.onTick(now, PrimaryChangeCause::Unreachable, groupState());
+    }
+    change.onPrimary(now, "a", 5);
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
+    EXPECT_EQ(recorder.has("record none 7"), GetParam().cleared);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, RowsAfterAPromotion,
+    testing::Values(RowAfterCase{"accepted", {PromotionResult::Accepted}, true},
+                    RowAfterCase{"notRunning", {PromotionResult::NotRunning}, true},
+                    RowAfterCase{"notDoneThenAccepted",
+                                 {PromotionResult::NotDone, PromotionResult::Accepted},
+                                 true},
+                    RowAfterCase{"unknown", {PromotionResult::Unknown}, false},
+                    RowAfterCase{"unknownThenAccepted",
+                                 {PromotionResult::Unknown, PromotionResult::Accepted},
+                                 false}),
+    [](const auto &info) { return info.param.name; });
+
 struct ResultCase
 {
     PromotionResult verdict;
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -97,11 +97,53 @@
                     LeaseCase{"own", PromotionLease{"a", 4, Millis(9000)}, 5}),
     [](const auto &info) { return info.param.name; });
 
+struct CandidateCase
+{
+    std::string name;
+    std::string holder;
+    std::uint64_t token = 0;
+    bool written = false;
+};
+
+class PromotionLeaseCandidates : public testing::TestWithParam<CandidateCase>
+{
+};
+
+TEST_P(PromotionLeaseCandidates, AreWrittenOnlyUnderTheLease)
+{
+    constexpr Millis StoreNow(1000);
+    const PromotionLease current{"a", 4, Millis(3000)};
+    const std::optional<PromotionLease> next
+        = leaseWithCandidate(current, GetParam().holder, GetParam().token, "i1", StoreNow);
+    ASSERT_EQ(next.has_value(), GetParam().written);
+    if (!next)
+        return;
+    EXPECT_EQ(next->candidate, "i1");
+    EXPECT_EQ(next->candidateUntil, StoreNow + LatePromotionLimit);
+    EXPECT_EQ(next->until, current.until);
+    EXPECT_EQ(parseLease(leaseText(*next), nullptr), next);
+    // The next holder has to know of it for as long as a request for it may be carried out.
+    const Millis lapse = next->candidateUntil;
+    EXPECT_EQ(nextLease(next, "b", lapse - Millis(1))->candidate, "i1");
+    EXPECT_EQ(nextLease(next, "b", lapse)->candidate, "");
+    EXPECT_EQ(leaseWithCandidate(next, "a", 4, "", StoreNow), current);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PromotionLeaseCandidates,
+                         testing::Values(CandidateCase{"own", "a", 4, true},
+                                         CandidateCase{"ofAnotherHost", "b", 4, false},
+                                         CandidateCase{"ofAnEarlierLease", "a", 3, false}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(PromotionLeaseRows, RefuseInvalidText)
 {
-    for (const char *text : {"", "{}", "[]", R"({"holder":1,"fencingToken":1,"untilMs":1})",
-                             R"({"holder":"a","fencingToken":-1,"untilMs":1})",
-                             R"({"holder":"a","fencingToken":1,"untilMs":"x"})"}) {
+    for (const char *text :
+         {"", "{}", "[]", R"({"holder":1,"fencingToken":1,"untilMs":1})",
+          R"({"holder":"a","fencingToken":-1,"untilMs":1})",
+          R"({"holder":"a","fencingToken":1,"untilMs":"x"})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":"i"})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":1,"candidateUntilMs":2})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"candidateUntilMs":2})"}) {
         Reason reason;
         EXPECT_FALSE(parseLease(text, &reason)) << text;
         EXPECT_FALSE(reason.text().empty());
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -46,6 +46,7 @@
                         .groups = arguments["groups"].as<int>(),
                         .callers = arguments["callers"].as<int>(),
                         .connections = arguments["connections"].as<int>(),
+                        .fencedPromotions = arguments["fencing"].as<std::string>() != "off",
                         .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
@@ -84,6 +85,8 @@
             cxxopts::value<int>()->default_value("36"));
         add("connections", "Connections that an instance accepts",
             cxxopts::value<int>()->default_value("22"));
+        add("fencing", "Whether the platform checks fencing tokens: on or off",
+            cxxopts::value<std::string>()->default_value("on"));
         add("program", "Path of the session server",
             cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
         add("address", "Loopback address of all listeners",
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -49,6 +49,7 @@
 {
     return {.groups = options.groups,
             .connections = static_cast<std::size_t>(options.connections),
+            .fencedPromotions = options.fencedPromotions,
             .address = options.address};
 }
 
@@ -489,6 +490,8 @@
         = holders.emplace(promotion.fencingToken, promotion.holder).first->second;
     if (holder != promotion.holder)
         addViolation("two hosts used one fencing token");
+    if (!m_options.fencedPromotions && promotion.fencingToken < holders.rbegin()->first)
+        addViolation("a fencing token went down");
 }
 
 } // namespace cicadagap
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -89,6 +89,7 @@
     int groups = 2;
     int callers = 36;
     int connections = 22; // That an instance accepts; with few, hosts relay through gateways.
+    bool fencedPromotions = true; // See StandinDeployment::Options.
     // Faults begin 1.5 s after the start at the earliest, spread over two thirds of this time.
     Millis duration = Millis(15'000);
     std::string address = "127.0.0.1"; // Of all listeners; simultaneous runs need different ones.
