Ask the platform reader first, and renew host records once a minute

Of 195 hosts each made five calls at its start and one renewal every 10 s, and each renewal changed the list that readers pass on to all followers. Ruled out: no renewals at all (a host whose reader died with it would never leave the list). Change: a host that starts registers itself, reads the list of hosts, and asks the platform reader for the rest; it reads the store itself if the reader fails or has not answered within 0.8 s. Records are renewed every 60 s and expire after 200 s. A platform reader notices that a host of its data centre has stopped when the host no longer asks for updates (HostLiveness), and marks its record; a host that was only silent renews it. The reader lets the store wait for a change of the configuration for a third of the time in which the change has to be in force, between 0.5 and 5 s (1 s before).

--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -64,6 +64,7 @@
                           .peerEndpoint = boot->peerEndpoint,
                           .weight = boot->weight,
                           .gracePeriod = boot->gracePeriod,
+                          .configurationBound = boot->configurationBound,
                           .fencedPromotions = boot->fencedPromotions},
                          &codec, &platform);
     if (!server.start(&reason)) {
--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -2,38 +2,44 @@
 
 #include "process/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cicadagap {
 
 namespace {
 
-constexpr Millis ConfigurationWait(1000);      // How long the store may wait for a change.
+// How long the store may wait for a change of the configuration: the third part of the time in
+// which a change has to be in force, within these bounds.
+constexpr Millis MinConfigurationWait(500);
+constexpr Millis MaxConfigurationWait(5000);
 constexpr Millis ConfigurationRetryDelay(250); // After a failed call.
 constexpr Millis InstanceInterval(2000);       // Between two readings of the instances.
 constexpr Millis InstanceRetryDelay(400); // After a failed call, or while a primary is missing.
-constexpr Millis
-    HostRenewalInterval(10'000); // Of this host's record; equals HostDirectory::Options::renewal.
-constexpr Millis HostInterval(4000);     // Between two readings of the hosts.
-constexpr Millis StartupTime(600);       // After it, hosts that started together have registered.
-constexpr Millis HostRetryDelay(400);    // After a failed call.
-constexpr Millis RoleCheckInterval(200); // Between checks whether this host must read.
-constexpr Millis UpdateWait(1500);       // How long the platform reader may wait for a change.
-constexpr Millis UpdateMargin(1000);     // Added to the wait for the call's timeout.
-constexpr Millis UpdateRetryDelay(100);  // After a failed call to the platform reader.
+constexpr Millis HostInterval(4000);      // Between two readings of the hosts.
+constexpr Millis StartupTime(600);        // After it, hosts that started together have registered.
+constexpr Millis FirstFollowTime(800);    // For the platform reader's first update.
+constexpr Millis StoppedHostCheckInterval(2000); // Between two checks of the platform reader.
+constexpr Millis HostRetryDelay(400);            // After a failed call.
+constexpr Millis RoleCheckInterval(200);         // Between checks whether this host must read.
+constexpr Millis UpdateWait(1500);      // How long the platform reader may wait for a change.
+constexpr Millis UpdateMargin(1000);    // Added to the wait for the call's timeout.
+constexpr Millis UpdateRetryDelay(100); // After a failed call to the platform reader.
 // A platform reader whose data is older than this is taken to be cut off from the platform.
-constexpr Millis MaxConfigurationAge(1800);
+constexpr Millis ConfigurationAgeMargin(800); // Beyond the wait for a change.
 constexpr Millis MaxInstancesAge(3500);
 
 } // namespace
 
 PlatformFeed::PlatformFeed(EventLoop *loop, SessionEngine *engine, PlatformClient *platform,
-                           HostRecord self, FindPeer findPeer,
+                           Options options, FindPeer findPeer,
                            std::function<void()> onConfiguration)
     : m_loop(loop)
     , m_engine(engine)
     , m_platform(platform)
-    , m_self(std::move(self))
+    , m_self(std::move(options.self))
+    , m_configurationWait(
+          std::clamp(options.configurationBound / 3, MinConfigurationWait, MaxConfigurationWait))
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
 {
@@ -42,12 +48,22 @@
 void PlatformFeed::start()
 {
     m_startedAt = now();
-    readConfiguration();
     registerSelf();
     readHosts();
-    readInstances();
     m_loop->every(HostRenewalInterval, [this] { registerSelf(); });
-    m_loop->after(StartupTime, [this] { followReader(); });
+    m_loop->every(StoppedHostCheckInterval, [this] { withdrawStoppedHosts(); });
+}
+
+// Starts to read the rest once the list of hosts shows whom to ask. When all hosts start at once,
+// the platform's store serves the list to each of them, and the rest to few.
+void PlatformFeed::startReading()
+{
+    if (std::exchange(m_reading, true))
+        return;
+    m_followUntil = now() + FirstFollowTime;
+    followReader();
+    readConfiguration();
+    readInstances();
 }
 
 void PlatformFeed::announceLeaving()
@@ -71,6 +87,7 @@
         respond({});
         return;
     }
+    m_liveness.onRequest(now(), updateRequest->host);
     m_cache.requestUpdate(now(), *updateRequest, [respond](const PlatformUpdate &update) {
         respond(encodePlatformUpdate(update));
     });
@@ -89,7 +106,7 @@
         m_followedReader = following;
         m_readerUpToDate = false;
     }
-    return isReader || !m_readerUpToDate;
+    return isReader || (!m_readerUpToDate && now() >= m_followUntil);
 }
 
 void PlatformFeed::readConfiguration()
@@ -99,7 +116,7 @@
         return;
     }
     const bool waitForChange = m_configurationReachable && m_engine->configurationVersion() > 0;
-    m_platform->configuration(waitForChange ? ConfigurationWait : Millis(0),
+    m_platform->configuration(waitForChange ? m_configurationWait : Millis(0),
                               [this](const std::optional<RoutingTable> &table) {
                                   setReachable("configuration", &m_configurationReachable,
                                                table.has_value());
@@ -132,7 +149,7 @@
 
 void PlatformFeed::readHosts()
 {
-    if (!updateRole()) {
+    if (!updateRole() && m_reading) {
         m_loop->after(RoleCheckInterval, [this] { readHosts(); });
         return;
     }
@@ -142,6 +159,7 @@
             m_cache.setHosts(now(), *hosts);
             applyHosts(*hosts);
         }
+        startReading();
         // Hosts that start together see only some of the others at first, so the list is read again
         // soon.
         const bool starting = now() < m_startedAt + StartupTime;
@@ -154,7 +172,16 @@
 // one is missing or was written by this host's previous process.
 void PlatformFeed::applyHosts(std::vector<HostRecord> hosts)
 {
-    std::erase_if(hosts, [this](const HostRecord &record) { return record.host == m_self.host; });
+    const auto stored = std::find_if(hosts.begin(), hosts.end(), [this](const HostRecord &record) {
+        return record.host == m_self.host;
+    });
+    if (stored != hosts.end()) {
+        if (stored->leaving && !m_self.leaving) {
+            logEvent(LogLevel::Warning, "host.taken-for-stopped", {});
+            registerSelf();
+        }
+        hosts.erase(stored);
+    }
     hosts.push_back(m_self);
     m_engine->onHosts(now(), hosts);
 }
@@ -174,7 +201,9 @@
     // The first request does not wait for a change: its reply shows whether the reader's data is
     // recent enough.
     const Millis wait = m_readerUpToDate ? UpdateWait : Millis(0);
-    peer->call({.path = "/bulletin", .body = encodePlatformUpdateRequest(m_cache.request(wait))},
+    PlatformUpdateRequest request = m_cache.request(wait);
+    request.host = m_self.host;
+    peer->call({.path = "/bulletin", .body = encodePlatformUpdateRequest(request)},
                wait + UpdateMargin, [this, platformReader](const PeerReply &reply) {
                    Reason reason;
                    const std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
@@ -189,6 +218,7 @@
                    logEvent(LogLevel::Warning, "platform.reader-failed",
                             {{"reader", platformReader}, {"reason", reason.text()}});
                    m_readerUpToDate = false;
+                   m_followUntil = now();
                    m_engine->onPlatformReaderFailed(now(), platformReader);
                    m_loop->after(UpdateRetryDelay, [this] { followReader(); });
                });
@@ -196,8 +226,8 @@
 
 void PlatformFeed::applyUpdate(const PlatformUpdate &update)
 {
-    const bool upToDate
-        = update.routingAge < MaxConfigurationAge && update.instancesAge < MaxInstancesAge;
+    const bool upToDate = update.routingAge < m_configurationWait + ConfigurationAgeMargin
+        && update.instancesAge < MaxInstancesAge;
     if (upToDate != m_readerUpToDate)
         logEvent(LogLevel::Info, upToDate ? "platform.reader-fresh" : "platform.reader-outdated",
                  {{"reader", m_followedReader},
@@ -235,6 +265,29 @@
     });
 }
 
+// As the platform reader, marks the records of hosts of this data centre that have stopped, so that
+// they are not chosen as gateways any more.
+void PlatformFeed::withdrawStoppedHosts()
+{
+    const bool isReader = m_reading && m_followedReader.empty() && m_configurationReachable;
+    if (!isReader || !m_cache.hosts())
+        return;
+    std::vector<HostRecord> followers;
+    for (const HostRecord &record : *m_cache.hosts()) {
+        if (record.dataCentre == m_self.dataCentre && record.host != m_self.host && !record.leaving)
+            followers.push_back(record);
+    }
+    for (HostRecord &record : m_liveness.takeSilent(now(), followers)) {
+        logEvent(LogLevel::Warning, "host.stopped", {{"host", record.host}});
+        record.leaving = true;
+        m_platform->registerHost(record, [host = record.host](Verdict verdict) {
+            if (verdict != Verdict::Ran)
+                logEvent(LogLevel::Warning, "host.not-withdrawn",
+                         {{"host", host}, {"verdict", VerdictNames.name(verdict)}});
+        });
+    }
+}
+
 void PlatformFeed::setReachable(std::string_view what, bool *reachable, bool succeeded)
 {
     if (*reachable != succeeded) {
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -8,6 +8,7 @@
 
 #include "connection/peerclient.h"
 #include "process/eventloop.h"
+#include "session/hostliveness.h"
 #include "session/platformcache.h"
 #include "session/platformclient.h"
 #include "session/sessionengine.h"
@@ -25,10 +26,16 @@
 public:
     using FindPeer = std::function<std::shared_ptr<PeerClient>(const std::string &host)>;
 
-    // `self` is this host's record. `findPeer` returns the client of a host, or null if its
-    // endpoint is unknown. `onConfiguration` runs whenever a configuration was passed to the
-    // engine.
-    PlatformFeed(EventLoop *loop, SessionEngine *engine, PlatformClient *platform, HostRecord self,
+    struct Options
+    {
+        HostRecord self; // This host's record.
+        // A changed configuration has to be in force everywhere within this time.
+        Millis configurationBound = Millis(3000);
+    };
+
+    // `findPeer` returns the client of a host, or null if its endpoint is unknown.
+    // `onConfiguration` runs whenever a configuration was passed to the engine.
+    PlatformFeed(EventLoop *loop, SessionEngine *engine, PlatformClient *platform, Options options,
                  FindPeer findPeer, std::function<void()> onConfiguration);
 
     void start();
@@ -40,6 +47,7 @@
     void onTick();
 
 private:
+    void startReading();
     void readConfiguration();
     void readInstances();
     void readHosts();
@@ -48,6 +56,7 @@
     void applyHosts(std::vector<HostRecord> hosts);
     void applyRouting(const RoutingTable &routing);
     void registerSelf();
+    void withdrawStoppedHosts();
     bool updateRole();
     void setReachable(std::string_view what, bool *reachable, bool succeeded);
     Millis now() const { return m_clock.now(); }
@@ -56,11 +65,15 @@
     SessionEngine *m_engine;
     PlatformClient *m_platform;
     HostRecord m_self;
+    Millis m_configurationWait; // How long the store may wait for a change.
     FindPeer m_findPeer;
     std::function<void()> m_onConfiguration;
     BootClock m_clock;
     Millis m_startedAt;
     PlatformCache m_cache;
+    HostLiveness m_liveness;       // Of the hosts that follow this one.
+    bool m_reading = false;        // The first list of hosts was read, or could not be.
+    Millis m_followUntil;          // Until then only the platform reader is asked, unless it fails.
     std::string m_followedReader;  // Empty while this host is the platform reader.
     bool m_readerUpToDate = false; // The followed reader's last update was recent enough.
     // Whether the last reading of each kind succeeded.
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -89,10 +89,11 @@
     accept();
     m_feed = std::make_unique<PlatformFeed>(
         m_loop, &m_engine, m_platform,
-        HostRecord{.host = m_options.host,
-                   .dataCentre = m_options.dataCentre,
-                   .peerEndpoint = m_options.peerEndpoint,
-                   .weight = m_options.weight},
+        PlatformFeed::Options{.self = {.host = m_options.host,
+                                       .dataCentre = m_options.dataCentre,
+                                       .peerEndpoint = m_options.peerEndpoint,
+                                       .weight = m_options.weight},
+                              .configurationBound = m_options.configurationBound},
         [this](const std::string &host) { return peerClient(host); },
         [this] { openEarlySessions(); });
     m_feed->start();
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -37,7 +37,9 @@
         Endpoint peerEndpoint;      // Listens for other hosts, which relay statements to this one.
         double weight = 1;          // The host's capacity, as a share of a processor core.
         Millis gracePeriod = Millis(6000); // Time between the request to stop and SIGKILL.
-        bool fencedPromotions = true;      // See PrimaryChange::Options.
+        // A changed configuration has to be in force everywhere within this time.
+        Millis configurationBound = Millis(3000);
+        bool fencedPromotions = true; // See PrimaryChange::Options.
     };
 
     SessionServer(EventLoop *loop, Options options, const SessionCodec *codec,
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -52,6 +52,9 @@
     std::vector<std::string> gateways; // If not direct: the hosts to try, in this order.
 };
 
+// How often a host renews its own record.
+inline constexpr Millis HostRenewalInterval(60'000);
+
 // The hosts that are live according to the newest list.
 //
 //     HostDirectory directory({.self = "host-1"});
@@ -71,10 +74,9 @@
         // connections to it.
         int directShare = 2;
         std::size_t gateways = 3; // The number of gateways to an instance.
-        // How often a host renews its own record.
-        Millis renewal = Millis(10'000);
-        // A host whose record is not renewed for longer counts as stopped.
-        Millis expiry = Millis(35'000);
+        // A host whose record is not renewed for longer counts as stopped. The platform reader of
+        // its data centre usually notices much earlier; see HostLiveness.
+        Millis expiry = HostRenewalInterval * 3 + Millis(20'000);
         // A platform reader that failed is not used as one again for this long.
         Millis readerBackoff = Millis(8000);
         // A gateway that did not answer is not used again for this long.
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -206,6 +206,7 @@
     out.set_instances_revision(request.instancesRevision);
     out.set_hosts_revision(request.hostsRevision);
     out.set_wait_ms(milliseconds(request.wait));
+    out.set_host(request.host);
     return out.SerializeAsString();
 }
 
@@ -220,7 +221,8 @@
     return PlatformUpdateRequest{.routingVersion = in.routing_version(),
                                  .instancesRevision = in.instances_revision(),
                                  .hostsRevision = in.hosts_revision(),
-                                 .wait = Millis(in.wait_ms())};
+                                 .wait = Millis(in.wait_ms()),
+                                 .host = in.host()};
 }
 
 void PlatformCache::setRouting(Millis now, const RoutingTable &routing, Millis age)
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -31,7 +31,8 @@
     std::uint64_t routingVersion = 0;
     std::uint64_t instancesRevision = 0;
     std::uint64_t hostsRevision = 0;
-    Millis wait; // How long to wait for something newer.
+    Millis wait;      // How long to wait for something newer.
+    std::string host; // The sender.
 };
 
 // The answer to a PlatformUpdateRequest. Contains only what differs from what the sender of the
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -219,17 +219,18 @@
 
 TEST(HostDirectory, RemovesHostsThatDoNotRenew)
 {
-    HostDirectory directory({.self = "h0"});
+    constexpr Millis Expiry(35'000);
+    HostDirectory directory({.self = "h0", .expiry = Expiry});
     std::vector<HostRecord> hosts = hostsOf(3, 1);
     directory.setRecords(Millis(0), hosts);
     EXPECT_EQ(directory.size(), 3U);
     hosts[0].heartbeat = 1;
     hosts[1].heartbeat = 1;
-    directory.setRecords(Millis(30'000), hosts);
-    directory.setRecords(Millis(40'000), hosts);
+    directory.setRecords(Expiry - Millis(5000), hosts);
+    directory.setRecords(Expiry + Millis(5000), hosts);
     EXPECT_EQ(directory.size(), 2U);
     hosts[1].leaving = true;
-    directory.setRecords(Millis(41'000), hosts);
+    directory.setRecords(Expiry + Millis(6000), hosts);
     EXPECT_EQ(directory.size(), 1U);
 }
 
