Do not trust a primary for a replica that was released after its promotion

The promoter had released that replica after the promotion; until its first entry it still reports the old term. Ruled out: waiting for the replica to report the new term before releasing it further (it reports it only with its first entry); evidence from commits and positions alone (a quiet group could then serve no strong read). Change: a status counts only if all other replicas deny afterwards that they are primary. Once an instance reports a later term, proofs of earlier ones are ignored and all instances are queried. Evidence is forgotten when the primary denies its role. A gateway refuses work for an instance that is not primary, at once and as not run; writes wait while there are signs of a change of primary, and such a wait for 1.5 s counts as a stalled primary.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -225,6 +225,19 @@
     return group ? group->tracker.replicaAge().coveringSince(since) : std::nullopt;
 }
 
+bool GroupControl::anotherIsPrimary(const std::string &instance) const
+{
+    const Group *group = groupOf(instance);
+    const std::string primary = group ? group->tracker.primary() : std::string();
+    return !primary.empty() && primary != instance;
+}
+
+bool GroupControl::mayHaveBeenReplaced(Millis now, const std::string &instance) const
+{
+    const Group *group = groupOf(instance);
+    return group && group->tracker.mayHaveBeenReplaced(now);
+}
+
 bool GroupControl::concernsPrimary(const std::string &instance, Millis sentAt) const
 {
     const Group *group = groupOf(instance);
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -97,6 +97,8 @@
     bool wasPrimaryAt(Millis now, const std::string &instance, Millis instant) override;
     std::optional<Position> positionCovering(const std::string &instance,
                                              Millis since) const override;
+    bool anotherIsPrimary(const std::string &instance) const override;
+    bool mayHaveBeenReplaced(Millis now, const std::string &instance) const override;
     bool concernsPrimary(const std::string &instance, Millis sentAt) const override;
     // The instance to send the group's writes to; empty while no primary is known.
     std::string primary(const std::string &group) const;
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -28,6 +28,9 @@
 constexpr Millis MaxRetryAfterLeaseRefused(2000);
 // After a fenced promotion request: the other host's lease has to end first.
 constexpr Millis RetryAfterFenced(5000);
+// After the acting time of the lease, for commands that let instances receive again. Together with
+// the time that they take, it has to end before the lease does.
+constexpr Millis ResumeMargin(1500);
 // An instance that is no longer registered, without having announced that it leaves, may come back
 // with its log for this long.
 constexpr Millis MissingMemory(60'000);
@@ -223,7 +226,7 @@
               instance + " is primary of term " + std::to_string(term));
         m_openPromotions = 0;
         m_toResume.erase(instance);
-        resumeSealed();
+        resumeSealed(now);
         forgetCandidate();
     } else if (m_stage == PrimaryChangeStage::RequestingPromotion && isCandidate) {
         // The candidate was seen as primary before the platform answered. A stalled primary is
@@ -255,7 +258,7 @@
     enter(now, PrimaryChangeStage::Idle, reason);
     m_retryAt = now + RetryAfter;
     if (m_openPromotions == 0) {
-        resumeSealed();
+        resumeSealed(now);
         forgetCandidate();
     }
 }
@@ -505,9 +508,16 @@
     if (m_openCandidate.empty() || now >= m_openUntil || m_openCandidate == m_candidate)
         return true;
     const auto open = m_sealed.find(m_openCandidate);
-    const auto chosen = m_sealed.find(m_candidate);
-    if (open == m_sealed.end() || chosen == m_sealed.end()
-        || !open->second.received.covers(chosen->second.received))
+    if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
+        return false;
+    // It need not hold all that the sealed instances have received, only what any sufficient number
+    // of them has: the old primary may have entries that it never acknowledged.
+    const auto covered = static_cast<std::size_t>(
+        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
+            return !m_restarted.contains(row.first)
+                && open->second.received.covers(row.second.received);
+        }));
+    if (covered < sealsNeeded())
         return false;
     m_candidate = m_openCandidate;
     return true;
@@ -563,8 +573,14 @@
     m_output->promote(m_group, m_candidate, m_fencingToken);
 }
 
-void PrimaryChange::resumeSealed()
+// A holder whose lease may have ended leaves the instances to the next one, which may have sealed
+// them itself.
+void PrimaryChange::resumeSealed(Millis now)
 {
+    if (now > m_actUntil + ResumeMargin) {
+        m_toResume.clear();
+        return;
+    }
     const std::set<std::string> waiting = std::exchange(m_toResume, {});
     for (const std::string &id : waiting) {
         if (isRegistered(id))
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -205,7 +205,7 @@
     bool candidateIsRecorded(Millis now);
     void forgetCandidate();
     void sendPromotionRequest(Millis now);
-    void resumeSealed();
+    void resumeSealed(Millis now);
     bool isRegistered(const std::string &instance) const;
 
     std::string m_group;
--- a/src/session/primarytracker.cpp
+++ b/src/session/primarytracker.cpp
@@ -19,6 +19,10 @@
 constexpr Millis StatusQueryInterval(60);
 // A statement that has not said for this long that it waits does not wait any more.
 constexpr Millis LeaseNeedLifetime(100);
+// A seal that was seen longer ago belongs to an attempt to change the primary that has ended.
+constexpr Millis SealedReplicaLimit(1000);
+// Statuses of each replica that are kept: of the last query and some before.
+constexpr std::size_t MaxStatuses = 4;
 // Samples that are kept until the read lease covers them.
 constexpr std::size_t MaxUnprovenSamples = 32;
 
@@ -42,7 +46,7 @@
             && known->second.registered.incarnation == instance.incarnation;
         TrackedInstance entry = same ? known->second : TrackedInstance{};
         if (!same && instance.id == m_lastPrimary)
-            m_readLease.reset();
+            forgetEvidence();
         entry.registered = instance;
         entry.roleOutdated = entry.roleOutdated && instance.registeredAsPrimary;
         tracked[instance.id] = entry;
@@ -82,7 +86,7 @@
     const auto found = m_instances.find(instance);
     const std::uint64_t ledTerm = found == m_instances.end() ? 0 : found->second.ledTerm;
     const std::uint64_t term = std::max(position.term, ledTerm);
-    if (term < m_term)
+    if (term < m_term || (needsReadLease() && term < m_newestTerm))
         return;
     if (found != m_instances.end())
         found->second.ledTerm = term;
@@ -164,13 +168,20 @@
         return;
     m_newestTerm = std::max(m_newestTerm, status.term);
     if (!status.primary) {
-        if (instance == m_primary)
+        if (status.pausedTerm > 0)
+            m_sealedAt = now;
+        if (instance == m_lastPrimary) {
             onNotPrimary(now, instance, sentAt);
-        else if (status.pausedTerm == 0 && status.term == m_term)
-            m_readLease.onReplicaUnsealed(instance, sentAt);
-        renewReadLease();
+            return;
+        }
+        found->second.statuses.push_back(
+            {.sentAt = sentAt, .receivedAt = now, .unsealed = status.pausedTerm == 0});
+        if (found->second.statuses.size() > MaxStatuses)
+            found->second.statuses.pop_front();
+        useStatuses();
         return;
     }
+    found->second.statuses.clear();
     found->second.ledTerm = std::max(found->second.ledTerm, status.term);
     if (status.term >= m_newestTerm)
         onProvenPrimary(now, instance, sentAt, status.received);
@@ -178,6 +189,34 @@
         onNotPrimary(now, instance, now); // Another instance is primary of a later term.
 }
 
+// Takes the replicas' statuses as evidence. A replica that is not sealed may have been released
+// after a promotion that it has not heard of yet. So all others have to deny afterwards that they
+// are primary.
+void PrimaryTracker::useStatuses()
+{
+    if (m_newestTerm > m_term)
+        return;
+    for (const auto &[id, entry] : m_instances) {
+        for (const SeenStatus &status : entry.statuses) {
+            const bool proves = status.unsealed
+                && std::all_of(m_instances.begin(), m_instances.end(), [&](const auto &row) {
+                                    return row.first == id || row.first == m_lastPrimary
+                                        || deniedBySince(row.first, status.receivedAt);
+                                });
+            if (proves)
+                m_readLease.onReplicaUnsealed(id, status.sentAt);
+        }
+    }
+    renewReadLease();
+}
+
+// Whether the instance has denied that it is primary, asked at `since` or later.
+bool PrimaryTracker::deniedBySince(const std::string &replica, Millis since) const
+{
+    const std::deque<SeenStatus> &statuses = m_instances.at(replica).statuses;
+    return !statuses.empty() && statuses.back().sentAt >= since;
+}
+
 bool PrimaryTracker::wasPrimaryAt(const std::string &instance, Millis instant) const
 {
     if (!needsReadLease())
@@ -185,8 +224,15 @@
     return instance == m_primary && instance == m_provenPrimary && m_readLease.covers(instant);
 }
 
+bool PrimaryTracker::mayHaveBeenReplaced(Millis now) const
+{
+    return m_newestTerm > m_term || now - m_sealedAt < SealedReplicaLimit;
+}
+
 void PrimaryTracker::onWaitForReadLease(Millis now, Millis instant)
 {
+    if (!m_leaseNeededFor || now - m_leaseNeededAt > LeaseNeedLifetime)
+        m_leaseNeededSince = now;
     m_leaseNeededFor = std::max(m_leaseNeededFor.value_or(instant), instant);
     m_leaseNeededAt = now;
 }
@@ -195,23 +241,18 @@
 {
     if (m_leaseNeededFor && now - m_leaseNeededAt > LeaseNeedLifetime)
         m_leaseNeededFor.reset();
-    if (!m_leaseNeededFor || !m_probing || m_primary.empty() || now < m_nextQuery)
+    // A later term than the known primary's has begun: its primary has to be found.
+    const bool searching = needsReadLease() && m_newestTerm > m_term;
+    const bool needed = m_leaseNeededFor && !m_primary.empty();
+    if ((!searching && !needed) || !m_probing || now < m_nextQuery)
         return {};
     m_nextQuery = now + StatusQueryInterval;
-    std::vector<std::string> replicas;
+    std::vector<std::string> ids;
     for (const auto &[id, entry] : m_instances) {
-        if (id != m_primary)
-            replicas.push_back(id);
+        if (id != m_primary || searching)
+            ids.push_back(id);
     }
-    if (replicas.empty())
-        return {};
-    std::rotate(replicas.begin(),
-                replicas.begin() + static_cast<std::ptrdiff_t>(m_queries++ % replicas.size()),
-                replicas.end());
-    replicas.resize(std::min(replicas.size(), static_cast<std::size_t>(m_syncReplicas)));
-    if (m_newestTerm > m_term)
-        replicas.push_back(m_primary);
-    return replicas;
+    return ids;
 }
 
 void PrimaryTracker::onReportedPrimary(Millis now, const std::string &instance)
@@ -237,6 +278,8 @@
     const auto found = m_instances.find(instance);
     if (found != m_instances.end())
         found->second.deniedAt = now;
+    if (instance == m_lastPrimary)
+        forgetEvidence();
     if (instance == m_primary)
         losePrimary(now);
 }
@@ -308,7 +351,10 @@
     const bool leaving = found != m_instances.end() && found->second.registered.leaving;
     if (leaving)
         return PrimaryChangeCause::Leaving;
-    if (m_oldestWrite && now - *m_oldestWrite > m_options.stallLimit && confirmed(now))
+    const bool writeStalls = m_oldestWrite && now - *m_oldestWrite > m_options.stallLimit;
+    const bool leaseMissing = m_leaseNeededFor && now - m_leaseNeededAt <= LeaseNeedLifetime
+        && now - m_leaseNeededSince > m_options.stallLimit;
+    if ((writeStalls || leaseMissing) && confirmed(now))
         return PrimaryChangeCause::Stalled;
     return PrimaryChangeCause::None;
 }
@@ -319,9 +365,12 @@
     const auto found = m_instances.find(m_primary);
     if (m_primary.empty())
         return false;
-    if (found == m_instances.end())
-        return true;
-    const TrackedInstance &tracked = found->second;
+    return found == m_instances.end() || hasFailed(now, found->second);
+}
+
+// Whether the instance refuses connections or leaves requests unanswered.
+bool PrimaryTracker::hasFailed(Millis now, const TrackedInstance &tracked) const
+{
     if (tracked.failedConnections >= FailuresToStop && now - tracked.firstFailure >= FailureSpan)
         return true;
     return tracked.unansweredSince && now - *tracked.unansweredSince > m_options.silenceLimit;
@@ -354,8 +403,8 @@
     if (!m_primary.empty() && !outdated)
         return;
     for (const auto &[id, entry] : m_instances) {
-        const bool credible
-            = id != m_failedPrimary && !entry.roleOutdated && now - entry.deniedAt > DenialMemory;
+        const bool credible = id != m_failedPrimary && !entry.roleOutdated
+            && now - entry.deniedAt > DenialMemory && !(m_probing && hasFailed(now, entry));
         if (entry.registered.registeredAsPrimary && credible) {
             assumePrimary(now, id, m_term);
             return;
@@ -363,14 +412,24 @@
     }
 }
 
+// The last known primary may have been replaced: evidence has to be newer than that.
+void PrimaryTracker::forgetEvidence()
+{
+    m_readLease.reset();
+    m_unprovenSamples.clear();
+    m_provenPrimary.clear();
+    for (auto &row : m_instances)
+        row.second.statuses.clear();
+}
+
 // Makes the instance the known primary. Evidence about another one, or an earlier term, does not
 // hold for it.
 void PrimaryTracker::assumePrimary(Millis now, const std::string &instance, std::uint64_t term)
 {
     if (instance != m_lastPrimary || term > m_term) {
-        m_readLease.reset();
-        m_unprovenSamples.clear();
+        forgetEvidence();
         m_primarySince = now;
+        m_sealedAt = now - SealedReplicaLimit; // The seal was part of this change.
     }
     m_primary = instance;
     m_lastPrimary = instance;
--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -116,6 +116,9 @@
     // Whether the instance is the known primary, and had not been replaced at `instant`. Always
     // true for the known primary unless Options::needsReadLease is set.
     bool wasPrimaryAt(const std::string &instance, Millis instant) const;
+    // Whether there are signs that the known primary was, or is about to be, replaced: an instance
+    // reported a later term, or a replica was sealed lately.
+    bool mayHaveBeenReplaced(Millis now) const;
     // A statement that arrived at `instant` waits for wasPrimaryAt(). To be repeated while it
     // waits.
     void onWaitForReadLease(Millis now, Millis instant);
@@ -138,6 +141,14 @@
     const ReplicaAge &replicaAge() const { return m_replicaAge; }
 
 private:
+    // An answer to a status query.
+    struct SeenStatus
+    {
+        Millis sentAt; // The query.
+        Millis receivedAt;
+        bool unsealed = false;
+    };
+
     struct TrackedInstance
     {
         RegisteredInstance registered;
@@ -149,6 +160,7 @@
         int failedConnections = 0; // In a row.
         Millis firstFailure;
         std::uint64_t ledTerm = 0; // The highest term in which it has been seen to be primary.
+        std::deque<SeenStatus> statuses; // While it was a replica, the oldest first.
     };
 
     // Where the primary's log ended at an instant.
@@ -161,11 +173,15 @@
     void setPrimary(Millis now, const std::string &instance, std::uint64_t term);
     void assumePrimary(Millis now, const std::string &instance, std::uint64_t term);
     bool needsReadLease() const;
+    void forgetEvidence();
     void renewReadLease();
+    void useStatuses();
+    bool deniedBySince(const std::string &replica, Millis since) const;
     void addSample(Millis at, Position end);
     void losePrimary(Millis now);
     void adoptRegisteredRole(Millis now);
     bool primaryFailed(Millis now) const;
+    bool hasFailed(Millis now, const TrackedInstance &tracked) const;
     bool unreachable(Millis now) const;
 
     Options m_options;
@@ -192,9 +208,10 @@
     // The newest arrival of a statement that waits for the lease, and when that was last said.
     std::optional<Millis> m_leaseNeededFor;
     Millis m_leaseNeededAt;
+    Millis m_leaseNeededSince;      // Since when some statement has waited for it without a break.
     std::uint64_t m_newestTerm = 0; // The highest term that any instance reported.
+    Millis m_sealedAt = Millis(-1'000'000); // When a replica was last seen to be sealed.
     Millis m_nextQuery;
-    std::size_t m_queries = 0; // How many were made, to query the replicas by turns.
 };
 
 } // namespace cicadagap
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -1,5 +1,7 @@
 #include "session/relaygateway.h"
 
+#include "session/readlease.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -36,32 +38,58 @@
 
 void RelayGateway::onBatch(Millis now, RelayBatch batch, Reply reply)
 {
-    const Millis primaryAsOf = now - batch.primaryAge.value_or(Millis(0));
-    if (!batch.primaryAge || m_groups->wasPrimaryAt(now, batch.instance, primaryAsOf)) {
+    if (!batch.primaryAge) {
         startBatch(now, std::move(batch), std::move(reply));
         return;
     }
+    const Millis primaryAsOf = now - *batch.primaryAge;
     const Millis deadline = now + batch.maxWait;
     m_unproven.push_back({.batch = std::move(batch),
                           .reply = std::move(reply),
+                          .arrivedAt = now,
                           .primaryAsOf = primaryAsOf,
                           .deadline = deadline});
+    startProvenBatches(now);
 }
 
 void RelayGateway::startProvenBatches(Millis now)
 {
     for (UnprovenBatch &waiting : std::exchange(m_unproven, {})) {
-        if (m_groups->wasPrimaryAt(now, waiting.batch.instance, waiting.primaryAsOf)) {
+        switch (admit(now, waiting)) {
+        case Admission::Start:
             waiting.batch.maxWait = std::max(Millis(1), waiting.deadline - now);
             startBatch(now, std::move(waiting.batch), std::move(waiting.reply));
-        } else if (now >= waiting.deadline || !m_pool->isDirect(waiting.batch.instance)) {
-            waiting.reply({.ended = true, .cause = Cause::Overloaded});
-        } else {
-            m_unproven.push_back(std::move(waiting));
+            break;
+        case Admission::Refuse:
+            waiting.reply({.ended = true, .cause = Cause::NotPrimary});
+            break;
+        case Admission::Wait:
+            if (now < waiting.deadline && m_pool->isDirect(waiting.batch.instance))
+                m_unproven.push_back(std::move(waiting));
+            else
+                waiting.reply({.ended = true, .cause = Cause::Overloaded});
+            break;
         }
     }
 }
 
+RelayGateway::Admission RelayGateway::admit(Millis now, const UnprovenBatch &waiting)
+{
+    const RelayBatch &batch = waiting.batch;
+    if (m_groups->wasPrimaryAt(now, batch.instance, waiting.primaryAsOf))
+        return Admission::Start;
+    if (m_groups->anotherIsPrimary(batch.instance))
+        return Admission::Refuse;
+    // A write outside of a transaction reads nothing. Its acknowledgement may be the only evidence
+    // to be had, so it is tried after a while, unless there are signs of a change of primary.
+    const bool onlyWrites = !batch.statements.empty()
+        && batch.statements.front().purpose != SendPurpose::OpenTransaction
+        && batch.statements.back().statement.kind != StatementKind::Read;
+    const bool mayTry = onlyWrites && now - waiting.arrivedAt > ReadLeaseDuration
+        && !m_groups->mayHaveBeenReplaced(now, batch.instance);
+    return mayTry ? Admission::Start : Admission::Wait;
+}
+
 void RelayGateway::startBatch(Millis now, RelayBatch batch, Reply reply)
 {
     const ChannelKey key{batch.origin, batch.channel};
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -87,10 +87,20 @@
     {
         RelayBatch batch;
         Reply reply;
+        Millis arrivedAt;
         Millis primaryAsOf;
         Millis deadline;
     };
 
+    // Whether a batch may start that needs its instance to be primary.
+    enum class Admission {
+        Start,
+        Wait,
+        Refuse, // Another instance is primary.
+    };
+
+    Admission admit(Millis now, const UnprovenBatch &waiting);
+
     void startBatch(Millis now, RelayBatch batch, Reply reply);
     void startProvenBatches(Millis now);
     void sendBatch(Millis now, Channel *channel);
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -160,10 +160,9 @@
                     .freshAsOf = operation.freshAsOf,
                     .values = &session->state.values,
                     .prepared = operation.prepared};
-    const bool needsProof = session->transaction || !operation.writes;
     const bool onReplica
         = operation.freshAsOf || (!operation.needsPrimary && operation.statement.requiredPosition);
-    if (!m_options.fencedPromotions && needsProof && !onReplica)
+    if (!m_options.fencedPromotions && !onReplica)
         work.primaryAsOf = operation.seesCommitsOf;
     if (!m_pool.submit(now, operation.instance, std::move(work))) {
         m_sessionByWork.erase(operation.work);
@@ -258,8 +257,9 @@
     // A write outside of a transaction reads nothing. It waits too, since a primary that was
     // replaced acknowledges nothing, but not for long: its acknowledgement may be the only
     // evidence.
-    const bool mayTry
-        = operation.writes && !session.transaction && now - operation.arrivedAt > ReadLeaseDuration;
+    const bool mayTry = operation.writes && !session.transaction
+        && now - operation.arrivedAt > ReadLeaseDuration
+        && !m_control.mayHaveBeenReplaced(now, primary);
     return mayTry ? primary : std::string();
 }
 
@@ -351,8 +351,11 @@
     const SessionId id = found->second;
     m_sessionByWork.erase(found);
     Session *session = find(id);
-    if (session && session->operation && session->operation->work == work)
-        retry(now, id, session, cause);
+    if (!session || !session->operation || session->operation->work != work)
+        return;
+    if (cause == Cause::NotPrimary)
+        m_control.onNotPrimary(now, session->operation->instance, session->operation->startedAt);
+    retry(now, id, session, cause);
 }
 
 void SessionEngine::onWorkAnswer(Millis now, WorkId work, ConnectionId connection,
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -2,6 +2,7 @@
 // primary of term 4), b and c, and one replica must hold a commit before it is acknowledged.
 #include "session/primarychange.h"
 
+#include "session/promotionlease.h"
 #include "session/readlease.h"
 
 #include <gtest/gtest.h>
@@ -330,6 +331,30 @@
     EXPECT_FALSE(recorder.has("promote a 7"));
 }
 
+// A pause has no owner. After its lease, a holder that was suspended would let instances receive
+// again that the next holder has sealed meanwhile.
+TEST_F(PrimaryChangeTest, LeavesInstancesSealedForTheNextHolder)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    recorder.take();
+    change.onTick(Start + LeaseDuration, PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
+TEST_F(PrimaryChangeTest, LeavesInstancesSealedForTheNextHolderAfterAPromotion)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    change.onPromotion(Start, PromotionResult::Accepted);
+    recorder.take();
+    change.onPrimary(Start + LeaseDuration, "c", 5);
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
 // A platform that checks no fencing token carries out promotions in any order, and a primary that
 // was replaced goes on serving reads for a while.
 class UnfencedPrimaryChangeTest : public PrimaryChangeTest
@@ -480,6 +505,19 @@
     EXPECT_EQ(actions, recorded.empty() ? Actions{} : Actions{"record " + recorded + " 7"});
 }
 
+// The old primary may hold entries that it never acknowledged.
+TEST_F(UnfencedPrimaryChangeTest, FinishesACandidateThatLacksOnlyUnacknowledgedEntries)
+{
+    beginWith(PrimaryChangeCause::Unreachable, "c", Start + Millis(1));
+    sealOldPrimary();
+    reportPaused("a", 20);
+    recorder.take();
+    reportPaused("b", 12);
+    EXPECT_EQ(recorder.take(), Actions{});
+    reportPaused("c", 12);
+    EXPECT_TRUE(recorder.has("record c 7"));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     All, OpenCandidates,
     testing::Values(OpenCandidateCase{"none", "", Millis(0), "b"},
--- a/src/session/tst_primarytracker.cpp
+++ b/src/session/tst_primarytracker.cpp
@@ -1,6 +1,8 @@
 // Tests of PrimaryTracker: evidence about a group's primary that arrives late or out of order.
 #include "session/primarytracker.h"
 
+#include "session/readlease.h"
+
 #include <gtest/gtest.h>
 
 #include <string>
@@ -118,5 +120,141 @@
                            .primary = "b"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// A primary that is trusted only under a read lease. The group has the instances a (the primary of
+// term 2), b and c.
+class LeasedPrimary : public testing::Test
+{
+protected:
+    LeasedPrimary()
+    {
+        tracker.setInstances(Millis(0), {{.id = "a"}, {.id = "b"}, {.id = "c"}});
+        tracker.onProvenPrimary(Millis(110), "a", Millis(100), {2, 7});
+    }
+
+    bool hasSample() const { return tracker.replicaAge().newestSample().has_value(); }
+
+    PrimaryTracker tracker{{.needsReadLease = true}};
+};
+
+TEST_F(LeasedPrimary, IsTrustedWithEvidenceOnly)
+{
+    EXPECT_EQ(tracker.primary(), "a");
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(100)));
+    EXPECT_FALSE(hasSample());
+    tracker.onCommitAcknowledged("a", Millis(100));
+    EXPECT_TRUE(tracker.wasPrimaryAt("a", Millis(100) + ReadLeaseDuration));
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(101) + ReadLeaseDuration));
+    EXPECT_FALSE(tracker.wasPrimaryAt("b", Millis(100)));
+    EXPECT_TRUE(hasSample());
+}
+
+// Once it has become a replica itself, its status says nothing about the others.
+TEST_F(LeasedPrimary, IsNotTrustedForItsOwnStatusAsAReplica)
+{
+    tracker.onNotPrimary(Millis(300), "a", Millis(250));
+    tracker.onStatus(Millis(310), "a", Millis(260), {.primary = false, .term = 2});
+    EXPECT_FALSE(hasSample());
+    tracker.onProvenPrimary(Millis(320), "a", Millis(270), {2, 8});
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(280)));
+}
+
+TEST_F(LeasedPrimary, IsTrustedForTheStatusOfAReplicaThatReceives)
+{
+    tracker.onStatus(Millis(140), "b", Millis(120), {.term = 2, .pausedTerm = 3});
+    tracker.onStatus(Millis(160), "c", Millis(145), {.term = 2, .pausedTerm = 3});
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(120)));
+    tracker.onStatus(Millis(250), "b", Millis(230), {.term = 2});
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(230)));
+    tracker.onStatus(Millis(270), "c", Millis(250), {.term = 2, .pausedTerm = 3});
+    EXPECT_TRUE(tracker.wasPrimaryAt("a", Millis(230) + ReadLeaseDuration));
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(231) + ReadLeaseDuration));
+}
+
+// A replica that was released after a promotion, and has not heard of it, looks like one that was
+// never sealed. The new primary's answer tells.
+TEST_F(LeasedPrimary, IsNotTrustedForAReplicaThatHasNotHeardOfItsSuccessor)
+{
+    tracker.onStatus(Millis(200), "b", Millis(180), {.term = 2});
+    // Asked before the answer of b arrived: c may have become primary in between.
+    tracker.onStatus(Millis(210), "c", Millis(199), {.term = 2});
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(180)));
+    tracker.onStatus(Millis(260), "c", Millis(240), {.primary = true, .term = 3});
+    EXPECT_EQ(tracker.primary(), "c");
+    EXPECT_FALSE(tracker.wasPrimaryAt("c", Millis(180)));
+}
+
+// The promoter may have stopped before it let the replicas receive again.
+TEST_F(LeasedPrimary, CountsAsStalledIfStatementsWaitForEvidenceForLong)
+{
+    Millis now(500);
+    for (; now <= Millis(2200); now = now + Millis(20)) {
+        tracker.onTick(now);
+        tracker.onProvenPrimary(now, "a", now, {2, 7});
+        tracker.onWaitForReadLease(now, Millis(500));
+        const bool expected = now > Millis(500 + 1500);
+        EXPECT_EQ(tracker.cause(now) == PrimaryChangeCause::Stalled, expected) << now.count();
+    }
+    tracker.onProvenPrimary(now + Millis(200), "a", now + Millis(200), {2, 7});
+    EXPECT_EQ(tracker.cause(now + Millis(200)), PrimaryChangeCause::None);
+}
+
+TEST_F(LeasedPrimary, IsDroppedOnceAReplicaHoldsEntriesOfALaterTerm)
+{
+    tracker.onPosition(Millis(200), "b", Millis(190), {3, 9});
+    EXPECT_EQ(tracker.primary(), "");
+}
+
+// What an old primary holds beyond its successor's log was never received by anyone.
+TEST_F(LeasedPrimary, IsNotTrustedForEntriesOfItsPredecessor)
+{
+    tracker.onProvenPrimary(Millis(400), "b", Millis(390), {2, 6});
+    tracker.onPosition(Millis(400), "b", Millis(390), {2, 6});
+    tracker.onPosition(Millis(420), "a", Millis(410), {2, 9});
+    EXPECT_FALSE(tracker.wasPrimaryAt("b", Millis(390)));
+}
+
+TEST_F(LeasedPrimary, IsQueriedOnlyWhileAStatementWaits)
+{
+    EXPECT_TRUE(tracker.instancesToQuery(Millis(500)).empty());
+    tracker.onWaitForReadLease(Millis(500), Millis(500));
+    const std::vector<std::string> replicas{"b", "c"};
+    EXPECT_EQ(tracker.instancesToQuery(Millis(500)), replicas);
+    EXPECT_TRUE(tracker.instancesToQuery(Millis(510)).empty());
+    EXPECT_EQ(tracker.instancesToQuery(Millis(560)), replicas);
+    tracker.onCommitAcknowledged("a", Millis(560));
+    EXPECT_TRUE(tracker.instancesToQuery(Millis(620)).empty());
+}
+
+// Two instances may be registered as primary. If neither answers, the primary has to be replaced;
+// it must not be looked for at one and the other by turns.
+TEST(PrimaryTracker, DoesNotTurnFromOneSilentPrimaryToAnother)
+{
+    PrimaryTracker tracker;
+    const std::vector<RegisteredInstance> instances{{.id = "a", .registeredAsPrimary = true},
+                                                    {.id = "b", .registeredAsPrimary = true},
+                                                    {.id = "c"}};
+    tracker.setInstances(Millis(0), instances);
+    tracker.onRequestSent(Millis(0), "a");
+    tracker.onRequestSent(Millis(0), "b");
+    for (Millis now(20); now <= Millis(1000); now = now + Millis(20))
+        tracker.onTick(now);
+    EXPECT_EQ(tracker.primary(), "");
+    EXPECT_EQ(tracker.cause(Millis(1000)), PrimaryChangeCause::Unreachable);
+}
+
+// A statement that was sent to a primary before it was replaced may never be answered.
+TEST(PrimaryTracker, CountsOnlyWritesAtThePresentPrimaryAsWaiting)
+{
+    PrimaryTracker tracker;
+    tracker.setInstances(Millis(0), {{.id = "a"}, {.id = "b"}});
+    tracker.onProvenPrimary(Millis(100), "a", Millis(90), {1, 1});
+    EXPECT_TRUE(tracker.concernsPrimary("a", Millis(100)));
+    tracker.onProvenPrimary(Millis(200), "b", Millis(190), {2, 1});
+    tracker.onProvenPrimary(Millis(300), "a", Millis(290), {3, 1});
+    EXPECT_FALSE(tracker.concernsPrimary("a", Millis(100)));
+    EXPECT_FALSE(tracker.concernsPrimary("b", Millis(300)));
+    EXPECT_TRUE(tracker.concernsPrimary("a", Millis(300)));
+}
+
 } // namespace
 } // namespace cicadagap
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -1,5 +1,6 @@
 // Tests of TargetPool and RelayGateway: how many statements a host starts at an instance at a time,
 // and when the next one may follow.
+#include "session/readlease.h"
 #include "session/relaygateway.h"
 #include "session/targetpool.h"
 
@@ -178,6 +179,11 @@
     {
         return instant <= primaryUntil;
     }
+    bool anotherIsPrimary(const std::string &instance) const override
+    {
+        return instance != primary;
+    }
+    bool mayHaveBeenReplaced(Millis, const std::string &) const override { return replaced; }
     bool concernsPrimary(const std::string &instance, Millis sentAt) const override
     {
         return instance == primary && sentAt >= primarySince;
@@ -188,6 +194,7 @@
     }
 
     std::string primary = "i";
+    bool replaced = false;
     Millis primarySince;
     Millis primaryUntil;
     std::optional<Millis> acknowledged; // When the newest acknowledged commit was sent.
@@ -311,6 +318,20 @@
         pool.flush(Millis(100));
     }
 
+    // A write arrives besides the read.
+    void addWrite()
+    {
+        relay.onBatch(Millis(100),
+                      {.origin = "o",
+                       .channel = 2,
+                       .instance = "i",
+                       .maxWait = Millis(2000),
+                       .primaryAge = Millis(5),
+                       .statements = {{.statement = {.id = "w", .kind = StatementKind::Write}}}},
+                      [this](const RelayReply &answer) { writeReply = answer; });
+        pool.flush(Millis(100));
+    }
+
     void tick(Millis now)
     {
         relay.onTick(now, Millis(3000));
@@ -320,12 +341,37 @@
     RecordingOutput output;
     GatewayListener gatewayListener;
     std::optional<RelayReply> reply;
+    std::optional<RelayReply> writeReply;
     WorkId lastWork = 0;
     TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
     SettableGroups groups;
     RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
 };
 
+TEST_F(UnprovenBatch, IsRefusedAsNotRunOnceAnotherInstanceIsPrimary)
+{
+    groups.primary = "other";
+    tick(Millis(120));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->cause, Cause::NotPrimary);
+    EXPECT_FALSE(reply->sent);
+    EXPECT_EQ(output.sent, 0U);
+}
+
+// The acknowledgement of a write may be the only evidence to be had.
+TEST_F(UnprovenBatch, IsTriedAfterAWhileIfItOnlyWrites)
+{
+    addWrite();
+    tick(Millis(100) + ReadLeaseDuration);
+    EXPECT_EQ(output.sent, 0U);
+    groups.replaced = true;
+    tick(Millis(101) + ReadLeaseDuration);
+    EXPECT_EQ(output.sent, 0U);
+    groups.replaced = false;
+    tick(Millis(121) + ReadLeaseDuration);
+    EXPECT_EQ(output.sent, 1U);
+}
+
 TEST_F(UnprovenBatch, RunsOnceTheInstanceIsKnownToHaveBeenPrimary)
 {
     EXPECT_EQ(output.sent, 0U);
