Find evidence for the read lease without status queries, and let it last 600 ms

Change: while a statement waits for the lease, the host opens and rolls back transactions at the instances, which take no slot; their positions are evidence as soon as the group commits. Status queries begin after 200 ms. A single write does not wait unless there are signs of a change of primary. The lease lasts 600 ms (300 ms before). Followers of a platform reader double their delays after failed calls to the store; the first update is waited for 0.4 s.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -18,13 +18,15 @@
 constexpr Millis InstanceRetryDelay(400); // After a failed call, or while a primary is missing.
 constexpr Millis HostInterval(4000);      // Between two readings of the hosts.
 constexpr Millis StartupTime(600);        // After it, hosts that started together have registered.
-constexpr Millis FirstFollowTime(800);    // For the platform reader's first update.
+constexpr Millis FirstFollowTime(400);    // For the platform reader's first update.
 constexpr Millis StoppedHostCheckInterval(2000); // Between two checks of the platform reader.
-constexpr Millis HostRetryDelay(400);            // After a failed call.
-constexpr Millis RoleCheckInterval(200);         // Between checks whether this host must read.
-constexpr Millis UpdateWait(1500);      // How long the platform reader may wait for a change.
-constexpr Millis UpdateMargin(1000);    // Added to the wait for the call's timeout.
-constexpr Millis UpdateRetryDelay(100); // After a failed call to the platform reader.
+constexpr Millis HostRetryDelay(300);            // After a failed call.
+// A host that is not the platform reader doubles the delays after failed calls so many times.
+constexpr int MaxRetryDoublings = 3;
+constexpr Millis RoleCheckInterval(200); // Between checks whether this host must read.
+constexpr Millis UpdateWait(1500);       // How long the platform reader may wait for a change.
+constexpr Millis UpdateMargin(1000);     // Added to the wait for the call's timeout.
+constexpr Millis UpdateRetryDelay(100);  // After a failed call to the platform reader.
 // A platform reader whose data is older than this is taken to be cut off from the platform.
 constexpr Millis ConfigurationAgeMargin(800); // Beyond the wait for a change.
 constexpr Millis MaxInstancesAge(3500);
@@ -116,17 +118,19 @@
         return;
     }
     const bool waitForChange = m_configurationReachable && m_engine->configurationVersion() > 0;
-    m_platform->configuration(waitForChange ? m_configurationWait : Millis(0),
-                              [this](const std::optional<RoutingTable> &table) {
-                                  setReachable("configuration", &m_configurationReachable,
-                                               table.has_value());
-                                  if (table) {
-                                      m_cache.setRouting(now(), *table);
-                                      applyRouting(*table);
-                                  }
-                                  m_loop->after(table ? Millis(0) : ConfigurationRetryDelay,
-                                                [this] { readConfiguration(); });
-                              });
+    m_platform->configuration(
+        waitForChange ? m_configurationWait : Millis(0),
+        [this](const std::optional<RoutingTable> &table) {
+            setReachable("configuration", &m_configurationReachable, table.has_value());
+            m_configurationFailures = table ? 0 : m_configurationFailures + 1;
+            if (table) {
+                m_cache.setRouting(now(), *table);
+                applyRouting(*table);
+            }
+            m_loop->after(table ? Millis(0)
+                                : retryDelay(ConfigurationRetryDelay, m_configurationFailures),
+                          [this] { readConfiguration(); });
+        });
 }
 
 void PlatformFeed::readInstances()
@@ -137,12 +141,14 @@
     }
     m_platform->instances([this](const std::optional<std::vector<RegisteredInstance>> &instances) {
         setReachable("instances", &m_instancesReachable, instances.has_value());
+        m_instancesFailures = instances ? 0 : m_instancesFailures + 1;
         if (instances) {
             m_cache.setInstances(now(), *instances);
             m_engine->onInstances(now(), *instances);
         }
         const bool complete = instances && !m_engine->needsInstances();
-        m_loop->after(complete ? InstanceInterval : InstanceRetryDelay,
+        m_loop->after(complete ? InstanceInterval
+                               : retryDelay(InstanceRetryDelay, m_instancesFailures),
                       [this] { readInstances(); });
     });
 }
@@ -159,15 +165,26 @@
             m_cache.setHosts(now(), *hosts);
             applyHosts(*hosts);
         }
+        m_hostsFailures = hosts ? 0 : m_hostsFailures + 1;
         startReading();
         // Hosts that start together see only some of the others at first, so the list is read again
         // soon.
         const bool starting = now() < m_startedAt + StartupTime;
         const Millis next = starting ? StartupTime : HostInterval;
-        m_loop->after(hosts ? next : HostRetryDelay, [this] { readHosts(); });
+        m_loop->after(hosts ? next : retryDelay(HostRetryDelay, m_hostsFailures),
+                      [this] { readHosts(); });
     });
 }
 
+// The time until a failed call is repeated. The platform reader repeats it soon, and passes on what
+// it gets, so the others need not burden a store that refuses all of them.
+Millis PlatformFeed::retryDelay(Millis first, int failures) const
+{
+    if (m_followedReader.empty() || failures == 0)
+        return first;
+    return first * (std::int64_t(1) << std::min(failures - 1, MaxRetryDoublings));
+}
+
 // Passes the list to the engine. This host's own record is always part of it, also while the stored
 // one is missing or was written by this host's previous process.
 void PlatformFeed::applyHosts(std::vector<HostRecord> hosts)
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -57,6 +57,7 @@
     void applyRouting(const RoutingTable &routing);
     void registerSelf();
     void withdrawStoppedHosts();
+    Millis retryDelay(Millis first, int failures) const;
     bool updateRole();
     void setReachable(std::string_view what, bool *reachable, bool succeeded);
     Millis now() const { return m_clock.now(); }
@@ -80,6 +81,10 @@
     bool m_configurationReachable = true;
     bool m_instancesReachable = true;
     bool m_hostsReachable = true;
+    // How many readings of each kind have failed in a row.
+    int m_configurationFailures = 0;
+    int m_instancesFailures = 0;
+    int m_hostsFailures = 0;
 };
 
 } // namespace cicadagap
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -64,6 +64,8 @@
         group.tracker.onTick(now);
         for (const std::string &id : group.tracker.instancesToProbe(now))
             probe(now, id);
+        for (const std::string &id : group.tracker.instancesToLocate(now))
+            locate(id, id == group.tracker.primary());
         for (const std::string &id : group.tracker.instancesToQuery(now))
             submit(id, {.kind = StatementKind::Status});
         reportPrimary(name, &group);
@@ -178,7 +180,9 @@
     if (found == m_pendingByWork.end())
         return false;
     const PendingStatement &pending = found->second;
-    if (pending.statement.kind == StatementKind::Begin) {
+    const bool opens = pending.statement.kind == StatementKind::Begin
+        || pending.statement.kind == StatementKind::BeginReadOnly;
+    if (opens) {
         m_pool->send(now, connection, SendPurpose::OpenTransaction, pending.statement);
         m_pool->send(now, connection, SendPurpose::CloseTransaction,
                      {.kind = StatementKind::Rollback});
@@ -210,6 +214,8 @@
             onNotPrimary(now, pending.instance, sentAt);
         return true;
     }
+    if (kind == StatementKind::BeginReadOnly)
+        return true; // Its position was recorded as evidence.
     Group *group = groupOf(pending.instance);
     if (group && answer.status) {
         group->tracker.onStatus(now, pending.instance, sentAt, *answer.status);
@@ -312,6 +318,13 @@
     }
 }
 
+// Asks an instance where its log ends: by opening a transaction, which takes no slot.
+void GroupControl::locate(const std::string &instance, bool primary)
+{
+    if (m_pool->hasIdle(instance))
+        submit(instance, {.kind = primary ? StatementKind::Begin : StatementKind::BeginReadOnly});
+}
+
 void GroupControl::submit(const std::string &instance, const Statement &statement)
 {
     const WorkId id = m_nextWork();
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -123,7 +123,8 @@
     struct PendingStatement
     {
         std::string instance;
-        Statement statement; // A probe if its kind is Begin; otherwise a command or status query.
+        // A probe if its kind is Begin or BeginReadOnly; otherwise a command or status query.
+        Statement statement;
     };
 
     void acquireLease(const std::string &group) override;
@@ -135,6 +136,7 @@
     void stageChanged(const std::string &group, PrimaryChangeStage stage, PrimaryChangeCause cause,
                       const std::string &detail) override;
     void probe(Millis now, const std::string &instance);
+    void locate(const std::string &instance, bool primary);
     void submit(const std::string &instance, const Statement &statement);
     void reportPrimary(const std::string &name, Group *group);
     Group *groupOf(const std::string &instance);
--- a/src/session/primarytracker.cpp
+++ b/src/session/primarytracker.cpp
@@ -15,8 +15,10 @@
 constexpr Millis FailureSpan(150);
 // After an instance denied that it is primary, its registered role is ignored for this long.
 constexpr Millis DenialMemory(400);
-// Between two status queries on behalf of statements that wait for the read lease.
+// Between two queries on behalf of statements that wait for the read lease. Status queries, which
+// take a slot, begin only after a while.
 constexpr Millis StatusQueryInterval(60);
+constexpr Millis StatusQueryDelay(200);
 // A statement that has not said for this long that it waits does not wait any more.
 constexpr Millis LeaseNeedLifetime(100);
 // A seal that was seen longer ago belongs to an attempt to change the primary that has ended.
@@ -237,13 +239,27 @@
     m_leaseNeededAt = now;
 }
 
+std::vector<std::string> PrimaryTracker::instancesToLocate(Millis now)
+{
+    if (!m_leaseNeededFor || now - m_leaseNeededAt > LeaseNeedLifetime || !m_probing
+        || m_primary.empty() || now < m_nextLocation)
+        return {};
+    m_nextLocation = now + StatusQueryInterval;
+    std::vector<std::string> ids;
+    ids.reserve(m_instances.size());
+    for (const auto &row : m_instances)
+        ids.push_back(row.first);
+    return ids;
+}
+
 std::vector<std::string> PrimaryTracker::instancesToQuery(Millis now)
 {
     if (m_leaseNeededFor && now - m_leaseNeededAt > LeaseNeedLifetime)
         m_leaseNeededFor.reset();
     // A later term than the known primary's has begun: its primary has to be found.
     const bool searching = needsReadLease() && m_newestTerm > m_term;
-    const bool needed = m_leaseNeededFor && !m_primary.empty();
+    const bool needed
+        = m_leaseNeededFor && !m_primary.empty() && now - m_leaseNeededSince >= StatusQueryDelay;
     if ((!searching && !needed) || !m_probing || now < m_nextQuery)
         return {};
     m_nextQuery = now + StatusQueryInterval;
--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -122,8 +122,11 @@
     // A statement that arrived at `instant` waits for wasPrimaryAt(). To be repeated while it
     // waits.
     void onWaitForReadLease(Millis now, Millis instant);
-    // The instances whose status shows whether the primary was replaced, while a statement waits to
-    // know; empty if none waits.
+    // While a statement waits to know whether the primary was replaced: the instances whose
+    // position may show it.
+    std::vector<std::string> instancesToLocate(Millis now);
+    // If positions have not shown it for a while, or a later term is known: the instances to query
+    // for their status.
     std::vector<std::string> instancesToQuery(Millis now);
     // Whether an instance proved that it is primary within the last `silenceLimit`.
     bool confirmed(Millis now) const;
@@ -212,6 +215,7 @@
     std::uint64_t m_newestTerm = 0; // The highest term that any instance reported.
     Millis m_sealedAt = Millis(-1'000'000); // When a replica was last seen to be sealed.
     Millis m_nextQuery;
+    Millis m_nextLocation;
 };
 
 } // namespace cicadagap
--- a/src/session/readlease.h
+++ b/src/session/readlease.h
@@ -11,8 +11,8 @@
 // that also counts its suspensions; clocks of different hosts are never compared.
 //
 // Evidence costs nothing while the group commits: an acknowledged commit, or a replica that holds a
-// position which the primary had not reached yet when it was last heard. In a quiet group a status
-// query to a replica renews the lease.
+// position which the primary had not reached yet when it was last heard. In a quiet group status
+// queries to the replicas renew the lease.
 //
 // Expected load: far more strong reads than evidence; in a quiet group, few strong reads.
 #pragma once
@@ -30,7 +30,7 @@
 
 // How long a primary may be trusted after a replica was seen to be unsealed. Longer leases need
 // fewer status queries, and delay each change of a primary that cannot be made to step down.
-inline constexpr Millis ReadLeaseDuration(300);
+inline constexpr Millis ReadLeaseDuration(600);
 
 // The lease of one primary in one term.
 //
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -1,7 +1,5 @@
 #include "session/relaygateway.h"
 
-#include "session/readlease.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -46,7 +44,6 @@
     const Millis deadline = now + batch.maxWait;
     m_unproven.push_back({.batch = std::move(batch),
                           .reply = std::move(reply),
-                          .arrivedAt = now,
                           .primaryAsOf = primaryAsOf,
                           .deadline = deadline});
     startProvenBatches(now);
@@ -80,13 +77,12 @@
         return Admission::Start;
     if (m_groups->anotherIsPrimary(batch.instance))
         return Admission::Refuse;
-    // A write outside of a transaction reads nothing. Its acknowledgement may be the only evidence
-    // to be had, so it is tried after a while, unless there are signs of a change of primary.
+    // A write outside of a transaction reads nothing, and its acknowledgement is evidence. It waits
+    // only if there are signs of a change of primary.
     const bool onlyWrites = !batch.statements.empty()
         && batch.statements.front().purpose != SendPurpose::OpenTransaction
         && batch.statements.back().statement.kind != StatementKind::Read;
-    const bool mayTry = onlyWrites && now - waiting.arrivedAt > ReadLeaseDuration
-        && !m_groups->mayHaveBeenReplaced(now, batch.instance);
+    const bool mayTry = onlyWrites && !m_groups->mayHaveBeenReplaced(now, batch.instance);
     return mayTry ? Admission::Start : Admission::Wait;
 }
 
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -87,7 +87,6 @@
     {
         RelayBatch batch;
         Reply reply;
-        Millis arrivedAt;
         Millis primaryAsOf;
         Millis deadline;
     };
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -254,12 +254,10 @@
         return primary;
     if (m_control.wasPrimaryAt(now, primary, operation.seesCommitsOf))
         return primary;
-    // A write outside of a transaction reads nothing. It waits too, since a primary that was
-    // replaced acknowledges nothing, but not for long: its acknowledgement may be the only
-    // evidence.
-    const bool mayTry = operation.writes && !session.transaction
-        && now - operation.arrivedAt > ReadLeaseDuration
-        && !m_control.mayHaveBeenReplaced(now, primary);
+    // A write outside of a transaction reads nothing, and its acknowledgement is evidence. It waits
+    // only if there are signs that the primary was replaced, as it would acknowledge nothing then.
+    const bool mayTry
+        = operation.writes && !session.transaction && !m_control.mayHaveBeenReplaced(now, primary);
     return mayTry ? primary : std::string();
 }
 
