Do not take a relayed read for a write

A gateway lets single writes through without evidence; it took a batch for a write if it began with a statement that restores the session's state and ended with the rollback of the internal transaction. Change: a batch counts as a single write only if all it holds, besides the session's state, is one write. An acknowledged commit is evidence only if a write of its transaction has succeeded. Result: UnprovenBatch.IsNotTriedIfAReadFollowsTheSessionsState failed before and passes.

--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -24,6 +24,26 @@
     });
 }
 
+// Whether the batch consists of a single write outside of a transaction, besides statements that
+// restore the session's state.
+bool onlyWrites(const std::vector<RelayedStatement> &statements)
+{
+    bool preparesWrite = false;
+    bool writes = false;
+    for (const RelayedStatement &entry : statements) {
+        const Statement &statement = entry.statement;
+        if (entry.purpose == SendPurpose::Restore) {
+            preparesWrite = preparesWrite || statement.preparesWrite;
+            continue;
+        }
+        writes = statement.kind == StatementKind::Write
+            || (statement.kind == StatementKind::Execute && preparesWrite);
+        if (entry.purpose != SendPurpose::Work || !writes)
+            return false;
+    }
+    return writes;
+}
+
 } // namespace
 
 RelayGateway::RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork,
@@ -79,10 +99,8 @@
         return Admission::Refuse;
     // A write outside of a transaction reads nothing, and its acknowledgement is evidence. It waits
     // only if there are signs of a change of primary.
-    const bool onlyWrites = !batch.statements.empty()
-        && batch.statements.front().purpose != SendPurpose::OpenTransaction
-        && batch.statements.back().statement.kind != StatementKind::Read;
-    const bool mayTry = onlyWrites && !m_groups->mayHaveBeenReplaced(now, batch.instance);
+    const bool mayTry
+        = onlyWrites(batch.statements) && !m_groups->mayHaveBeenReplaced(now, batch.instance);
     return mayTry ? Admission::Start : Admission::Wait;
 }
 
@@ -200,7 +218,6 @@
             || (kind == StatementKind::Execute && preparedWrite);
         if (writes)
             channel->writeSentAt = now;
-        channel->wrote = channel->wrote || (writes && kind != StatementKind::Commit);
         m_pool->send(now, channel->connection, entry.purpose, std::move(entry.statement));
     }
 }
@@ -237,9 +254,14 @@
     if (purpose == SendPurpose::Restore)
         return true;
     channel->lastUsed = now;
-    // Outside of a transaction, and at its end, the answer to a write acknowledges a commit.
+    // The success of a write outside of a transaction, or of a transaction's commit, acknowledges a
+    // commit.
+    const bool preparedWrite = channel->prepared && channel->prepared->writes;
+    const bool writes
+        = kind == StatementKind::Write || (kind == StatementKind::Execute && preparedWrite);
+    channel->wrote = channel->wrote || (writes && answer.succeeded());
     const bool committed = answer.succeeded() && answer.phase == SessionPhase::Idle
-        && purpose == SendPurpose::Work && kind != StatementKind::Read && channel->wrote;
+        && channel->wrote && (writes || kind == StatementKind::Commit);
     if (committed)
         m_groups->onCommitAcknowledged(channel->instance, sentAt);
     channel->reply.answers.push_back(answer);
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -370,6 +370,28 @@
     EXPECT_EQ(output.sent, 1U);
 }
 
+// What restores the session's state comes first in a batch, and the end of the internal transaction
+// last: neither makes the read in between a write.
+TEST_F(UnprovenBatch, IsNotTriedIfAReadFollowsTheSessionsState)
+{
+    relay.onBatch(Millis(100),
+                  {.origin = "o",
+                   .channel = 3,
+                   .instance = "i",
+                   .maxWait = Millis(2000),
+                   .primaryAge = Millis(5),
+                   .statements = {{.statement = {.kind = StatementKind::SetValue, .name = "v"},
+                                   .purpose = SendPurpose::Restore},
+                                  {.statement = {.kind = StatementKind::Begin},
+                                   .purpose = SendPurpose::OpenTransaction},
+                                  {.statement = {.id = "q", .kind = StatementKind::Read}},
+                                  {.statement = {.kind = StatementKind::Rollback},
+                                   .purpose = SendPurpose::CloseTransaction}}},
+                  [this](const RelayReply &answer) { writeReply = answer; });
+    tick(Millis(1000));
+    EXPECT_EQ(output.sent, 0U);
+}
+
 TEST_F(UnprovenBatch, RunsOnceTheInstanceIsKnownToHaveBeenPrimary)
 {
     EXPECT_EQ(output.sent, 0U);
