Do not replace a primary because statements wait for evidence

Ruled out: the platform reader's first update (in force 0.5 s after the start on all hosts), the store. Change: such a wait counts only if a replica was seen to be sealed in the last second: then a promoter has stopped halfway. Result: WaitForEvidence/noneSealed failed before and passes.

--- a/src/session/primarytracker.cpp
+++ b/src/session/primarytracker.cpp
@@ -201,10 +201,11 @@
     for (const auto &[id, entry] : m_instances) {
         for (const SeenStatus &status : entry.statuses) {
             const bool proves = status.unsealed
-                && std::all_of(m_instances.begin(), m_instances.end(), [&](const auto &row) {
-                                    return row.first == id || row.first == m_lastPrimary
-                                        || deniedBySince(row.first, status.receivedAt);
-                                });
+                && std::all_of(m_instances.begin(), m_instances.end(),
+                               [&, id = id](const auto &row) {
+                                   return row.first == id || row.first == m_lastPrimary
+                                       || deniedBySince(row.first, status.receivedAt);
+                               });
             if (proves)
                 m_readLease.onReplicaUnsealed(id, status.sentAt);
         }
@@ -369,7 +370,7 @@
         return PrimaryChangeCause::Leaving;
     const bool writeStalls = m_oldestWrite && now - *m_oldestWrite > m_options.stallLimit;
     const bool leaseMissing = m_leaseNeededFor && now - m_leaseNeededAt <= LeaseNeedLifetime
-        && now - m_leaseNeededSince > m_options.stallLimit;
+        && now - m_leaseNeededSince > m_options.stallLimit && now - m_sealedAt < SealedReplicaLimit;
     if ((writeStalls || leaseMissing) && confirmed(now))
         return PrimaryChangeCause::Stalled;
     return PrimaryChangeCause::None;
--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -120,7 +120,7 @@
     // reported a later term, or a replica was sealed lately.
     bool mayHaveBeenReplaced(Millis now) const;
     // A statement that arrived at `instant` waits for wasPrimaryAt(). To be repeated while it
-    // waits.
+    // waits. If that lasts while a replica is sealed, the primary counts as stalled.
     void onWaitForReadLease(Millis now, Millis instant);
     // While a statement waits to know whether the primary was replaced: the instances whose
     // position may show it.
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -78,7 +78,7 @@
         Reply respond; // Set only while a batch is in progress.
         Millis lastUsed;
         bool onlyReads = false;
-        bool wrote = false;                // A write was sent on it.
+        bool wrote = false;                // A write succeeded on it.
         std::optional<Millis> writeSentAt; // Of an unanswered write or commit.
     };
 
--- a/src/session/tst_primarytracker.cpp
+++ b/src/session/tst_primarytracker.cpp
@@ -183,21 +183,32 @@
     EXPECT_FALSE(tracker.wasPrimaryAt("c", Millis(180)));
 }
 
-// The promoter may have stopped before it let the replicas receive again.
-TEST_F(LeasedPrimary, CountsAsStalledIfStatementsWaitForEvidenceForLong)
+// A promoter may have stopped before it let the replicas receive again. Without a sealed replica,
+// statements may wait because this host has no connection yet, as after a loss of all power.
+class WaitForEvidence : public LeasedPrimary, public testing::WithParamInterface<bool>
 {
+};
+
+TEST_P(WaitForEvidence, CountsAsStallIfAReplicaIsSealed)
+{
+    const bool sealed = GetParam();
     Millis now(500);
     for (; now <= Millis(2200); now = now + Millis(20)) {
         tracker.onTick(now);
         tracker.onProvenPrimary(now, "a", now, {2, 7});
         tracker.onWaitForReadLease(now, Millis(500));
-        const bool expected = now > Millis(500 + 1500);
+        if (sealed)
+            tracker.onStatus(now, "b", now, {.term = 2, .pausedTerm = 3});
+        const bool expected = sealed && now > Millis(500 + 1500);
         EXPECT_EQ(tracker.cause(now) == PrimaryChangeCause::Stalled, expected) << now.count();
     }
     tracker.onProvenPrimary(now + Millis(200), "a", now + Millis(200), {2, 7});
     EXPECT_EQ(tracker.cause(now + Millis(200)), PrimaryChangeCause::None);
 }
 
+INSTANTIATE_TEST_SUITE_P(All, WaitForEvidence, testing::Bool(),
+                         [](const auto &info) { return info.param ? "sealed" : "noneSealed"; });
+
 TEST_F(LeasedPrimary, IsDroppedOnceAReplicaHoldsEntriesOfALaterTerm)
 {
     tracker.onPosition(Millis(200), "b", Millis(190), {3, 9});
