Move the evidence for the read lease out of primarytracker.cpp

Cause: read as a newcomer would, PrimaryTracker's file mixed two jobs: who is primary, and what shows that it was not replaced. Ruled out: a class of its own, which would need most of the tracker's state. Change: primaryevidence.cpp holds the second part, as sessionstatements.cpp does for SessionEngine; replicaIsSealed() and evidenceStalls() are named. No behaviour changes.

--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -179,6 +179,8 @@
     void forgetEvidence();
     void renewReadLease();
     void useStatuses();
+    bool replicaIsSealed(Millis now) const;
+    bool evidenceStalls(Millis now) const;
     bool deniedBySince(const std::string &replica, Millis since) const;
     void addSample(Millis at, Position end);
     void losePrimary(Millis now);
@@ -213,7 +215,7 @@
     Millis m_leaseNeededAt;
     Millis m_leaseNeededSince;      // Since when some statement has waited for it without a break.
     std::uint64_t m_newestTerm = 0; // The highest term that any instance reported.
-    Millis m_sealedAt = Millis(-1'000'000); // When a replica was last seen to be sealed.
+    std::optional<Millis> m_sealedAt; // When a replica was last seen to be sealed.
     Millis m_nextQuery;
     Millis m_nextLocation;
 };
