--- a/src/session/tst_primarytracker.cpp
+++ b/src/session/tst_primarytracker.cpp
@@ -248,6 +248,18 @@
     EXPECT_FALSE(tracker.wasPrimaryAt("b", Millis(390)));
 }
 
+// This host may not know that the instance was primary, but the instance says so itself.
+TEST_F(LeasedPrimary, IsNotTrustedForEntriesOfAnInstanceThatRegisteredAsPrimary)
+{
+    tracker.onPosition(Millis(110), "a", Millis(100), {2, 7});
+    tracker.setInstances(Millis(120),
+                         {{.id = "a"}, {.id = "b"}, {.id = "c", .registeredAsPrimary = true}});
+    tracker.onPosition(Millis(130), "c", Millis(125), {2, 9});
+    EXPECT_FALSE(tracker.wasPrimaryAt("a", Millis(100)));
+    tracker.onPosition(Millis(140), "b", Millis(135), {2, 9});
+    EXPECT_TRUE(tracker.wasPrimaryAt("a", Millis(100)));
+}
+
 TEST_F(LeasedPrimary, IsQueriedOnlyWhileAStatementWaits)
 {
     const std::vector<std::string> all{"a", "b", "c"};
--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -253,6 +253,57 @@
     EXPECT_EQ(engine.sessions(), 0U);
 }
 
+// Keeps what is sent to instances.
+class SendingOutput : public NullOutput
+{
+public:
+    void openTarget(ConnectionId connection, const RegisteredInstance &) override
+    {
+        opened.push_back(connection);
+    }
+    void sendToTarget(ConnectionId, const std::vector<Statement> &statements) override
+    {
+        sent.insert(sent.end(), statements.begin(), statements.end());
+    }
+
+    std::vector<ConnectionId> opened;
+    std::vector<Statement> sent;
+};
+
+// A primary that was replaced lacks the commits that the session made at its successor. Such a
+// primary may still be trusted for data of the age that the database accepts.
+TEST(SessionEngine, OpensATransactionAfterTheSessionsOwnCommit)
+{
+    SendingOutput output;
+    SessionEngine engine({.host = "h", .dataCentre = "d", .fencedPromotions = false}, &output);
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 10, .syncReplicas = 1};
+    routing.databases["db"] = {.database = "db",
+                               .group = "g",
+                               .consistency = Consistency::ReadYourWrites,
+                               .maxAge = Millis(1500),
+                               .statementTimeout = Millis(800),
+                               .latencyObjective = Millis(400)};
+    engine.onHosts(Millis(0), {{.host = "h", .dataCentre = "d"}});
+    engine.onConfiguration(Millis(0), routing);
+    engine.onInstances(Millis(0),
+                       {{.id = "i", .group = "g", .dataCentre = "d", .registeredAsPrimary = true},
+                        {.id = "j", .group = "g", .dataCentre = "d"}});
+    ASSERT_FALSE(output.opened.empty());
+    const ConnectionId connection = output.opened.front();
+    engine.onTargetOpened(Millis(1), connection);
+    ASSERT_EQ(engine.onConnect(Millis(1), 1, "db"), Cause::None);
+    constexpr Position Commit{.term = 3, .index = 9};
+    engine.onStatement(Millis(2), 1, {.id = "w", .kind = StatementKind::Write, .text = "w"});
+    engine.onTargetAnswer(Millis(3), connection, {.signature = "s", .position = Commit});
+    output.sent.clear();
+    engine.onStatement(Millis(4), 1, {.id = "b", .kind = StatementKind::Begin});
+    engine.onStatement(Millis(5), 1, {.id = "v", .kind = StatementKind::Write, .text = "v"});
+    ASSERT_EQ(output.sent.size(), 1U);
+    EXPECT_EQ(output.sent[0].kind, StatementKind::Begin);
+    EXPECT_EQ(output.sent[0].requiredPosition, Commit);
+}
+
 TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
 {
     expectGuarantees(
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -294,6 +294,56 @@
     EXPECT_EQ(groups.acknowledged, Millis(5));
 }
 
+// An instance that is no longer primary commits a transaction that wrote nothing.
+class RelayedCommit : public testing::TestWithParam<Cause>
+{
+};
+
+TEST_P(RelayedCommit, IsEvidenceOnlyIfAWriteHasSucceeded)
+{
+    RecordingOutput output;
+    GatewayListener gatewayListener;
+    WorkId lastWork = 0;
+    TargetPool pool({}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; });
+    SettableGroups groups;
+    RelayGateway relay(
+        &pool, [&] { return ++lastWork; }, &groups);
+    gatewayListener.relay = &relay;
+    pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
+    const ConnectionId connection = output.opening.back();
+    pool.onOpened(Millis(0), connection);
+    const auto send = [&](Millis now, bool continues, std::vector<RelayedStatement> statements) {
+        relay.onBatch(now,
+                      {.origin = "o",
+                       .channel = 1,
+                       .instance = "i",
+                       .continues = continues,
+                       .maxWait = Millis(1000),
+                       .statements = std::move(statements)},
+                      [](const RelayReply &) {});
+        pool.flush(now);
+    };
+    const auto answer = [&](Millis now, const StatementAnswer &given) {
+        pool.onAnswer(now, connection, given);
+        pool.flush(now);
+    };
+    send(Millis(5), /*continues=*/false,
+         {{.statement = {.kind = StatementKind::Begin}, .purpose = SendPurpose::OpenTransaction},
+          {.statement = {.id = "w", .kind = StatementKind::Write}}});
+    answer(Millis(6), {.phase = SessionPhase::Transaction});
+    answer(Millis(7), {.cause = GetParam(), .phase = SessionPhase::Transaction});
+    send(Millis(8), /*continues=*/true,
+         {{.statement = {.id = "c", .kind = StatementKind::Commit}}});
+    answer(Millis(9), {});
+    const bool wrote = GetParam() == Cause::None;
+    EXPECT_EQ(groups.acknowledged, wrote ? std::optional(Millis(8)) : std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RelayedCommit, testing::Values(Cause::None, Cause::Overloaded),
+                         [](const auto &info) {
+                             return info.param == Cause::None ? "written" : "notRun";
+                         });
+
 // A primary that was replaced may go on serving reads. A batch that has to see all commits up to
 // its arrival waits for evidence that its instance was still primary then.
 class UnprovenBatch : public testing::Test
