--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -140,17 +140,19 @@
         m_loop->after(RoleCheckInterval, [this] { readInstances(); });
         return;
     }
-    m_platform->instances([this](const std::optional<std::vector<RegisteredInstance>> &instances) {
-        recordReading("instances", &m_instancesFailures, instances.has_value());
-        if (instances) {
-            m_cache.setInstances(now(), *instances);
-            m_engine->onInstances(now(), *instances);
-        }
-        const bool complete = instances && !m_engine->needsInstances();
-        m_loop->after(complete ? InstanceInterval
-                               : retryDelay(InstanceRetryDelay, m_instancesFailures),
-                      [this] { readInstances(); });
-    });
+    const Millis readAt = now();
+    m_platform->instances(
+        [this, readAt](const std::optional<std::vector<RegisteredInstance>> &instances) {
+            recordReading("instances", &m_instancesFailures, instances.has_value());
+            if (instances) {
+                m_cache.setInstances(now(), *instances, now() - readAt);
+                m_engine->onInstances(now(), *instances, readAt);
+            }
+            const bool complete = instances && !m_engine->needsInstances();
+            m_loop->after(complete ? InstanceInterval
+                                   : retryDelay(InstanceRetryDelay, m_instancesFailures),
+                          [this] { readInstances(); });
+        });
 }
 
 void PlatformFeed::readHosts()
@@ -254,7 +256,7 @@
     if (update.routing)
         applyRouting(*update.routing);
     if (upToDate && m_cache.instances())
-        m_engine->onInstances(now(), *m_cache.instances());
+        m_engine->onInstances(now(), *m_cache.instances(), m_cache.instancesReadAt());
     if (update.hosts)
         applyHosts(*update.hosts);
 }
--- /dev/null
+++ b/src/session/instancelist.h
@@ -0,0 +1,63 @@
+// The registered instances as one host knows them: which of them leave, and until when those may be
+// given new work.
+//
+// An instance that is about to stop announces it, and serves on for a fixed time after the platform
+// has accepted its notice. The platform does not tell when that was, and a host sees its list of
+// instances only from time to time. What a host does know is when it last saw the instance without
+// a notice, so it counts the time from there: it never counts longer than the instance does.
+#pragma once
+
+#include "base/millis.h"
+#include "session/registry.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+// Performs no I/O and reads no clock. Not thread-safe. Instants are of one clock of this process.
+class InstanceList
+{
+public:
+    struct Options
+    {
+        // An instance that is no longer registered counts as leaving after the first period, and is
+        // removed after the second.
+        Millis leavingAfterMissing = Millis(2500);
+        Millis removedAfterMissing = Millis(5000);
+    };
+
+    // An instance that was found to be leaving.
+    struct Departure
+    {
+        std::string id;
+        std::string group;
+        bool announced = false; // Otherwise it is no longer registered.
+        // When it was last seen without a notice; nothing if this host never saw it so.
+        std::optional<Millis> lastReady;
+    };
+
+    explicit InstanceList(Options options)
+        : m_options(options)
+    {
+    }
+
+    // Takes over the whole list of registered instances, as the platform had it at `readAt`.
+    // Returns the instances that have turned out to be leaving since the last call.
+    std::vector<Departure> update(Millis now, const std::vector<RegisteredInstance> &registered,
+                                  Millis readAt);
+
+    const std::map<std::string, RegisteredInstance> &instances() const { return m_instances; }
+    // Null if the instance is unknown.
+    const RegisteredInstance *find(const std::string &id) const;
+
+private:
+    Options m_options;
+    std::map<std::string, RegisteredInstance> m_instances;
+    std::map<std::string, Millis> m_missingSince; // Those that are no longer registered.
+    std::map<std::string, Millis> m_lastReady;    // When each was last seen without a notice.
+};
+
+} // namespace cicadagap
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -89,6 +89,8 @@
     // The cached data; nothing if there was none yet.
     const std::optional<std::vector<RegisteredInstance>> &instances() const { return m_instances; }
     const std::optional<std::vector<HostRecord>> &hosts() const { return m_hosts; }
+    // When the platform had the cached list of instances.
+    Millis instancesReadAt() const { return m_instancesAt; }
 
 private:
     struct WaitingRequest
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -37,6 +37,11 @@
 // A restarted instance has received the primary's whole log after this time.
 constexpr Millis RestartMemory(10'000);
 
+std::string positionText(Position position)
+{
+    return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
 } // namespace
 
 PrimaryChange::PrimaryChange(std::string group, PrimaryChangeOutput *output, Options options)
@@ -61,7 +66,7 @@
         return;
     case PrimaryChangeStage::Sealing:
         if (now >= m_actUntil) {
-            abandon(now, "the promotion could not be requested in time");
+            abandon(now, "the promotion could not be requested in time: " + sealingText());
             return;
         }
         // Once the old primary has stepped down there is none, until this attempt has succeeded.
@@ -454,6 +459,17 @@
     return best;
 }
 
+// How far the attempt has come, for the log.
+std::string PrimaryChange::sealingText() const
+{
+    std::string text = "candidate " + (m_candidate.empty() ? "none" : m_candidate);
+    if (m_candidatePosition)
+        text += " at " + positionText(*m_candidatePosition);
+    for (const auto &[id, status] : m_sealed)
+        text += ", sealed " + id + " at " + positionText(status.received);
+    return text;
+}
+
 // Whether the candidate holds everything that any sealed instance has received.
 bool PrimaryChange::candidateHasCaughtUp() const
 {
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -194,6 +194,7 @@
     void retryAfterPromotionRequest(Millis now, const std::string &reason);
     void promoteStalledAgain(Millis now);
     void chooseCandidate();
+    std::string sealingText() const;
     bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
     bool mayBeCandidate(const std::string &instance) const;
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -26,6 +26,7 @@
           [this](Millis now, const std::string &instance) { return chooseGateway(now, instance); })
     , m_relayGateway(
           &m_pool, [this] { return nextWork(); }, &m_control)
+    , m_instances(m_options.instances)
 {
     m_control.setPool(&m_pool);
 }
@@ -39,39 +40,32 @@
     m_pool.flush(now);
 }
 
-void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances)
+void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                                std::optional<Millis> readAt)
 {
     m_instancesKnown = true;
-    std::set<std::string> listed;
-    for (const RegisteredInstance &instance : instances) {
-        listed.insert(instance.id);
-        m_instances[instance.id] = instance;
-        m_missingSince.erase(instance.id);
-    }
-    for (auto it = m_instances.begin(); it != m_instances.end();) {
-        if (listed.contains(it->first)) {
-            ++it;
-            continue;
-        }
-        const Millis since = m_missingSince.emplace(it->first, now).first->second;
-        if (now - since > m_options.leavingAfterMissing)
-            it->second.leaving = true;
-        if (now - since > m_options.removedAfterMissing) {
-            m_missingSince.erase(it->first);
-            it = m_instances.erase(it);
-        } else {
-            ++it;
-        }
-    }
+    for (const InstanceList::Departure &departure :
+         m_instances.update(now, instances, readAt.value_or(now)))
+        logDeparture(now, departure);
     applyInstances(now);
     m_pool.flush(now);
 }
 
+void SessionEngine::logDeparture(Millis now, const InstanceList::Departure &departure)
+{
+    std::string detail = departure.announced ? "announced" : "no longer registered";
+    if (departure.lastReady)
+        detail += ", ready " + std::to_string((now - *departure.lastReady).count()) + " ms ago";
+    else
+        detail += ", not seen ready";
+    m_output->logGroupEvent(departure.group, "instance.leaving", departure.id, 0, detail);
+}
+
 void SessionEngine::applyInstances(Millis now)
 {
     std::vector<RegisteredInstance> usable;
     std::set<std::string> ids;
-    for (const auto &[id, instance] : m_instances) {
+    for (const auto &[id, instance] : m_instances.instances()) {
         if (!m_routing.groups.contains(instance.group))
             continue;
         usable.push_back(instance);
@@ -146,8 +140,8 @@
         reply({.ended = true, .cause = Cause::Leaving});
         return;
     }
-    const auto found = m_instances.find(batch.instance);
-    const std::string group = found == m_instances.end() ? std::string() : found->second.group;
+    const RegisteredInstance *found = m_instances.find(batch.instance);
+    const std::string group = found ? found->group : std::string();
     const auto replyWithPrimary
         = [this, group, requested = batch.instance, reply = std::move(reply)](RelayReply answer) {
               const std::string primary = m_control.primary(group);
@@ -282,10 +276,10 @@
     }
     m_relayGateway.onTick(now, m_routing.transactionIdle);
     for (const auto &[instance, since] : m_relayGateway.oldestWrites()) {
-        const auto known = m_instances.find(instance);
-        if (known == m_instances.end())
+        const RegisteredInstance *known = m_instances.find(instance);
+        if (!known)
             continue;
-        Millis &oldest = oldestWrites.emplace(known->second.group, since).first->second;
+        Millis &oldest = oldestWrites.emplace(known->group, since).first->second;
         oldest = std::min(oldest, since);
     }
     m_control.setOldestWrites(oldestWrites);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -19,6 +19,7 @@
 
 #include "session/groupcontrol.h"
 #include "session/hostdirectory.h"
+#include "session/instancelist.h"
 #include "session/relaygateway.h"
 #include "session/routing.h"
 #include "session/sessionstate.h"
@@ -87,10 +88,7 @@
         int waitObjectives = 2;
         Millis minWait = Millis(1600);
         std::size_t maxPending = 64; // Statements that a session may send before earlier answers.
-        // An instance that is no longer registered counts as leaving after the first period, and is
-        // removed after the second.
-        Millis leavingAfterMissing = Millis(2500);
-        Millis removedAfterMissing = Millis(5000);
+        InstanceList::Options instances;
         // In a graceful shutdown, callers' new connections go on arriving for this long.
         Millis drainDelay = Millis(2300);
         // See PrimaryChange::Options.
@@ -102,8 +100,10 @@
 
     // A version of the routing table was read. Ignored unless it is newer than the one in use.
     void onConfiguration(Millis now, const RoutingTable &routing);
-    // The whole list of registered instances was read.
-    void onInstances(Millis now, const std::vector<RegisteredInstance> &instances);
+    // The whole list of registered instances is known as the platform had it at `readAt`; without
+    // it, as it is now.
+    void onInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                     std::optional<Millis> readAt = std::nullopt);
     // The whole list of the system's hosts was read.
     void onHosts(Millis now, const std::vector<HostRecord> &hosts);
 
@@ -254,6 +254,7 @@
     void checkTimeouts(Millis now, SessionId id, Session *session);
     void endIdleSessions(Millis now);
     void applyInstances(Millis now);
+    void logDeparture(Millis now, const InstanceList::Departure &departure);
     void moveReadsFromSilentInstances(Millis now);
     void logEvent(Millis now, std::string_view event, SessionId id, const Session &session,
                   Cause cause);
@@ -269,8 +270,7 @@
     TargetPool m_pool;
     RelayGateway m_relayGateway;
     RoutingTable m_routing;
-    std::map<std::string, RegisteredInstance> m_instances;
-    std::map<std::string, Millis> m_missingSince; // Instances that are no longer registered.
+    InstanceList m_instances;
     bool m_instancesKnown = false;
     std::map<SessionId, Session> m_sessions;
     std::map<WorkId, SessionId> m_sessionByWork;
--- /dev/null
+++ b/src/session/tst_instancelist.cpp
@@ -0,0 +1,60 @@
+#include "session/instancelist.h"
+
+#include <gtest/gtest.h>
+
+namespace cicadagap {
+namespace {
+
+RegisteredInstance instance(bool leaving)
+{
+    return {.id = "i", .group = "g", .leaving = leaving};
+}
+
+TEST(InstanceList, ReportsADepartureOnce)
+{
+    InstanceList list({});
+    EXPECT_TRUE(list.update(Millis(1000), {instance(false)}, Millis(990)).empty());
+    const auto departures = list.update(Millis(3000), {instance(true)}, Millis(2990));
+    ASSERT_EQ(departures.size(), 1U);
+    EXPECT_TRUE(departures[0].announced);
+    EXPECT_EQ(departures[0].lastReady, Millis(990));
+    EXPECT_TRUE(list.update(Millis(4000), {instance(true)}, Millis(3990)).empty());
+}
+
+// A host that starts cannot tell since when an instance leaves.
+TEST(InstanceList, DoesNotKnowSinceWhenAnInstanceLeavesThatItNeverSawReady)
+{
+    InstanceList list({});
+    const auto departures = list.update(Millis(3000), {instance(true)}, Millis(2990));
+    ASSERT_EQ(departures.size(), 1U);
+    EXPECT_EQ(departures[0].lastReady, std::nullopt);
+}
+
+TEST(InstanceList, TakesAnInstanceThatIsNotRegisteredForLeavingAndThenRemovesIt)
+{
+    InstanceList list({.leavingAfterMissing = Millis(2000), .removedAfterMissing = Millis(5000)});
+    list.update(Millis(0), {instance(false)}, Millis(0));
+    EXPECT_TRUE(list.update(Millis(1000), {}, Millis(1000)).empty());
+    EXPECT_FALSE(list.find("i")->leaving);
+    const auto departures = list.update(Millis(3100), {}, Millis(3100));
+    ASSERT_EQ(departures.size(), 1U);
+    EXPECT_FALSE(departures[0].announced);
+    EXPECT_EQ(departures[0].lastReady, Millis(0));
+    EXPECT_TRUE(list.find("i")->leaving);
+    list.update(Millis(6100), {}, Millis(6100));
+    EXPECT_EQ(list.find("i"), nullptr);
+}
+
+// An older list may arrive after a newer one, when a host changes its platform reader.
+TEST(InstanceList, KeepsTheNewestInstantAtWhichAnInstanceWasReady)
+{
+    InstanceList list({});
+    list.update(Millis(2000), {instance(false)}, Millis(1900));
+    list.update(Millis(2100), {instance(false)}, Millis(500));
+    const auto departures = list.update(Millis(3000), {instance(true)}, Millis(2990));
+    ASSERT_EQ(departures.size(), 1U);
+    EXPECT_EQ(departures[0].lastReady, Millis(1900));
+}
+
+} // namespace
+} // namespace cicadagap
