--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -8,7 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-
+#include <map>
 #include <string>
 #include <vector>
 
@@ -236,6 +236,71 @@
     EXPECT_EQ(recorder.take(), Actions{"promote b 7"});
 }
 
+// Where the log of an instance ends while a leaving primary is replaced, whatever is sent to it.
+struct ReplicaCase
+{
+    std::string name;
+    std::map<std::string, std::uint64_t> answering; // The last index of each that answers.
+    std::string promoted;
+};
+
+class ReplicasOfALeavingPrimary : public PrimaryChangeTest,
+                                  public testing::WithParamInterface<ReplicaCase>
+{
+protected:
+    // Answers the commands of one tick.
+    void answer(Millis now, const Actions &actions)
+    {
+        for (const auto &[id, index] : GetParam().answering) {
+            InstanceStatus status{.primary = id == "a" && !steppedDown,
+                                  .term = 4,
+                                  .received = {.term = 4, .index = index}};
+            for (const std::string &action : actions) {
+                if (action == "status " + id) {
+                    change.onStatus(now, id, StatementKind::Status, status);
+                } else if (action.starts_with("stepdown " + id)) {
+                    steppedDown = true;
+                    status.primary = false;
+                    change.onStatus(now, id, StatementKind::StepDown, status);
+                } else if (action.starts_with("pause " + id)) {
+                    status.pausedTerm = 5;
+                    change.onStatus(now, id, StatementKind::Pause, status);
+                }
+            }
+        }
+    }
+
+    bool steppedDown = false;
+};
+
+// One attempt has to do: all hosts repeat the same one.
+TEST_P(ReplicasOfALeavingPrimary, DoNotKeepItFromBeingReplaced)
+{
+    instances[0].leaving = true;
+    begin(PrimaryChangeCause::Leaving);
+    std::string promoted;
+    for (Millis now = Start; now < ActUntil && promoted.empty(); now = now + Millis(20)) {
+        change.onTick(now, PrimaryChangeCause::Leaving, groupState());
+        for (Actions actions = recorder.take(); !actions.empty(); actions = recorder.take()) {
+            for (const std::string &action : actions) {
+                if (action.starts_with("promote "))
+                    promoted = action;
+            }
+            answer(now, actions);
+        }
+    }
+    EXPECT_EQ(promoted, "promote " + GetParam().promoted + " 7");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, ReplicasOfALeavingPrimary,
+    testing::Values(ReplicaCase{"oneReceivesNothing", {{"a", 20}, {"b", 5}, {"c", 20}}, "c"},
+                    ReplicaCase{"oneIsSilent", {{"a", 20}, {"b", 20}}, "b"},
+                    ReplicaCase{"theFirstIsSilent", {{"a", 20}, {"c", 20}}, "c"},
+                    // It may hold entries that it never acknowledged.
+                    ReplicaCase{"bothLackItsLastEntries", {{"a", 20}, {"b", 10}, {"c", 12}}, "c"}),
+    [](const auto &info) { return info.param.name; });
+
 TEST_F(PrimaryChangeTest, ResumesTheReplicasOfAStalledPrimary)
 {
     begin(PrimaryChangeCause::Stalled);
@@ -312,6 +377,19 @@
     EXPECT_EQ(recorder.take(), Actions{});
 }
 
+// The request is carried out after the holder's acting time, while it still holds the lease.
+TEST_F(PrimaryChangeTest, LetsInstancesReceiveAgainAfterALatePromotion)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    change.onPromotion(Start, PromotionResult::Unknown);
+    change.onTick(ActUntil, PrimaryChangeCause::Unreachable, groupState());
+    recorder.take();
+    change.onPrimary(ActUntil + Millis(40), "c", 5);
+    EXPECT_EQ(recorder.take(), Actions{"resume b"});
+}
+
 // A holder that was suspended handles the answers that came meanwhile before its next tick.
 TEST_F(PrimaryChangeTest, IgnoresAnswersAfterTheLease)
 {
--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -1,5 +1,6 @@
 // Simulations of callers' sessions against a group while faults are injected; and tests of
 // SessionEngine.
+#include "sessionoutputs.h"
 #include "sessionsimulation.h"
 
 #include "base/hash.h"
@@ -124,6 +125,19 @@
             SimulationCase{"loseAnswers",
                            {SimulatedFault::LoseAnswers, SimulatedFault::LoseAnswers}},
             SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
+            SimulationCase{"leaveWithCutReplica",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::CutReplica,
+                            SimulatedFault::CutReplica}},
+            SimulationCase{"leaveWithLatePromotions",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::DelayPromotions,
+                            SimulatedFault::DelayPromotions},
+                           Millis(20'000)},
+            SimulationCase{"leaveWithKilledHosts",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::KillHost,
+                            SimulatedFault::KillHost, SimulatedFault::KillHost}},
+            SimulationCase{"leaveWithStoreDown",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::StoreDown},
+                           Millis(20'000)},
             SimulationCase{"killHosts", {SimulatedFault::KillHost, SimulatedFault::KillHost}},
             SimulationCase{"freezeHosts",
                            {SimulatedFault::FreezeHost, SimulatedFault::CrashPrimary}},
@@ -152,30 +166,40 @@
     Faults, UnfencedSimulation,
     testing::Combine(
         testing::Values(Access::Direct, Access::Gateways),
-        testing::Values(SimulationCase{"calm", {}, Millis(500)},
-                        SimulationCase{"crashPrimary", {SimulatedFault::CrashPrimary}},
-                        SimulationCase{"silencePrimary", {SimulatedFault::SilencePrimary}},
-                        SimulationCase{"splitPrimary", {SimulatedFault::SplitPrimary}},
-                        SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
-                        SimulationCase{
-                            "splitAndLateCommands",
-                            {SimulatedFault::SplitPrimary, SimulatedFault::DelayCommands}},
-                        SimulationCase{"splitAndKilledHosts",
-                                       {SimulatedFault::SplitPrimary, SimulatedFault::KillHost,
-                                        SimulatedFault::KillHost}},
-                        SimulationCase{"splitAndFrozenHost",
-                                       {SimulatedFault::SplitPrimary, SimulatedFault::FreezeHost,
-                                        SimulatedFault::FreezeHost}},
-                        SimulationCase{"splitAndStoreDown",
-                                       {SimulatedFault::SplitPrimary, SimulatedFault::StoreDown},
-                                       Millis(20'000)},
-                        SimulationCase{"splitTwice",
-                                       {SimulatedFault::SplitPrimary, SimulatedFault::SplitPrimary},
-                                       Millis(20'000)},
-                        SimulationCase{"latePromotions",
-                                       {SimulatedFault::DelayPromotions,
-                                        SimulatedFault::SplitPrimary, SimulatedFault::CrashPrimary},
-                                       Millis(20'000)})),
+        testing::Values(
+            SimulationCase{"calm", {}, Millis(500)},
+            SimulationCase{"crashPrimary", {SimulatedFault::CrashPrimary}},
+            SimulationCase{"silencePrimary", {SimulatedFault::SilencePrimary}},
+            SimulationCase{"splitPrimary", {SimulatedFault::SplitPrimary}},
+            SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
+            SimulationCase{"leaveWithCutReplica",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::CutReplica,
+                            SimulatedFault::CutReplica}},
+            SimulationCase{"leaveWithLatePromotions",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::DelayPromotions,
+                            SimulatedFault::DelayPromotions},
+                           Millis(20'000)},
+            SimulationCase{"leaveAndSplit",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::SplitPrimary},
+                           Millis(20'000)},
+            SimulationCase{"splitAndLateCommands",
+                           {SimulatedFault::SplitPrimary, SimulatedFault::DelayCommands}},
+            SimulationCase{
+                "splitAndKilledHosts",
+                {SimulatedFault::SplitPrimary, SimulatedFault::KillHost, SimulatedFault::KillHost}},
+            SimulationCase{"splitAndFrozenHost",
+                           {SimulatedFault::SplitPrimary, SimulatedFault::FreezeHost,
+                            SimulatedFault::FreezeHost}},
+            SimulationCase{"splitAndStoreDown",
+                           {SimulatedFault::SplitPrimary, SimulatedFault::StoreDown},
+                           Millis(20'000)},
+            SimulationCase{"splitTwice",
+                           {SimulatedFault::SplitPrimary, SimulatedFault::SplitPrimary},
+                           Millis(20'000)},
+            SimulationCase{"latePromotions",
+                           {SimulatedFault::DelayPromotions, SimulatedFault::SplitPrimary,
+                            SimulatedFault::CrashPrimary},
+                           Millis(20'000)})),
     caseName);
 
 // Shows that the simulation notices what the rules for such a platform prevent.
@@ -193,29 +217,6 @@
     EXPECT_GT(violations, 0U);
 }
 
-// Ignores all actions except the end of a session.
-class NullOutput : public SessionOutput
-{
-public:
-    void openTarget(ConnectionId, const RegisteredInstance &) override { }
-    void sendToTarget(ConnectionId, const std::vector<Statement> &) override { }
-    void closeTarget(ConnectionId) override { }
-    void relayToGateway(ConnectionId, const std::string &, RelayBatch) override { }
-    void dropAtGateway(ConnectionId, const std::string &) override { }
-    void acquireLease(const std::string &) override { }
-    void requestPromotion(const std::string &, const std::string &, std::uint64_t) override { }
-    void recordCandidate(const std::string &, const std::string &, std::uint64_t) override { }
-    void logGroupEvent(const std::string &, std::string_view, const std::string &, std::uint64_t,
-                       const std::string &) override
-    {
-    }
-    void answerCaller(SessionId, const StatementAnswer &) override { }
-    void closeCaller(SessionId, Cause cause) override { closed = cause; }
-    void logRequest(const RequestEvent &) override { }
-
-    Cause closed = Cause::None;
-};
-
 // After an outage of the store its list of instances is empty at first. Until each group has a
 // primary, the next list is read soon.
 TEST(SessionEngine, NeedsInstancesUntilEveryGroupHasAPrimary)
@@ -253,23 +254,6 @@
     EXPECT_EQ(engine.sessions(), 0U);
 }
 
-// Keeps what is sent to instances.
-class SendingOutput : public NullOutput
-{
-public:
-    void openTarget(ConnectionId connection, const RegisteredInstance &) override
-    {
-        opened.push_back(connection);
-    }
-    void sendToTarget(ConnectionId, const std::vector<Statement> &statements) override
-    {
-        sent.insert(sent.end(), statements.begin(), statements.end());
-    }
-
-    std::vector<ConnectionId> opened;
-    std::vector<Statement> sent;
-};
-
 // A primary that was replaced lacks the commits that the session made at its successor. Such a
 // primary may still be trusted for data of the age that the database accepts.
 TEST(SessionEngine, OpensATransactionAfterTheSessionsOwnCommit)
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -32,6 +32,9 @@
 constexpr Millis RegistrationInterval(1000);
 constexpr Millis
     RegistrationExpiry(3600); // After that time an unreachable instance's entry is removed.
+// From an instance's notice that it leaves until no new work may reach it, and until it ends.
+constexpr Millis DrainTime(7000);
+constexpr Millis LeavingTime(10'000);
 constexpr Millis MaxAge(1500);
 constexpr Millis StoreClockLead(1'000'000); // Of the store's clock over the simulation's.
 
@@ -47,6 +50,9 @@
 {
     InstanceConnection state;
     Millis busyUntil;
+    // As far as statements have arrived: a transaction is open, and its first statement is missing.
+    bool inTransaction = false;
+    bool awaitsFirst = false;
 };
 
 // Whether and by which connections an instance is reached; keyed by host and connection.
@@ -54,6 +60,7 @@
 {
     Millis silentUntil;
     Millis lastReachable;
+    std::optional<Millis> leavingSince;
     std::map<std::pair<std::size_t, ConnectionId>, ServedConnection> connections;
 };
 
@@ -171,6 +178,9 @@
     std::vector<RegisteredInstance> registered() const;
     void applyFault(SimulatedFault fault, Millis length);
     void leavePrimary();
+    void checkArrival(const std::string &id, const Statement &statement,
+                      ServedConnection *connection);
+    void cutReplica(Millis length);
     void restartReplica();
     void splitPrimary(Millis length);
     void killHost(std::size_t index);
@@ -204,6 +214,7 @@
     std::uint64_t m_leaseVersion = 0;
     std::uint64_t m_highestToken = 0;
     std::map<std::uint64_t, std::size_t> m_tokenHolders;
+    std::set<std::pair<std::string, std::string>> m_cutReplication; // Primary and replica.
     std::string m_splitInstance; // Cut off from the other instances; empty if none is.
     Millis m_storeDownUntil;
     Millis m_loseAnswersUntil;
@@ -362,6 +373,7 @@
         const auto found = connections.find({host, connection});
         if (found == connections.end())
             return;
+        checkArrival(id, statement, &found->second);
         const Millis start = std::max(m_now, found->second.busyUntil);
         const Millis end = start + (needsSlot(statement.kind) ? StatementTime : Millis(0));
         found->second.busyUntil = end;
@@ -422,8 +434,8 @@
 {
     const bool split
         = !m_splitInstance.empty() && (from == m_splitInstance || to == m_splitInstance);
-    return !split && m_now >= m_instanceReach[from].silentUntil
-        && m_now >= m_instanceReach[to].silentUntil;
+    return !split && !m_cutReplication.contains({from, to})
+        && m_now >= m_instanceReach[from].silentUntil && m_now >= m_instanceReach[to].silentUntil;
 }
 
 Millis SessionSimulation::receiveDelay()
@@ -628,6 +640,9 @@
     case SimulatedFault::SplitPrimary:
         splitPrimary(length);
         return;
+    case SimulatedFault::CutReplica:
+        cutReplica(length * 3);
+        return;
     }
 }
 
@@ -650,6 +665,54 @@
     });
 }
 
+// Checks that a statement that begins new work comes during the drain time of an instance that
+// leaves.
+void SessionSimulation::checkArrival(const std::string &id, const Statement &statement,
+                                     ServedConnection *connection)
+{
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        connection->inTransaction = true;
+        connection->awaitsFirst = true;
+        return;
+    case StatementKind::Commit:
+    case StatementKind::Rollback:
+        connection->inTransaction = false;
+        return;
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+        break;
+    default:
+        return;
+    }
+    const bool isNewWork
+        = std::exchange(connection->awaitsFirst, false) || !connection->inTransaction;
+    const std::optional<Millis> since = m_instanceReach.at(id).leavingSince;
+    if (isNewWork && since && m_now - *since > DrainTime)
+        m_checker.addViolation(m_now,
+                               "new work reached " + id + " "
+                                   + std::to_string((m_now - *since).count())
+                                   + " ms after its notice that it leaves");
+}
+
+// One of the primary's replicas receives nothing from it.
+void SessionSimulation::cutReplica(Millis length)
+{
+    const GroupInstance *primary = m_group.primary();
+    std::vector<std::string> replicas;
+    for (const auto &[id, instance] : m_group.instances()) {
+        if (!instance.primary && !instance.removed)
+            replicas.push_back(id);
+    }
+    if (!primary || replicas.empty())
+        return;
+    const std::pair cut(primary->id, replicas[m_random.below(replicas.size())]);
+    m_cutReplication.insert(cut);
+    at(m_now + length, [this, cut] { m_cutReplication.erase(cut); });
+}
+
 // A replica's process ends and is started again with the same id. It may lose its log.
 void SessionSimulation::restartReplica()
 {
@@ -683,7 +746,8 @@
     if (!primary || primary->leaving)
         return;
     primary->leaving = true;
-    at(m_now + Millis(7500), [this, id = primary->id] {
+    m_instanceReach[primary->id].leavingSince = m_now;
+    at(m_now + LeavingTime, [this, id = primary->id] {
         m_group.replace(id, id + "n", m_now.count());
         m_instanceReach[id + "n"].lastReachable = m_now;
         breakConnections(id);
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -29,6 +29,7 @@
     FreezeHost,      // A host's process is suspended.
     StoreDown,       // The store does not answer.
     SplitPrimary,    // The primary is cut off from its replicas and from some hosts.
+    CutReplica,      // One replica receives nothing from the primary.
 };
 
 struct SimulationOptions
