Send no new work to an instance after its time to leave

What callers saw: single statements and first statements of transactions ran at an instance later than bounds.drain_ms after the platform had accepted its notice. It may exit at any moment then.

Cause: nothing ended the use of an instance that leaves. Reads avoided it, but a primary was used for as long as it led, and the time in which it serves on was read by nothing.

Change: a host counts the drain time from when it last saw the instance without a notice, which is never later than the acceptance, less 500 ms for lists and statements on their way. TargetPool starts no work after that, and refuses what is queued; openings that are answered too late are rolled back and tried elsewhere; a gateway decides by its own list too. Probes, commands and transactions in which a statement has run go on. A host that never saw the instance ready gives it nothing. The statement waits for the successor as for a missing primary.

A gateway's refusal of queued work because an instance leaves or was removed does not look like the gateway's own departure any more.

Conclusion: the rule holds also if no successor can be promoted; then callers are refused.

--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -65,6 +65,7 @@
                           .weight = boot->weight,
                           .gracePeriod = boot->gracePeriod,
                           .configurationBound = boot->configurationBound,
+                          .instanceDrainTime = boot->instanceDrainTime,
                           .fencedPromotions = boot->fencedPromotions},
                          &codec, &platform);
     if (!server.start(&reason)) {
--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -148,7 +148,7 @@
                 m_cache.setInstances(now(), *instances, now() - readAt);
                 m_engine->onInstances(now(), *instances, readAt);
             }
-            const bool complete = instances && !m_engine->needsInstances();
+            const bool complete = instances && !m_engine->needsInstances(now());
             m_loop->after(complete ? InstanceInterval
                                    : retryDelay(InstanceRetryDelay, m_instancesFailures),
                           [this] { readInstances(); });
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -52,6 +52,7 @@
     , m_platform(platform)
     , m_engine({.host = m_options.host,
                 .dataCentre = m_options.dataCentre,
+                .instances = {.drainTime = m_options.instanceDrainTime},
                 .fencedPromotions = m_options.fencedPromotions,
                 .pool = {}},
                this)
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -39,6 +39,8 @@
         Millis gracePeriod = Millis(6000); // Time between the request to stop and SIGKILL.
         // A changed configuration has to be in force everywhere within this time.
         Millis configurationBound = Millis(3000);
+        // A leaving instance may get new work for this long after the platform accepted its notice.
+        Millis instanceDrainTime = Millis(7000);
         bool fencedPromotions = true; // See PrimaryChange::Options.
     };
 
--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -2,17 +2,13 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cicadagap {
 
 std::vector<InstanceList::Departure>
 InstanceList::update(Millis now, const std::vector<RegisteredInstance> &registered, Millis readAt)
 {
-    std::set<std::string> wasLeaving;
-    for (const auto &[id, instance] : m_instances) {
-        if (instance.leaving)
-            wasLeaving.insert(id);
-    }
     std::set<std::string> listed;
     for (const RegisteredInstance &instance : registered) {
         listed.insert(instance.id);
@@ -21,6 +17,7 @@
         if (!instance.leaving) {
             Millis &lastReady = m_lastReady.emplace(instance.id, readAt).first->second;
             lastReady = std::max(lastReady, readAt);
+            m_newWorkUntil.erase(instance.id);
         }
     }
     for (auto &[id, instance] : m_instances) {
@@ -38,22 +35,33 @@
     const auto isUnknown = [this](const auto &row) { return !m_instances.contains(row.first); };
     std::erase_if(m_missingSince, isUnknown);
     std::erase_if(m_lastReady, isUnknown);
+    std::erase_if(m_newWorkUntil, isUnknown);
 
     std::vector<Departure> departures;
     for (const auto &[id, instance] : m_instances) {
-        if (!instance.leaving || wasLeaving.contains(id))
+        if (!instance.leaving || m_newWorkUntil.contains(id))
             continue;
+        Departure departure{.id = id,
+                            .group = instance.group,
+                            .announced = listed.contains(id),
+                            .newWorkUntil = now};
         const auto ready = m_lastReady.find(id);
-        departures.push_back({.id = id,
-                              .group = instance.group,
-                              .announced = listed.contains(id),
-                              .lastReady = ready == m_lastReady.end()
-                                  ? std::nullopt
-                                  : std::optional<Millis>(ready->second)});
+        if (ready != m_lastReady.end()) {
+            departure.lastReady = ready->second;
+            departure.newWorkUntil = ready->second + m_options.drainTime - m_options.drainMargin;
+        }
+        m_newWorkUntil[id] = departure.newWorkUntil;
+        departures.push_back(std::move(departure));
     }
     return departures;
 }
 
+std::optional<Millis> InstanceList::newWorkUntil(const std::string &id) const
+{
+    const auto found = m_newWorkUntil.find(id);
+    return found == m_newWorkUntil.end() ? std::nullopt : std::optional<Millis>(found->second);
+}
+
 const RegisteredInstance *InstanceList::find(const std::string &id) const
 {
     const auto found = m_instances.find(id);
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -27,6 +27,11 @@
         // removed after the second.
         Millis leavingAfterMissing = Millis(2500);
         Millis removedAfterMissing = Millis(5000);
+        // An instance may get new work for this long after the platform accepted its notice.
+        Millis drainTime = Millis(7000);
+        // Taken off drainTime: for a list of instances on its way to this host, and a statement on
+        // its way to the instance.
+        Millis drainMargin = Millis(500);
     };
 
     // An instance that was found to be leaving.
@@ -37,6 +42,7 @@
         bool announced = false; // Otherwise it is no longer registered.
         // When it was last seen without a notice; nothing if this host never saw it so.
         std::optional<Millis> lastReady;
+        Millis newWorkUntil; // See InstanceList::newWorkUntil().
     };
 
     explicit InstanceList(Options options)
@@ -52,12 +58,16 @@
     const std::map<std::string, RegisteredInstance> &instances() const { return m_instances; }
     // Null if the instance is unknown.
     const RegisteredInstance *find(const std::string &id) const;
+    // Until when statements and transactions may be started at the instance; nothing if it does not
+    // leave. If this host never saw it ready, its time may have been over before.
+    std::optional<Millis> newWorkUntil(const std::string &id) const;
 
 private:
     Options m_options;
     std::map<std::string, RegisteredInstance> m_instances;
     std::map<std::string, Millis> m_missingSince; // Those that are no longer registered.
     std::map<std::string, Millis> m_lastReady;    // When each was last seen without a notice.
+    std::map<std::string, Millis> m_newWorkUntil; // Of those that leave.
 };
 
 } // namespace cicadagap
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -238,7 +238,8 @@
     ChannelKey key;
     if (!find(work, &key))
         return false;
-    endChannel(key, cause, /*sent=*/false);
+    // To the origin, Leaving would mean that this host leaves.
+    endChannel(key, cause == Cause::Leaving ? Cause::Overloaded : cause, /*sent=*/false);
     return true;
 }
 
@@ -252,6 +253,15 @@
     if (purpose == SendPurpose::Restore)
         return true;
     channel->lastUsed = now;
+    if (purpose == SendPurpose::OpenTransaction && answer.succeeded()
+        && !m_pool->takesNewWork(now, channel->instance)) {
+        // The instance's time to leave has ended meanwhile: the transaction must not begin.
+        m_pool->send(now, channel->connection, SendPurpose::CloseTransaction,
+                     {.kind = StatementKind::Rollback});
+        m_pool->release(now, channel->connection);
+        endChannel(key, Cause::Overloaded, /*sent=*/false);
+        return true;
+    }
     // The success of a write outside of a transaction, or of a transaction's commit, acknowledges a
     // commit.
     const bool writes = isWrite(kind, channel->prepared && channel->prepared->writes);
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -58,6 +58,8 @@
         detail += ", ready " + std::to_string((now - *departure.lastReady).count()) + " ms ago";
     else
         detail += ", not seen ready";
+    const Millis left = std::max(Millis(0), departure.newWorkUntil - now);
+    detail += ", new work for " + std::to_string(left.count()) + " ms";
     m_output->logGroupEvent(departure.group, "instance.leaving", departure.id, 0, detail);
 }
 
@@ -87,6 +89,7 @@
         const bool isPrimary = m_control.primary(instance.group) == instance.id;
         m_pool.setInstance(now, instance, m_access.at(instance.id),
                            /*keepOpen=*/!instance.leaving && (sameDataCentre || isPrimary));
+        m_pool.setNewWorkUntil(now, instance.id, m_instances.newWorkUntil(instance.id));
     }
     for (const std::string &id : m_pool.instances()) {
         if (!ids.contains(id))
@@ -102,10 +105,12 @@
     m_pool.flush(now);
 }
 
-bool SessionEngine::needsInstances() const
+bool SessionEngine::needsInstances(Millis now) const
 {
-    return std::any_of(m_routing.groups.begin(), m_routing.groups.end(),
-                       [this](const auto &row) { return m_control.primary(row.first).empty(); });
+    return std::any_of(m_routing.groups.begin(), m_routing.groups.end(), [&](const auto &row) {
+        const std::string primary = m_control.primary(row.first);
+        return primary.empty() || !m_pool.takesNewWork(now, primary);
+    });
 }
 
 std::string SessionEngine::chooseGateway(Millis now, const std::string &instance) const
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -139,9 +139,9 @@
     // Whether the routing table and the instances are known, and no shutdown has begun.
     bool ready() const;
     std::size_t sessions() const { return m_sessions.size(); }
-    // Whether a group of the routing table has no known primary, so that the next list of instances
-    // is urgent.
-    bool needsInstances() const;
+    // Whether a group of the routing table has no known primary that takes new work, so that the
+    // next list of instances is urgent.
+    bool needsInstances(Millis now) const;
     // The platform reader: the host that reads the platform for all hosts of this data centre.
     // Empty while no hosts are known.
     std::string platformReader(Millis now) const { return m_hosts.platformReader(now); }
@@ -197,6 +197,7 @@
         bool readOnly = false;
         bool wrote = false;
         bool lost = false;           // Its connection is lost; nothing of it is kept.
+        bool hasRun = false;         // A statement of it has run on the instance.
         ConnectionId connection = 0; // 0 before the first statement.
         WorkId work = 0;
         std::string instance;
@@ -230,6 +231,8 @@
     void startForwarded(Millis now, SessionId id, Session *session, Statement statement);
     void dispatch(Millis now, SessionId id, Session *session);
     void runInTransaction(Millis now, Session *session);
+    bool mayUseTransaction(Millis now, const Transaction &transaction) const;
+    void giveUpOpening(Millis now, Session *session);
     std::string chooseInstance(Millis now, const Session &session, Operation *operation);
     std::string usablePrimary(Millis now, const Session &session, const Operation &operation);
     void recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose, Millis sentAt,
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -138,8 +138,11 @@
         return;
     }
     if (session->transaction && session->transaction->connection != 0) {
-        runInTransaction(now, session);
-        return;
+        if (mayUseTransaction(now, *session->transaction)) {
+            runInTransaction(now, session);
+            return;
+        }
+        giveUpOpening(now, session);
     }
     operation.instance = chooseInstance(now, *session, &operation);
     if (operation.instance.empty()) {
@@ -173,6 +176,26 @@
     }
 }
 
+// Whether the transaction may go on where it was opened. Its first statement counts as new work.
+bool SessionEngine::mayUseTransaction(Millis now, const Transaction &transaction) const
+{
+    return transaction.hasRun || m_pool.takesNewWork(now, transaction.instance);
+}
+
+// Gives up a transaction on an instance in which nothing has run, so that it can be opened on
+// another one.
+void SessionEngine::giveUpOpening(Millis now, Session *session)
+{
+    Transaction &transaction = *session->transaction;
+    m_pool.send(now, transaction.connection, SendPurpose::CloseTransaction,
+                {.kind = StatementKind::Rollback});
+    m_pool.release(now, transaction.connection);
+    m_sessionByWork.erase(transaction.work);
+    transaction.connection = 0;
+    transaction.work = 0;
+    transaction.instance.clear();
+}
+
 // Sends the operation on the connection that its transaction has already.
 void SessionEngine::runInTransaction(Millis now, Session *session)
 {
@@ -250,7 +273,9 @@
                                          const Operation &operation)
 {
     std::string primary = m_control.primary(operation.route.group);
-    if (primary.empty() || m_options.fencedPromotions || !m_pool.isDirect(primary))
+    if (!m_pool.takesNewWork(now, primary))
+        return {};
+    if (m_options.fencedPromotions || !m_pool.isDirect(primary))
         return primary;
     const bool onlyWrites = operation.writes && !session.transaction;
     const bool usable = m_control.mayServe(now, primary, operation.seesCommitsOf, onlyWrites);
@@ -390,7 +415,11 @@
 {
     Operation &operation = *session->operation;
     const bool mayWrite = operation.needsPrimary || operation.inInternalTransaction;
-    if (answer.succeeded()) {
+    // The time of an instance that leaves may have ended since the opening was sent. A gateway has
+    // seen to that already.
+    const bool tooLate = answer.succeeded() && !operation.sentWithOpening
+        && !m_pool.takesNewWork(now, operation.instance);
+    if (answer.succeeded() && !tooLate) {
         operation.transactionOpened = true;
         if (mayWrite && answer.position)
             m_control.onProvenPrimary(now, operation.instance, sentAt, *answer.position);
@@ -412,7 +441,7 @@
                     {.kind = StatementKind::Rollback});
     m_pool.release(now, operation.connection);
     m_sessionByWork.erase(operation.work);
-    retry(now, id, session, answer.cause);
+    retry(now, id, session, tooLate ? Cause::Leaving : answer.cause);
 }
 
 void SessionEngine::finishWork(Millis now, SessionId id, Session *session, Millis sentAt,
@@ -433,6 +462,7 @@
     }
     if (session->transaction) {
         session->transaction->lastUsed = now;
+        session->transaction->hasRun = session->transaction->hasRun || answer.succeeded();
         const bool mayWait = answer.cause == Cause::Overloaded
             && answer.phase == SessionPhase::Transaction && now < operation.deadline;
         if (mayWait) {
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -75,15 +75,49 @@
     }
 }
 
+void TargetPool::setNewWorkUntil(Millis now, const std::string &instance,
+                                 std::optional<Millis> until)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    found->second.newWorkUntil = until;
+    startWork(now, instance);
+}
+
+bool TargetPool::takesNewWork(Millis now, const std::string &instance) const
+{
+    const auto found = m_instances.find(instance);
+    return found != m_instances.end() && takesNewWork(now, found->second);
+}
+
+bool TargetPool::takesNewWork(Millis now, const Instance &instance)
+{
+    return !instance.newWorkUntil || now < *instance.newWorkUntil;
+}
+
 // Refuses all queued work, so that its owner finds another instance or gateway for it.
 void TargetPool::refuseQueued(Millis now, const std::string &instance, Cause cause)
 {
     Instance &entry = m_instances.at(instance);
-    std::vector<WorkId> refused(entry.urgent.begin(), entry.urgent.end());
+    const std::vector<WorkId> urgent(entry.urgent.begin(), entry.urgent.end());
     entry.urgent.clear();
-    for (const QueueEntry &waiting : entry.queue->takeAll())
+    refuseAll(now, urgent, cause);
+    refuseNewWork(now, &entry, cause);
+}
+
+// Refuses queued work that needs a slot.
+void TargetPool::refuseNewWork(Millis now, Instance *instance, Cause cause)
+{
+    std::vector<WorkId> refused;
+    for (const QueueEntry &waiting : instance->queue->takeAll())
         refused.push_back(waiting.id);
-    for (const WorkId id : refused) {
+    refuseAll(now, refused, cause);
+}
+
+void TargetPool::refuseAll(Millis now, const std::vector<WorkId> &works, Cause cause)
+{
+    for (const WorkId id : works) {
         if (m_queued.erase(id) > 0)
             m_listener->onWorkRefused(now, id, cause);
     }
@@ -110,6 +144,8 @@
     const auto found = m_instances.find(instance);
     if (found == m_instances.end() || found->second.removed)
         return false;
+    if (work.needsSlot && !takesNewWork(now, found->second))
+        return false;
     const WorkId id = work.id;
     if (!found->second.direct)
         return startRelayed(now, &found->second, std::move(work));
@@ -500,6 +536,8 @@
     if (found == m_instances.end() || found->second.removed || !found->second.direct)
         return;
     sendHeld(now, &found->second);
+    if (!takesNewWork(now, found->second))
+        refuseNewWork(now, &found->second, Cause::Leaving);
     while (startNext(now, &found->second)) { }
     openIfNeeded(now, &found->second);
 }
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -158,6 +158,11 @@
     // this host connects to it directly.
     void setInstance(Millis now, const RegisteredInstance &instance, const InstanceAccess &access,
                      bool keepOpen);
+    // Sets until when the instance gets work that needs a slot. Work that is queued then is
+    // refused. Nothing if there is no such limit.
+    void setNewWorkUntil(Millis now, const std::string &instance, std::optional<Millis> until);
+    // Whether statements and transactions may be started at the instance.
+    bool takesNewWork(Millis now, const std::string &instance) const;
     // Whether this host holds connections to the instance itself, without a gateway.
     bool isDirect(const std::string &instance) const;
     // Closes idle connections and refuses queued work; started work continues.
@@ -166,7 +171,7 @@
     std::vector<std::string> instances() const;
 
     // Queues the work, or starts it at once. Returns false, without a call of the listener, if the
-    // queue is full, the instance is unknown, or no gateway to it can be used.
+    // queue is full, the instance is unknown or takes no new work, or no gateway to it can be used.
     bool submit(Millis now, const std::string &instance, TargetWork work);
     // Removes work that has not started; the listener is not called.
     void cancel(WorkId work);
@@ -261,6 +266,7 @@
         int maxConnections = 1;
         bool keepOpen = false;
         bool removed = false;
+        std::optional<Millis> newWorkUntil;
         std::unique_ptr<AdmissionQueue> queue;
         std::deque<WorkId> urgent;            // Queued work that needs no slot.
         std::deque<ConnectionId> slotWaiters; // Connections with held statements.
@@ -282,7 +288,10 @@
 
     static RelayBatch makeBatch(Millis now, ConnectionId id, const Connection &connection,
                                 std::vector<RelayedStatement> statements);
+    static bool takesNewWork(Millis now, const Instance &instance);
     void refuseQueued(Millis now, const std::string &instance, Cause cause);
+    void refuseNewWork(Millis now, Instance *instance, Cause cause);
+    void refuseAll(Millis now, const std::vector<WorkId> &works, Cause cause);
     bool startRelayed(Millis now, Instance *instance, TargetWork work);
     void startWork(Millis now, const std::string &instance);
     bool startNext(Millis now, Instance *instance);
--- a/src/session/tst_instancelist.cpp
+++ b/src/session/tst_instancelist.cpp
@@ -18,6 +18,7 @@
     ASSERT_EQ(departures.size(), 1U);
     EXPECT_TRUE(departures[0].announced);
     EXPECT_EQ(departures[0].lastReady, Millis(990));
+    EXPECT_EQ(list.newWorkUntil("i"), Millis(990 + 7000 - 500));
     EXPECT_TRUE(list.update(Millis(4000), {instance(true)}, Millis(3990)).empty());
 }
 
@@ -28,6 +29,7 @@
     const auto departures = list.update(Millis(3000), {instance(true)}, Millis(2990));
     ASSERT_EQ(departures.size(), 1U);
     EXPECT_EQ(departures[0].lastReady, std::nullopt);
+    EXPECT_EQ(list.newWorkUntil("i"), Millis(3000));
 }
 
 TEST(InstanceList, TakesAnInstanceThatIsNotRegisteredForLeavingAndThenRemovesIt)
@@ -45,6 +47,16 @@
     EXPECT_EQ(list.find("i"), nullptr);
 }
 
+// Its process was started again under the same id.
+TEST(InstanceList, ForgetsADepartureOfAnInstanceThatIsReadyAgain)
+{
+    InstanceList list({});
+    list.update(Millis(1000), {instance(true)}, Millis(1000));
+    EXPECT_TRUE(list.update(Millis(2000), {instance(false)}, Millis(2000)).empty());
+    EXPECT_EQ(list.newWorkUntil("i"), std::nullopt);
+    EXPECT_EQ(list.update(Millis(3000), {instance(true)}, Millis(3000)).size(), 1U);
+}
+
 // An older list may arrive after a newer one, when a host changes its platform reader.
 TEST(InstanceList, KeepsTheNewestInstantAtWhichAnInstanceWasReady)
 {
--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -226,13 +226,13 @@
     RoutingTable routing{.version = 1};
     routing.groups["g"] = {.name = "g", .maxConnections = 10, .syncReplicas = 1};
     engine.onConfiguration(Millis(0), routing);
-    EXPECT_TRUE(engine.needsInstances());
+    EXPECT_TRUE(engine.needsInstances(Millis(0)));
     engine.onInstances(Millis(0), {});
-    EXPECT_TRUE(engine.needsInstances());
+    EXPECT_TRUE(engine.needsInstances(Millis(0)));
     engine.onInstances(Millis(400), {{.id = "i1", .group = "g", .registeredAsPrimary = false}});
-    EXPECT_TRUE(engine.needsInstances());
+    EXPECT_TRUE(engine.needsInstances(Millis(400)));
     engine.onInstances(Millis(800), {{.id = "i1", .group = "g", .registeredAsPrimary = true}});
-    EXPECT_FALSE(engine.needsInstances());
+    EXPECT_FALSE(engine.needsInstances(Millis(800)));
 }
 
 // A caller that keeps sending while nothing can be answered loses its session, so that its
