Replace a leaving primary also if a replica does not follow

What callers saw: no successor for the whole time to leave; attempt after attempt ended after 2.4 s with "the promotion could not be requested in time", and from 7 s on requests reached the old primary (now: are refused).

Cause: an attempt waited for the first registered replica to catch up and for all others to be sealed, and the next attempt for the same one.

Change: the candidate is the replica that has received the most and is not sealed. If the promotion is not requested 0.8 s after the lease, all replicas are sealed as around a failed primary, and the old one steps down as soon as that completes the seals. Of the sealed instances, one that stays is preferred if it holds all that can have been acknowledged.

Two tests expected that the first registered replica is taken without a question; they now expect the queries, and the rest as before.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -3,6 +3,7 @@
 #include "session/readlease.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cicadagap {
@@ -14,6 +15,11 @@
 constexpr Millis AnswerTimeout(3000);
 // Between repeated commands to an instance that does not answer.
 constexpr Millis ResendInterval(300);
+// From the lease until a leaving primary's candidate has to have caught up. The rest of the time
+// for which the lease may be used has to suffice for the other way.
+constexpr Millis CatchUpLimit(800);
+// How long the possible candidates of a leaving primary have to answer before one is chosen.
+constexpr Millis CandidateQueryTime(200);
 // Between status queries to a candidate that has not caught up yet.
 constexpr Millis CatchUpInterval(60);
 // Before a promotion request is repeated whose outcome is unknown or that had no effect.
@@ -74,6 +80,8 @@
             abandon(now, "the primary works again");
             return;
         }
+        if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit)
+            sealCandidateToo(now);
         sendSeals(now);
         requestPromotionIfSealed(now);
         return;
@@ -121,6 +129,8 @@
     m_sealed.clear();
     m_candidate.clear();
     m_candidatePosition.reset();
+    m_candidateStatus.clear();
+    m_oldPrimaryStepsDownLast = false;
     m_oldPrimary = m_groupState.primary;
     m_steppedDown = false;
     m_sealTerm = std::max(m_sealTerm, m_groupState.term) + 1;
@@ -170,8 +180,13 @@
         requestPromotionIfSealed(now);
         return;
     }
-    if (command == StatementKind::Status && instance == m_candidate)
-        m_candidatePosition = status.received;
+    if (command == StatementKind::Status && m_cause == PrimaryChangeCause::Leaving) {
+        m_candidateStatus[instance] = status;
+        if (m_candidate.empty())
+            m_nextSendAt = now; // A candidate may be chosen.
+        else if (instance == m_candidate)
+            m_candidatePosition = status.received;
+    }
     if (command == StatementKind::Pause && status.pausedTerm > 0)
         m_sealed[instance] = status;
     requestPromotionIfSealed(now);
@@ -352,8 +367,8 @@
         sealAroundFailedPrimary();
         return;
     case PrimaryChangeCause::Leaving:
-        sealAroundLeavingPrimary();
         m_nextSendAt = now + CatchUpInterval;
+        sealAroundLeavingPrimary(now);
         return;
     case PrimaryChangeCause::Stalled:
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
@@ -363,12 +378,14 @@
     }
 }
 
-// Seals all registered instances. The old primary first has to step down, if it still answers.
+// Seals all registered instances. The old primary first has to step down, if it still answers. One
+// that leaves does so only if the seals suffice then.
 void PrimaryChange::sealAroundFailedPrimary()
 {
     const std::string term = std::to_string(m_sealTerm);
+    const bool wait = m_oldPrimaryStepsDownLast && countableSeals() + 1 < sealsNeeded();
     for (const std::string &id : possibleLogHolders()) {
-        if (m_sealed.contains(id) || !isRegistered(id))
+        if (m_sealed.contains(id) || !isRegistered(id) || (wait && id == m_oldPrimary))
             continue;
         const bool mayBePrimary
             = (id == m_oldPrimary && !m_steppedDown) || m_outdatedPrimaries.contains(id);
@@ -383,11 +400,15 @@
 
 // Seals all replicas but the candidate. With one synchronous replica, the primary then acknowledges
 // only what the candidate has received.
-void PrimaryChange::sealAroundLeavingPrimary()
+void PrimaryChange::sealAroundLeavingPrimary(Millis now)
 {
-    chooseCandidate();
-    if (m_candidate.empty())
+    chooseCandidate(now);
+    if (m_candidate.empty()) {
+        m_nextSendAt = now + ResendInterval;
+        for (const std::string &id : possibleCandidates())
+            m_output->sendCommand(id, {.kind = StatementKind::Status});
         return;
+    }
     for (const auto &row : m_registered) {
         if (row.first == m_candidate || row.first == m_oldPrimary || m_sealed.contains(row.first))
             continue;
@@ -398,6 +419,19 @@
     m_output->sendCommand(m_candidate, {.kind = StatementKind::Status});
 }
 
+// A leaving primary's candidate has not caught up, or not all other replicas could be sealed.
+// Waiting longer would not help, and the primary has to be replaced before it stops.
+void PrimaryChange::sealCandidateToo(Millis now)
+{
+    const std::string detail = sealingText();
+    m_cause = PrimaryChangeCause::Unreachable;
+    m_oldPrimaryStepsDownLast = true;
+    m_candidate.clear();
+    m_candidatePosition.reset();
+    m_nextSendAt = now;
+    enter(now, PrimaryChangeStage::Sealing, "the candidate as well: " + detail);
+}
+
 // Unseals the replicas that an earlier attempt left sealed. The present primary is promoted again
 // first, under a higher fencing token: from then on no earlier promotion request can be carried
 // out. It has confirmed under this lease that it is still primary; promoting one that was replaced
@@ -413,21 +447,41 @@
     sendPromotionRequest(now);
 }
 
-void PrimaryChange::chooseCandidate()
+// The replicas of a leaving primary that may replace it.
+std::vector<std::string> PrimaryChange::possibleCandidates() const
+{
+    std::vector<std::string> ids;
+    for (const auto &row : m_registered) {
+        if (row.first != m_oldPrimary && mayBeCandidate(row.first))
+            ids.push_back(row.first);
+    }
+    return ids;
+}
+
+// Chooses the replica that has received the most, once all have answered or had time to.
+void PrimaryChange::chooseCandidate(Millis now)
 {
     if (!m_candidate.empty() && mayBeCandidate(m_candidate))
         return;
     m_candidate.clear();
     m_candidatePosition.reset();
-    const auto isUsable
-        = [this](const std::string &id) { return id != m_oldPrimary && mayBeCandidate(id); };
-    const auto first = std::find_if(m_registered.begin(), m_registered.end(),
-                                    [&](const auto &row) { return isUsable(row.first); });
-    // While a request to promote an instance may be carried out, that one is preferred.
-    if (isUsable(m_openCandidate))
-        m_candidate = m_openCandidate;
-    else if (first != m_registered.end())
-        m_candidate = first->first;
+    const std::vector<std::string> ids = possibleCandidates();
+    const bool allAnswered = std::all_of(
+        ids.begin(), ids.end(), [this](const auto &id) { return m_candidateStatus.contains(id); });
+    if (!allAnswered && now - m_stageSince < CandidateQueryTime)
+        return;
+    // One that an earlier attempt left sealed does not receive. While a request to promote an
+    // instance may be carried out, that one is preferred.
+    const auto rank = [this](const std::string &id) {
+        const InstanceStatus &status = m_candidateStatus.at(id);
+        return std::tuple(id == m_openCandidate, status.pausedTerm == 0, status.received);
+    };
+    for (const std::string &id : ids) {
+        if (m_candidateStatus.contains(id) && (m_candidate.empty() || rank(id) > rank(m_candidate)))
+            m_candidate = id;
+    }
+    if (!m_candidate.empty())
+        m_candidatePosition = m_candidateStatus.at(m_candidate).received;
     m_sealed.erase(m_candidate);
 }
 
@@ -443,20 +497,29 @@
     return m_registered.contains(instance);
 }
 
-// The sealed instance with the highest position; among equals, one that is not leaving.
+// Whether a log that ends at `end` holds every commit that was acknowledged before the instances
+// were sealed. The old primary may have entries beyond it that it never acknowledged.
+bool PrimaryChange::holdsAllAcknowledged(Position end) const
+{
+    const auto covered = static_cast<std::size_t>(
+        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
+            return !m_restarted.contains(row.first) && end.covers(row.second.received);
+        }));
+    return covered >= sealsNeeded();
+}
+
+// The sealed instance with the highest position: of those that stay, if one of them holds all
+// acknowledged commits, or else of all.
 std::string PrimaryChange::bestSealed() const
 {
-    std::string best;
-    Position highest;
-    for (const auto &[id, status] : m_sealed) {
-        const bool better = best.empty() || status.received > highest
-            || (status.received == highest && mayBeCandidate(id) && !mayBeCandidate(best));
-        if (better) {
-            best = id;
-            highest = status.received;
-        }
-    }
-    return best;
+    const auto rank = [this](const auto &row) {
+        const bool stays = mayBeCandidate(row.first) && holdsAllAcknowledged(row.second.received);
+        return std::pair(stays, row.second.received);
+    };
+    const auto best = std::max_element(
+        m_sealed.begin(), m_sealed.end(),
+        [&](const auto &left, const auto &right) { return rank(left) < rank(right); });
+    return best == m_sealed.end() ? std::string() : best->first;
 }
 
 // How far the attempt has come, for the log.
@@ -531,14 +594,7 @@
     const auto open = m_sealed.find(m_openCandidate);
     if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
         return false;
-    // It need not hold all that the sealed instances have received, only what any sufficient number
-    // of them has: the old primary may have entries that it never acknowledged.
-    const auto covered = static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return !m_restarted.contains(row.first)
-                && open->second.received.covers(row.second.received);
-        }));
-    if (covered < sealsNeeded())
+    if (!holdsAllAcknowledged(open->second.received))
         return false;
     m_candidate = m_openCandidate;
     return true;
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -11,7 +11,9 @@
 //    acknowledge anything that the new one lacks. If the primary has failed, all instances but
 //    `syncReplicas` are sealed; the one with the highest position holds every acknowledged commit
 //    and becomes the candidate. If the primary is leaving, it goes on serving with the candidate as
-//    its only receiver until the candidate has caught up.
+//    its only receiver until the candidate has caught up. The candidate is the replica that has
+//    received the most. If none catches up soon, the rest is sealed as around a failed primary, and
+//    the old primary steps down last.
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
@@ -190,13 +192,16 @@
     std::size_t countableSeals() const;
     void sendSeals(Millis now);
     void sealAroundFailedPrimary();
-    void sealAroundLeavingPrimary();
+    void sealAroundLeavingPrimary(Millis now);
+    void sealCandidateToo(Millis now);
     void retryAfterPromotionRequest(Millis now, const std::string &reason);
     void promoteStalledAgain(Millis now);
-    void chooseCandidate();
+    void chooseCandidate(Millis now);
+    std::vector<std::string> possibleCandidates() const;
     std::string sealingText() const;
     bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
+    bool holdsAllAcknowledged(Position end) const;
     bool mayBeCandidate(const std::string &instance) const;
     void requestPromotionIfSealed(Millis now);
     bool forgetSeal(const std::string &instance);
@@ -232,6 +237,9 @@
     std::set<std::string> m_toResume; // May be sealed, and have to receive again at the end.
     std::string m_candidate;
     std::optional<Position> m_candidatePosition;
+    // What the possible candidates of a leaving primary answered before one was chosen.
+    std::map<std::string, InstanceStatus> m_candidateStatus;
+    bool m_oldPrimaryStepsDownLast = false; // It leaves, and serves on until then.
     std::string m_oldPrimary;
     std::string m_leaseSoughtFor; // The primary when the lease was requested.
     bool m_steppedDown = false;   // The old primary became a replica in this attempt.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -88,6 +88,13 @@
                         {.term = 4, .received = {.term = 4, .index = index}, .pausedTerm = 5});
     }
 
+    // The answer to a status query.
+    void reportReceived(const std::string &instance, std::uint64_t index)
+    {
+        change.onStatus(Start, instance, StatementKind::Status,
+                        {.term = 4, .received = {.term = 4, .index = index}});
+    }
+
     std::vector<RegisteredInstance> instances{{.id = "a"}, {.id = "b"}, {.id = "c"}};
     ActionRecorder recorder;
     PrimaryChange change{"group", &recorder};
@@ -228,11 +235,15 @@
 {
     instances[0].leaving = true;
     begin(PrimaryChangeCause::Leaving);
+    EXPECT_EQ(recorder.take(), (Actions{"status b", "status c"}));
+    reportReceived("b", 11);
+    reportReceived("c", 10);
+    change.onTick(Start, PrimaryChangeCause::Leaving, groupState());
     EXPECT_EQ(recorder.take(), (Actions{"pause c 5", "status b"}));
     reportPaused("c", 12);
-    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 11}});
+    reportReceived("b", 11);
     EXPECT_EQ(recorder.take(), Actions{});
-    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 12}});
+    reportReceived("b", 12);
     EXPECT_EQ(recorder.take(), Actions{"promote b 7"});
 }
 
@@ -524,8 +535,11 @@
 {
     instances[0].leaving = true;
     begin(PrimaryChangeCause::Leaving);
+    reportReceived("b", 12);
+    reportReceived("c", 12);
+    change.onTick(Start, PrimaryChangeCause::Leaving, groupState());
     reportPaused("c", 12);
-    change.onStatus(Start, "b", StatementKind::Status, {.received = {.term = 4, .index = 12}});
+    reportReceived("b", 12);
     EXPECT_TRUE(recorder.has("record b 7"));
     EXPECT_FALSE(recorder.has("stepdown a 5"));
     recorder.take();
