Promote an instance that leaves only if no other one holds everything

What callers saw: a primary that had to be replaced again at once.

Cause: the promotion was requested as soon as enough instances were sealed, with the highest of these, although one that stays and holds as much was sealed some ms later.

Change: if the best sealed instance leaves, others that stay have 500 ms more to be sealed.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -20,6 +20,9 @@
 constexpr Millis CatchUpLimit(800);
 // How long the possible candidates of a leaving primary have to answer before one is chosen.
 constexpr Millis CandidateQueryTime(200);
+// From sufficient seals until an instance that leaves is promoted, if no other one holds
+// everything.
+constexpr Millis StayingCandidateWait(500);
 // Between status queries to a candidate that has not caught up yet.
 constexpr Millis CatchUpInterval(60);
 // Before a promotion request is repeated whose outcome is unknown or that had no effect.
@@ -582,7 +585,12 @@
     if (!m_sealedSince)
         m_sealedSince = now;
     m_candidate = bestSealed();
-    return true;
+    const bool othersMayFollow
+        = std::any_of(m_registered.begin(), m_registered.end(), [this](const auto &row) {
+              return mayBeCandidate(row.first) && !m_sealed.contains(row.first);
+          });
+    return mayBeCandidate(m_candidate) || !othersMayFollow
+        || now - *m_sealedSince >= StayingCandidateWait;
 }
 
 // If a request to promote another instance may still be carried out, makes that instance the
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -192,6 +192,31 @@
     EXPECT_TRUE(recorder.has("promote b 7"));
 }
 
+// It would have to be replaced again at once.
+TEST_F(PrimaryChangeTest, PromotesALeavingInstanceOnlyIfNoOtherFollows)
+{
+    instances[1].leaving = true;
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    reportPaused("c", 10);
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    reportPaused("a", 12);
+    EXPECT_TRUE(recorder.has("promote a 7"));
+}
+
+TEST_F(PrimaryChangeTest, PromotesALeavingInstanceThatAloneHoldsEverything)
+{
+    instances[1].leaving = true;
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    reportPaused("c", 10);
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    change.onTick(Start + Millis(400), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    change.onTick(Start + Millis(500), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("promote b 7"));
+}
+
 // A restart ends the pause, so the instance must be paused again.
 TEST_F(PrimaryChangeTest, SealsAnInstanceAgainAfterItsRestart)
 {
