Do not replace a leaving primary by another instance that leaves

Cause: the second way, after 0.8 s, was taken although no replica stays.

Change: it is taken only if one does. The new test fails before.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -83,7 +83,8 @@
             abandon(now, "the primary works again");
             return;
         }
-        if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit)
+        if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit
+            && !possibleCandidates().empty())
             sealCandidateToo(now);
         sendSeals(now);
         requestPromotionIfSealed(now);
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -192,6 +192,17 @@
     EXPECT_TRUE(recorder.has("promote b 7"));
 }
 
+TEST_F(PrimaryChangeTest, DoesNotReplaceALeavingPrimaryByAnotherThatLeaves)
+{
+    for (RegisteredInstance &instance : instances)
+        instance.leaving = true;
+    begin(PrimaryChangeCause::Leaving);
+    recorder.take();
+    for (Millis now = Start; now < ActUntil; now = now + Millis(100))
+        change.onTick(now, PrimaryChangeCause::Leaving, groupState());
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
 // It would have to be replaced again at once.
 TEST_F(PrimaryChangeTest, PromotesALeavingInstanceOnlyIfNoOtherFollows)
 {
