Let a leaving primary serve while no other instance can be promoted

Cause: the second way made it step down as soon as its seal completed the seals.

Change: it steps down once the seals suffice without it, or once a sealed replica that stays covers the end of its log. Otherwise it serves until its time is over; then nothing more is written, and the replica covers it.

Result: LetsALeavingPrimaryServeWhileNoOtherCanBePromoted is new; the cases of ReplicasOfALeavingPrimary still pass.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -135,6 +135,7 @@
     m_candidatePosition.reset();
     m_candidateStatus.clear();
     m_oldPrimaryStepsDownLast = false;
+    m_oldPrimaryEnd.reset();
     m_oldPrimary = m_groupState.primary;
     m_steppedDown = false;
     m_sealTerm = std::max(m_sealTerm, m_groupState.term) + 1;
@@ -163,6 +164,8 @@
             abandon(now, instance + " is not primary of term " + std::to_string(m_groupState.term));
         return;
     }
+    if (command == StatementKind::Status && instance == m_oldPrimary && status.primary)
+        m_oldPrimaryEnd = status.received;
     const bool outdated = !m_options.fencedPromotions && status.term < m_newestTerm;
     if (status.primary && instance != m_oldPrimary && outdated) {
         if (m_outdatedPrimaries.insert(instance).second)
@@ -382,15 +385,18 @@
     }
 }
 
-// Seals all registered instances. The old primary first has to step down, if it still answers. One
-// that leaves does so only if the seals suffice then.
+// Seals all registered instances. The old primary first has to step down, if it still answers.
 void PrimaryChange::sealAroundFailedPrimary()
 {
     const std::string term = std::to_string(m_sealTerm);
-    const bool wait = m_oldPrimaryStepsDownLast && countableSeals() + 1 < sealsNeeded();
+    const bool mayStepDown = oldPrimaryMayStepDown();
     for (const std::string &id : possibleLogHolders()) {
-        if (m_sealed.contains(id) || !isRegistered(id) || (wait && id == m_oldPrimary))
+        if (m_sealed.contains(id) || !isRegistered(id))
             continue;
+        if (id == m_oldPrimary && !mayStepDown) {
+            m_output->sendCommand(id, {.kind = StatementKind::Status});
+            continue;
+        }
         const bool mayBePrimary
             = (id == m_oldPrimary && !m_steppedDown) || m_outdatedPrimaries.contains(id);
         if (!mayBePrimary)
@@ -402,6 +408,20 @@
     }
 }
 
+// Whether the old primary's service may end. One that leaves but serves has to go on until another
+// instance can be promoted: it would have to be promoted again otherwise.
+bool PrimaryChange::oldPrimaryMayStepDown() const
+{
+    const std::size_t seals = countableSeals();
+    if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
+        return true;
+    if (!m_oldPrimaryEnd || seals + 1 < sealsNeeded())
+        return false;
+    return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
+        return mayBeCandidate(row.first) && row.second.received.covers(*m_oldPrimaryEnd);
+    });
+}
+
 // Seals all replicas but the candidate. With one synchronous replica, the primary then acknowledges
 // only what the candidate has received.
 void PrimaryChange::sealAroundLeavingPrimary(Millis now)
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -12,8 +12,8 @@
 //    `syncReplicas` are sealed; the one with the highest position holds every acknowledged commit
 //    and becomes the candidate. If the primary is leaving, it goes on serving with the candidate as
 //    its only receiver until the candidate has caught up. The candidate is the replica that has
-//    received the most. If none catches up soon, the rest is sealed as around a failed primary, and
-//    the old primary steps down last.
+//    received the most. If none catches up soon, the rest is sealed as around a failed primary. The
+//    old primary steps down last, once it is certain that another instance can be promoted.
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
@@ -202,6 +202,7 @@
     bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
     bool holdsAllAcknowledged(Position end) const;
+    bool oldPrimaryMayStepDown() const;
     bool mayBeCandidate(const std::string &instance) const;
     void requestPromotionIfSealed(Millis now);
     bool forgetSeal(const std::string &instance);
@@ -239,7 +240,8 @@
     std::optional<Position> m_candidatePosition;
     // What the possible candidates of a leaving primary answered before one was chosen.
     std::map<std::string, InstanceStatus> m_candidateStatus;
-    bool m_oldPrimaryStepsDownLast = false; // It leaves, and serves on until then.
+    bool m_oldPrimaryStepsDownLast = false;  // It leaves, and serves on until then.
+    std::optional<Position> m_oldPrimaryEnd; // Of its log, when it was asked last.
     std::string m_oldPrimary;
     std::string m_leaseSoughtFor; // The primary when the lease was requested.
     bool m_steppedDown = false;   // The old primary became a replica in this attempt.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -339,6 +339,23 @@
     EXPECT_EQ(promoted, "promote " + GetParam().promoted + " 7");
 }
 
+// It holds entries that the only replica that answers lacks, so only it could be promoted.
+TEST_F(PrimaryChangeTest, LetsALeavingPrimaryServeWhileNoOtherCanBePromoted)
+{
+    instances[0].leaving = true;
+    begin(PrimaryChangeCause::Leaving);
+    for (Millis now = Start; now < ActUntil; now = now + Millis(20)) {
+        change.onTick(now, PrimaryChangeCause::Leaving, groupState());
+        if (recorder.has("pause b 5"))
+            reportPaused("b", 10);
+        if (recorder.has("status a"))
+            change.onStatus(now, "a", StatementKind::Status,
+                            {.primary = true, .term = 4, .received = {.term = 4, .index = 11}});
+        EXPECT_FALSE(recorder.has("stepdown a 5"));
+    }
+    EXPECT_TRUE(recorder.has("status a"));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     All, ReplicasOfALeavingPrimary,
     testing::Values(ReplicaCase{"oneReceivesNothing", {{"a", 20}, {"b", 5}, {"c", 20}}, "c"},
