Forget an instance that left as announced when its entry is gone for 2.5 s

Cause: an instance that is no longer registered was kept for 5 s, also if it had announced that it leaves.

Change: in that case it is removed after 2.5 s, when it would otherwise begin to count as leaving.

--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -13,7 +13,7 @@
     for (const RegisteredInstance &instance : registered) {
         listed.insert(instance.id);
         m_instances[instance.id] = instance;
-        m_missingSince.erase(instance.id);
+        m_missing.erase(instance.id);
         if (!instance.leaving) {
             Millis &lastReady = m_lastReady.emplace(instance.id, readAt).first->second;
             lastReady = std::max(lastReady, readAt);
@@ -23,17 +23,22 @@
     for (auto &[id, instance] : m_instances) {
         if (listed.contains(id))
             continue;
-        const Millis since = m_missingSince.emplace(id, now).first->second;
-        if (now - since > m_options.leavingAfterMissing)
+        const auto [missing, isNew] = m_missing.try_emplace(id, Missing{.since = now});
+        if (isNew)
+            missing->second.announced = instance.leaving;
+        if (now - missing->second.since > m_options.leavingAfterMissing)
             instance.leaving = true;
     }
     std::erase_if(m_instances, [&](const auto &row) {
-        const auto missing = m_missingSince.find(row.first);
-        return missing != m_missingSince.end()
-            && now - missing->second > m_options.removedAfterMissing;
+        const auto missing = m_missing.find(row.first);
+        if (missing == m_missing.end())
+            return false;
+        const Millis limit = missing->second.announced ? m_options.leavingAfterMissing
+                                                       : m_options.removedAfterMissing;
+        return now - missing->second.since > limit;
     });
     const auto isUnknown = [this](const auto &row) { return !m_instances.contains(row.first); };
-    std::erase_if(m_missingSince, isUnknown);
+    std::erase_if(m_missing, isUnknown);
     std::erase_if(m_lastReady, isUnknown);
     std::erase_if(m_newWorkUntil, isUnknown);
 
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -24,7 +24,8 @@
     struct Options
     {
         // An instance that is no longer registered counts as leaving after the first period, and is
-        // removed after the second.
+        // removed after the second. One that had announced that it leaves has ended, and is removed
+        // after the first.
         Millis leavingAfterMissing = Millis(2500);
         Millis removedAfterMissing = Millis(5000);
         // An instance may get new work for this long after the platform accepted its notice.
@@ -63,9 +64,16 @@
     std::optional<Millis> newWorkUntil(const std::string &id) const;
 
 private:
+    // An instance that is no longer registered.
+    struct Missing
+    {
+        Millis since;
+        bool announced = false; // It had announced that it leaves.
+    };
+
     Options m_options;
     std::map<std::string, RegisteredInstance> m_instances;
-    std::map<std::string, Millis> m_missingSince; // Those that are no longer registered.
+    std::map<std::string, Missing> m_missing;
     std::map<std::string, Millis> m_lastReady;    // When each was last seen without a notice.
     std::map<std::string, Millis> m_newWorkUntil; // Of those that leave.
 };
