Do not count the seal of an instance that may end before the promotion

Cause: a sealed replica that leaves ends, and a new instance continues its log. That one is not sealed, receives from the old primary, which still leads, and lets it acknowledge what the candidate lacks; the promotion is carried out after that.

Change: the seal of an instance that leaves counts only if it certainly runs for 2 s more, or if the old primary has stepped down.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -24,7 +24,8 @@
 }
 
 void GroupControl::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                                const RoutingTable &routing, const std::set<std::string> &probed)
+                                const RoutingTable &routing, const std::set<std::string> &probed,
+                                const std::map<std::string, Millis> &runsUntil)
 {
     m_now = now;
     std::map<std::string, std::vector<RegisteredInstance>, std::less<>> byGroup;
@@ -43,6 +44,11 @@
         }
         group.syncReplicas = settings.syncReplicas;
         group.members = byGroup[name];
+        group.runsUntil.clear();
+        for (const RegisteredInstance &member : group.members) {
+            if (const auto until = runsUntil.find(member.id); until != runsUntil.end())
+                group.runsUntil.insert(*until);
+        }
         group.tracker.setProbing(probed.contains(name));
         group.tracker.setInstances(now, group.members, group.syncReplicas);
         reportPrimary(name, &group);
@@ -72,7 +78,8 @@
         const GroupState state{.instances = group.members,
                                .primary = group.tracker.lastPrimary(),
                                .term = group.tracker.term(),
-                               .syncReplicas = group.syncReplicas};
+                               .syncReplicas = group.syncReplicas,
+                               .runsUntil = group.runsUntil};
         group.change->onTick(now, group.tracker.cause(now), state);
     }
 }
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -63,9 +63,11 @@
     // Must be called before anything else. The pool must outlive this object.
     void setPool(TargetPool *pool) { m_pool = pool; }
     // Replaces the list of registered instances. Only groups in `probed` are probed by this host;
-    // the others are left to the hosts that hold connections to them.
+    // the others are left to the hosts that hold connections to them. For `runsUntil` see
+    // GroupState.
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                      const RoutingTable &routing, const std::set<std::string> &probed);
+                      const RoutingTable &routing, const std::set<std::string> &probed,
+                      const std::map<std::string, Millis> &runsUntil);
     // A gateway reported that the instance is the primary of its group.
     void onReportedPrimary(Millis now, const std::string &instance);
     void onTick(Millis now);
@@ -115,6 +117,7 @@
         PrimaryTracker tracker;
         std::unique_ptr<PrimaryChange> change;
         std::vector<RegisteredInstance> members;
+        std::map<std::string, Millis> runsUntil; // See GroupState.
         int syncReplicas = 1;
         std::string reportedPrimary; // The last one that was logged.
     };
--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -61,12 +61,6 @@
     return departures;
 }
 
-std::optional<Millis> InstanceList::newWorkUntil(const std::string &id) const
-{
-    const auto found = m_newWorkUntil.find(id);
-    return found == m_newWorkUntil.end() ? std::nullopt : std::optional<Millis>(found->second);
-}
-
 const RegisteredInstance *InstanceList::find(const std::string &id) const
 {
     const auto found = m_instances.find(id);
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -59,9 +59,9 @@
     const std::map<std::string, RegisteredInstance> &instances() const { return m_instances; }
     // Null if the instance is unknown.
     const RegisteredInstance *find(const std::string &id) const;
-    // Until when statements and transactions may be started at the instance; nothing if it does not
-    // leave. If this host never saw it ready, its time may have been over before.
-    std::optional<Millis> newWorkUntil(const std::string &id) const;
+    // For each instance that leaves, until when statements and transactions may be started there.
+    // If this host never saw it ready, its time may have been over before.
+    const std::map<std::string, Millis> &newWorkUntil() const { return m_newWorkUntil; }
 
 private:
     // An instance that is no longer registered.
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -29,6 +29,8 @@
 constexpr Millis PromotionResend(400);
 // From an accepted promotion request until the candidate is seen as primary.
 constexpr Millis ConfirmTimeout(3000);
+// That a promotion takes at the most, from its request on.
+constexpr Millis PromotionTime(2000);
 // Before the next attempt, after one that failed.
 constexpr Millis RetryAfter(600);
 // Bounds of the wait after the lease was refused. Between them the wait is the time for which
@@ -62,6 +64,7 @@
 
 void PrimaryChange::onTick(Millis now, PrimaryChangeCause cause, const GroupState &state)
 {
+    m_now = now;
     m_groupState = state;
     trackRegistrations(now, state.instances);
     switch (m_stage) {
@@ -104,6 +107,7 @@
 
 void PrimaryChange::onLeaseResult(Millis now, const LeaseResult &result)
 {
+    m_now = now;
     if (m_stage != PrimaryChangeStage::AcquiringLease)
         return;
     if (!result.fencingToken || now >= result.actUntil) {
@@ -147,6 +151,7 @@
 void PrimaryChange::onStatus(Millis now, const std::string &instance, StatementKind command,
                              const InstanceStatus &status)
 {
+    m_now = now;
     m_sealTerm = std::max(m_sealTerm, status.term + 1);
     m_newestTerm = std::max({m_newestTerm, m_groupState.term, status.term});
     if (command == StatementKind::Resume) {
@@ -216,6 +221,7 @@
 
 void PrimaryChange::onCandidateRecorded(Millis now, const std::string &candidate, bool recorded)
 {
+    m_now = now;
     if (m_stage != PrimaryChangeStage::Sealing || !recorded || now >= m_actUntil)
         return;
     m_recordedCandidate = candidate;
@@ -350,6 +356,18 @@
     return std::max(all > sync ? all - sync : 0, sync + 1);
 }
 
+// Whether the instance is sealed, and stays so until a promotion is carried out. When an instance
+// that leaves has ended, a new one continues its log, and receives from the old primary, if that
+// still leads.
+bool PrimaryChange::countsAsSealed(const std::string &instance) const
+{
+    if (!m_sealed.contains(instance))
+        return false;
+    const auto runsUntil = m_groupState.runsUntil.find(instance);
+    return m_steppedDown || runsUntil == m_groupState.runsUntil.end()
+        || runsUntil->second >= m_now + PromotionTime;
+}
+
 // The number of sealed instances that certainly hold everything they ever acknowledged. One that
 // restarted lately may have lost its log, and counts only if its position is as high as that of all
 // other sealed instances.
@@ -360,7 +378,8 @@
         highest = std::max(highest, row.second.received);
     return static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return !m_restarted.contains(row.first) || row.second.received == highest;
+            return countsAsSealed(row.first)
+                && (!m_restarted.contains(row.first) || row.second.received == highest);
         }));
 }
 
@@ -415,7 +434,10 @@
     const std::size_t seals = countableSeals();
     if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
         return true;
-    if (!m_oldPrimaryEnd || seals + 1 < sealsNeeded())
+    // While it takes new work, its log soon goes beyond what the others hold.
+    const auto runsUntil = m_groupState.runsUntil.find(m_oldPrimary);
+    const bool takesWork = runsUntil == m_groupState.runsUntil.end() || m_now < runsUntil->second;
+    if (takesWork || !m_oldPrimaryEnd || seals + 1 < sealsNeeded())
         return false;
     return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
         return mayBeCandidate(row.first) && row.second.received.covers(*m_oldPrimaryEnd);
@@ -527,7 +549,8 @@
 {
     const auto covered = static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return !m_restarted.contains(row.first) && end.covers(row.second.received);
+            return countsAsSealed(row.first) && !m_restarted.contains(row.first)
+                && end.covers(row.second.received);
         }));
     return covered >= sealsNeeded();
 }
@@ -591,7 +614,8 @@
         - (m_registered.contains(m_candidate) ? 1 : 0);
     const auto sealedOthers = static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-            return row.first != m_oldPrimary && row.first != m_candidate;
+            return row.first != m_oldPrimary && row.first != m_candidate
+                && countsAsSealed(row.first);
         }));
     return !m_candidate.empty() && sealedOthers >= others && candidateHasCaughtUp();
 }
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -83,6 +83,8 @@
     std::string primary;    // The last known one, which may not be registered any more.
     std::uint64_t term = 0; // In which it was primary.
     int syncReplicas = 1;
+    // Until when each of the instances that leave certainly runs.
+    std::map<std::string, Millis> runsUntil;
 };
 
 // The platform's answer to a promotion request.
@@ -189,6 +191,7 @@
     void trackRegistrations(Millis now, const std::vector<RegisteredInstance> &instances);
     std::set<std::string> possibleLogHolders() const;
     std::size_t sealsNeeded() const;
+    bool countsAsSealed(const std::string &instance) const;
     std::size_t countableSeals() const;
     void sendSeals(Millis now);
     void sealAroundFailedPrimary();
@@ -230,6 +233,7 @@
     PrimaryChangeCause m_cause = PrimaryChangeCause::None;
     std::uint64_t m_fencingToken = 0;
     Millis m_actUntil;
+    Millis m_now; // Of the event that is being handled.
     Millis m_stageSince;
     Millis m_retryAt;
     Millis m_nextSendAt;
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -82,14 +82,19 @@
         if (access.direct)
             probed.insert(instance.group);
     }
-    m_control.setInstances(now, usable, m_routing, probed);
+    // An instance that leaves runs for at least as long as it takes new work.
+    m_control.setInstances(now, usable, m_routing, probed, m_instances.newWorkUntil());
     for (const RegisteredInstance &instance : usable) {
         // Connections are scarce: only those that the next statement may need are kept open.
         const bool sameDataCentre = instance.dataCentre == m_options.dataCentre;
         const bool isPrimary = m_control.primary(instance.group) == instance.id;
         m_pool.setInstance(now, instance, m_access.at(instance.id),
                            /*keepOpen=*/!instance.leaving && (sameDataCentre || isPrimary));
-        m_pool.setNewWorkUntil(now, instance.id, m_instances.newWorkUntil(instance.id));
+        const auto until = m_instances.newWorkUntil().find(instance.id);
+        m_pool.setNewWorkUntil(now, instance.id,
+                               until == m_instances.newWorkUntil().end()
+                                   ? std::nullopt
+                                   : std::optional<Millis>(until->second));
     }
     for (const std::string &id : m_pool.instances()) {
         if (!ids.contains(id))
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -79,7 +79,11 @@
 
     GroupState groupState() const
     {
-        return {.instances = instances, .primary = "a", .term = 4, .syncReplicas = 1};
+        return {.instances = instances,
+                .primary = "a",
+                .term = 4,
+                .syncReplicas = 1,
+                .runsUntil = runsUntil};
     }
 
     void reportPaused(const std::string &instance, std::uint64_t index)
@@ -95,6 +99,7 @@
                         {.term = 4, .received = {.term = 4, .index = index}});
     }
 
+    std::map<std::string, Millis> runsUntil;
     std::vector<RegisteredInstance> instances{{.id = "a"}, {.id = "b"}, {.id = "c"}};
     ActionRecorder recorder;
     PrimaryChange change{"group", &recorder};
@@ -203,6 +208,33 @@
     EXPECT_EQ(recorder.take(), Actions{});
 }
 
+// After its end, a new instance continues its log, receives from the old primary, and lets that
+// acknowledge commits which the promoted one lacks.
+TEST_F(PrimaryChangeTest, DoesNotCountTheSealOfAnInstanceThatMayEndBeforeThePromotion)
+{
+    instances[1].leaving = true;
+    runsUntil["b"] = Start + Millis(1000);
+    begin(PrimaryChangeCause::Unreachable);
+    recorder.take();
+    reportPaused("b", 12);
+    reportPaused("c", 12);
+    EXPECT_EQ(recorder.take(), Actions{});
+    // Nothing is acknowledged any more once the old primary has stepped down.
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.term = 4, .received = {.term = 4, .index = 12}});
+    EXPECT_EQ(recorder.take(), Actions{"promote c 7"});
+}
+
+TEST_F(PrimaryChangeTest, CountsTheSealOfAnInstanceThatLeavesLater)
+{
+    instances[1].leaving = true;
+    runsUntil["b"] = Start + Millis(4000);
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    reportPaused("c", 12);
+    EXPECT_TRUE(recorder.has("promote c 7"));
+}
+
 // It would have to be replaced again at once.
 TEST_F(PrimaryChangeTest, PromotesALeavingInstanceOnlyIfNoOtherFollows)
 {
@@ -324,6 +356,7 @@
 TEST_P(ReplicasOfALeavingPrimary, DoNotKeepItFromBeingReplaced)
 {
     instances[0].leaving = true;
+    runsUntil["a"] = Start; // Nothing new is written.
     begin(PrimaryChangeCause::Leaving);
     std::string promoted;
     for (Millis now = Start; now < ActUntil && promoted.empty(); now = now + Millis(20)) {
