Do not let a resume overtake the pause of the next attempt

Cause: an attempt that ends lets the replicas receive again. The command can wait up to 1 s for a connection, the next attempt begins after 0.6 s, and its pause goes over another connection. In the trace i2 got the pause at 12.175 s and the resume at 12.185 s; the holder counted it as sealed.

Change: a pause withdraws a resume to the same instance that was not sent yet, and is held back while one is unanswered, for 1 s at the most; and the other way round.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -13,6 +13,16 @@
 // opening a new connection.
 constexpr Millis NewConnectionAfter(300);
 
+// A command without an answer for longer no longer holds a later one back.
+constexpr Millis CommandAnswerLimit(1000);
+
+// Whether the two are commands of which the instance must not get the first after the second.
+bool undoes(StatementKind first, StatementKind second)
+{
+    return (first == StatementKind::Pause && second == StatementKind::Resume)
+        || (first == StatementKind::Resume && second == StatementKind::Pause);
+}
+
 } // namespace
 
 GroupControl::GroupControl(GroupControlOutput *output, std::function<WorkId()> nextWork,
@@ -187,7 +197,8 @@
     const auto found = m_pendingByWork.find(work);
     if (found == m_pendingByWork.end())
         return false;
-    const PendingStatement &pending = found->second;
+    PendingStatement &pending = found->second;
+    pending.sentAt = now;
     const bool opens = pending.statement.kind == StatementKind::Begin
         || pending.statement.kind == StatementKind::BeginReadOnly;
     if (opens) {
@@ -203,7 +214,13 @@
 
 bool GroupControl::onWorkEnded(WorkId work)
 {
-    return m_pendingByWork.erase(work) > 0;
+    const auto found = m_pendingByWork.extract(work);
+    if (found.empty())
+        return false;
+    const StatementKind kind = found.mapped().statement.kind;
+    if (kind == StatementKind::Pause || kind == StatementKind::Resume)
+        sendHeldCommand(found.mapped().instance);
+    return true;
 }
 
 bool GroupControl::onWorkAnswer(Millis now, WorkId work, ConnectionId connection,
@@ -224,6 +241,8 @@
     }
     if (kind == StatementKind::BeginReadOnly)
         return true; // Its position was recorded as evidence.
+    if (kind == StatementKind::Pause || kind == StatementKind::Resume)
+        sendHeldCommand(pending.instance);
     Group *group = groupOf(pending.instance);
     if (group && answer.status) {
         group->tracker.onStatus(now, pending.instance, sentAt, *answer.status);
@@ -281,9 +300,44 @@
     m_output->acquireLease(group);
 }
 
+// Commands to an instance may go over different connections. A later one is held back while an
+// earlier one is on its way, so that a resume of one attempt cannot undo a pause of the next.
 void GroupControl::sendCommand(const std::string &instance, const Statement &statement)
 {
-    submit(instance, statement);
+    if (oppositeIsOnItsWay(instance, statement.kind))
+        m_heldCommands[instance] = statement;
+    else
+        submit(instance, statement);
+}
+
+// Withdraws opposite commands to the instance that were not sent yet. Returns whether one was sent
+// and may still be answered.
+bool GroupControl::oppositeIsOnItsWay(const std::string &instance, StatementKind kind)
+{
+    const auto held = m_heldCommands.find(instance);
+    if (held != m_heldCommands.end() && undoes(held->second.kind, kind))
+        m_heldCommands.erase(held);
+    bool onItsWay = false;
+    for (auto it = m_pendingByWork.begin(); it != m_pendingByWork.end();) {
+        const auto &[work, pending] = *it;
+        const bool opposite = pending.instance == instance && undoes(pending.statement.kind, kind);
+        if (opposite && !pending.sentAt) {
+            m_pool->cancel(work);
+            it = m_pendingByWork.erase(it);
+            continue;
+        }
+        onItsWay = onItsWay || (opposite && m_now - *pending.sentAt < CommandAnswerLimit);
+        ++it;
+    }
+    return onItsWay;
+}
+
+// Sends the command that was held back, if any: the earlier one has been answered or is lost.
+void GroupControl::sendHeldCommand(const std::string &instance)
+{
+    const auto held = m_heldCommands.extract(instance);
+    if (!held.empty())
+        submit(instance, held.mapped());
 }
 
 void GroupControl::promote(const std::string &group, const std::string &instance,
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -128,6 +128,7 @@
         std::string instance;
         // A probe if its kind is Begin or BeginReadOnly; otherwise a command or status query.
         Statement statement;
+        std::optional<Millis> sentAt;
     };
 
     void acquireLease(const std::string &group) override;
@@ -141,6 +142,8 @@
     void probe(Millis now, const std::string &instance);
     void locate(const std::string &instance, bool primary);
     void submit(const std::string &instance, const Statement &statement);
+    bool oppositeIsOnItsWay(const std::string &instance, StatementKind kind);
+    void sendHeldCommand(const std::string &instance);
     void reportPrimary(const std::string &name, Group *group);
     Group *groupOf(const std::string &instance);
     const Group *groupOf(const std::string &instance) const;
@@ -153,6 +156,8 @@
     std::map<std::string, Group, std::less<>> m_groups;
     std::map<std::string, RegisteredInstance, std::less<>> m_instances;
     std::map<WorkId, PendingStatement> m_pendingByWork;
+    // The command to each instance that waits for the answer to an opposite one.
+    std::map<std::string, Statement> m_heldCommands;
 };
 
 } // namespace cicadagap
--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -296,6 +296,41 @@
     EXPECT_EQ(output.sent[0].requiredPosition, Commit);
 }
 
+// A schedule in which acknowledged writes were lost once.
+struct LossCase
+{
+    std::string name; // How they were lost.
+    SimulationOptions options;
+};
+
+class LostWrite : public testing::TestWithParam<LossCase>
+{
+};
+
+TEST_P(LostWrite, IsKept)
+{
+    const SimulationReport report = runSimulation(GetParam().options);
+    EXPECT_TRUE(report.violations.empty()) << text(report);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Schedules, LostWrite,
+    testing::Values(LossCase{"resumeOvertookPause",
+                             {.seed = 508,
+                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
+                                         SimulatedFault::CrashPrimary}}},
+                    LossCase{"sealedInstanceEnded",
+                             {.seed = 1668,
+                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::StoreDown,
+                                         SimulatedFault::StoreDown, SimulatedFault::KillHost}}},
+                    LossCase{"sealedInstanceEndedUnfenced",
+                             {.seed = 151,
+                              .hosts = 4,
+                              .fencedPromotions = false,
+                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
+                                         SimulatedFault::LagReplicas, SimulatedFault::StoreDown}}}),
+    [](const auto &info) { return info.param.name; });
+
 TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
 {
     expectGuarantees(
