Let replicas receive again after an attempt without an answer

Cause: an attempt whose promotion request has no answer leaves the replicas sealed, and nobody came back to them: the holder saw the new primary 40 ms after its acting time was over (16.039, 16.079), and other hosts know nothing of the pauses.

Change: the host remembers them. A new primary that is seen after the attempt counts as its success, and the replicas are let go while the lease lasts. Otherwise, once the request cannot be carried out any more (10 s) and nothing is wrong with the primary, the host acquires the lease again for them alone (cause left-sealed), unless the lease's row names another candidate. A resume is repeated every 300 ms until it is answered.

A refused promotion's test expects the repetition.

Open: if that host's process ends meanwhile, the replicas stay paused until the next change, or until the primary stalls.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -1,5 +1,6 @@
 #include "session/primarychange.h"
 
+#include "session/promotionlease.h"
 #include "session/readlease.h"
 
 #include <algorithm>
@@ -71,6 +72,8 @@
     case PrimaryChangeStage::Idle:
         if (cause != PrimaryChangeCause::None && now >= m_retryAt)
             start(now, cause);
+        else
+            resumeLeftSealed(now, cause);
         return;
     case PrimaryChangeStage::AcquiringLease:
         if (now - m_stageSince > AnswerTimeout)
@@ -117,6 +120,12 @@
             + std::clamp(result.heldFor, MinRetryAfterLeaseRefused, MaxRetryAfterLeaseRefused);
         return;
     }
+    if (m_cause == PrimaryChangeCause::LeftSealed) {
+        m_fencingToken = *result.fencingToken;
+        m_actUntil = result.actUntil;
+        onLeaseForLeftSealed(now, result);
+        return;
+    }
     if (m_cause == PrimaryChangeCause::Stalled && m_groupState.primary != m_leaseSoughtFor) {
         enter(now, PrimaryChangeStage::Idle, "another instance is considered primary now");
         m_retryAt = now + RetryAfter;
@@ -128,6 +137,7 @@
     m_actUntil = result.actUntil;
     m_openCandidate = result.openCandidate;
     m_openUntil = result.openUntil;
+    m_mayResume = false;
     m_recordedCandidate.clear();
     m_unansweredPromotions = 0;
     m_outdatedPrimaries.clear();
@@ -266,8 +276,14 @@
               instance + " is primary of term " + std::to_string(term));
         m_openPromotions = 0;
         m_toResume.erase(instance);
-        resumeSealed(now);
+        allowResuming(now);
         forgetCandidate();
+    } else if (m_stage == PrimaryChangeStage::Idle && isCandidate && m_openPromotions > 0
+               && m_cause != PrimaryChangeCause::Stalled) {
+        // The request was carried out after the attempt had ended.
+        m_openPromotions = 0;
+        m_toResume.erase(instance);
+        allowResuming(now);
     } else if (m_stage == PrimaryChangeStage::RequestingPromotion && isCandidate) {
         // The candidate was seen as primary before the platform answered. A stalled primary is
         // its own candidate and was primary all the time, so only the platform's answer counts.
@@ -298,7 +314,7 @@
     enter(now, PrimaryChangeStage::Idle, reason);
     m_retryAt = now + RetryAfter;
     if (m_openPromotions == 0) {
-        resumeSealed(now);
+        allowResuming(now);
         forgetCandidate();
     }
 }
@@ -311,6 +327,7 @@
 {
     enter(now, PrimaryChangeStage::Idle, reason);
     m_retryAt = now + RetryAfter;
+    m_releaseAt = now + LatePromotionLimit;
 }
 
 // Takes over the list of registered instances. One that disappears from it without having announced
@@ -399,6 +416,7 @@
     case PrimaryChangeCause::Stalled:
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
         return;
+    case PrimaryChangeCause::LeftSealed:
     case PrimaryChangeCause::None:
         return;
     }
@@ -700,22 +718,63 @@
     m_nextSendAt = now + AnswerTimeout;
     ++m_openPromotions;
     ++m_unansweredPromotions;
+    m_releaseAt = now + LatePromotionLimit;
     m_output->promote(m_group, m_candidate, m_fencingToken);
 }
 
-// A holder whose lease may have ended leaves the instances to the next one, which may have sealed
-// them itself.
+// No promotion request of this host stands against it any more that the sealed instances receive.
+void PrimaryChange::allowResuming(Millis now)
+{
+    m_mayResume = true;
+    m_releaseAt = now;
+    resumeSealed(now);
+}
+
+// Lets the sealed instances receive again, as long as this host holds the lease: the next holder
+// may have sealed them itself. Repeated until they have answered.
 void PrimaryChange::resumeSealed(Millis now)
 {
-    if (now > m_actUntil + ResumeMargin) {
-        m_toResume.clear();
+    if (now > m_actUntil + ResumeMargin)
         return;
-    }
-    const std::set<std::string> waiting = std::exchange(m_toResume, {});
-    for (const std::string &id : waiting) {
+    m_nextResumeAt = now + ResendInterval;
+    for (const std::string &id : m_toResume) {
         if (isRegistered(id))
             m_output->sendCommand(id, {.kind = StatementKind::Resume});
     }
 }
 
+// Between two attempts. If the lease has ended, and nothing is wrong with the primary, acquires it
+// again for the instances that are still sealed.
+void PrimaryChange::resumeLeftSealed(Millis now, PrimaryChangeCause cause)
+{
+    std::erase_if(m_toResume, [this](const std::string &id) { return !isRegistered(id); });
+    if (m_toResume.empty())
+        return;
+    if (m_mayResume && now <= m_actUntil + ResumeMargin) {
+        if (now >= m_nextResumeAt)
+            resumeSealed(now);
+        return;
+    }
+    if (cause == PrimaryChangeCause::None && !m_groupState.primary.empty() && now >= m_releaseAt
+        && now >= m_retryAt)
+        start(now, PrimaryChangeCause::LeftSealed);
+}
+
+// The lease was acquired for the instances that are still sealed.
+void PrimaryChange::onLeaseForLeftSealed(Millis now, const LeaseResult &result)
+{
+    m_retryAt = now + RetryAfter;
+    const bool open = !result.openCandidate.empty() && now < result.openUntil
+        && result.openCandidate != m_groupState.primary;
+    if (open) {
+        enter(now, PrimaryChangeStage::Idle,
+              "the promotion of " + result.openCandidate + " may still be carried out");
+        m_releaseAt = result.openUntil;
+        return;
+    }
+    enter(now, PrimaryChangeStage::Idle, std::to_string(m_toResume.size()) + " may receive again");
+    m_openPromotions = 0;
+    allowResuming(now);
+}
+
 } // namespace cicadagap
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -17,6 +17,10 @@
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
+// An attempt that ends without an answer to its promotion request leaves the instances sealed. Its
+// host lets them receive once the promotion is seen to have worked, or cannot be carried out any
+// more. For that it needs the lease again, since others may have sealed them meanwhile.
+//
 // On a platform that checks no fencing token, a replaced primary goes on serving reads until it
 // hears of its successor, and a promotion request without an answer may be carried out after newer
 // ones. There, three more rules hold:
@@ -50,13 +54,15 @@
     Unreachable, // It is silent or refuses connections, or no primary is known.
     Leaving,     // It is about to stop, or is no longer registered, but still answers.
     Stalled,     // It is primary but acknowledges no write: its replicas do not receive.
+    LeftSealed,  // It is not replaced. Instances that an earlier attempt sealed have to receive.
 };
 
-inline constexpr NameTable<PrimaryChangeCause, 4> PrimaryChangeCauseNames{{{
+inline constexpr NameTable<PrimaryChangeCause, 5> PrimaryChangeCauseNames{{{
     {PrimaryChangeCause::None, "none"},
     {PrimaryChangeCause::Unreachable, "unreachable"},
     {PrimaryChangeCause::Leaving, "leaving"},
     {PrimaryChangeCause::Stalled, "stalled"},
+    {PrimaryChangeCause::LeftSealed, "left-sealed"},
 }}};
 
 // The steps of an attempt to change the primary.
@@ -216,7 +222,10 @@
     bool candidateIsRecorded(Millis now);
     void forgetCandidate();
     void sendPromotionRequest(Millis now);
+    void allowResuming(Millis now);
     void resumeSealed(Millis now);
+    void resumeLeftSealed(Millis now, PrimaryChangeCause cause);
+    void onLeaseForLeftSealed(Millis now, const LeaseResult &result);
     bool isRegistered(const std::string &instance) const;
 
     std::string m_group;
@@ -240,6 +249,9 @@
     std::uint64_t m_sealTerm = 0; // The term that commands tell instances to adopt.
     std::map<std::string, InstanceStatus> m_sealed;
     std::set<std::string> m_toResume; // May be sealed, and have to receive again at the end.
+    bool m_mayResume = false;         // As far as this host's own promotion requests are concerned.
+    Millis m_nextResumeAt;
+    Millis m_releaseAt; // Before that, no lease is sought for the sealed instances alone.
     std::string m_candidate;
     std::optional<Position> m_candidatePosition;
     // What the possible candidates of a leaving primary answered before one was chosen.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -487,6 +487,54 @@
     EXPECT_EQ(recorder.take(), Actions{"resume b"});
 }
 
+// Nothing shows whether the request was carried out. After 10 s it cannot be any more.
+TEST_F(PrimaryChangeTest, LetsInstancesReceiveAgainWhenALatePromotionCannotComeAnyMore)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    change.onPromotion(Start, PromotionResult::Unknown);
+    change.onTick(ActUntil, PrimaryChangeCause::Unreachable, groupState());
+    recorder.take();
+    change.onTick(ActUntil + LatePromotionLimit - Millis(1), PrimaryChangeCause::None,
+                  groupState());
+    EXPECT_EQ(recorder.take(), Actions{});
+    const Millis later = ActUntil + LatePromotionLimit;
+    change.onTick(later, PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(recorder.take(), Actions{"claim"});
+    change.onLeaseResult(later, {.fencingToken = 8, .actUntil = later + Millis(2500)});
+    EXPECT_EQ(recorder.take(), (Actions{"resume b", "resume c"}));
+    // Instances that do not answer are told again.
+    change.onStatus(later, "b", StatementKind::Resume, {});
+    change.onTick(later + Millis(300), PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(recorder.take(), Actions{"resume c"});
+    change.onStatus(later, "c", StatementKind::Resume, {});
+    change.onTick(later + Millis(20'000), PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
+// A request of another holder may still be carried out.
+TEST_F(PrimaryChangeTest, LeavesInstancesSealedForTheCandidateOfAnotherHolder)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    change.onPromotion(Start, PromotionResult::Unknown);
+    change.onTick(ActUntil, PrimaryChangeCause::Unreachable, groupState());
+    const Millis later = ActUntil + LatePromotionLimit;
+    change.onTick(later, PrimaryChangeCause::None, groupState());
+    recorder.take();
+    change.onLeaseResult(later,
+                         {.fencingToken = 9,
+                          .actUntil = later + Millis(2500),
+                          .openCandidate = "b",
+                          .openUntil = later + Millis(4000)});
+    change.onTick(later + Millis(1000), PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(recorder.take(), Actions{});
+    change.onTick(later + Millis(4000), PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(recorder.take(), Actions{"claim"});
+}
+
 // A holder that was suspended handles the answers that came meanwhile before its next tick.
 TEST_F(PrimaryChangeTest, IgnoresAnswersAfterTheLease)
 {
@@ -773,8 +821,10 @@
 INSTANTIATE_TEST_SUITE_P(All, PromotionResults,
                          testing::Values(ResultCase{PromotionResult::Accepted, {}},
                                          ResultCase{PromotionResult::Fenced, {}},
-                                         ResultCase{PromotionResult::NotRunning,
-                                                    {"resume b", "resume c"}},
+                                         ResultCase{
+                                             PromotionResult::NotRunning,
+                                             // Repeated, as nothing answers.
+                                             {"resume b", "resume c", "resume b", "resume c"}},
                                          ResultCase{PromotionResult::Unknown, {"promote c 7"}},
                                          ResultCase{PromotionResult::NotDone, {"promote c 7"}}),
                          [](const auto &info) {
