Do not promote another instance while a promotion without an answer is open

Cause: with fenced promotions nothing told the next holder of a request without an answer, and an attempt that ended let the replicas receive although an earlier request could still be carried out. The choice of the first registered replica hid this.

Change: after a request without an answer its candidate is written to the lease's row, as on platforms without fencing before each request. The next holder prefers it, takes another one only if all others are sealed, and does not let replicas receive while the request is open. A request for the present primary does not count. No call to the store is added to a change that is answered.

Three of five new tests fail before.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -262,6 +262,10 @@
         abandon(now, detail);
         return;
     case PromotionResult::Unknown:
+        // Without fenced promotions the row names the candidate already.
+        if (m_options.fencedPromotions)
+            m_output->recordCandidate(m_group, m_candidate, m_fencingToken);
+        [[fallthrough]];
     case PromotionResult::NotDone:
         m_nextSendAt = now + PromotionResend;
         return;
@@ -313,10 +317,13 @@
 {
     enter(now, PrimaryChangeStage::Idle, reason);
     m_retryAt = now + RetryAfter;
-    if (m_openPromotions == 0) {
+    if (m_openPromotions > 0)
+        return;
+    forgetCandidate();
+    if (earlierRequestIsOpen(now) && m_openCandidate != m_groupState.primary)
+        m_releaseAt = m_openUntil;
+    else
         allowResuming(now);
-        forgetCandidate();
-    }
 }
 
 // Ends the attempt after a promotion request that may still be carried out, even seconds later. The
@@ -617,10 +624,10 @@
     const bool leaving = m_cause == PrimaryChangeCause::Leaving;
     if (leaving ? !leavingPrimaryIsSealed() : !chooseSealedCandidate(now))
         return;
-    if (!m_options.fencedPromotions) {
-        if (!preferOpenCandidate(now) || !candidateIsRecorded(now) || !oldPrimaryIsHarmless(now))
-            return;
-    }
+    if (!preferOpenCandidate(now))
+        return;
+    if (!m_options.fencedPromotions && (!candidateIsRecorded(now) || !oldPrimaryIsHarmless(now)))
+        return;
     enter(now, PrimaryChangeStage::RequestingPromotion, m_candidate);
     sendPromotionRequest(now);
 }
@@ -656,11 +663,29 @@
         || now - *m_sealedSince >= StayingCandidateWait;
 }
 
+// Whether a request of an earlier holder may still be carried out that changes the primary.
+bool PrimaryChange::earlierRequestIsOpen(Millis now) const
+{
+    return !m_openCandidate.empty() && now < m_openUntil
+        && !(m_options.fencedPromotions && m_openCandidate == m_oldPrimary);
+}
+
+// Whether the open candidate, if it becomes primary before a later request puts an end to that,
+// cannot acknowledge anything: all others are sealed.
+bool PrimaryChange::openCandidateIsHarmless() const
+{
+    const std::set<std::string> all = possibleLogHolders();
+    return std::all_of(all.begin(), all.end(), [this](const std::string &id) {
+        return id == m_openCandidate || countsAsSealed(id);
+    });
+}
+
 // If a request to promote another instance may still be carried out, makes that instance the
 // candidate. False if it lacks commits or cannot be the candidate now.
 bool PrimaryChange::preferOpenCandidate(Millis now)
 {
-    if (m_openCandidate.empty() || now >= m_openUntil || m_openCandidate == m_candidate)
+    if (!earlierRequestIsOpen(now) || m_openCandidate == m_candidate
+        || (m_options.fencedPromotions && openCandidateIsHarmless()))
         return true;
     const auto open = m_sealed.find(m_openCandidate);
     if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -21,6 +21,11 @@
 // host lets them receive once the promotion is seen to have worked, or cannot be carried out any
 // more. For that it needs the lease again, since others may have sealed them meanwhile.
 //
+// While a request of an earlier holder may be carried out, the lease's row names its candidate, and
+// a holder chooses no other one unless all others are sealed: what the late primary acknowledged
+// until the next promotion would be lost. A fencing token that is not used yet does not prevent
+// that.
+//
 // On a platform that checks no fencing token, a replaced primary goes on serving reads until it
 // hears of its successor, and a promotion request without an answer may be carried out after newer
 // ones. There, three more rules hold:
@@ -141,7 +146,8 @@
                          std::uint64_t fencingToken)
         = 0;
     // Records the candidate in the row of the lease, or, if it is empty, that no promotion request
-    // may be carried out any more; answered by onCandidateRecorded().
+    // may be carried out any more; answered by onCandidateRecorded(). With fenced promotions, after
+    // a request stayed without an answer; otherwise before the request.
     virtual void recordCandidate(const std::string &group, const std::string &candidate,
                                  std::uint64_t fencingToken)
         = 0;
@@ -217,6 +223,8 @@
     bool forgetSeal(const std::string &instance);
     bool leavingPrimaryIsSealed() const;
     bool chooseSealedCandidate(Millis now);
+    bool earlierRequestIsOpen(Millis now) const;
+    bool openCandidateIsHarmless() const;
     bool preferOpenCandidate(Millis now);
     bool oldPrimaryIsHarmless(Millis now);
     bool candidateIsRecorded(Millis now);
@@ -259,17 +267,17 @@
     bool m_oldPrimaryStepsDownLast = false;  // It leaves, and serves on until then.
     std::optional<Position> m_oldPrimaryEnd; // Of its log, when it was asked last.
     std::string m_oldPrimary;
-    std::string m_leaseSoughtFor; // The primary when the lease was requested.
-    bool m_steppedDown = false;   // The old primary became a replica in this attempt.
-    int m_openPromotions = 0;     // Promotion requests that may still be carried out.
+    std::string m_leaseSoughtFor;        // The primary when the lease was requested.
+    bool m_steppedDown = false;          // The old primary became a replica in this attempt.
+    int m_openPromotions = 0;            // Promotion requests that may still be carried out.
+    std::optional<Millis> m_sealedSince; // Since when enough instances are sealed.
+    std::string m_openCandidate;         // See LeaseResult.
+    Millis m_openUntil;
     // The following are used only without fenced promotions.
     std::uint64_t m_newestTerm = 0; // The highest one that an instance reported.
     // Instances that were primary of an earlier term and go on leading; they have to step down.
     std::set<std::string> m_outdatedPrimaries;
-    int m_unansweredPromotions = 0;      // Requests of this attempt without an answer.
-    std::optional<Millis> m_sealedSince; // Since when enough instances are sealed.
-    std::string m_openCandidate;         // See LeaseResult.
-    Millis m_openUntil;
+    int m_unansweredPromotions = 0;  // Requests of this attempt without an answer.
     std::string m_recordedCandidate; // What the lease's row holds, as far as this host wrote it.
     Millis m_nextRecordAt;
     Millis m_nextStepDownAt;
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -513,6 +513,73 @@
     EXPECT_EQ(recorder.take(), Actions{});
 }
 
+// If another instance were promoted after the late promotion, it would lack what the late one had
+// acknowledged in between.
+class LatePromotions : public PrimaryChangeTest
+{
+protected:
+    // Another holder's request to promote c may still be carried out.
+    void beginAfterRequestForC(PrimaryChangeCause cause)
+    {
+        change.onTick(Start, cause, groupState());
+        change.onLeaseResult(Start,
+                             {.fencingToken = 8,
+                              .actUntil = ActUntil,
+                              .openCandidate = "c",
+                              .openUntil = Start + Millis(9000)});
+        recorder.take();
+    }
+};
+
+TEST_F(LatePromotions, AreRecordedForTheNextHolder)
+{
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    recorder.take();
+    change.onPromotion(Start, PromotionResult::Unknown);
+    EXPECT_EQ(recorder.take(), Actions{"record c 7"});
+}
+
+TEST_F(LatePromotions, KeepTheirCandidate)
+{
+    beginAfterRequestForC(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    reportPaused("c", 12);
+    EXPECT_EQ(recorder.take(), Actions{"promote c 8"});
+}
+
+TEST_F(LatePromotions, KeepTheirCandidateIfThePrimaryLeaves)
+{
+    instances[0].leaving = true;
+    beginAfterRequestForC(PrimaryChangeCause::Leaving);
+    reportReceived("b", 20);
+    reportReceived("c", 12);
+    change.onTick(Start, PrimaryChangeCause::Leaving, groupState());
+    EXPECT_EQ(recorder.take(), (Actions{"pause b 5", "status c"}));
+}
+
+// Nothing that the late one would write could be acknowledged.
+TEST_F(LatePromotions, GiveWayIfAllOthersAreSealed)
+{
+    beginAfterRequestForC(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    EXPECT_EQ(recorder.take(), Actions{});
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.term = 4, .received = {.term = 4, .index = 12}});
+    reportPaused("a", 12);
+    EXPECT_TRUE(recorder.has("promote b 8") || recorder.has("promote a 8"));
+}
+
+TEST_F(LatePromotions, KeepTheReplicasSealedWhenTheNextAttemptEnds)
+{
+    beginAfterRequestForC(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    change.onTick(Start + Millis(100), PrimaryChangeCause::None, groupState());
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
 // A request of another holder may still be carried out.
 TEST_F(PrimaryChangeTest, LeavesInstancesSealedForTheCandidateOfAnotherHolder)
 {
@@ -818,20 +885,20 @@
     EXPECT_EQ(recorder.take(), GetParam().after);
 }
 
-INSTANTIATE_TEST_SUITE_P(All, PromotionResults,
-                         testing::Values(ResultCase{PromotionResult::Accepted, {}},
-                                         ResultCase{PromotionResult::Fenced, {}},
-                                         ResultCase{
-                                             PromotionResult::NotRunning,
-                                             // Repeated, as nothing answers.
-                                             {"resume b", "resume c", "resume b", "resume c"}},
-                                         ResultCase{PromotionResult::Unknown, {"promote c 7"}},
-                                         ResultCase{PromotionResult::NotDone, {"promote c 7"}}),
-                         [](const auto &info) {
-                             std::string name(PromotionResultNames.name(info.param.verdict));
-                             name.erase(std::remove(name.begin(), name.end(), '-'), name.end());
-                             return name;
-                         });
+INSTANTIATE_TEST_SUITE_P(
+    All, PromotionResults,
+    testing::Values(ResultCase{PromotionResult::Accepted, {}},
+                    ResultCase{PromotionResult::Fenced, {}},
+                    ResultCase{PromotionResult::NotRunning,
+                               // Repeated, as nothing answers.
+                               {"resume b", "resume c", "resume b", "resume c"}},
+                    ResultCase{PromotionResult::Unknown, {"record c 7", "promote c 7"}},
+                    ResultCase{PromotionResult::NotDone, {"promote c 7"}}),
+    [](const auto &info) {
+        std::string name(PromotionResultNames.name(info.param.verdict));
+        name.erase(std::remove(name.begin(), name.end(), '-'), name.end());
+        return name;
+    });
 
 TEST_F(PrimaryChangeTest, ActsOnlyWhileTheLeaseIsHeld)
 {
