Do not send new requests to a target that said that it leaves (JSON interface)

What callers saw: requests that a gateway sent to a leaving target, which refused them, and which were tried again elsewhere.

A host's records tell late that a target leaves; Gateway::setRole took the record over and so forgot what the target itself had said in a status or a refusal.

Change: both are kept. What the target says itself is replaced only by its own next status, for which it is asked once a second while it says so; otherwise one that was started again would never be used.

Requests that wait at the gateway when the target says so are still sent, and refused by the target: not changed, they are not run.

--- a/src/connection/gateway.cpp
+++ b/src/connection/gateway.cpp
@@ -14,6 +14,8 @@
 constexpr Millis InitialOpenBackoff(20);
 // The delay before the status is polled again after a poll failed.
 constexpr Millis StatusRetryDelay(50);
+// Between status polls of an instance that said that it leaves.
+constexpr Millis LeavingPollInterval(1000);
 // The minimum time between two fetches of a position sample.
 constexpr Millis SampleFetchInterval(50);
 // The weight of the newest value in the moving average of the service time.
@@ -135,7 +137,7 @@
 {
     m_polling = false;
     m_lastKnownPosition = std::max(m_lastKnownPosition, report.last);
-    m_leaving = m_leaving || report.leaving;
+    m_saidLeaving = report.leaving;
     m_majorityTracker.observe(report.name, report.term, report.last);
     std::vector<Millis> contactAges;
     for (const ReplicaSummary &replica : report.replicas) {
@@ -193,6 +195,11 @@
     handleTimeouts(now);
     recheckWaitingRequests(now);
     closeSurplusConnections(now);
+    // It gets no requests whose answers could show that it was started again.
+    if (m_saidLeaving && now >= m_nextLeavingPoll) {
+        m_nextLeavingPoll = now + LeavingPollInterval;
+        pollStatus(Millis());
+    }
     dispatchQueued(now);
     return takeActions();
 }
@@ -202,7 +209,7 @@
     if (term < m_term)
         return takeActions();
     const bool demoted = m_primary && !primary;
-    m_leaving = leaving;
+    m_recordedLeaving = leaving;
     m_primary = primary;
     if (term > m_term) {
         m_term = term;
@@ -245,7 +252,7 @@
         const Connection &connection = m_connections.at(found->second);
         return connection.state == ConnectionState::Pinned ? Cause::None : Cause::Busy;
     }
-    if (m_leaving || m_draining)
+    if (m_saidLeaving || m_recordedLeaving || m_draining)
         return Cause::Leaving;
     if (!request.replicaAllowed && (!m_primary || request.requiredPosition.term > m_term))
         return Cause::NotPrimary;
@@ -487,7 +494,7 @@
                            const TargetAnswer &answer)
 {
     if (answer.cause == Cause::Leaving)
-        m_leaving = true;
+        m_saidLeaving = true;
     const RequestKind kind = m_requests.at(request).request.kind;
     refuse(request, answer.cause);
     // If the target rejected a statement, its transaction stays open. After any other failure in a
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -329,7 +329,10 @@
     std::uint64_t m_lastTransaction = 0;
     std::uint64_t m_term = 0;
     bool m_primary = false;
-    bool m_leaving = false;
+    // The instance is leaving: as it said itself the last time, and as the host's records say.
+    bool m_saidLeaving = false;
+    bool m_recordedLeaving = false;
+    Millis m_nextLeavingPoll;
     bool m_draining = false;
     bool m_polling = false;                          // Whether a status poll is under way.
     Position m_lastKnownPosition;                    // The highest position the instance reported.
--- a/src/connection/tst_gateway.cpp
+++ b/src/connection/tst_gateway.cpp
@@ -133,6 +133,15 @@
             "leaving",
             [](Gateway *gateway, GatewayRequest *) { gateway->setRole(Now, 3, true, true); },
             Cause::Leaving},
+        // Other hosts, and the records that they spread, learn of it later.
+        RefusalCase{"said that it leaves, and the record does not show it yet",
+                    [](Gateway *gateway, GatewayRequest *) {
+                        InstanceReport leaving = report(3, {3, 5}, 3, {3, 5});
+                        leaving.leaving = true;
+                        gateway->onStatus(Now, Now, leaving);
+                        gateway->setRole(Now, 3, true, false);
+                    },
+                    Cause::Leaving},
         RefusalCase{
             "not primary",
             [](Gateway *gateway, GatewayRequest *) { gateway->setRole(Now, 4, false, false); },
@@ -287,6 +296,19 @@
     EXPECT_EQ(closed.front().connection, started.connection);
 }
 
+// Its process was started again under the same name.
+TEST_F(GatewayTest, AsksAnInstanceThatSaidThatItLeavesWhetherItStillDoes)
+{
+    InstanceReport status = report(3, {3, 5}, 3, {3, 5});
+    status.leaving = true;
+    gateway.onStatus(Now, Now, status);
+    EXPECT_EQ(actionsOf<PollStatus>(gateway.onTick(Now + Millis(20))).size(), 1U);
+    EXPECT_EQ(actionsOf<PollStatus>(gateway.onTick(Now + Millis(40))).size(), 0U);
+    status.leaving = false;
+    gateway.onStatus(Now + Millis(60), Now + Millis(20), status);
+    submitAndGetCall(write(1));
+}
+
 TEST(ReplicaGateway, ChecksThePositionOfTheAnswer)
 {
     Gateway gateway({.instance = "t2", .queue = {.classes = {{"top", true}, {"default"}}}});
