Promote nothing by a list of instances from before the lease

Cause: a host that the store had refused for 6 s acquired the lease with a list 7.8 s old (readings 6.86, lease 14.64). Meanwhile a primary had left: its successor led term 2, and the instance that replaces it had registered. The host sealed two of the three instances that it knew, and the new primary went on acknowledging with the one that it did not know (commit 2.99, 14.718 s).

Change: the list is read again once the lease is held, and the promotion waits for a list that is not older than the lease. The call runs beside the sealing. GroupState and GroupControl take what is known of the instances as one value, ListedInstances.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -140,18 +140,30 @@
         m_loop->after(RoleCheckInterval, [this] { readInstances(); });
         return;
     }
+    requestInstances([this](bool succeeded) {
+        const bool complete = succeeded && !m_engine->needsInstances(now());
+        m_loop->after(complete ? InstanceInterval
+                               : retryDelay(InstanceRetryDelay, m_instancesFailures),
+                      [this] { readInstances(); });
+    });
+}
+
+void PlatformFeed::readInstancesNow()
+{
+    requestInstances([](bool) {});
+}
+
+void PlatformFeed::requestInstances(const std::function<void(bool succeeded)> &done)
+{
     const Millis readAt = now();
     m_platform->instances(
-        [this, readAt](const std::optional<std::vector<RegisteredInstance>> &instances) {
+        [this, readAt, done](const std::optional<std::vector<RegisteredInstance>> &instances) {
             recordReading("instances", &m_instancesFailures, instances.has_value());
             if (instances) {
                 m_cache.setInstances(now(), *instances, now() - readAt);
                 m_engine->onInstances(now(), *instances, readAt);
             }
-            const bool complete = instances && !m_engine->needsInstances(now());
-            m_loop->after(complete ? InstanceInterval
-                                   : retryDelay(InstanceRetryDelay, m_instancesFailures),
-                          [this] { readInstances(); });
+            done(instances.has_value());
         });
 }
 
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -41,6 +41,8 @@
     void start();
     // Answers another host's request for an update.
     void answerPeer(const PeerRequest &request, const PeerRespond &respond);
+    // Reads the list of instances once, besides the regular readings.
+    void readInstancesNow();
     // Tells the other hosts that this one is leaving, by its record in the store.
     void announceLeaving();
     // To be called regularly; answers requests whose wait is over.
@@ -50,6 +52,7 @@
     void startReading();
     void readConfiguration();
     void readInstances();
+    void requestInstances(const std::function<void(bool succeeded)> &done);
     void readHosts();
     void followReader();
     void applyUpdate(const PlatformUpdate &update);
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -375,6 +375,8 @@
                                // The store's clock was read before `readAt`.
                                result.openUntil = readAt + (wanted.candidateUntil - storeNow);
                                m_engine.onLeaseResult(now(), group, result);
+                               if (acquired)
+                                   m_feed->readInstancesNow();
                            });
 }
 
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -33,15 +33,18 @@
 {
 }
 
-void GroupControl::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                                const RoutingTable &routing, const std::set<std::string> &probed,
-                                const std::map<std::string, Millis> &runsUntil)
+void GroupControl::setInstances(Millis now, const ListedInstances &listed,
+                                const RoutingTable &routing, const std::set<std::string> &probed)
 {
     m_now = now;
-    std::map<std::string, std::vector<RegisteredInstance>, std::less<>> byGroup;
+    std::map<std::string, ListedInstances, std::less<>> byGroup;
     m_instances.clear();
-    for (const RegisteredInstance &instance : instances) {
-        byGroup[instance.group].push_back(instance);
+    for (const RegisteredInstance &instance : listed.instances) {
+        ListedInstances &group = byGroup[instance.group];
+        group.instances.push_back(instance);
+        const auto until = listed.runsUntil.find(instance.id);
+        if (until != listed.runsUntil.end())
+            group.runsUntil.insert(*until);
         m_instances[instance.id] = instance;
     }
     for (const auto &[name, settings] : routing.groups) {
@@ -53,14 +56,10 @@
                 PrimaryChange::Options{.fencedPromotions = m_fencedPromotions});
         }
         group.syncReplicas = settings.syncReplicas;
-        group.members = byGroup[name];
-        group.runsUntil.clear();
-        for (const RegisteredInstance &member : group.members) {
-            if (const auto until = runsUntil.find(member.id); until != runsUntil.end())
-                group.runsUntil.insert(*until);
-        }
+        group.listed = byGroup[name];
+        group.listed.readAt = listed.readAt;
         group.tracker.setProbing(probed.contains(name));
-        group.tracker.setInstances(now, group.members, group.syncReplicas);
+        group.tracker.setInstances(now, group.listed.instances, group.syncReplicas);
         reportPrimary(name, &group);
     }
     std::erase_if(m_groups,
@@ -85,11 +84,10 @@
         for (const std::string &id : group.tracker.instancesToQuery(now))
             submit(id, {.kind = StatementKind::Status});
         reportPrimary(name, &group);
-        const GroupState state{.instances = group.members,
+        const GroupState state{.listed = group.listed,
                                .primary = group.tracker.lastPrimary(),
                                .term = group.tracker.term(),
-                               .syncReplicas = group.syncReplicas,
-                               .runsUntil = group.runsUntil};
+                               .syncReplicas = group.syncReplicas};
         group.change->onTick(now, group.tracker.cause(now), state);
     }
 }
@@ -286,7 +284,8 @@
 std::vector<RegisteredInstance> GroupControl::members(const std::string &group) const
 {
     const auto found = m_groups.find(group);
-    return found == m_groups.end() ? std::vector<RegisteredInstance>() : found->second.members;
+    return found == m_groups.end() ? std::vector<RegisteredInstance>()
+                                   : found->second.listed.instances;
 }
 
 const RegisteredInstance *GroupControl::instance(const std::string &id) const
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -63,11 +63,9 @@
     // Must be called before anything else. The pool must outlive this object.
     void setPool(TargetPool *pool) { m_pool = pool; }
     // Replaces the list of registered instances. Only groups in `probed` are probed by this host;
-    // the others are left to the hosts that hold connections to them. For `runsUntil` see
-    // GroupState.
-    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                      const RoutingTable &routing, const std::set<std::string> &probed,
-                      const std::map<std::string, Millis> &runsUntil);
+    // the others are left to the hosts that hold connections to them.
+    void setInstances(Millis now, const ListedInstances &listed, const RoutingTable &routing,
+                      const std::set<std::string> &probed);
     // A gateway reported that the instance is the primary of its group.
     void onReportedPrimary(Millis now, const std::string &instance);
     void onTick(Millis now);
@@ -116,8 +114,7 @@
     {
         PrimaryTracker tracker;
         std::unique_ptr<PrimaryChange> change;
-        std::vector<RegisteredInstance> members;
-        std::map<std::string, Millis> runsUntil; // See GroupState.
+        ListedInstances listed;
         int syncReplicas = 1;
         std::string reportedPrimary; // The last one that was logged.
     };
--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -9,6 +9,7 @@
 std::vector<InstanceList::Departure>
 InstanceList::update(Millis now, const std::vector<RegisteredInstance> &registered, Millis readAt)
 {
+    m_readAt = std::max(m_readAt, readAt);
     std::set<std::string> listed;
     for (const RegisteredInstance &instance : registered) {
         listed.insert(instance.id);
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -62,6 +62,8 @@
     // For each instance that leaves, until when statements and transactions may be started there.
     // If this host never saw it ready, its time may have been over before.
     const std::map<std::string, Millis> &newWorkUntil() const { return m_newWorkUntil; }
+    // When the platform had the newest list.
+    Millis readAt() const { return m_readAt; }
 
 private:
     // An instance that is no longer registered.
@@ -76,6 +78,7 @@
     std::map<std::string, Missing> m_missing;
     std::map<std::string, Millis> m_lastReady;    // When each was last seen without a notice.
     std::map<std::string, Millis> m_newWorkUntil; // Of those that leave.
+    Millis m_readAt = Millis(0);
 };
 
 } // namespace cicadagap
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -67,7 +67,7 @@
 {
     m_now = now;
     m_groupState = state;
-    trackRegistrations(now, state.instances);
+    trackRegistrations(now, state.listed.instances);
     switch (m_stage) {
     case PrimaryChangeStage::Idle:
         if (cause != PrimaryChangeCause::None && now >= m_retryAt)
@@ -134,6 +134,7 @@
     if (m_cause == PrimaryChangeCause::Stalled && !m_options.fencedPromotions)
         m_cause = PrimaryChangeCause::Unreachable;
     m_fencingToken = *result.fencingToken;
+    m_leaseAt = now;
     m_actUntil = result.actUntil;
     m_openCandidate = result.openCandidate;
     m_openUntil = result.openUntil;
@@ -387,8 +388,8 @@
 {
     if (!m_sealed.contains(instance))
         return false;
-    const auto runsUntil = m_groupState.runsUntil.find(instance);
-    return m_steppedDown || runsUntil == m_groupState.runsUntil.end()
+    const auto runsUntil = m_groupState.listed.runsUntil.find(instance);
+    return m_steppedDown || runsUntil == m_groupState.listed.runsUntil.end()
         || runsUntil->second >= m_now + PromotionTime;
 }
 
@@ -460,8 +461,9 @@
     if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
         return true;
     // While it takes new work, its log soon goes beyond what the others hold.
-    const auto runsUntil = m_groupState.runsUntil.find(m_oldPrimary);
-    const bool takesWork = runsUntil == m_groupState.runsUntil.end() || m_now < runsUntil->second;
+    const auto runsUntil = m_groupState.listed.runsUntil.find(m_oldPrimary);
+    const bool takesWork
+        = runsUntil == m_groupState.listed.runsUntil.end() || m_now < runsUntil->second;
     if (takesWork || !m_oldPrimaryEnd || seals + 1 < sealsNeeded())
         return false;
     return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
@@ -624,7 +626,7 @@
     const bool leaving = m_cause == PrimaryChangeCause::Leaving;
     if (leaving ? !leavingPrimaryIsSealed() : !chooseSealedCandidate(now))
         return;
-    if (!preferOpenCandidate(now))
+    if (m_groupState.listed.readAt < m_leaseAt || !preferOpenCandidate(now))
         return;
     if (!m_options.fencedPromotions && (!candidateIsRecorded(now) || !oldPrimaryIsHarmless(now)))
         return;
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -14,6 +14,8 @@
 //    its only receiver until the candidate has caught up. The candidate is the replica that has
 //    received the most. If none catches up soon, the rest is sealed as around a failed primary. The
 //    old primary steps down last, once it is certain that another instance can be promoted.
+//    The list of instances has to be newer than the lease: one that registered since an older list
+//    is not sealed, and lets the old primary go on acknowledging.
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
@@ -90,12 +92,10 @@
 // What the host knows about a group.
 struct GroupState
 {
-    std::vector<RegisteredInstance> instances;
+    ListedInstances listed;
     std::string primary;    // The last known one, which may not be registered any more.
     std::uint64_t term = 0; // In which it was primary.
     int syncReplicas = 1;
-    // Until when each of the instances that leave certainly runs.
-    std::map<std::string, Millis> runsUntil;
 };
 
 // The platform's answer to a promotion request.
@@ -136,7 +136,8 @@
     PrimaryChangeOutput &operator=(const PrimaryChangeOutput &) = delete;
     virtual ~PrimaryChangeOutput() = default;
 
-    // Tries to acquire the group's promotion lease; answered by onLeaseResult().
+    // Tries to acquire the group's promotion lease; answered by onLeaseResult(). Once it is held,
+    // the list of instances is read again.
     virtual void acquireLease(const std::string &group) = 0;
     // Sends a command (Pause, Resume, StepDown) or a status query to an instance; answered by
     // onStatus(). The answer may never come.
@@ -250,7 +251,8 @@
     PrimaryChangeCause m_cause = PrimaryChangeCause::None;
     std::uint64_t m_fencingToken = 0;
     Millis m_actUntil;
-    Millis m_now; // Of the event that is being handled.
+    Millis m_leaseAt; // When the lease was known to be held.
+    Millis m_now;     // Of the event that is being handled.
     Millis m_stageSince;
     Millis m_retryAt;
     Millis m_nextSendAt;
--- a/src/session/registry.h
+++ b/src/session/registry.h
@@ -5,6 +5,7 @@
 #include "base/millis.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,4 +28,13 @@
     bool operator==(const RegisteredInstance &) const = default;
 };
 
+// What a host knows of the instances of some groups.
+struct ListedInstances
+{
+    std::vector<RegisteredInstance> instances;
+    // Until when each of those that leave certainly runs.
+    std::map<std::string, Millis> runsUntil;
+    Millis readAt = Millis(0); // When the platform had this list, on this process's clock.
+};
+
 } // namespace cicadagap
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -65,36 +65,35 @@
 
 void SessionEngine::applyInstances(Millis now)
 {
-    std::vector<RegisteredInstance> usable;
+    // An instance that leaves runs for at least as long as it takes new work.
+    ListedInstances usable{.runsUntil = m_instances.newWorkUntil(), .readAt = m_instances.readAt()};
     std::set<std::string> ids;
     for (const auto &[id, instance] : m_instances.instances()) {
         if (!m_routing.groups.contains(instance.group))
             continue;
-        usable.push_back(instance);
+        usable.instances.push_back(instance);
         ids.insert(id);
     }
     std::set<std::string> probed;
     m_access.clear();
-    for (const RegisteredInstance &instance : usable) {
+    for (const RegisteredInstance &instance : usable.instances) {
         const int connections = m_routing.groups.at(instance.group).maxConnections;
         const InstanceAccess &access = m_access[instance.id]
             = m_hosts.access(instance, connections);
         if (access.direct)
             probed.insert(instance.group);
     }
-    // An instance that leaves runs for at least as long as it takes new work.
-    m_control.setInstances(now, usable, m_routing, probed, m_instances.newWorkUntil());
-    for (const RegisteredInstance &instance : usable) {
+    m_control.setInstances(now, usable, m_routing, probed);
+    for (const RegisteredInstance &instance : usable.instances) {
         // Connections are scarce: only those that the next statement may need are kept open.
         const bool sameDataCentre = instance.dataCentre == m_options.dataCentre;
         const bool isPrimary = m_control.primary(instance.group) == instance.id;
         m_pool.setInstance(now, instance, m_access.at(instance.id),
                            /*keepOpen=*/!instance.leaving && (sameDataCentre || isPrimary));
-        const auto until = m_instances.newWorkUntil().find(instance.id);
-        m_pool.setNewWorkUntil(now, instance.id,
-                               until == m_instances.newWorkUntil().end()
-                                   ? std::nullopt
-                                   : std::optional<Millis>(until->second));
+        const auto until = usable.runsUntil.find(instance.id);
+        m_pool.setNewWorkUntil(
+            now, instance.id,
+            until == usable.runsUntil.end() ? std::nullopt : std::optional<Millis>(until->second));
     }
     for (const std::string &id : m_pool.instances()) {
         if (!ids.contains(id))
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -79,11 +79,10 @@
 
     GroupState groupState() const
     {
-        return {.instances = instances,
+        return {.listed = {.instances = instances, .runsUntil = runsUntil, .readAt = listedAt},
                 .primary = "a",
                 .term = 4,
-                .syncReplicas = 1,
-                .runsUntil = runsUntil};
+                .syncReplicas = 1};
     }
 
     void reportPaused(const std::string &instance, std::uint64_t index)
@@ -100,6 +99,7 @@
     }
 
     std::map<std::string, Millis> runsUntil;
+    Millis listedAt = Millis(1'000'000); // Newer than any lease.
     std::vector<RegisteredInstance> instances{{.id = "a"}, {.id = "b"}, {.id = "c"}};
     ActionRecorder recorder;
     PrimaryChange change{"group", &recorder};
@@ -235,6 +235,25 @@
     EXPECT_TRUE(recorder.has("promote c 7"));
 }
 
+// An instance that registered meanwhile receives from the old primary, which acknowledges what the
+// sealed ones lack.
+TEST_F(PrimaryChangeTest, PromotesNothingByAListFromBeforeTheLease)
+{
+    listedAt = Start - Millis(1);
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 12);
+    reportPaused("c", 12);
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    listedAt = Start;
+    instances.push_back({.id = "d"});
+    change.onTick(Start + Millis(20), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_FALSE(recorder.has("promote b 7"));
+    change.onTick(Start + Millis(300), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("pause d 5"));
+    reportPaused("d", 13);
+    EXPECT_TRUE(recorder.has("promote d 7"));
+}
+
 // It would have to be replaced again at once.
 TEST_F(PrimaryChangeTest, PromotesALeavingInstanceOnlyIfNoOtherFollows)
 {
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -152,6 +152,7 @@
     void dropAtGateway(std::size_t host, ConnectionId connection, const std::string &gateway);
     void acquireLease(std::size_t host, const std::string &group);
     void promote(std::size_t host, const std::string &instance, std::uint64_t token);
+    void readInstances(std::size_t host);
     void recordCandidate(std::size_t host, const std::string &group, const std::string &candidate,
                          std::uint64_t token);
 
@@ -491,6 +492,23 @@
         }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onLeaseResult(m_now, group, result);
+            if (granted)
+                readInstances(host);
+        });
+    });
+}
+
+// The holder of the lease reads the list of instances.
+void SessionSimulation::readInstances(std::size_t host)
+{
+    const Millis readAt = m_now;
+    at(m_now + NetworkDelay * 2, [=, this] {
+        if (m_now < m_storeDownUntil)
+            return;
+        const std::vector<RegisteredInstance> list = registered();
+        atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
+            requester->lastListAt = readAt;
+            requester->engine.onInstances(m_now, list, readAt);
         });
     });
 }
