Keep a leaving primary in service while the holder's list is old, and forget departed instances sooner

Change: a list that is at most 1 s older than the lease will do; the second way for a leaving primary, which ends its service, is not taken while the list is older; the log says how old it is. An instance that announced that it leaves is removed 0.5 s after its entry is gone (2.5 s before).

--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -34,7 +34,7 @@
         const auto missing = m_missing.find(row.first);
         if (missing == m_missing.end())
             return false;
-        const Millis limit = missing->second.announced ? m_options.leavingAfterMissing
+        const Millis limit = missing->second.announced ? m_options.removedAfterLeaving
                                                        : m_options.removedAfterMissing;
         return now - missing->second.since > limit;
     });
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -25,9 +25,10 @@
     {
         // An instance that is no longer registered counts as leaving after the first period, and is
         // removed after the second. One that had announced that it leaves has ended, and is removed
-        // after the first.
+        // after the third.
         Millis leavingAfterMissing = Millis(2500);
         Millis removedAfterMissing = Millis(5000);
+        Millis removedAfterLeaving = Millis(500);
         // An instance may get new work for this long after the platform accepted its notice.
         Millis drainTime = Millis(7000);
         // Taken off drainTime: for a list of instances on its way to this host, and a statement on
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -32,6 +32,9 @@
 constexpr Millis ConfirmTimeout(3000);
 // That a promotion takes at the most, from its request on.
 constexpr Millis PromotionTime(2000);
+// Of the list of instances when the lease is acquired, to seal them by it. The store may stop
+// answering after it has granted the lease.
+constexpr Millis MaxListAge(1000);
 // Before the next attempt, after one that failed.
 constexpr Millis RetryAfter(600);
 // Bounds of the wait after the lease was refused. Between them the wait is the time for which
@@ -90,7 +93,7 @@
             return;
         }
         if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit
-            && !possibleCandidates().empty())
+            && !possibleCandidates().empty() && listIsRecent())
             sealCandidateToo(now);
         sendSeals(now);
         requestPromotionIfSealed(now);
@@ -596,10 +599,20 @@
     return best == m_sealed.end() ? std::string() : best->first;
 }
 
+// Whether the list of instances holds all that may receive from the old primary, but for those that
+// register at this moment.
+bool PrimaryChange::listIsRecent() const
+{
+    return m_groupState.listed.readAt >= m_leaseAt - MaxListAge;
+}
+
 // How far the attempt has come, for the log.
 std::string PrimaryChange::sealingText() const
 {
     std::string text = "candidate " + (m_candidate.empty() ? "none" : m_candidate);
+    if (!listIsRecent())
+        text += ", list read " + std::to_string((m_leaseAt - m_groupState.listed.readAt).count())
+            + " ms before the lease";
     if (m_candidatePosition)
         text += " at " + positionText(*m_candidatePosition);
     for (const auto &[id, status] : m_sealed)
@@ -626,7 +639,7 @@
     const bool leaving = m_cause == PrimaryChangeCause::Leaving;
     if (leaving ? !leavingPrimaryIsSealed() : !chooseSealedCandidate(now))
         return;
-    if (m_groupState.listed.readAt < m_leaseAt || !preferOpenCandidate(now))
+    if (!listIsRecent() || !preferOpenCandidate(now))
         return;
     if (!m_options.fencedPromotions && (!candidateIsRecorded(now) || !oldPrimaryIsHarmless(now)))
         return;
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -14,8 +14,8 @@
 //    its only receiver until the candidate has caught up. The candidate is the replica that has
 //    received the most. If none catches up soon, the rest is sealed as around a failed primary. The
 //    old primary steps down last, once it is certain that another instance can be promoted.
-//    The list of instances has to be newer than the lease: one that registered since an older list
-//    is not sealed, and lets the old primary go on acknowledging.
+//    The list of instances has to be about as new as the lease: one that registered since an older
+//    list is not sealed, and lets the old primary go on acknowledging.
 // 2. Request the promotion of the candidate from the platform, under the fencing token.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
@@ -214,6 +214,7 @@
     void promoteStalledAgain(Millis now);
     void chooseCandidate(Millis now);
     std::vector<std::string> possibleCandidates() const;
+    bool listIsRecent() const;
     std::string sealingText() const;
     bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
--- a/src/session/tst_instancelist.cpp
+++ b/src/session/tst_instancelist.cpp
@@ -50,11 +50,11 @@
 // While it counts as registered, a change of primary waits for it to be sealed.
 TEST(InstanceList, RemovesAnInstanceThatLeftAsAnnounced)
 {
-    InstanceList list({.leavingAfterMissing = Millis(2000), .removedAfterMissing = Millis(5000)});
+    InstanceList list({.removedAfterLeaving = Millis(500)});
     list.update(Millis(0), {instance(true)}, Millis(0));
     list.update(Millis(1000), {}, Millis(1000));
     EXPECT_NE(list.find("i"), nullptr);
-    list.update(Millis(3100), {}, Millis(3100));
+    list.update(Millis(1600), {}, Millis(1600));
     EXPECT_EQ(list.find("i"), nullptr);
 }
 
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -237,9 +237,9 @@
 
 // An instance that registered meanwhile receives from the old primary, which acknowledges what the
 // sealed ones lack.
-TEST_F(PrimaryChangeTest, PromotesNothingByAListFromBeforeTheLease)
+TEST_F(PrimaryChangeTest, PromotesNothingByAListFromLongBeforeTheLease)
 {
-    listedAt = Start - Millis(1);
+    listedAt = Start - Millis(1001);
     begin(PrimaryChangeCause::Unreachable);
     reportPaused("b", 12);
     reportPaused("c", 12);
@@ -254,6 +254,21 @@
     EXPECT_TRUE(recorder.has("promote d 7"));
 }
 
+// A primary that leaves serves on meanwhile.
+TEST_F(PrimaryChangeTest, LetsTheCandidateReceiveWhileTheListIsOld)
+{
+    instances[0].leaving = true;
+    listedAt = Start - Millis(1001);
+    begin(PrimaryChangeCause::Leaving);
+    reportReceived("b", 12);
+    reportReceived("c", 12);
+    for (Millis now = Start; now < ActUntil; now = now + Millis(20))
+        change.onTick(now, PrimaryChangeCause::Leaving, groupState());
+    EXPECT_TRUE(recorder.has("pause c 5"));
+    EXPECT_FALSE(recorder.has("pause b 5"));
+    EXPECT_FALSE(recorder.has("stepdown a 5"));
+}
+
 // It would have to be replaced again at once.
 TEST_F(PrimaryChangeTest, PromotesALeavingInstanceOnlyIfNoOtherFollows)
 {
