Move the sealing of instances out of primarychange.cpp, and log handovers

primary.handed-over tells operators how much of its time for new work a primary that left had when its successor became known; with instance.leaving it is the measure for a departure.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -395,10 +395,26 @@
     if (group->tracker.primary() == group->reportedPrimary)
         return;
     group->reportedPrimary = group->tracker.primary();
+    reportHandover(name, group);
     m_output->logGroupEvent(name, "primary.believed", group->reportedPrimary, group->tracker.term(),
                             group->tracker.confirmed(m_now) ? "confirmed" : "unconfirmed");
 }
 
+// Logs how much of its time a primary that left had, when its successor became known.
+void GroupControl::reportHandover(const std::string &name, Group *group)
+{
+    if (group->reportedPrimary.empty())
+        return;
+    const std::string former = std::exchange(group->formerPrimary, group->reportedPrimary);
+    const auto runsUntil = group->listed.runsUntil.find(former);
+    if (former == group->formerPrimary || runsUntil == group->listed.runsUntil.end())
+        return;
+    const Millis left = runsUntil->second - m_now;
+    m_output->logGroupEvent(
+        name, "primary.handed-over", group->reportedPrimary, group->tracker.term(),
+        former + " had " + std::to_string(left.count()) + " ms left for new work");
+}
+
 GroupControl::Group *GroupControl::groupOf(const std::string &instance)
 {
     return const_cast<Group *>(std::as_const(*this).groupOf(instance));
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -117,6 +117,7 @@
         ListedInstances listed;
         int syncReplicas = 1;
         std::string reportedPrimary; // The last one that was logged.
+        std::string formerPrimary;   // The last one that was not empty.
     };
 
     // A statement that was submitted to the pool and is not answered yet.
@@ -142,6 +143,7 @@
     bool oppositeIsOnItsWay(const std::string &instance, StatementKind kind);
     void sendHeldCommand(const std::string &instance);
     void reportPrimary(const std::string &name, Group *group);
+    void reportHandover(const std::string &name, Group *group);
     Group *groupOf(const std::string &instance);
     const Group *groupOf(const std::string &instance) const;
 
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -1,10 +1,10 @@
+// The part of PrimaryChange that handles events and the stages of an attempt. The part that seals
+// instances and chooses the candidate is in primaryseals.cpp.
 #include "session/primarychange.h"
 
 #include "session/promotionlease.h"
-#include "session/readlease.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace cicadagap {
@@ -14,27 +14,15 @@
 // For the store's answers when the lease is acquired, and for the platform's answer to a promotion
 // request before the request is repeated.
 constexpr Millis AnswerTimeout(3000);
-// Between repeated commands to an instance that does not answer.
-constexpr Millis ResendInterval(300);
 // From the lease until a leaving primary's candidate has to have caught up. The rest of the time
 // for which the lease may be used has to suffice for the other way.
 constexpr Millis CatchUpLimit(800);
-// How long the possible candidates of a leaving primary have to answer before one is chosen.
-constexpr Millis CandidateQueryTime(200);
-// From sufficient seals until an instance that leaves is promoted, if no other one holds
-// everything.
-constexpr Millis StayingCandidateWait(500);
 // Between status queries to a candidate that has not caught up yet.
 constexpr Millis CatchUpInterval(60);
 // Before a promotion request is repeated whose outcome is unknown or that had no effect.
 constexpr Millis PromotionResend(400);
 // From an accepted promotion request until the candidate is seen as primary.
 constexpr Millis ConfirmTimeout(3000);
-// That a promotion takes at the most, from its request on.
-constexpr Millis PromotionTime(2000);
-// Of the list of instances when the lease is acquired, to seal them by it. The store may stop
-// answering after it has granted the lease.
-constexpr Millis MaxListAge(1000);
 // Before the next attempt, after one that failed.
 constexpr Millis RetryAfter(600);
 // Bounds of the wait after the lease was refused. Between them the wait is the time for which
@@ -52,11 +40,6 @@
 // A restarted instance has received the primary's whole log after this time.
 constexpr Millis RestartMemory(10'000);
 
-std::string positionText(Position position)
-{
-    return std::to_string(position.term) + "." + std::to_string(position.index);
-}
-
 } // namespace
 
 PrimaryChange::PrimaryChange(std::string group, PrimaryChangeOutput *output, Options options)
@@ -224,15 +207,6 @@
         m_nextSendAt = now;
 }
 
-// The instance may receive again. Returns whether it counted as sealed.
-bool PrimaryChange::forgetSeal(const std::string &instance)
-{
-    if (m_sealed.erase(instance) == 0)
-        return false;
-    m_sealedSince.reset();
-    return true;
-}
-
 void PrimaryChange::onCandidateRecorded(Millis now, const std::string &candidate, bool recorded)
 {
     m_now = now;
@@ -364,53 +338,6 @@
     m_registered = std::move(present);
 }
 
-// The instances whose logs may hold acknowledged commits.
-std::set<std::string> PrimaryChange::possibleLogHolders() const
-{
-    std::set<std::string> ids;
-    for (const auto &row : m_registered)
-        ids.insert(row.first);
-    for (const auto &row : m_missing)
-        ids.insert(row.first);
-    return ids;
-}
-
-// How many instances have to be sealed. Any set of that many holds at least one copy of each
-// acknowledged commit.
-std::size_t PrimaryChange::sealsNeeded() const
-{
-    const auto sync = static_cast<std::size_t>(m_groupState.syncReplicas);
-    const std::size_t all = possibleLogHolders().size();
-    return std::max(all > sync ? all - sync : 0, sync + 1);
-}
-
-// Whether the instance is sealed, and stays so until a promotion is carried out. When an instance
-// that leaves has ended, a new one continues its log, and receives from the old primary, if that
-// still leads.
-bool PrimaryChange::countsAsSealed(const std::string &instance) const
-{
-    if (!m_sealed.contains(instance))
-        return false;
-    const auto runsUntil = m_groupState.listed.runsUntil.find(instance);
-    return m_steppedDown || runsUntil == m_groupState.listed.runsUntil.end()
-        || runsUntil->second >= m_now + PromotionTime;
-}
-
-// The number of sealed instances that certainly hold everything they ever acknowledged. One that
-// restarted lately may have lost its log, and counts only if its position is as high as that of all
-// other sealed instances.
-std::size_t PrimaryChange::countableSeals() const
-{
-    Position highest;
-    for (const auto &row : m_sealed)
-        highest = std::max(highest, row.second.received);
-    return static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return countsAsSealed(row.first)
-                && (!m_restarted.contains(row.first) || row.second.received == highest);
-        }));
-}
-
 void PrimaryChange::sendSeals(Millis now)
 {
     if (now < m_nextSendAt)
@@ -433,81 +360,6 @@
     }
 }
 
-// Seals all registered instances. The old primary first has to step down, if it still answers.
-void PrimaryChange::sealAroundFailedPrimary()
-{
-    const std::string term = std::to_string(m_sealTerm);
-    const bool mayStepDown = oldPrimaryMayStepDown();
-    for (const std::string &id : possibleLogHolders()) {
-        if (m_sealed.contains(id) || !isRegistered(id))
-            continue;
-        if (id == m_oldPrimary && !mayStepDown) {
-            m_output->sendCommand(id, {.kind = StatementKind::Status});
-            continue;
-        }
-        const bool mayBePrimary
-            = (id == m_oldPrimary && !m_steppedDown) || m_outdatedPrimaries.contains(id);
-        if (!mayBePrimary)
-            m_toResume.insert(id);
-        m_output->sendCommand(
-            id,
-            {.kind = mayBePrimary ? StatementKind::StepDown : StatementKind::Pause,
-             .argument = term});
-    }
-}
-
-// Whether the old primary's service may end. One that leaves but serves has to go on until another
-// instance can be promoted: it would have to be promoted again otherwise.
-bool PrimaryChange::oldPrimaryMayStepDown() const
-{
-    const std::size_t seals = countableSeals();
-    if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
-        return true;
-    // While it takes new work, its log soon goes beyond what the others hold.
-    const auto runsUntil = m_groupState.listed.runsUntil.find(m_oldPrimary);
-    const bool takesWork
-        = runsUntil == m_groupState.listed.runsUntil.end() || m_now < runsUntil->second;
-    if (takesWork || !m_oldPrimaryEnd || seals + 1 < sealsNeeded())
-        return false;
-    return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-        return mayBeCandidate(row.first) && row.second.received.covers(*m_oldPrimaryEnd);
-    });
-}
-
-// Seals all replicas but the candidate. With one synchronous replica, the primary then acknowledges
-// only what the candidate has received.
-void PrimaryChange::sealAroundLeavingPrimary(Millis now)
-{
-    chooseCandidate(now);
-    if (m_candidate.empty()) {
-        m_nextSendAt = now + ResendInterval;
-        for (const std::string &id : possibleCandidates())
-            m_output->sendCommand(id, {.kind = StatementKind::Status});
-        return;
-    }
-    for (const auto &row : m_registered) {
-        if (row.first == m_candidate || row.first == m_oldPrimary || m_sealed.contains(row.first))
-            continue;
-        m_toResume.insert(row.first);
-        m_output->sendCommand(
-            row.first, {.kind = StatementKind::Pause, .argument = std::to_string(m_sealTerm)});
-    }
-    m_output->sendCommand(m_candidate, {.kind = StatementKind::Status});
-}
-
-// A leaving primary's candidate has not caught up, or not all other replicas could be sealed.
-// Waiting longer would not help, and the primary has to be replaced before it stops.
-void PrimaryChange::sealCandidateToo(Millis now)
-{
-    const std::string detail = sealingText();
-    m_cause = PrimaryChangeCause::Unreachable;
-    m_oldPrimaryStepsDownLast = true;
-    m_candidate.clear();
-    m_candidatePosition.reset();
-    m_nextSendAt = now;
-    enter(now, PrimaryChangeStage::Sealing, "the candidate as well: " + detail);
-}
-
 // Unseals the replicas that an earlier attempt left sealed. The present primary is promoted again
 // first, under a higher fencing token: from then on no earlier promotion request can be carried
 // out. It has confirmed under this lease that it is still primary; promoting one that was replaced
@@ -523,113 +375,6 @@
     sendPromotionRequest(now);
 }
 
-// The replicas of a leaving primary that may replace it.
-std::vector<std::string> PrimaryChange::possibleCandidates() const
-{
-    std::vector<std::string> ids;
-    for (const auto &row : m_registered) {
-        if (row.first != m_oldPrimary && mayBeCandidate(row.first))
-            ids.push_back(row.first);
-    }
-    return ids;
-}
-
-// Chooses the replica that has received the most, once all have answered or had time to.
-void PrimaryChange::chooseCandidate(Millis now)
-{
-    if (!m_candidate.empty() && mayBeCandidate(m_candidate))
-        return;
-    m_candidate.clear();
-    m_candidatePosition.reset();
-    const std::vector<std::string> ids = possibleCandidates();
-    const bool allAnswered = std::all_of(
-        ids.begin(), ids.end(), [this](const auto &id) { return m_candidateStatus.contains(id); });
-    if (!allAnswered && now - m_stageSince < CandidateQueryTime)
-        return;
-    // One that an earlier attempt left sealed does not receive. While a request to promote an
-    // instance may be carried out, that one is preferred.
-    const auto rank = [this](const std::string &id) {
-        const InstanceStatus &status = m_candidateStatus.at(id);
-        return std::tuple(id == m_openCandidate, status.pausedTerm == 0, status.received);
-    };
-    for (const std::string &id : ids) {
-        if (m_candidateStatus.contains(id) && (m_candidate.empty() || rank(id) > rank(m_candidate)))
-            m_candidate = id;
-    }
-    if (!m_candidate.empty())
-        m_candidatePosition = m_candidateStatus.at(m_candidate).received;
-    m_sealed.erase(m_candidate);
-}
-
-// Whether the instance is registered and not leaving.
-bool PrimaryChange::mayBeCandidate(const std::string &instance) const
-{
-    const auto found = m_registered.find(instance);
-    return found != m_registered.end() && !found->second.leaving;
-}
-
-bool PrimaryChange::isRegistered(const std::string &instance) const
-{
-    return m_registered.contains(instance);
-}
-
-// Whether a log that ends at `end` holds every commit that was acknowledged before the instances
-// were sealed. The old primary may have entries beyond it that it never acknowledged.
-bool PrimaryChange::holdsAllAcknowledged(Position end) const
-{
-    const auto covered = static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return countsAsSealed(row.first) && !m_restarted.contains(row.first)
-                && end.covers(row.second.received);
-        }));
-    return covered >= sealsNeeded();
-}
-
-// The sealed instance with the highest position: of those that stay, if one of them holds all
-// acknowledged commits, or else of all.
-std::string PrimaryChange::bestSealed() const
-{
-    const auto rank = [this](const auto &row) {
-        const bool stays = mayBeCandidate(row.first) && holdsAllAcknowledged(row.second.received);
-        return std::pair(stays, row.second.received);
-    };
-    const auto best = std::max_element(
-        m_sealed.begin(), m_sealed.end(),
-        [&](const auto &left, const auto &right) { return rank(left) < rank(right); });
-    return best == m_sealed.end() ? std::string() : best->first;
-}
-
-// Whether the list of instances holds all that may receive from the old primary, but for those that
-// register at this moment.
-bool PrimaryChange::listIsRecent() const
-{
-    return m_groupState.listed.readAt >= m_leaseAt - MaxListAge;
-}
-
-// How far the attempt has come, for the log.
-std::string PrimaryChange::sealingText() const
-{
-    std::string text = "candidate " + (m_candidate.empty() ? "none" : m_candidate);
-    if (!listIsRecent())
-        text += ", list read " + std::to_string((m_leaseAt - m_groupState.listed.readAt).count())
-            + " ms before the lease";
-    if (m_candidatePosition)
-        text += " at " + positionText(*m_candidatePosition);
-    for (const auto &[id, status] : m_sealed)
-        text += ", sealed " + id + " at " + positionText(status.received);
-    return text;
-}
-
-// Whether the candidate holds everything that any sealed instance has received.
-bool PrimaryChange::candidateHasCaughtUp() const
-{
-    if (!m_candidatePosition)
-        return false;
-    return std::all_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-        return m_candidatePosition->covers(row.second.received);
-    });
-}
-
 // Requests the promotion once enough instances are sealed and, without fenced promotions, once the
 // old primary can do no harm and the candidate is recorded.
 void PrimaryChange::requestPromotionIfSealed(Millis now)
@@ -647,90 +392,6 @@
     sendPromotionRequest(now);
 }
 
-// Whether the candidate holds all that the leaving primary has acknowledged, and will.
-bool PrimaryChange::leavingPrimaryIsSealed() const
-{
-    const std::size_t others = m_registered.size() - (m_registered.contains(m_oldPrimary) ? 1 : 0)
-        - (m_registered.contains(m_candidate) ? 1 : 0);
-    const auto sealedOthers = static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-            return row.first != m_oldPrimary && row.first != m_candidate
-                && countsAsSealed(row.first);
-        }));
-    return !m_candidate.empty() && sealedOthers >= others && candidateHasCaughtUp();
-}
-
-// Chooses the candidate once enough instances are sealed; false before.
-bool PrimaryChange::chooseSealedCandidate(Millis now)
-{
-    if (countableSeals() < sealsNeeded()) {
-        m_sealedSince.reset();
-        return false;
-    }
-    if (!m_sealedSince)
-        m_sealedSince = now;
-    m_candidate = bestSealed();
-    const bool othersMayFollow
-        = std::any_of(m_registered.begin(), m_registered.end(), [this](const auto &row) {
-              return mayBeCandidate(row.first) && !m_sealed.contains(row.first);
-          });
-    return mayBeCandidate(m_candidate) || !othersMayFollow
-        || now - *m_sealedSince >= StayingCandidateWait;
-}
-
-// Whether a request of an earlier holder may still be carried out that changes the primary.
-bool PrimaryChange::earlierRequestIsOpen(Millis now) const
-{
-    return !m_openCandidate.empty() && now < m_openUntil
-        && !(m_options.fencedPromotions && m_openCandidate == m_oldPrimary);
-}
-
-// Whether the open candidate, if it becomes primary before a later request puts an end to that,
-// cannot acknowledge anything: all others are sealed.
-bool PrimaryChange::openCandidateIsHarmless() const
-{
-    const std::set<std::string> all = possibleLogHolders();
-    return std::all_of(all.begin(), all.end(), [this](const std::string &id) {
-        return id == m_openCandidate || countsAsSealed(id);
-    });
-}
-
-// If a request to promote another instance may still be carried out, makes that instance the
-// candidate. False if it lacks commits or cannot be the candidate now.
-bool PrimaryChange::preferOpenCandidate(Millis now)
-{
-    if (!earlierRequestIsOpen(now) || m_openCandidate == m_candidate
-        || (m_options.fencedPromotions && openCandidateIsHarmless()))
-        return true;
-    const auto open = m_sealed.find(m_openCandidate);
-    if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
-        return false;
-    if (!holdsAllAcknowledged(open->second.received))
-        return false;
-    m_candidate = m_openCandidate;
-    return true;
-}
-
-// Whether no host can take the old primary for the present one: it has stepped down, or hosts have
-// stopped to trust it. A leaving primary still has a receiver, so it has to step down.
-bool PrimaryChange::oldPrimaryIsHarmless(Millis now)
-{
-    const std::set<std::string> all = possibleLogHolders();
-    const bool allSealed = std::all_of(
-        all.begin(), all.end(), [this](const std::string &id) { return m_sealed.contains(id); });
-    if (m_steppedDown || allSealed)
-        return true;
-    if (m_cause != PrimaryChangeCause::Leaving)
-        return m_sealedSince && now > *m_sealedSince + ReadLeaseDuration;
-    if (now >= m_nextStepDownAt) {
-        m_nextStepDownAt = now + ResendInterval;
-        m_output->sendCommand(
-            m_oldPrimary,
-            {.kind = StatementKind::StepDown, .argument = std::to_string(m_sealTerm)});
-    }
-    return false;
-}
-
 // Whether the lease's row names the candidate; has it written if it does not.
 bool PrimaryChange::candidateIsRecorded(Millis now)
 {
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -198,6 +198,9 @@
     const std::string &candidate() const { return m_candidate; }
 
 private:
+    // Between repeated commands to an instance that does not answer.
+    static constexpr Millis ResendInterval = Millis(300);
+
     void enter(Millis now, PrimaryChangeStage stage, const std::string &detail);
     void start(Millis now, PrimaryChangeCause cause);
     void abandon(Millis now, const std::string &reason);
