--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -315,20 +315,55 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Schedules, LostWrite,
-    testing::Values(LossCase{"resumeOvertookPause",
-                             {.seed = 508,
-                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
-                                         SimulatedFault::CrashPrimary}}},
-                    LossCase{"sealedInstanceEnded",
-                             {.seed = 1668,
-                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::StoreDown,
-                                         SimulatedFault::StoreDown, SimulatedFault::KillHost}}},
-                    LossCase{"sealedInstanceEndedUnfenced",
-                             {.seed = 151,
-                              .hosts = 4,
-                              .fencedPromotions = false,
-                              .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
-                                         SimulatedFault::LagReplicas, SimulatedFault::StoreDown}}}),
+    testing::Values(
+        LossCase{"resumeOvertookPause",
+                 {.seed = 508,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
+                             SimulatedFault::CrashPrimary}}},
+        LossCase{"sealedInstanceEnded",
+                 {.seed = 1668,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::StoreDown,
+                             SimulatedFault::StoreDown, SimulatedFault::KillHost}}},
+        LossCase{"sealedInstanceEndedUnfenced",
+                 {.seed = 151,
+                  .hosts = 4,
+                  .fencedPromotions = false,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::CutHost,
+                             SimulatedFault::LagReplicas, SimulatedFault::StoreDown}}},
+        LossCase{"resumeWasCarriedOutLate",
+                 {.seed = 580,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::DelayCommands,
+                             SimulatedFault::RestartReplica, SimulatedFault::LeavePrimary}}},
+        LossCase{"candidateLostItsLog",
+                 {.seed = 862,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::FreezeHost,
+                             SimulatedFault::RestartReplica, SimulatedFault::DelayCommands}}},
+        LossCase{"candidateLostItsLogUnfenced",
+                 {.seed = 862,
+                  .fencedPromotions = false,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::FreezeHost,
+                             SimulatedFault::RestartReplica, SimulatedFault::DelayCommands}}},
+        LossCase{"candidateOfALatePromotionLostItsLog",
+                 {.seed = 1635,
+                  .hosts = 4,
+                  .maxConnections = FewConnections,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::LoseAnswers,
+                             SimulatedFault::DelayPromotions, SimulatedFault::LoseAnswers,
+                             SimulatedFault::CrashPrimary, SimulatedFault::RestartReplica}}},
+        LossCase{"writeIsInTheLogTwice",
+                 {.seed = 777,
+                  .hosts = 4,
+                  .maxConnections = FewConnections,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::FreezeHost,
+                             SimulatedFault::RestartReplica, SimulatedFault::SplitPrimary,
+                             SimulatedFault::KillHost, SimulatedFault::StoreDown}}},
+        LossCase{"replicaRestartedUnfenced",
+                 {.seed = 529,
+                  .hosts = 4,
+                  .fencedPromotions = false,
+                  .faults = {SimulatedFault::LeavePrimary, SimulatedFault::KillHost,
+                             SimulatedFault::RestartReplica, SimulatedFault::CrashPrimary,
+                             SimulatedFault::SplitPrimary}}}),
     [](const auto &info) { return info.param.name; });
 
 TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
@@ -338,6 +373,23 @@
         {.hosts = 4, .fencedPromotions = false, .faults = {SimulatedFault::SplitPrimary}});
 }
 
+class Departures : public testing::TestWithParam<bool>
+{
+};
+
+// A primary leaves beside a few random faults.
+TEST_P(Departures, KeepTheGuarantees)
+{
+    SimulationOptions defaults{.hosts = 4, .fencedPromotions = GetParam()};
+    defaults.faults = {SimulatedFault::LeavePrimary};
+    expectGuarantees(
+        {.firstSeed = 3000, .endSeed = 3040, .kinds = 14, .leastFaults = 1, .spread = 3}, defaults);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Departures, testing::Values(true, false), [](const auto &info) {
+    return std::string(info.param ? "fenced" : "unfenced");
+});
+
 TEST(SessionSimulationRandom, KeepsItsGuarantees)
 {
     expectGuarantees(
