--- a/test/soak/hostprocess.cpp
+++ b/test/soak/hostprocess.cpp
@@ -57,10 +57,13 @@
 {
     if (m_pid == 0)
         return false;
-    if (::waitpid(m_pid, nullptr, WNOHANG) == 0)
+    int status = 0;
+    if (::waitpid(m_pid, &status, WNOHANG) == 0)
         return true;
     m_pid = 0;
-    m_endedUnexpectedly = m_endedUnexpectedly || !m_stopRequested;
+    if (!m_stopRequested && m_unexpectedEnd.empty())
+        m_unexpectedEnd = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                              : "status " + std::to_string(WEXITSTATUS(status));
     return false;
 }
 
--- a/test/soak/hostprocess.h
+++ b/test/soak/hostprocess.h
@@ -36,15 +36,16 @@
     bool running();
     // The number of starts so far.
     int incarnation() const { return m_incarnation; }
-    // Whether the process ever ended without SIGTERM or SIGKILL from signal().
-    bool endedUnexpectedly() const { return m_endedUnexpectedly; }
+    // How the process first ended without SIGTERM or SIGKILL from signal(): its signal or exit
+    // status. Empty if it never did.
+    const std::string &unexpectedEnd() const { return m_unexpectedEnd; }
 
 private:
     Options m_options;
     pid_t m_pid = 0;
     int m_incarnation = 0;
     bool m_stopRequested = false; // It was sent SIGTERM or SIGKILL.
-    bool m_endedUnexpectedly = false;
+    std::string m_unexpectedEnd;
 };
 
 } // namespace cicadagap
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -433,8 +433,8 @@
     for (auto &row : m_groupChecks)
         row.second.checker->checkFinalState(now());
     for (const std::unique_ptr<Host> &host : m_hosts) {
-        if (host->process->endedUnexpectedly())
-            addViolation("a host's process ended unexpectedly");
+        if (!host->process->unexpectedEnd().empty())
+            addViolation("a host's process ended unexpectedly: " + host->process->unexpectedEnd());
     }
     m_loop.stop();
 }
