Join twins of the change: positions as text, the end of an instance, held commands

Cause: read again after the landing. primaryseals.cpp had a second positionText beside platform/wiretext.cpp; the search for an instance in ListedInstances::runsUntil stood five times; whether an answer releases a held command was decided in two places by its kind.

Change: positionText stands with Position and serves both; ListedInstances::endOf replaces the searches. A held command goes through sendCommand again, which knows what is on its way: before, an answer to any pause or resume released it, also while another opposite command was unanswered. That is the one change of behaviour, and it is stricter.

--- a/src/base/position.h
+++ b/src/base/position.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace cicadagap {
 
@@ -23,4 +24,10 @@
     constexpr bool covers(Position entry) const { return *this >= entry; }
 };
 
+// The position as "TERM.INDEX".
+inline std::string positionText(Position position)
+{
+    return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
 } // namespace cicadagap
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -42,9 +42,8 @@
     for (const RegisteredInstance &instance : listed.instances) {
         ListedInstances &group = byGroup[instance.group];
         group.instances.push_back(instance);
-        const auto until = listed.runsUntil.find(instance.id);
-        if (until != listed.runsUntil.end())
-            group.runsUntil.insert(*until);
+        if (const std::optional<Millis> end = listed.endOf(instance.id))
+            group.runsUntil[instance.id] = *end;
         m_instances[instance.id] = instance;
     }
     for (const auto &[name, settings] : routing.groups) {
@@ -215,9 +214,7 @@
     const auto found = m_pendingByWork.extract(work);
     if (found.empty())
         return false;
-    const StatementKind kind = found.mapped().statement.kind;
-    if (kind == StatementKind::Pause || kind == StatementKind::Resume)
-        sendHeldCommand(found.mapped().instance);
+    sendHeldCommand(found.mapped().instance);
     return true;
 }
 
@@ -239,8 +236,7 @@
     }
     if (kind == StatementKind::BeginReadOnly)
         return true; // Its position was recorded as evidence.
-    if (kind == StatementKind::Pause || kind == StatementKind::Resume)
-        sendHeldCommand(pending.instance);
+    sendHeldCommand(pending.instance);
     Group *group = groupOf(pending.instance);
     if (group && answer.status) {
         group->tracker.onStatus(now, pending.instance, sentAt, *answer.status);
@@ -331,12 +327,12 @@
     return onItsWay;
 }
 
-// Sends the command that was held back, if any: the earlier one has been answered or is lost.
+// Sends the command that is held back, unless another opposite one is still on its way.
 void GroupControl::sendHeldCommand(const std::string &instance)
 {
     const auto held = m_heldCommands.extract(instance);
     if (!held.empty())
-        submit(instance, held.mapped());
+        sendCommand(instance, held.mapped());
 }
 
 void GroupControl::promote(const std::string &group, const std::string &instance,
@@ -406,10 +402,10 @@
     if (group->reportedPrimary.empty())
         return;
     const std::string former = std::exchange(group->formerPrimary, group->reportedPrimary);
-    const auto runsUntil = group->listed.runsUntil.find(former);
-    if (former == group->formerPrimary || runsUntil == group->listed.runsUntil.end())
+    const std::optional<Millis> end = group->listed.endOf(former);
+    if (former == group->formerPrimary || !end)
         return;
-    const Millis left = runsUntil->second - m_now;
+    const Millis left = *end - m_now;
     m_output->logGroupEvent(
         name, "primary.handed-over", group->reportedPrimary, group->tracker.term(),
         former + " had " + std::to_string(left.count()) + " ms left for new work");
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -23,11 +23,6 @@
 // answering after it has granted the lease.
 constexpr Millis MaxListAge(1000);
 
-std::string positionText(Position position)
-{
-    return std::to_string(position.term) + "." + std::to_string(position.index);
-}
-
 } // namespace
 
 // The instance may receive again. Returns whether it counted as sealed.
@@ -66,9 +61,8 @@
 {
     if (!m_sealed.contains(instance))
         return false;
-    const auto runsUntil = m_groupState.listed.runsUntil.find(instance);
-    return m_steppedDown || runsUntil == m_groupState.listed.runsUntil.end()
-        || runsUntil->second >= m_now + PromotionTime;
+    const std::optional<Millis> end = m_groupState.listed.endOf(instance);
+    return m_steppedDown || !end || *end >= m_now + PromotionTime;
 }
 
 // The number of sealed instances that certainly hold everything they ever acknowledged. One that
@@ -117,9 +111,8 @@
     if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
         return true;
     // While it takes new work, its log soon goes beyond what the others hold.
-    const auto runsUntil = m_groupState.listed.runsUntil.find(m_oldPrimary);
-    const bool takesWork
-        = runsUntil == m_groupState.listed.runsUntil.end() || m_now < runsUntil->second;
+    const std::optional<Millis> end = m_groupState.listed.endOf(m_oldPrimary);
+    const bool takesWork = !end || m_now < *end;
     if (takesWork || !m_oldPrimaryEnd || seals + 1 < sealsNeeded())
         return false;
     return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
--- a/src/session/registry.h
+++ b/src/session/registry.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,13 @@
     // Until when each of those that leave certainly runs.
     std::map<std::string, Millis> runsUntil;
     Millis readAt = Millis(0); // When the platform had this list, on this process's clock.
+
+    // The instance's entry in runsUntil; nothing if it does not leave.
+    std::optional<Millis> endOf(const std::string &id) const
+    {
+        const auto found = runsUntil.find(id);
+        return found == runsUntil.end() ? std::nullopt : std::optional<Millis>(found->second);
+    }
 };
 
 } // namespace cicadagap
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -90,10 +90,7 @@
         const bool isPrimary = m_control.primary(instance.group) == instance.id;
         m_pool.setInstance(now, instance, m_access.at(instance.id),
                            /*keepOpen=*/!instance.leaving && (sameDataCentre || isPrimary));
-        const auto until = usable.runsUntil.find(instance.id);
-        m_pool.setNewWorkUntil(
-            now, instance.id,
-            until == usable.runsUntil.end() ? std::nullopt : std::optional<Millis>(until->second));
+        m_pool.setNewWorkUntil(now, instance.id, usable.endOf(instance.id));
     }
     for (const std::string &id : m_pool.instances()) {
         if (!ids.contains(id))
