Do not let the soak start a host twice

Cause: Soak::restartHosts starts a host after 300 ms without a look whether it runs; the end of a kill-host fault could allow a second start meanwhile.

Change: the delayed start asks whether the process runs. No check is changed.

--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -341,7 +341,8 @@
         m_loop.after(RestartDelay, [this, host = host.get()] {
             Reason reason;
             host->mayRestart = true;
-            if (!host->process->start(&reason))
+            // The end of another fault may have allowed a restart meanwhile.
+            if (!host->process->running() && !host->process->start(&reason))
                 addViolation("a host cannot be restarted: " + reason.text());
         });
     }
