Share the set-up of the relay tests, and test two guards that had no test

Cause: RelayedWrite and RelayedCommit set up what RelayedRead has; two guards around a leaving instance had no test: a gateway whose opening is answered after the time, and the first statement of an open transaction that is tried again after it.

Change: RelayTest is the fixture of the three; the expectations are as before. Two tests are new.

--- a/src/session/tst_leavinginstance.cpp
+++ b/src/session/tst_leavinginstance.cpp
@@ -212,6 +212,23 @@
     EXPECT_FALSE(replies[0].sent);
 }
 
+// The instance had no slot for the first statement of a transaction that was opened in time. The
+// statement is not sent again.
+TEST_F(LeavingInstanceTest, GetsNoFirstStatementAgainAfterItsDrainTime)
+{
+    start(ManyConnections);
+    leave();
+    constexpr Millis Arrival = TooLate - Millis(700);
+    send(Arrival, 1, Work::Transaction);
+    answerOpening(Arrival);
+    ASSERT_TRUE(output.hasSent("w"));
+    output.sent.clear();
+    engine->onTargetAnswer(Arrival, output.connections.at("i"),
+                           {.cause = Cause::Overloaded, .phase = SessionPhase::Transaction});
+    engine->onTick(TooLate);
+    EXPECT_FALSE(output.hasSent("w"));
+}
+
 // A transaction that was opened before may be finished.
 TEST_F(LeavingInstanceTest, GetsTheLaterStatementsOfAnOpenTransaction)
 {
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -198,33 +198,36 @@
     std::optional<Millis> acknowledged; // When the newest acknowledged commit was sent.
 };
 
-// A read inside an internal transaction, which another host relays as one batch.
-class RelayedRead : public testing::Test
+// A gateway with one connection to the instance i.
+class RelayTest : public testing::Test
 {
 protected:
-    RelayedRead()
+    RelayTest()
     {
         gatewayListener.relay = &relay;
         pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
         pool.onOpened(Millis(0), output.opening.back());
-        relay.onBatch(Millis(1),
+    }
+
+    // Another host sends a batch on its channel.
+    void send(Millis now, std::vector<RelayedStatement> statements, bool continues = false)
+    {
+        relay.onBatch(now,
                       {.origin = "o",
                        .channel = 1,
                        .instance = "i",
+                       .continues = continues,
                        .maxWait = Millis(1000),
-                       .statements = {{.statement = {.kind = StatementKind::Begin},
-                                       .purpose = SendPurpose::OpenTransaction},
-                                      {.statement = {.id = "q", .kind = StatementKind::Read}},
-                                      {.statement = {.kind = StatementKind::Rollback},
-                                       .purpose = SendPurpose::CloseTransaction}}},
+                       .statements = std::move(statements)},
                       [this](const RelayReply &answer) { reply = answer; });
-        pool.flush(Millis(1));
+        pool.flush(now);
     }
 
-    void answer(const StatementAnswer &answer)
+    // The instance answers on its connection.
+    void answer(Millis now, const StatementAnswer &answer)
     {
-        pool.onAnswer(Millis(2), output.opening.back(), answer);
-        pool.flush(Millis(2));
+        pool.onAnswer(now, output.opening.back(), answer);
+        pool.flush(now);
     }
 
     RecordingOutput output;
@@ -236,14 +239,29 @@
     RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
 };
 
+// A read inside an internal transaction, which another host relays as one batch.
+class RelayedRead : public RelayTest
+{
+protected:
+    RelayedRead()
+    {
+        send(
+            Millis(1),
+            {{.statement = {.kind = StatementKind::Begin}, .purpose = SendPurpose::OpenTransaction},
+             {.statement = {.id = "q", .kind = StatementKind::Read}},
+             {.statement = {.kind = StatementKind::Rollback},
+              .purpose = SendPurpose::CloseTransaction}});
+    }
+};
+
 TEST_F(RelayedRead, RunsOnlyOnceItsTransactionIsOpen)
 {
     EXPECT_EQ(output.sent, 1U);
-    answer({.phase = SessionPhase::Transaction});
+    answer(Millis(2), {.phase = SessionPhase::Transaction});
     EXPECT_EQ(output.sent, 3U);
     EXPECT_FALSE(reply);
-    answer({.rows = {"row"}, .phase = SessionPhase::Transaction});
-    answer({});
+    answer(Millis(2), {.rows = {"row"}, .phase = SessionPhase::Transaction});
+    answer(Millis(2), {});
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->answers.size(), 3U);
     EXPECT_TRUE(reply->ended);
@@ -251,7 +269,7 @@
 
 TEST_F(RelayedRead, DoesNotRunIfItsTransactionIsRefused)
 {
-    answer({.cause = Cause::NotPrimary});
+    answer(Millis(2), {.cause = Cause::NotPrimary});
     EXPECT_EQ(output.sent, 1U);
     ASSERT_TRUE(reply);
     ASSERT_EQ(reply->answers.size(), 1U);
@@ -261,79 +279,50 @@
     EXPECT_TRUE(pool.hasIdle("i"));
 }
 
+// The time of an instance that leaves ends while its transaction is being opened.
+TEST_F(RelayedRead, DoesNotRunIfItsInstanceTakesNoNewWorkAnyMore)
+{
+    pool.setNewWorkUntil(Millis(1), "i", Millis(2));
+    answer(Millis(2), {.phase = SessionPhase::Transaction});
+    EXPECT_EQ(output.sent, 2U); // The opening, and its rollback.
+    ASSERT_TRUE(reply);
+    EXPECT_TRUE(reply->answers.empty());
+    EXPECT_TRUE(reply->ended);
+    EXPECT_FALSE(reply->sent);
+}
+
 // Other hosts' writes wait at the gateways, so the gateways must notice a primary that acknowledges
 // nothing.
-TEST(RelayedWrite, IsReportedAsWaitingUntilItIsAnswered)
+using RelayedWrite = RelayTest;
+
+TEST_F(RelayedWrite, IsReportedAsWaitingUntilItIsAnswered)
 {
-    RecordingOutput output;
-    GatewayListener gatewayListener;
-    WorkId lastWork = 0;
-    TargetPool pool({}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; });
-    SettableGroups groups;
-    RelayGateway relay(
-        &pool, [&] { return ++lastWork; }, &groups);
-    gatewayListener.relay = &relay;
-    pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
-    pool.onOpened(Millis(0), output.opening.back());
-    relay.onBatch(Millis(5),
-                  {.origin = "o",
-                   .channel = 1,
-                   .instance = "i",
-                   .maxWait = Millis(1000),
-                   .statements = {{.statement = {.id = "q", .kind = StatementKind::Write}}}},
-                  [](const RelayReply &) {});
-    pool.flush(Millis(5));
+    send(Millis(5), {{.statement = {.id = "q", .kind = StatementKind::Write}}});
     const std::map<std::string, Millis> waiting{{"i", Millis(5)}};
     EXPECT_EQ(relay.oldestWrites(), waiting);
     // A write from before the last change of primary tells nothing about the new one.
     groups.primarySince = Millis(6);
     EXPECT_TRUE(relay.oldestWrites().empty());
     groups.primarySince = Millis(0);
-    pool.onAnswer(Millis(9), output.opening.back(), {});
+    answer(Millis(9), {});
     EXPECT_TRUE(relay.oldestWrites().empty());
     EXPECT_EQ(groups.acknowledged, Millis(5));
 }
 
 // An instance that is no longer primary commits a transaction that wrote nothing.
-class RelayedCommit : public testing::TestWithParam<Cause>
+class RelayedCommit : public RelayTest, public testing::WithParamInterface<Cause>
 {
 };
 
 TEST_P(RelayedCommit, IsEvidenceOnlyIfAWriteHasSucceeded)
 {
-    RecordingOutput output;
-    GatewayListener gatewayListener;
-    WorkId lastWork = 0;
-    TargetPool pool({}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; });
-    SettableGroups groups;
-    RelayGateway relay(
-        &pool, [&] { return ++lastWork; }, &groups);
-    gatewayListener.relay = &relay;
-    pool.setInstance(Millis(0), {.id = "i", .slots = 2}, {.connections = 2}, true);
-    const ConnectionId connection = output.opening.back();
-    pool.onOpened(Millis(0), connection);
-    const auto send = [&](Millis now, bool continues, std::vector<RelayedStatement> statements) {
-        relay.onBatch(now,
-                      {.origin = "o",
-                       .channel = 1,
-                       .instance = "i",
-                       .continues = continues,
-                       .maxWait = Millis(1000),
-                       .statements = std::move(statements)},
-                      [](const RelayReply &) {});
-        pool.flush(now);
-    };
-    const auto answer = [&](Millis now, const StatementAnswer &given) {
-        pool.onAnswer(now, connection, given);
-        pool.flush(now);
-    };
-    send(Millis(5), /*continues=*/false,
+    send(Millis(5),
          {{.statement = {.kind = StatementKind::Begin}, .purpose = SendPurpose::OpenTransaction},
           {.statement = {.id = "w", .kind = StatementKind::Write}}});
     answer(Millis(6), {.phase = SessionPhase::Transaction});
     answer(Millis(7), {.cause = GetParam(), .phase = SessionPhase::Transaction});
-    send(Millis(8), /*continues=*/true,
-         {{.statement = {.id = "c", .kind = StatementKind::Commit}}});
+    send(Millis(8), {{.statement = {.id = "c", .kind = StatementKind::Commit}}},
+         /*continues=*/true);
     answer(Millis(9), {});
     const bool wrote = GetParam() == Cause::None;
     EXPECT_EQ(groups.acknowledged, wrote ? std::optional(Millis(8)) : std::nullopt);
