--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -360,6 +360,7 @@
     }
     m_platform->writeLease(group, leaseText(*wantedLease), record->version,
                            [this, group, requestedAt, wanted = *wantedLease, readAt = now(),
+                            rowVersion = record->version, era = record->era,
                             storeNow = record->storeNow](Verdict verdict) {
                                const std::uint64_t token = wanted.fencingToken;
                                const bool acquired = verdict == Verdict::Ran;
@@ -367,6 +368,9 @@
                                         acquired ? "duty.claimed" : "duty.claim-failed",
                                         {{"group", group},
                                          {"fencingToken", static_cast<std::int64_t>(token)},
+                                         {"rowVersion", static_cast<std::int64_t>(rowVersion)},
+                                         {"era", static_cast<std::int64_t>(era)},
+                                         {"storeMs", storeNow.count()},
                                          {"verdict", VerdictNames.name(verdict)}});
                                LeaseResult result{.actUntil = requestedAt + LeaseActingTime};
                                if (acquired)
--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -24,7 +24,8 @@
 {
     std::string text; // See parseLease().
     std::uint64_t version = 0;
-    Millis storeNow; // The time on the store's clock when it answered.
+    std::uint64_t era = 0; // How often the store has come back from an older copy of itself.
+    Millis storeNow;       // The time on the store's clock when it answered.
 };
 
 // A client of the platform. Each call returns at once, and its callback runs exactly once, on the
