--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -155,6 +155,59 @@
                            Millis(20'000)})),
     caseName);
 
+// The store is away for a moment and comes back from an older copy of itself, around changes of the
+// primary: no fencing token is used by two hosts, and no acknowledged write is lost.
+using RestoredStoreParameters = std::tuple<bool, SimulationCase>;
+
+class RestoredStore : public testing::TestWithParam<RestoredStoreParameters>
+{
+};
+
+TEST_P(RestoredStore, GivesOutNoFencingTokenTwice)
+{
+    const auto &[fenced, faults] = GetParam();
+    SimulationOptions options{.hosts = 4,
+                              .duration = Millis(30'000),
+                              .fencedPromotions = fenced,
+                              .faults = faults.faults};
+    for (options.seed = 1; options.seed <= 24; ++options.seed) {
+        options.maxConnections
+            = connectionsFor(options.seed % 2 == 0 ? Access::Direct : Access::Gateways);
+        const SimulationReport report = runSimulation(options);
+        EXPECT_TRUE(report.violations.empty()) << "seed " << options.seed << "\n" << text(report);
+        EXPECT_TRUE(report.servesAtTheEnd) << "seed " << options.seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, RestoredStore,
+    testing::Combine(
+        testing::Bool(),
+        testing::Values(
+            SimulationCase{"quiet", {SimulatedFault::RestoreStore}},
+            SimulationCase{"leavingPrimaries",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::RestoreStore,
+                            SimulatedFault::LeavePrimary}},
+            SimulationCase{"crashedPrimaries",
+                           {SimulatedFault::CrashPrimary, SimulatedFault::RestoreStore,
+                            SimulatedFault::CrashPrimary}},
+            SimulationCase{"twice",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::RestoreStore,
+                            SimulatedFault::RestoreStore, SimulatedFault::CrashPrimary}},
+            SimulationCase{"killedHosts",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::RestoreStore,
+                            SimulatedFault::KillHost, SimulatedFault::KillHost,
+                            SimulatedFault::CrashPrimary}},
+            SimulationCase{"suspendedHost",
+                           {SimulatedFault::LeavePrimary, SimulatedFault::RestoreStore,
+                            SimulatedFault::FreezeHost, SimulatedFault::CrashPrimary}},
+            SimulationCase{"latePromotions",
+                           {SimulatedFault::DelayPromotions, SimulatedFault::CrashPrimary,
+                            SimulatedFault::RestoreStore, SimulatedFault::LeavePrimary}})),
+    [](const testing::TestParamInfo<RestoredStoreParameters> &info) {
+        return (std::get<0>(info.param) ? "fenced" : "unfenced") + std::get<1>(info.param).name;
+    });
+
 // On a platform that checks no fencing tokens, a primary that was replaced goes on leading, and
 // promotions are carried out in any order.
 class UnfencedSimulation : public testing::TestWithParam<SimulationParameters>
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -36,6 +36,10 @@
 constexpr Millis DrainTime(7000);
 constexpr Millis LeavingTime(10'000);
 constexpr Millis MaxAge(1500);
+constexpr Millis MaxStoreAbsence(2000);
+constexpr Millis MaxStoreCopyAge(9000);
+constexpr Millis StoreCopyInterval(500);
+constexpr Millis StoreRefillTime(2000);     // Until the instances have registered again.
 constexpr Millis StoreClockLead(1'000'000); // Of the store's clock over the simulation's.
 
 // The databases, one for each consistency.
@@ -64,6 +68,21 @@
     std::map<std::pair<std::size_t, ConnectionId>, ServedConnection> connections;
 };
 
+// What the store keeps of the group, besides the instances that register themselves.
+struct StoreState
+{
+    std::optional<PromotionLease> lease;
+    std::uint64_t leaseVersion = 0;
+};
+
+// What the store comes back with if it is restored.
+struct StoreCopy
+{
+    Millis at;
+    StoreState state;
+    std::vector<RegisteredInstance> instances;
+};
+
 class SessionSimulation;
 
 // A host: a SessionEngine whose actions are carried out by the simulation.
@@ -178,6 +197,9 @@
     void tickHost(std::size_t index, std::uint64_t incarnation);
     void updateInstances(std::size_t index, std::uint64_t incarnation);
     std::vector<RegisteredInstance> registered() const;
+    std::vector<RegisteredInstance> listedInstances() const;
+    void keepStoreCopies();
+    void restoreStore(Millis length);
     void applyFault(SimulatedFault fault, Millis length);
     void leavePrimary();
     void checkArrival(std::size_t host, const std::string &id, const Statement &statement,
@@ -212,8 +234,11 @@
     std::vector<Caller> m_callers;
     std::map<std::pair<std::size_t, SessionId>, std::size_t> m_sessionOwner;
     std::set<std::pair<std::size_t, std::string>> m_cutLinks;
-    std::optional<PromotionLease> m_lease;
-    std::uint64_t m_leaseVersion = 0;
+    StoreState m_store;
+    std::deque<StoreCopy> m_storeCopies; // The oldest first.
+    // Until then the list of instances is the one of the copy that the store came back from.
+    Millis m_copiedListUntil;
+    std::vector<RegisteredInstance> m_copiedList;
     std::uint64_t m_highestToken = 0;
     std::map<std::uint64_t, std::size_t> m_tokenHolders;
     std::set<std::pair<std::string, std::string>> m_cutReplication; // Primary and replica.
@@ -467,8 +492,8 @@
         });
         return;
     }
-    const std::optional<PromotionLease> current = m_lease;
-    const std::uint64_t version = m_leaseVersion;
+    const std::optional<PromotionLease> current = m_store.lease;
+    const std::uint64_t version = m_store.leaseVersion;
     const std::optional<PromotionLease> newLease
         = nextLease(current, "host" + std::to_string(host), m_now + StoreClockLead);
     if (!newLease) {
@@ -479,10 +504,10 @@
         return;
     }
     at(m_now + NetworkDelay * 3, [=, this] {
-        const bool granted = m_leaseVersion == version && m_now >= m_storeDownUntil;
+        const bool granted = m_store.leaseVersion == version && m_now >= m_storeDownUntil;
         if (granted) {
-            m_lease = newLease;
-            ++m_leaseVersion;
+            m_store.lease = newLease;
+            ++m_store.leaseVersion;
         }
         LeaseResult result{.actUntil = askedAt + LeaseActingTime};
         if (granted) {
@@ -505,7 +530,7 @@
     at(m_now + NetworkDelay * 2, [=, this] {
         if (m_now < m_storeDownUntil)
             return;
-        const std::vector<RegisteredInstance> list = registered();
+        const std::vector<RegisteredInstance> list = listedInstances();
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->lastListAt = readAt;
             requester->engine.onInstances(m_now, list, readAt);
@@ -518,11 +543,11 @@
 {
     at(m_now + NetworkDelay * 3, [=, this] {
         const std::optional<PromotionLease> next = leaseWithCandidate(
-            m_lease, "host" + std::to_string(host), token, candidate, m_now + StoreClockLead);
+            m_store.lease, "host" + std::to_string(host), token, candidate, m_now + StoreClockLead);
         const bool recorded = next && m_now >= m_storeDownUntil;
         if (recorded) {
-            m_lease = next;
-            ++m_leaseVersion;
+            m_store.lease = next;
+            ++m_store.leaseVersion;
         }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onCandidateRecorded(m_now, group, candidate, recorded);
@@ -572,6 +597,36 @@
     m_checker.onPromoted(newPrimary, m_now);
 }
 
+// What the store answers to a host that reads the list of instances.
+std::vector<RegisteredInstance> SessionSimulation::listedInstances() const
+{
+    return m_now < m_copiedListUntil ? m_copiedList : registered();
+}
+
+void SessionSimulation::keepStoreCopies()
+{
+    m_storeCopies.push_back({.at = m_now, .state = m_store, .instances = listedInstances()});
+    at(m_now + StoreCopyInterval, [this] { keepStoreCopies(); });
+}
+
+// The store is away for a moment, and comes back from a copy some seconds old. The instances write
+// their entries again within StoreRefillTime.
+void SessionSimulation::restoreStore(Millis length)
+{
+    const Millis back = m_now + std::min(length, MaxStoreAbsence);
+    const Millis oldest = m_now - Millis(std::int64_t(m_random.below(MaxStoreCopyAge.count())));
+    const Millis refilled = back + Millis(std::int64_t(m_random.below(StoreRefillTime.count())));
+    m_storeDownUntil = std::max(m_storeDownUntil, back);
+    at(back, [this, oldest, refilled] {
+        while (m_storeCopies.size() > 1 && m_storeCopies.back().at > oldest)
+            m_storeCopies.pop_back();
+        const StoreCopy &copy = m_storeCopies.back();
+        m_store = copy.state;
+        m_copiedList = copy.instances;
+        m_copiedListUntil = refilled;
+    });
+}
+
 std::vector<RegisteredInstance> SessionSimulation::registered() const
 {
     std::vector<RegisteredInstance> list;
@@ -662,6 +717,9 @@
     case SimulatedFault::CutReplica:
         cutReplica(length * 3);
         return;
+    case SimulatedFault::RestoreStore:
+        restoreStore(length);
+        return;
     }
 }
 
@@ -841,7 +899,7 @@
     }
     if (m_now >= m_storeDownUntil && m_now >= host->frozenUntil) {
         host->lastListAt = m_now;
-        host->engine.onInstances(m_now, registered());
+        host->engine.onInstances(m_now, listedInstances());
     }
     at(m_now + RegistrationInterval, [=, this] { updateInstances(index, incarnation); });
 }
@@ -908,6 +966,8 @@
             at(Millis(500 + 10 * i), [this, index] { startCaller(index); });
         }
     }
+    if (std::ranges::count(m_options.faults, SimulatedFault::RestoreStore) > 0)
+        keepStoreCopies();
     const auto span = static_cast<std::uint64_t>(m_options.duration.count()) / 2;
     for (const SimulatedFault fault : m_options.faults) {
         const Millis when(1000 + static_cast<std::int64_t>(m_random.below(span)));
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -30,6 +30,7 @@
     StoreDown,       // The store does not answer.
     SplitPrimary,    // The primary is cut off from its replicas and from some hosts.
     CutReplica,      // One replica receives nothing from the primary.
+    RestoreStore,    // The store is away for a moment, and comes back from an older copy of itself.
 };
 
 struct SimulationOptions
