Order the store's answers by its era, then by their version

Ruled out: that the lists arrived late (they were refused 0.2 s after the store was back).

Change: StorePosition (era, version) orders readings; PlatformCache takes over the decision from the store's client, also for lists that another host passes on: its update names the positions of its lists, and the era with its age. Old builds name none; then the time of the reading decides, as before. An answer of an earlier era, or without one although the store counts eras, is refused. Tests of PlatformCache moved to a file of their own.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -46,6 +46,7 @@
           std::clamp(options.configurationBound / 3, MinConfigurationWait, MaxConfigurationWait))
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
+    , m_era({})
 {
 }
 
@@ -92,7 +93,9 @@
         return;
     }
     m_liveness.onRequest(now(), updateRequest->host);
-    m_cache.requestUpdate(now(), *updateRequest, [respond](const PlatformUpdate &update) {
+    m_cache.requestUpdate(now(), *updateRequest, [this, respond](PlatformUpdate update) {
+        update.storeEra = m_era.number();
+        update.storeEraAge = now() - m_era.beganBy();
         respond(encodePlatformUpdate(update));
     });
 }
@@ -122,14 +125,15 @@
     const bool waitForChange = m_configurationFailures == 0 && m_engine->configurationVersion() > 0;
     m_platform->configuration(
         waitForChange ? m_configurationWait : Millis(0),
-        [this](const std::optional<RoutingTable> &table) {
-            recordReading("configuration", &m_configurationFailures, table.has_value());
-            if (table) {
-                m_cache.setRouting(now(), *table);
-                applyRouting(*table);
+        [this](const std::optional<ConfigurationReading> &reading) {
+            const bool usable = isUsable("configuration", reading);
+            recordReading("configuration", &m_configurationFailures, usable);
+            if (usable) {
+                m_cache.setRouting(now(), reading->value);
+                applyRouting(reading->value);
             }
-            m_loop->after(table ? Millis(0)
-                                : retryDelay(ConfigurationRetryDelay, m_configurationFailures),
+            m_loop->after(usable ? Millis(0)
+                                 : retryDelay(ConfigurationRetryDelay, m_configurationFailures),
                           [this] { readConfiguration(); });
         });
 }
@@ -156,15 +160,14 @@
 void PlatformFeed::requestInstances(const std::function<void(bool succeeded)> &done)
 {
     const Millis readAt = now();
-    m_platform->instances(
-        [this, readAt, done](const std::optional<std::vector<RegisteredInstance>> &instances) {
-            recordReading("instances", &m_instancesFailures, instances.has_value());
-            if (instances) {
-                m_cache.setInstances(now(), *instances, now() - readAt);
-                m_engine->onInstances(now(), *instances, readAt);
-            }
-            done(instances.has_value());
-        });
+    m_platform->instances([this, readAt, done](const std::optional<InstanceReading> &reading) {
+        const bool usable = isUsable("instances", reading)
+            && m_cache.setInstances(now(), reading->value, reading->position, now() - readAt);
+        recordReading("instances", &m_instancesFailures, usable);
+        if (usable)
+            m_engine->onInstances(now(), reading->value, readAt);
+        done(usable);
+    });
 }
 
 void PlatformFeed::readHosts()
@@ -173,18 +176,19 @@
         m_loop->after(RoleCheckInterval, [this] { readHosts(); });
         return;
     }
-    m_platform->hosts([this](const std::optional<std::vector<HostRecord>> &hosts) {
-        recordReading("hosts", &m_hostsFailures, hosts.has_value());
-        if (hosts) {
-            m_cache.setHosts(now(), *hosts);
-            applyHosts(*hosts);
+    m_platform->hosts([this](const std::optional<HostReading> &reading) {
+        const bool usable = isUsable("hosts", reading);
+        recordReading("hosts", &m_hostsFailures, usable);
+        if (usable) {
+            m_cache.setHosts(now(), reading->value, reading->position);
+            applyHosts(reading->value);
         }
         startReading();
         // Hosts that start together see only some of the others at first, so the list is read again
         // soon.
         const bool starting = now() < m_startedAt + StartupTime;
         const Millis next = starting ? StartupTime : HostInterval;
-        m_loop->after(hosts ? next : retryDelay(HostRetryDelay, m_hostsFailures),
+        m_loop->after(usable ? next : retryDelay(HostRetryDelay, m_hostsFailures),
                       [this] { readHosts(); });
     });
 }
@@ -264,6 +268,7 @@
                   {"configurationAgeMs", update.routingAge.count()},
                   {"instancesAgeMs", update.instancesAge.count()}});
     m_readerUpToDate = upToDate;
+    m_era.onAge(now(), update.storeEra, update.storeEraAge);
     m_cache.refresh(now(), update);
     if (update.routing)
         applyRouting(*update.routing);
@@ -318,6 +323,25 @@
     }
 }
 
+// Whether the store answered, and not in an earlier era than it did before.
+template <typename Value>
+bool PlatformFeed::isUsable(std::string_view what,
+                            const std::optional<StoreReading<Value>> &reading)
+{
+    if (!reading)
+        return false;
+    const std::uint64_t known = m_era.number();
+    const StoreEra::Answer answer = m_era.onAnswer(now(), reading->position.era);
+    if (answer != StoreEra::Answer::Current)
+        logEvent(LogLevel::Warning,
+                 answer == StoreEra::Answer::NewEra ? "platform.era" : "platform.answer-outdated",
+                 {{"call", what},
+                  {"era", static_cast<std::int64_t>(reading->position.era)},
+                  {"before", static_cast<std::int64_t>(known)},
+                  {"version", static_cast<std::int64_t>(reading->position.version)}});
+    return answer != StoreEra::Answer::Outdated;
+}
+
 void PlatformFeed::recordReading(std::string_view what, int *failures, bool succeeded)
 {
     if (succeeded != (*failures == 0)) {
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -12,6 +12,7 @@
 #include "session/platformcache.h"
 #include "session/platformclient.h"
 #include "session/sessionengine.h"
+#include "session/storeera.h"
 
 #include <functional>
 #include <memory>
@@ -63,6 +64,8 @@
     Millis retryDelay(Millis first, int failures) const;
     bool updateRole();
     void recordReading(std::string_view what, int *failures, bool succeeded);
+    template <typename Value>
+    bool isUsable(std::string_view what, const std::optional<StoreReading<Value>> &reading);
     Millis now() const { return m_clock.now(); }
 
     EventLoop *m_loop;
@@ -75,6 +78,7 @@
     BootClock m_clock;
     Millis m_startedAt;
     PlatformCache m_cache;
+    StoreEra m_era;
     HostLiveness m_liveness;       // Of the hosts that follow this one.
     bool m_reading = false;        // The first list of hosts was read, or could not be.
     Millis m_followUntil;          // Until then only the platform reader is asked, unless it fails.
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -113,6 +113,17 @@
                       .leaving = in.leaving()};
 }
 
+void write(StorePosition position, relaywire::StorePosition *out)
+{
+    out->set_era(position.era);
+    out->set_version(position.version);
+}
+
+StorePosition read(const relaywire::StorePosition &in)
+{
+    return {.era = in.era(), .version = in.version()};
+}
+
 // Decodes all entries of a list; nothing, and a reason, if one of them is invalid.
 template <typename Value, typename List>
 std::optional<std::vector<Value>> readAll(const List &list, Reason *reason)
@@ -159,6 +170,10 @@
     }
     out.set_instances_revision(update.instancesRevision);
     out.set_hosts_revision(update.hostsRevision);
+    write(update.instancesPosition, out.mutable_instances_position());
+    write(update.hostsPosition, out.mutable_hosts_position());
+    out.set_store_era(update.storeEra);
+    out.set_store_era_age_ms(milliseconds(update.storeEraAge));
     out.set_routing_age_ms(milliseconds(update.routingAge));
     out.set_instances_age_ms(milliseconds(update.instancesAge));
     out.set_hosts_age_ms(milliseconds(update.hostsAge));
@@ -175,6 +190,10 @@
     }
     PlatformUpdate update{.instancesRevision = in.instances_revision(),
                           .hostsRevision = in.hosts_revision(),
+                          .instancesPosition = read(in.instances_position()),
+                          .hostsPosition = read(in.hosts_position()),
+                          .storeEra = in.store_era(),
+                          .storeEraAge = Millis(in.store_era_age_ms()),
                           .routingAge = Millis(in.routing_age_ms()),
                           .instancesAge = Millis(in.instances_age_ms()),
                           .hostsAge = Millis(in.hosts_age_ms()),
@@ -234,22 +253,36 @@
     answerWaiting(now, AnswerWhom::Updated);
 }
 
-void PlatformCache::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                                 Millis age)
+// A list of an earlier era may show what was lost since; within an era the version decides. A host
+// that does not say where its list stands says when it was read.
+bool PlatformCache::isOlder(const Origin &origin, const Origin &than)
 {
-    if (now - age < m_instancesAt)
-        return;
-    m_instancesAt = now - age;
+    const bool knowEras = origin.position.era > 0 && than.position.era > 0;
+    if (knowEras && origin.position != than.position)
+        return origin.position < than.position;
+    return origin.readAt < than.readAt;
+}
+
+bool PlatformCache::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                                 StorePosition position, Millis age)
+{
+    const Origin origin{.position = position, .readAt = now - age};
+    if (isOlder(origin, m_instancesOrigin))
+        return false;
+    m_instancesOrigin = origin;
     m_instances = instances;
     m_instancesRevision = revisionOf<relaywire::Instance>(instances);
     answerWaiting(now, AnswerWhom::Updated);
+    return true;
 }
 
-void PlatformCache::setHosts(Millis now, const std::vector<HostRecord> &hosts, Millis age)
+void PlatformCache::setHosts(Millis now, const std::vector<HostRecord> &hosts,
+                             StorePosition position, Millis age)
 {
-    if (now - age < m_hostsAt)
+    const Origin origin{.position = position, .readAt = now - age};
+    if (isOlder(origin, m_hostsOrigin))
         return;
-    m_hostsAt = now - age;
+    m_hostsOrigin = origin;
     m_hosts = hosts;
     m_hostsRevision = revisionOf<relaywire::Host>(hosts);
     answerWaiting(now, AnswerWhom::Updated);
@@ -270,13 +303,20 @@
     else
         m_routingAt = std::max(m_routingAt, now - update.routingAge);
     if (update.instances)
-        setInstances(now, *update.instances, update.instancesAge);
+        setInstances(now, *update.instances, update.instancesPosition, update.instancesAge);
     else if (update.instancesRevision == m_instancesRevision)
-        m_instancesAt = std::max(m_instancesAt, now - update.instancesAge);
+        confirm(&m_instancesOrigin, update.instancesPosition, now - update.instancesAge);
     if (update.hosts)
-        setHosts(now, *update.hosts, update.hostsAge);
+        setHosts(now, *update.hosts, update.hostsPosition, update.hostsAge);
     else if (update.hostsRevision == m_hostsRevision)
-        m_hostsAt = std::max(m_hostsAt, now - update.hostsAge);
+        confirm(&m_hostsOrigin, update.hostsPosition, now - update.hostsAge);
+}
+
+// The same list was read again.
+void PlatformCache::confirm(Origin *origin, StorePosition position, Millis readAt)
+{
+    if (!isOlder({.position = position, .readAt = readAt}, *origin))
+        *origin = {.position = position, .readAt = std::max(origin->readAt, readAt)};
 }
 
 PlatformUpdateRequest PlatformCache::request(Millis wait) const
@@ -311,9 +351,11 @@
 {
     PlatformUpdate update{.instancesRevision = m_instancesRevision,
                           .hostsRevision = m_hostsRevision,
+                          .instancesPosition = m_instancesOrigin.position,
+                          .hostsPosition = m_hostsOrigin.position,
                           .routingAge = now - m_routingAt,
-                          .instancesAge = now - m_instancesAt,
-                          .hostsAge = now - m_hostsAt,
+                          .instancesAge = now - m_instancesOrigin.readAt,
+                          .hostsAge = now - m_hostsOrigin.readAt,
                           .reachesPlatform = m_reachesPlatform};
     if (m_routing && m_routing->version > request.routingVersion)
         update.routing = m_routing;
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -14,6 +14,7 @@
 #include "session/hostdirectory.h"
 #include "session/registry.h"
 #include "session/routing.h"
+#include "session/storeposition.h"
 
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,11 @@
     std::optional<std::vector<HostRecord>> hosts;
     std::uint64_t instancesRevision = 0;
     std::uint64_t hostsRevision = 0;
+    // Where the lists stand in the store's history; all zero if the sender does not say.
+    StorePosition instancesPosition;
+    StorePosition hostsPosition;
+    std::uint64_t storeEra = 0; // The last one that the answering host knows.
+    Millis storeEraAge;         // It began at least so long ago.
     Millis routingAge;
     Millis instancesAge;
     Millis hostsAge;
@@ -68,11 +74,14 @@
     using Reply = std::function<void(const PlatformUpdate &)>;
 
     // Data was read from the platform, or came from the platform reader, which read it `age` ago.
-    // Older data than the cached is ignored.
+    // Older data than the cached is ignored. Configurations are ordered by their own version, which
+    // the operator counts; lists by their position in the store's history, or else by their age.
     void setRouting(Millis now, const RoutingTable &routing, Millis age = Millis(0));
-    void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
-                      Millis age = Millis(0));
-    void setHosts(Millis now, const std::vector<HostRecord> &hosts, Millis age = Millis(0));
+    // Returns false if the list is older than the cached one.
+    bool setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                      StorePosition position = {}, Millis age = Millis(0));
+    void setHosts(Millis now, const std::vector<HostRecord> &hosts, StorePosition position = {},
+                  Millis age = Millis(0));
     // Sets whether this host's last readings succeeded. A change answers all waiting requests.
     void setReachesPlatform(Millis now, bool reaches);
     // Takes over an answer of the platform reader.
@@ -90,7 +99,7 @@
     const std::optional<std::vector<RegisteredInstance>> &instances() const { return m_instances; }
     const std::optional<std::vector<HostRecord>> &hosts() const { return m_hosts; }
     // When the platform had the cached list of instances.
-    Millis instancesReadAt() const { return m_instancesAt; }
+    Millis instancesReadAt() const { return m_instancesOrigin.readAt; }
 
 private:
     struct WaitingRequest
@@ -100,6 +109,15 @@
         Reply reply;
     };
 
+    // Of a cached list.
+    struct Origin
+    {
+        StorePosition position;
+        Millis readAt = Millis(-1'000'000);
+    };
+
+    static bool isOlder(const Origin &origin, const Origin &than);
+    static void confirm(Origin *origin, StorePosition position, Millis readAt);
     bool hasUpdate(const PlatformUpdateRequest &request) const;
     PlatformUpdate updateFor(Millis now, const PlatformUpdateRequest &request) const;
     enum class AnswerWhom {
@@ -114,10 +132,10 @@
     std::optional<std::vector<HostRecord>> m_hosts;
     std::uint64_t m_instancesRevision = 0;
     std::uint64_t m_hostsRevision = 0;
-    // When the cached data was read.
+    // When the cached configuration was read.
     Millis m_routingAt = Millis(-1'000'000);
-    Millis m_instancesAt = Millis(-1'000'000);
-    Millis m_hostsAt = Millis(-1'000'000);
+    Origin m_instancesOrigin;
+    Origin m_hostsOrigin;
     bool m_reachesPlatform = false;
     std::vector<WaitingRequest> m_waiting;
 };
--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -9,6 +9,7 @@
 #include "session/primarychange.h"
 #include "session/registry.h"
 #include "session/routing.h"
+#include "session/storeposition.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,10 +25,14 @@
 {
     std::string text; // See parseLease().
     std::uint64_t version = 0;
-    std::uint64_t era = 0; // How often the store has come back from an older copy of itself.
+    std::uint64_t era = 0; // In which the store answered; see StorePosition.
     Millis storeNow;       // The time on the store's clock when it answered.
 };
 
+using ConfigurationReading = StoreReading<RoutingTable>;
+using InstanceReading = StoreReading<std::vector<RegisteredInstance>>;
+using HostReading = StoreReading<std::vector<HostRecord>>;
+
 // A client of the platform. Each call returns at once, and its callback runs exactly once, on the
 // event loop. A missing result means that the platform did not answer or refused; the
 // implementation logs why.
@@ -41,13 +46,13 @@
 
     // Reads the newest configuration. If `wait` is not zero, the platform answers as soon as there
     // is a newer one than the last one returned, or with the last one again when `wait` is over.
-    virtual void configuration(Millis wait, std::function<void(std::optional<RoutingTable>)> done)
+    virtual void configuration(Millis wait,
+                               std::function<void(std::optional<ConfigurationReading>)> done)
         = 0;
     // Lists the registered instances.
-    virtual void instances(std::function<void(std::optional<std::vector<RegisteredInstance>>)> done)
-        = 0;
+    virtual void instances(std::function<void(std::optional<InstanceReading>)> done) = 0;
     // Lists the records of the system's hosts, this host's own among them.
-    virtual void hosts(std::function<void(std::optional<std::vector<HostRecord>>)> done) = 0;
+    virtual void hosts(std::function<void(std::optional<HostReading>)> done) = 0;
     // Writes or renews this host's own record.
     virtual void registerHost(const HostRecord &record, std::function<void(Verdict)> done) = 0;
     // Reads the row of the group's promotion lease.
--- /dev/null
+++ b/src/session/tst_platformcache.cpp
@@ -0,0 +1,163 @@
+// Tests of PlatformCache and its messages, and of StoreEra.
+#include "session/platformcache.h"
+#include "session/storeera.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+namespace {
+
+class PlatformCacheTest : public testing::Test
+{
+protected:
+    PlatformCache::Reply saveUpdate()
+    {
+        return [this](const PlatformUpdate &update) { answers.push_back(update); };
+    }
+
+    PlatformCache reader;
+    PlatformCache follower;
+    std::vector<PlatformUpdate> answers;
+};
+
+TEST_F(PlatformCacheTest, SendsOnlyChanges)
+{
+    reader.setReachesPlatform(Millis(0), true);
+    reader.setRouting(Millis(0), {.version = 3});
+    reader.setInstances(Millis(0), {{.id = "i1"}});
+    reader.requestUpdate(Millis(100), follower.request(Millis(1000)), saveUpdate());
+    ASSERT_EQ(answers.size(), 1U);
+    follower.refresh(Millis(100), answers.front());
+    reader.requestUpdate(Millis(200), follower.request(Millis(1000)), saveUpdate());
+    EXPECT_EQ(answers.size(), 1U);
+    reader.setRouting(Millis(300), {.version = 4});
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers.back().routing->version, 4U);
+    EXPECT_FALSE(answers.back().instances);
+    EXPECT_EQ(answers.back().instancesAge, Millis(300));
+}
+
+TEST_F(PlatformCacheTest, IgnoresOlderVersions)
+{
+    follower.setRouting(Millis(0), {.version = 5});
+    PlatformUpdate old{.routing = RoutingTable{.version = 4}};
+    follower.refresh(Millis(10), old);
+    EXPECT_EQ(follower.request(Millis(0)).routingVersion, 5U);
+}
+
+// When the platform refuses only the platform reader, the hosts that wait for its update must learn
+// of it at once, so that they read the platform themselves.
+TEST_F(PlatformCacheTest, ReportsAtOnceThatTheReaderIsCutOff)
+{
+    reader.setReachesPlatform(Millis(0), true);
+    reader.setRouting(Millis(0), {.version = 3});
+    follower.setRouting(Millis(0), {.version = 3});
+    reader.requestUpdate(Millis(100), follower.request(Millis(5000)), saveUpdate());
+    EXPECT_TRUE(answers.empty());
+    reader.setReachesPlatform(Millis(200), false);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_FALSE(answers.front().reachesPlatform);
+    // A request that arrives afterwards must not wait either.
+    reader.requestUpdate(Millis(210), follower.request(Millis(5000)), saveUpdate());
+    EXPECT_EQ(answers.size(), 2U);
+}
+
+TEST_F(PlatformCacheTest, IsEncodedAndParsed)
+{
+    RoutingTable routing{.version = 9};
+    routing.databases["d"] = {.database = "d",
+                              .group = "g",
+                              .consistency = Consistency::ReadYourWrites,
+                              .maxAge = Millis(2500),
+                              .statementTimeout = Millis(800),
+                              .latencyObjective = Millis(400),
+                              .priority = 2};
+    routing.groups["g"] = {.name = "g", .maxConnections = 22, .syncReplicas = 1};
+    reader.setRouting(Millis(0), routing);
+    reader.setInstances(Millis(0),
+                        {{.id = "i1",
+                          .group = "g",
+                          .endpoint = {.address = "10.0.0.1", .port = 5},
+                          .dataCentre = "x",
+                          .slots = 3,
+                          .leaving = true,
+                          .registeredAsPrimary = true,
+                          .incarnation = 77}});
+    reader.requestUpdate(Millis(5), {}, saveUpdate());
+    const std::optional<PlatformUpdate> read
+        = decodePlatformUpdate(encodePlatformUpdate(answers.front()), nullptr);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(encodePlatformUpdate(*read), encodePlatformUpdate(answers.front()));
+    EXPECT_EQ(read->instances, reader.instances());
+    EXPECT_EQ(read->routing->databases.at("d").maxAge, Millis(2500));
+}
+
+struct ListOrder
+{
+    std::string name;
+    StorePosition cached;
+    StorePosition offered;
+    Millis age; // Of the offered list; the cached one is from now.
+    bool taken = false;
+};
+
+class OfferedList : public testing::TestWithParam<ListOrder>
+{
+};
+
+TEST_P(OfferedList, IsTakenIfItIsNotOlder)
+{
+    PlatformCache cache;
+    const Millis now(10'000);
+    const std::vector<RegisteredInstance> first{{.id = "i1"}};
+    const std::vector<RegisteredInstance> second{{.id = "i2"}};
+    ASSERT_TRUE(cache.setInstances(now, first, GetParam().cached));
+    EXPECT_EQ(cache.setInstances(now, second, GetParam().offered, GetParam().age),
+              GetParam().taken);
+    EXPECT_EQ(cache.instances()->front().id, GetParam().taken ? "i2" : "i1");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Positions, OfferedList,
+    testing::Values(ListOrder{"laterVersion", {1, 7}, {1, 8}, Millis(100), true},
+                    ListOrder{"earlierVersion", {1, 7}, {1, 6}, Millis(0), false},
+                    ListOrder{"sameVersionReadLater", {1, 7}, {1, 7}, Millis(0), true},
+                    ListOrder{"laterEraOfALowerVersion", {1, 700}, {2, 20}, Millis(0), true},
+                    ListOrder{"earlierEraThatArrivesLate", {2, 20}, {1, 700}, Millis(0), false},
+                    ListOrder{"unknownPositionReadLater", {2, 20}, {}, Millis(0), true},
+                    ListOrder{"unknownPositionReadEarlier", {2, 20}, {}, Millis(1), false},
+                    ListOrder{"storeWithoutEras", {0, 7}, {0, 6}, Millis(0), true}),
+    [](const testing::TestParamInfo<ListOrder> &info) { return info.param.name; });
+
+TEST(StoreEra, RefusesAnswersOfAnEarlierEra)
+{
+    StoreEra era({});
+    EXPECT_EQ(era.onAnswer(Millis(0), 0), StoreEra::Answer::Current);
+    EXPECT_EQ(era.onAnswer(Millis(10), 3), StoreEra::Answer::NewEra);
+    EXPECT_EQ(era.onAnswer(Millis(20), 3), StoreEra::Answer::Current);
+    EXPECT_EQ(era.onAnswer(Millis(30), 2), StoreEra::Answer::Outdated);
+    EXPECT_EQ(era.onAnswer(Millis(30), 0), StoreEra::Answer::Outdated);
+    EXPECT_EQ(era.number(), 3U);
+    EXPECT_EQ(era.beganBy(), Millis(10));
+}
+
+TEST(StoreEra, SettlesSoonerIfItIsKnownToBeOlder)
+{
+    StoreEra era({.settleTime = Millis(3000)});
+    EXPECT_TRUE(era.settled(Millis(0)));
+    era.onAnswer(Millis(5000), 1);
+    EXPECT_FALSE(era.settled(Millis(7999)));
+    EXPECT_TRUE(era.settled(Millis(8000)));
+    EXPECT_FALSE(era.onAge(Millis(5100), 1, Millis(50)));
+    EXPECT_TRUE(era.onAge(Millis(5100), 1, Millis(60'000)));
+    EXPECT_TRUE(era.settled(Millis(5100)));
+    EXPECT_TRUE(era.onAge(Millis(6000), 2, Millis(0)));
+    EXPECT_FALSE(era.settled(Millis(6000)));
+}
+
+} // namespace
+} // namespace cicadagap
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -2,7 +2,6 @@
 // line buffer and platform cache.
 #include "connection/majoritytracker.h"
 #include "session/hostdirectory.h"
-#include "session/platformcache.h"
 #include "session/promotionlease.h"
 #include "session/relaycodec.h"
 #include "session/sessioncodec.h"
@@ -360,91 +359,6 @@
     EXPECT_FALSE(replicaAge.coveringSince(Millis(201)));
 }
 
-class PlatformCacheTest : public testing::Test
-{
-protected:
-    PlatformCache::Reply saveUpdate()
-    {
-        return [this](const PlatformUpdate &update) { answers.push_back(update); };
-    }
-
-    PlatformCache reader;
-    PlatformCache follower;
-    std::vector<PlatformUpdate> answers;
-};
-
-TEST_F(PlatformCacheTest, SendsOnlyChanges)
-{
-    reader.setReachesPlatform(Millis(0), true);
-    reader.setRouting(Millis(0), {.version = 3});
-    reader.setInstances(Millis(0), {{.id = "i1"}});
-    reader.requestUpdate(Millis(100), follower.request(Millis(1000)), saveUpdate());
-    ASSERT_EQ(answers.size(), 1U);
-    follower.refresh(Millis(100), answers.front());
-    reader.requestUpdate(Millis(200), follower.request(Millis(1000)), saveUpdate());
-    EXPECT_EQ(answers.size(), 1U);
-    reader.setRouting(Millis(300), {.version = 4});
-    ASSERT_EQ(answers.size(), 2U);
-    EXPECT_EQ(answers.back().routing->version, 4U);
-    EXPECT_FALSE(answers.back().instances);
-    EXPECT_EQ(answers.back().instancesAge, Millis(300));
-}
-
-TEST_F(PlatformCacheTest, IgnoresOlderVersions)
-{
-    follower.setRouting(Millis(0), {.version = 5});
-    PlatformUpdate old{.routing = RoutingTable{.version = 4}};
-    follower.refresh(Millis(10), old);
-    EXPECT_EQ(follower.request(Millis(0)).routingVersion, 5U);
-}
-
-// When the platform refuses only the platform reader, the hosts that wait for its update must learn
-// of it at once, so that they read the platform themselves.
-TEST_F(PlatformCacheTest, ReportsAtOnceThatTheReaderIsCutOff)
-{
-    reader.setReachesPlatform(Millis(0), true);
-    reader.setRouting(Millis(0), {.version = 3});
-    follower.setRouting(Millis(0), {.version = 3});
-    reader.requestUpdate(Millis(100), follower.request(Millis(5000)), saveUpdate());
-    EXPECT_TRUE(answers.empty());
-    reader.setReachesPlatform(Millis(200), false);
-    ASSERT_EQ(answers.size(), 1U);
-    EXPECT_FALSE(answers.front().reachesPlatform);
-    // A request that arrives afterwards must not wait either.
-    reader.requestUpdate(Millis(210), follower.request(Millis(5000)), saveUpdate());
-    EXPECT_EQ(answers.size(), 2U);
-}
-
-TEST_F(PlatformCacheTest, IsEncodedAndParsed)
-{
-    RoutingTable routing{.version = 9};
-    routing.databases["d"] = {.database = "d",
-                              .group = "g",
-                              .consistency = Consistency::ReadYourWrites,
-                              .maxAge = Millis(2500),
-                              .statementTimeout = Millis(800),
-                              .latencyObjective = Millis(400),
-                              .priority = 2};
-    routing.groups["g"] = {.name = "g", .maxConnections = 22, .syncReplicas = 1};
-    reader.setRouting(Millis(0), routing);
-    reader.setInstances(Millis(0),
-                        {{.id = "i1",
-                          .group = "g",
-                          .endpoint = {.address = "10.0.0.1", .port = 5},
-                          .dataCentre = "x",
-                          .slots = 3,
-                          .leaving = true,
-                          .registeredAsPrimary = true,
-                          .incarnation = 77}});
-    reader.requestUpdate(Millis(5), {}, saveUpdate());
-    const std::optional<PlatformUpdate> read
-        = decodePlatformUpdate(encodePlatformUpdate(answers.front()), nullptr);
-    ASSERT_TRUE(read);
-    EXPECT_EQ(encodePlatformUpdate(*read), encodePlatformUpdate(answers.front()));
-    EXPECT_EQ(read->instances, reader.instances());
-    EXPECT_EQ(read->routing->databases.at("d").maxAge, Millis(2500));
-}
-
 TEST(HostDirectory, ChoosesOnePlatformReaderPerDataCentre)
 {
     std::map<std::string, int> readers;
