Do not give out a fencing token again after the store was restored

Cause: the next token was one above that in the lease's row, and the row came back as it was before the last lease, or not at all. The platform's memory of tokens is not put back. Ruled out: that both hosts held one lease; the leases were 12.6 s apart.

Change: each era has its own range of 2^32 tokens, above those of all earlier eras; within an era the row decides as before.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -348,8 +348,8 @@
         m_engine.onLeaseResult(now(), group, {});
         return;
     }
-    const std::optional<PromotionLease> wantedLease
-        = cicadagap::nextLease(current, m_options.host, record->storeNow);
+    const std::optional<PromotionLease> wantedLease = cicadagap::nextLease(
+        current, m_options.host, {.now = record->storeNow, .era = record->era});
     if (!wantedLease) {
         logEvent(LogLevel::Info, "duty.held-elsewhere",
                  {{"group", group},
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -4,6 +4,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace cicadagap {
 
 namespace json = boost::json;
@@ -55,14 +57,15 @@
 }
 
 std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
-                                        const std::string &self, Millis storeNow)
+                                        const std::string &self, const StoreInstant &instant)
 {
-    if (current && current->holder != self && current->until > storeNow)
+    if (current && current->holder != self && current->until > instant.now)
         return std::nullopt;
+    const std::uint64_t lastToken = current ? current->fencingToken : 0;
     PromotionLease next{.holder = self,
-                        .fencingToken = (current ? current->fencingToken : 0) + 1,
-                        .until = storeNow + LeaseDuration};
-    if (current && current->candidateUntil > storeNow) {
+                        .fencingToken = std::max(lastToken, instant.era * TokensPerEra) + 1,
+                        .until = instant.now + LeaseDuration};
+    if (current && current->candidateUntil > instant.now) {
         next.candidate = current->candidate;
         next.candidateUntil = current->candidateUntil;
     }
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -5,11 +5,13 @@
 // the row on the condition that it has not changed meanwhile. The lease ends at an instant on the
 // store's own clock, so that the clocks of two hosts are never compared. Each lease has a higher
 // fencing token than the one before; the platform refuses promotion requests with a lower one than
-// it has seen. (Gray and Cheriton, "Leases", 1989; Kleppmann, "How to do distributed locking",
-// 2016.)
+// it has seen. The store may come back from an older copy of the row, but counts its eras (see
+// storeposition.h); so the tokens of a later era are all higher than those of an earlier one. (Gray
+// and Cheriton, "Leases", 1989; Kleppmann, "How to do distributed locking", 2016.)
 //
 //     std::optional<PromotionLease> current = parseLease(record.text, &reason);
-//     if (std::optional<PromotionLease> next = nextLease(current, "host-1", record.storeNow))
+//     const StoreInstant instant{.now = record.storeNow, .era = record.era};
+//     if (std::optional<PromotionLease> next = nextLease(current, "host-1", instant))
 //         store->writeLease(group, leaseText(*next), record.version, done);
 //
 // The functions perform no I/O and read no clock.
@@ -33,6 +35,16 @@
 // recorded.
 inline constexpr Millis LatePromotionLimit(10'000);
 
+// How many fencing tokens an era has. An attempt to change a primary uses one.
+inline constexpr std::uint64_t TokensPerEra = std::uint64_t(1) << 32;
+
+// When the store answered.
+struct StoreInstant
+{
+    Millis now; // On the store's clock, which goes on when the store is restored.
+    std::uint64_t era = 0;
+};
+
 // The content of the lease's row.
 struct PromotionLease
 {
@@ -52,9 +64,9 @@
 std::optional<PromotionLease> parseLease(std::string_view text, Reason *reason);
 
 // The lease that the host `self` has to write in order to acquire it, or nothing while another host
-// holds it. `current` is empty if the row does not exist. `storeNow` is the store's clock.
+// holds it. `current` is empty if the row did not exist at `instant`.
 std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
-                                        const std::string &self, Millis storeNow);
+                                        const std::string &self, const StoreInstant &instant);
 
 // The lease that its holder has to write before it requests the promotion of `candidate`, or, with
 // an empty candidate, once no such request can be carried out any more. Nothing if `current` is not
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -73,6 +73,7 @@
 {
     std::optional<PromotionLease> lease;
     std::uint64_t leaseVersion = 0;
+    std::uint64_t era = 1;
 };
 
 // What the store comes back with if it is restored.
@@ -495,7 +496,8 @@
     const std::optional<PromotionLease> current = m_store.lease;
     const std::uint64_t version = m_store.leaseVersion;
     const std::optional<PromotionLease> newLease
-        = nextLease(current, "host" + std::to_string(host), m_now + StoreClockLead);
+        = nextLease(current, "host" + std::to_string(host),
+                    {.now = m_now + StoreClockLead, .era = m_store.era});
     if (!newLease) {
         const Millis heldFor = current->until - (m_now + StoreClockLead);
         atHost(host, m_now + NetworkDelay * 2, [=, this](SimulatedHost *requester) {
@@ -621,7 +623,9 @@
         while (m_storeCopies.size() > 1 && m_storeCopies.back().at > oldest)
             m_storeCopies.pop_back();
         const StoreCopy &copy = m_storeCopies.back();
+        const std::uint64_t era = m_store.era + 1;
         m_store = copy.state;
+        m_store.era = era;
         m_copiedList = copy.instances;
         m_copiedListUntil = refilled;
     });
