Do not write a lease on the condition of a version of an earlier era

A host that reads a lease's row, and whose conditional write is carried out after the store was restored, replaces another host's lease if the row has the same version again. Two hosts then hold it.

Cause: a version is given out again in each era, so that 'the row still has this version' is no longer 'nobody wrote it'.

Change: the write also requires that the next era's row does not exist. Weighed: a key of its own for each era's lease would need no second condition, but old builds would take the lease under another key beside the new ones.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -37,7 +37,7 @@
 // The lease in the row; nothing if there is none, or, with a reason, if it cannot be read.
 std::optional<PromotionLease> storedLease(const std::optional<LeaseRecord> &record, Reason *reason)
 {
-    if (!record || record->version == 0)
+    if (!record || record->row.version == 0)
         return std::nullopt;
     return parseLease(record->text, reason);
 }
@@ -342,14 +342,14 @@
 {
     Reason reason;
     const std::optional<PromotionLease> current = storedLease(record, &reason);
-    if (!record || (record->version > 0 && !current)) {
+    if (!record || (record->row.version > 0 && !current)) {
         logEvent(LogLevel::Warning, "duty.unreadable",
                  {{"group", group}, {"reason", reason.text()}});
         m_engine.onLeaseResult(now(), group, {});
         return;
     }
     const std::optional<PromotionLease> wantedLease = cicadagap::nextLease(
-        current, m_options.host, {.now = record->storeNow, .era = record->era});
+        current, m_options.host, {.now = record->storeNow, .era = record->row.era});
     if (!wantedLease) {
         logEvent(LogLevel::Info, "duty.held-elsewhere",
                  {{"group", group},
@@ -358,18 +358,17 @@
         m_engine.onLeaseResult(now(), group, {.heldFor = current->until - record->storeNow});
         return;
     }
-    m_platform->writeLease(group, leaseText(*wantedLease), record->version,
+    m_platform->writeLease(group, leaseText(*wantedLease), record->row,
                            [this, group, requestedAt, wanted = *wantedLease, readAt = now(),
-                            rowVersion = record->version, era = record->era,
-                            storeNow = record->storeNow](Verdict verdict) {
+                            row = record->row, storeNow = record->storeNow](Verdict verdict) {
                                const std::uint64_t token = wanted.fencingToken;
                                const bool acquired = verdict == Verdict::Ran;
                                logEvent(LogLevel::Info,
                                         acquired ? "duty.claimed" : "duty.claim-failed",
                                         {{"group", group},
                                          {"fencingToken", static_cast<std::int64_t>(token)},
-                                         {"rowVersion", static_cast<std::int64_t>(rowVersion)},
-                                         {"era", static_cast<std::int64_t>(era)},
+                                         {"rowVersion", static_cast<std::int64_t>(row.version)},
+                                         {"era", static_cast<std::int64_t>(row.era)},
                                          {"storeMs", storeNow.count()},
                                          {"verdict", VerdictNames.name(verdict)}});
                                LeaseResult result{.actUntil = requestedAt + LeaseActingTime};
@@ -415,7 +414,7 @@
         report(false);
         return;
     }
-    m_platform->writeLease(group, leaseText(*next), record->version,
+    m_platform->writeLease(group, leaseText(*next), record->row,
                            [report](Verdict verdict) { report(verdict == Verdict::Ran); });
 }
 
--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -23,10 +23,9 @@
 // that does not exist has version 0 and no text.
 struct LeaseRecord
 {
-    std::string text; // See parseLease().
-    std::uint64_t version = 0;
-    std::uint64_t era = 0; // In which the store answered; see StorePosition.
-    Millis storeNow;       // The time on the store's clock when it answered.
+    std::string text;  // See parseLease().
+    StorePosition row; // The row's version, in the era in which the store answered.
+    Millis storeNow;   // The time on the store's clock when it answered.
 };
 
 // When an era of the store was first seen, as the hosts recorded it.
@@ -67,10 +66,11 @@
     virtual void readLease(const std::string &group,
                            std::function<void(std::optional<LeaseRecord>)> done)
         = 0;
-    // Replaces the row of the lease if it still has `version`. The verdict is NotRun if it has
-    // another one, and MayHaveRun if the platform did not answer.
-    virtual void writeLease(const std::string &group, const std::string &text,
-                            std::uint64_t version, std::function<void(Verdict)> done)
+    // Replaces the row of the lease if it still has the version that was read, and no host has
+    // recorded a later era than that of the reading: versions are given out again in each era. The
+    // verdict is NotRun otherwise, and MayHaveRun if the platform did not answer.
+    virtual void writeLease(const std::string &group, const std::string &text, StorePosition row,
+                            std::function<void(Verdict)> done)
         = 0;
     // Reads when the era was first seen.
     virtual void readEra(std::uint64_t era, std::function<void(std::optional<EraRecord>)> done) = 0;
