Do not acquire a lease while the holder of a lost row may act

If the store is restored within 5 s of an acquisition, the row no longer names the holder; another host acquires the lease, and both change the primary at once: one lets instances receive that the other counts as sealed, which can lose an acknowledged write.

Cause: the row of the lease carries three promises (nobody else until 'until', no higher token, this candidate until 'candidateUntil'), and the copy may hold none of them, while the holder and its late requests go on.

Change: the row names the era in which the lease was acquired. If that is not the present era, or there is no row, the lease is free 5 s after the era was first seen, the whole duration of a lease; on a platform without fencing after 10 s, when the requests of lost holders have been carried out. With fencing, a lost request may be carried out until 12.5 s after the era was first seen; until then the candidate counts as unknown, and an instance is promoted only if all are sealed. LeaseClient takes the lease's calls over from the session server. Weighed against the gap in writes: a primary that fails within 5 s (10 s) of a restore is replaced that much later; at all other times nothing waits, also after a loss of all power, since the era's age is recorded in the store.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -1,7 +1,6 @@
 #include "sessionserver.h"
 
 #include "process/log.h"
-#include "session/promotionlease.h"
 #include "session/relaycodec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,14 +33,6 @@
 // were about to connect then.
 constexpr Millis MinStopTime(2600);
 
-// The lease in the row; nothing if there is none, or, with a reason, if it cannot be read.
-std::optional<PromotionLease> storedLease(const std::optional<LeaseRecord> &record, Reason *reason)
-{
-    if (!record || record->row.version == 0)
-        return std::nullopt;
-    return parseLease(record->text, reason);
-}
-
 } // namespace
 
 SessionServer::SessionServer(EventLoop *loop, Options options, const SessionCodec *codec,
@@ -56,6 +47,8 @@
                 .fencedPromotions = m_options.fencedPromotions,
                 .pool = {}},
                this)
+    , m_leases(platform, &m_clock,
+               {.host = m_options.host, .fencedPromotions = m_options.fencedPromotions})
     , m_acceptor(*loop->context())
 {
 }
@@ -327,95 +320,22 @@
               {"detail", detail}});
 }
 
-// Reads the lease's row, and replaces it if no other host holds the lease.
 void SessionServer::acquireLease(const std::string &group)
 {
-    const Millis requestedAt = now();
-    m_platform->readLease(group,
-                          [this, group, requestedAt](const std::optional<LeaseRecord> &record) {
-                              handleLeaseRecord(group, requestedAt, record);
-                          });
-}
-
-void SessionServer::handleLeaseRecord(const std::string &group, Millis requestedAt,
-                                      const std::optional<LeaseRecord> &record)
-{
-    Reason reason;
-    const std::optional<PromotionLease> current = storedLease(record, &reason);
-    if (!record || (record->row.version > 0 && !current)) {
-        logEvent(LogLevel::Warning, "duty.unreadable",
-                 {{"group", group}, {"reason", reason.text()}});
-        m_engine.onLeaseResult(now(), group, {});
-        return;
-    }
-    const std::optional<PromotionLease> wantedLease = cicadagap::nextLease(
-        current, m_options.host, {.now = record->storeNow, .era = record->row.era});
-    if (!wantedLease) {
-        logEvent(LogLevel::Info, "duty.held-elsewhere",
-                 {{"group", group},
-                  {"holder", current->holder},
-                  {"leftMs", (current->until - record->storeNow).count()}});
-        m_engine.onLeaseResult(now(), group, {.heldFor = current->until - record->storeNow});
-        return;
-    }
-    m_platform->writeLease(group, leaseText(*wantedLease), record->row,
-                           [this, group, requestedAt, wanted = *wantedLease, readAt = now(),
-                            row = record->row, storeNow = record->storeNow](Verdict verdict) {
-                               const std::uint64_t token = wanted.fencingToken;
-                               const bool acquired = verdict == Verdict::Ran;
-                               logEvent(LogLevel::Info,
-                                        acquired ? "duty.claimed" : "duty.claim-failed",
-                                        {{"group", group},
-                                         {"fencingToken", static_cast<std::int64_t>(token)},
-                                         {"rowVersion", static_cast<std::int64_t>(row.version)},
-                                         {"era", static_cast<std::int64_t>(row.era)},
-                                         {"storeMs", storeNow.count()},
-                                         {"verdict", VerdictNames.name(verdict)}});
-                               LeaseResult result{.actUntil = requestedAt + LeaseActingTime};
-                               if (acquired)
-                                   result.fencingToken = token;
-                               result.openCandidate = wanted.candidate;
-                               // The store's clock was read before `readAt`.
-                               result.openUntil = readAt + (wanted.candidateUntil - storeNow);
-                               m_engine.onLeaseResult(now(), group, result);
-                               if (acquired)
-                                   m_feed->readInstancesNow();
-                           });
+    m_leases.acquire(group, [this, group](const LeaseResult &result) {
+        m_engine.onLeaseResult(now(), group, result);
+        if (result.fencingToken)
+            m_feed->readInstancesNow();
+    });
 }
 
 void SessionServer::recordCandidate(const std::string &group, const std::string &candidate,
                                     std::uint64_t fencingToken)
 {
-    m_platform->readLease(
-        group, [this, group, candidate, fencingToken](const std::optional<LeaseRecord> &record) {
-            writeCandidate(group, candidate, fencingToken, record);
-        });
-}
-
-void SessionServer::writeCandidate(const std::string &group, const std::string &candidate,
-                                   std::uint64_t fencingToken,
-                                   const std::optional<LeaseRecord> &record)
-{
-    Reason reason;
-    const std::optional<PromotionLease> current = storedLease(record, &reason);
-    const std::optional<PromotionLease> next = leaseWithCandidate(
-        current, m_options.host, fencingToken, candidate, record ? record->storeNow : Millis(0));
-    const auto report
-        = [this, group, candidate, fencingToken, reason = reason.text()](bool recorded) {
-              logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.candidate",
-                       {{"group", group},
-                        {"instance", candidate},
-                        {"fencingToken", static_cast<std::int64_t>(fencingToken)},
-                        {"recorded", recorded},
-                        {"reason", reason}});
-              m_engine.onCandidateRecorded(now(), group, candidate, recorded);
-          };
-    if (!next) {
-        report(false);
-        return;
-    }
-    m_platform->writeLease(group, leaseText(*next), record->row,
-                           [report](Verdict verdict) { report(verdict == Verdict::Ran); });
+    m_leases.recordCandidate(group, candidate, fencingToken,
+                             [this, group, candidate](bool recorded) {
+                                 m_engine.onCandidateRecorded(now(), group, candidate, recorded);
+                             });
 }
 
 void SessionServer::requestPromotion(const std::string &group, const std::string &instance,
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -8,6 +8,7 @@
 #include "platformfeed.h"
 #include "process/eventloop.h"
 #include "process/metrics.h"
+#include "session/leaseclient.h"
 #include "session/platformclient.h"
 #include "session/sessionengine.h"
 #include "targetsocket.h"
@@ -83,10 +84,6 @@
     void handleMessage(SessionId id, CallerMessage message);
     std::shared_ptr<PeerClient> peerClient(const std::string &host);
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
-    void handleLeaseRecord(const std::string &group, Millis requestedAt,
-                           const std::optional<LeaseRecord> &record);
-    void writeCandidate(const std::string &group, const std::string &candidate,
-                        std::uint64_t fencingToken, const std::optional<LeaseRecord> &record);
     HttpResponse answerReadinessCheck(const HttpRequest &request);
     void onTick();
     bool takeLogLine(const RequestEvent &requestEvent);
@@ -113,6 +110,7 @@
     BootClock m_clock;
     Metrics m_metrics;
     SessionEngine m_engine;
+    LeaseClient m_leases;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<PeerServer> m_peerServer;
--- /dev/null
+++ b/src/session/leaseclient.cpp
@@ -0,0 +1,142 @@
+#include "session/leaseclient.h"
+
+#include "process/log.h"
+#include "session/erastart.h"
+
+#include <utility>
+
+namespace cicadagap {
+
+namespace {
+
+// The lease in the row; nothing if there is none, or, with a reason, if it cannot be read.
+std::optional<PromotionLease> storedLease(const std::optional<LeaseRecord> &record, Reason *reason)
+{
+    if (!record || record->row.version == 0)
+        return std::nullopt;
+    return parseLease(record->text, reason);
+}
+
+} // namespace
+
+struct LeaseClient::Attempt
+{
+    std::string group;
+    Millis requestedAt;
+    std::function<void(const LeaseResult &)> done;
+    // What the store answered, and when that arrived.
+    std::optional<PromotionLease> current;
+    StorePosition row;
+    Millis storeNow;
+    Millis readAt;
+};
+
+LeaseClient::LeaseClient(PlatformClient *platform, const Clock *clock, Options options)
+    : m_platform(platform)
+    , m_clock(clock)
+    , m_options(std::move(options))
+{
+}
+
+void LeaseClient::acquire(const std::string &group, std::function<void(const LeaseResult &)> done)
+{
+    Attempt attempt{.group = group, .requestedAt = m_clock->now(), .done = std::move(done)};
+    m_platform->readLease(
+        group, [this, attempt = std::move(attempt)](const std::optional<LeaseRecord> &record) {
+            handleRecord(attempt, record);
+        });
+}
+
+void LeaseClient::handleRecord(Attempt attempt, const std::optional<LeaseRecord> &record)
+{
+    Reason reason;
+    attempt.current = storedLease(record, &reason);
+    if (!record || (record->row.version > 0 && !attempt.current)) {
+        logEvent(LogLevel::Warning, "duty.unreadable",
+                 {{"group", attempt.group}, {"reason", reason.text()}});
+        attempt.done({});
+        return;
+    }
+    attempt.row = record->row;
+    attempt.storeNow = record->storeNow;
+    attempt.readAt = m_clock->now();
+    const StoreInstant instant{.now = record->storeNow, .era = record->row.era};
+    if (isOfEra(attempt.current, instant.era)) {
+        decide(attempt, instant);
+        return;
+    }
+    findEraStart(m_platform, instant.era, [=, this](const std::optional<EraStart> &start) {
+        if (!start) {
+            logEvent(LogLevel::Warning, "duty.era-unknown", {{"group", attempt.group}});
+            attempt.done({});
+            return;
+        }
+        decide(attempt, {.now = instant.now, .era = instant.era, .eraSeenAt = start->seenAt});
+    });
+}
+
+void LeaseClient::decide(const Attempt &attempt, const StoreInstant &instant)
+{
+    const LeaseOffer offer = nextLease(attempt.current, m_options.host, instant,
+                                       {.fencedPromotions = m_options.fencedPromotions});
+    if (offer.lease) {
+        write(attempt, *offer.lease);
+        return;
+    }
+    logEvent(LogLevel::Info, "duty.held-elsewhere",
+             {{"group", attempt.group},
+              {"holder", attempt.current ? attempt.current->holder : std::string()},
+              {"era", static_cast<std::int64_t>(instant.era)},
+              {"leftMs", offer.heldFor.count()}});
+    attempt.done({.heldFor = offer.heldFor});
+}
+
+void LeaseClient::write(const Attempt &attempt, const PromotionLease &lease)
+{
+    m_platform->writeLease(attempt.group, leaseText(lease), attempt.row, [=](Verdict verdict) {
+        const bool acquired = verdict == Verdict::Ran;
+        logEvent(LogLevel::Info, acquired ? "duty.claimed" : "duty.claim-failed",
+                 {{"group", attempt.group},
+                  {"fencingToken", static_cast<std::int64_t>(lease.fencingToken)},
+                  {"rowVersion", static_cast<std::int64_t>(attempt.row.version)},
+                  {"era", static_cast<std::int64_t>(attempt.row.era)},
+                  {"storeMs", attempt.storeNow.count()},
+                  {"verdict", VerdictNames.name(verdict)}});
+        LeaseResult result{.actUntil = attempt.requestedAt + LeaseActingTime};
+        if (acquired)
+            result.fencingToken = lease.fencingToken;
+        result.openCandidate = lease.candidate;
+        // The store's clock was read before `readAt`.
+        result.openUntil = attempt.readAt + (lease.candidateUntil - attempt.storeNow);
+        attempt.done(result);
+    });
+}
+
+void LeaseClient::recordCandidate(const std::string &group, const std::string &candidate,
+                                  std::uint64_t fencingToken, std::function<void(bool)> done)
+{
+    const auto handle = [=, this](const std::optional<LeaseRecord> &record) {
+        Reason reason;
+        const std::optional<PromotionLease> next
+            = leaseWithCandidate(storedLease(record, &reason), m_options.host, fencingToken,
+                                 candidate, record ? record->storeNow : Millis(0));
+        const auto report = [=, text = reason.text()](bool recorded) {
+            logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.candidate",
+                     {{"group", group},
+                      {"instance", candidate},
+                      {"fencingToken", static_cast<std::int64_t>(fencingToken)},
+                      {"recorded", recorded},
+                      {"reason", text}});
+            done(recorded);
+        };
+        if (!next) {
+            report(false);
+            return;
+        }
+        m_platform->writeLease(group, leaseText(*next), record->row,
+                               [report](Verdict verdict) { report(verdict == Verdict::Ran); });
+    };
+    m_platform->readLease(group, handle);
+}
+
+} // namespace cicadagap
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -298,7 +298,7 @@
     if (m_openPromotions > 0)
         return;
     forgetCandidate();
-    if (earlierRequestIsOpen(now) && m_openCandidate != m_groupState.primary)
+    if (earlierRequestIsOpen(now) && !isOpenCandidate(m_groupState.primary))
         m_releaseAt = m_openUntil;
     else
         allowResuming(now);
@@ -465,11 +465,12 @@
 void PrimaryChange::onLeaseForLeftSealed(Millis now, const LeaseResult &result)
 {
     m_retryAt = now + RetryAfter;
-    const bool open = !result.openCandidate.empty() && now < result.openUntil
-        && result.openCandidate != m_groupState.primary;
-    if (open) {
+    m_openCandidate = result.openCandidate;
+    m_openUntil = result.openUntil;
+    if (now < m_openUntil && !isOpenCandidate(m_groupState.primary)) {
         enter(now, PrimaryChangeStage::Idle,
-              "the promotion of " + result.openCandidate + " may still be carried out");
+              "the promotion of " + (m_openCandidate.empty() ? "some instance" : m_openCandidate)
+                  + " may still be carried out");
         m_releaseAt = result.openUntil;
         return;
     }
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -121,8 +121,8 @@
     std::optional<std::uint64_t> fencingToken; // Set if the lease was acquired.
     Millis actUntil; // With a token: the instant, on this host's clock, until which it may be used.
     Millis heldFor;  // Without a token: how much longer another host holds the lease.
-    // With a token: the candidate that an earlier holder recorded. A request to promote it may be
-    // carried out until the instant, on this host's clock. Empty if there is none.
+    // With a token: a request of an earlier holder may be carried out until the instant, on this
+    // host's clock, and promotes this instance; empty if it is not known which.
     std::string openCandidate;
     Millis openUntil;
 };
@@ -229,6 +229,7 @@
     bool leavingPrimaryIsSealed() const;
     bool chooseSealedCandidate(Millis now);
     bool earlierRequestIsOpen(Millis now) const;
+    bool isOpenCandidate(const std::string &instance) const;
     bool openCandidateIsHarmless() const;
     bool preferOpenCandidate(Millis now);
     bool oldPrimaryIsHarmless(Millis now);
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -181,7 +181,7 @@
     // instance may be carried out, that one is preferred.
     const auto rank = [this](const std::string &id) {
         const InstanceStatus &status = m_candidateStatus.at(id);
-        return std::tuple(id == m_openCandidate, status.pausedTerm == 0, status.received);
+        return std::tuple(isOpenCandidate(id), status.pausedTerm == 0, status.received);
     };
     for (const std::string &id : ids) {
         if (m_candidateStatus.contains(id) && (m_candidate.empty() || rank(id) > rank(m_candidate)))
@@ -295,17 +295,21 @@
 // Whether a request of an earlier holder may still be carried out that changes the primary.
 bool PrimaryChange::earlierRequestIsOpen(Millis now) const
 {
-    return !m_openCandidate.empty() && now < m_openUntil
-        && !(m_options.fencedPromotions && m_openCandidate == m_oldPrimary);
+    return now < m_openUntil && !(m_options.fencedPromotions && isOpenCandidate(m_oldPrimary));
+}
+
+bool PrimaryChange::isOpenCandidate(const std::string &instance) const
+{
+    return !m_openCandidate.empty() && instance == m_openCandidate;
 }
 
 // Whether the open candidate, if it becomes primary before a later request puts an end to that,
-// cannot acknowledge anything: all others are sealed.
+// cannot acknowledge anything: all others are sealed. All are, if it is not known.
 bool PrimaryChange::openCandidateIsHarmless() const
 {
     const std::set<std::string> all = possibleLogHolders();
     return std::all_of(all.begin(), all.end(), [this](const std::string &id) {
-        return id == m_openCandidate || countsAsSealed(id);
+        return isOpenCandidate(id) || countsAsSealed(id);
     });
 }
 
@@ -313,7 +317,7 @@
 // candidate. False if it lacks commits or cannot be the candidate now.
 bool PrimaryChange::preferOpenCandidate(Millis now)
 {
-    if (!earlierRequestIsOpen(now) || m_openCandidate == m_candidate
+    if (!earlierRequestIsOpen(now) || isOpenCandidate(m_candidate)
         || (m_options.fencedPromotions && openCandidateIsHarmless()))
         return true;
     const auto open = m_sealed.find(m_openCandidate);
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadagap {
 
@@ -15,7 +16,9 @@
     json::object row{{"holder", lease.holder},
                      {"fencingToken", lease.fencingToken},
                      {"untilMs", lease.until.count()}};
-    if (!lease.candidate.empty()) {
+    if (lease.era > 0)
+        row["era"] = lease.era;
+    if (lease.candidateUntil > Millis(0)) {
         row["candidate"] = lease.candidate;
         row["candidateUntilMs"] = lease.candidateUntil.count();
     }
@@ -43,6 +46,12 @@
     PromotionLease lease{.holder = std::string(holder->get_string()),
                          .fencingToken = fencingToken,
                          .until = Millis(until->get_int64())};
+    if (const json::value *era = object->if_contains("era"))
+        lease.era = era->to_number<std::uint64_t>(error);
+    if (error) {
+        setReason(reason, "the lease's era is not a whole number");
+        return std::nullopt;
+    }
     const json::value *candidate = object->if_contains("candidate");
     const json::value *candidateUntil = object->if_contains("candidateUntilMs");
     if (!candidate && !candidateUntil)
@@ -56,20 +65,38 @@
     return lease;
 }
 
-std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
-                                        const std::string &self, const StoreInstant &instant)
+bool isOfEra(const std::optional<PromotionLease> &lease, std::uint64_t era)
 {
-    if (current && current->holder != self && current->until > instant.now)
-        return std::nullopt;
+    return era == 0 || (lease && lease->era == era);
+}
+
+LeaseOffer nextLease(const std::optional<PromotionLease> &current, const std::string &self,
+                     const StoreInstant &instant, const LeaseRules &rules)
+{
+    Millis freeAt = instant.now;
+    if (current && current->holder != self)
+        freeAt = std::max(freeAt, current->until);
+    const bool known = isOfEra(current, instant.era);
+    if (!known)
+        freeAt = std::max(freeAt,
+                          instant.eraSeenAt
+                              + (rules.fencedPromotions ? LeaseDuration : LatePromotionLimit));
+    if (freeAt > instant.now)
+        return {.heldFor = freeAt - instant.now};
+
     const std::uint64_t lastToken = current ? current->fencingToken : 0;
     PromotionLease next{.holder = self,
                         .fencingToken = std::max(lastToken, instant.era * TokensPerEra) + 1,
-                        .until = instant.now + LeaseDuration};
-    if (current && current->candidateUntil > instant.now) {
+                        .until = instant.now + LeaseDuration,
+                        .era = instant.era};
+    const Millis forgottenUntil = instant.eraSeenAt + ForgottenRequestLimit;
+    if (!known && rules.fencedPromotions && forgottenUntil > instant.now) {
+        next.candidateUntil = forgottenUntil;
+    } else if (current && current->candidateUntil > instant.now) {
         next.candidate = current->candidate;
         next.candidateUntil = current->candidateUntil;
     }
-    return next;
+    return {.lease = std::move(next)};
 }
 
 std::optional<PromotionLease> leaseWithCandidate(const std::optional<PromotionLease> &current,
@@ -80,8 +107,14 @@
     if (!current || current->holder != self || current->fencingToken != fencingToken)
         return std::nullopt;
     PromotionLease next = *current;
+    const Millis until = candidate.empty() ? Millis(0) : storeNow + LatePromotionLimit;
+    const bool forgottenIsOpen = current->candidate.empty() && current->candidateUntil > storeNow;
+    if (forgottenIsOpen) {
+        next.candidateUntil = std::max(current->candidateUntil, until);
+        return next;
+    }
     next.candidate = candidate;
-    next.candidateUntil = candidate.empty() ? Millis(0) : storeNow + LatePromotionLimit;
+    next.candidateUntil = until;
     return next;
 }
 
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -10,9 +10,10 @@
 // and Cheriton, "Leases", 1989; Kleppmann, "How to do distributed locking", 2016.)
 //
 //     std::optional<PromotionLease> current = parseLease(record.text, &reason);
-//     const StoreInstant instant{.now = record.storeNow, .era = record.era};
-//     if (std::optional<PromotionLease> next = nextLease(current, "host-1", instant))
-//         store->writeLease(group, leaseText(*next), record.version, done);
+//     const StoreInstant instant{.now = record.storeNow, .era = record.row.era};
+//     LeaseOffer offer = nextLease(current, "host-1", instant, {.fencedPromotions = true});
+//     if (offer.lease)
+//         store->writeLease(group, leaseText(*offer.lease), record.row, done);
 //
 // The functions perform no I/O and read no clock.
 #pragma once
@@ -37,12 +38,17 @@
 
 // How many fencing tokens an era has. An attempt to change a primary uses one.
 inline constexpr std::uint64_t TokensPerEra = std::uint64_t(1) << 32;
+// After an era began, for a promotion request of a holder of an earlier era, which may act for
+// LeaseActingTime, to be carried out. Without fenced promotions LatePromotionLimit suffices: the
+// candidate was recorded before the request, and so in the earlier era.
+inline constexpr Millis ForgottenRequestLimit = LeaseActingTime + LatePromotionLimit;
 
 // When the store answered.
 struct StoreInstant
 {
     Millis now; // On the store's clock, which goes on when the store is restored.
     std::uint64_t era = 0;
+    Millis eraSeenAt; // The era had begun by then. On the store's clock.
 };
 
 // The content of the lease's row.
@@ -52,9 +58,11 @@
     std::uint64_t fencingToken = 0;
     Millis until; // When it ends, on the store's clock.
     // The instance whose promotion was requested last, while the request may still be carried out:
-    // until `candidateUntil` on the store's clock. Empty if there is none.
+    // until `candidateUntil` on the store's clock. If it is empty until then, some request may be
+    // carried out that the store has forgotten.
     std::string candidate;
     Millis candidateUntil;
+    std::uint64_t era = 0; // In which it was acquired.
 
     bool operator==(const PromotionLease &) const = default;
 };
@@ -63,14 +71,33 @@
 std::string leaseText(const PromotionLease &lease);
 std::optional<PromotionLease> parseLease(std::string_view text, Reason *reason);
 
-// The lease that the host `self` has to write in order to acquire it, or nothing while another host
-// holds it. `current` is empty if the row did not exist at `instant`.
-std::optional<PromotionLease> nextLease(const std::optional<PromotionLease> &current,
-                                        const std::string &self, const StoreInstant &instant);
+// Whether the lease was acquired in the present era. Always, if the store counts no eras.
+bool isOfEra(const std::optional<PromotionLease> &lease, std::uint64_t era);
+
+// What a host may do that wants the lease.
+struct LeaseOffer
+{
+    std::optional<PromotionLease> lease; // To be written; nothing while the lease is not free.
+    Millis heldFor;                      // Without a lease: until it is free.
+};
+
+struct LeaseRules
+{
+    // If not, a request of an earlier holder may be carried out after newer ones.
+    bool fencedPromotions = true;
+};
+
+// The lease that the host `self` has to write in order to acquire it. `current` is what the row
+// held at `instant`; empty if it did not exist. If it was not acquired in the present era, leases
+// of an earlier one may have been lost: their holders have to have finished, and with them, if
+// promotions are not fenced, their requests.
+LeaseOffer nextLease(const std::optional<PromotionLease> &current, const std::string &self,
+                     const StoreInstant &instant, const LeaseRules &rules);
 
 // The lease that its holder has to write before it requests the promotion of `candidate`, or, with
-// an empty candidate, once no such request can be carried out any more. Nothing if `current` is not
-// the lease of `self` under `fencingToken`.
+// an empty candidate, once no such request can be carried out any more. What the store has
+// forgotten stays open until its time is over. Nothing if `current` is not the lease of `self`
+// under `fencingToken`.
 std::optional<PromotionLease> leaseWithCandidate(const std::optional<PromotionLease> &current,
                                                  const std::string &self,
                                                  std::uint64_t fencingToken,
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -605,6 +605,30 @@
     EXPECT_TRUE(recorder.has("promote b 8") || recorder.has("promote a 8"));
 }
 
+// The store has forgotten whose promotion was requested.
+TEST_F(LatePromotions, OfAnUnknownCandidateRequireThatAllAreSealed)
+{
+    change.onTick(Start, PrimaryChangeCause::Unreachable, groupState());
+    change.onLeaseResult(
+        Start, {.fencingToken = 8, .actUntil = ActUntil, .openUntil = Start + Millis(1000)});
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    EXPECT_FALSE(recorder.has("promote c 8"));
+    reportPaused("a", 12);
+    EXPECT_TRUE(recorder.has("promote a 8") || recorder.has("promote c 8"));
+}
+
+TEST_F(LatePromotions, OfAnUnknownCandidateAreOverInTheEnd)
+{
+    change.onTick(Start, PrimaryChangeCause::Unreachable, groupState());
+    change.onLeaseResult(
+        Start, {.fencingToken = 8, .actUntil = ActUntil, .openUntil = Start + Millis(1000)});
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    change.onTick(Start + Millis(1000), PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("promote c 8"));
+}
+
 TEST_F(LatePromotions, KeepTheReplicasSealedWhenTheNextAttemptEnds)
 {
     beginAfterRequestForC(PrimaryChangeCause::Unreachable);
--- a/src/session/tst_promotionlease.cpp
+++ b/src/session/tst_promotionlease.cpp
@@ -9,12 +9,17 @@
 namespace cicadagap {
 namespace {
 
+constexpr Millis StoreNow(100'000);
+
 struct LeaseCase
 {
     std::string name;
     std::optional<PromotionLease> current;
+    StoreInstant instant;
     std::optional<std::uint64_t> token; // Of the new lease; nothing if it cannot be acquired.
-    std::uint64_t era = 0;
+    Millis heldFor;                     // Without a token.
+    bool fencedPromotions = true;
+    Millis openUntil; // With a token.
 };
 
 class PromotionLeaseRows : public testing::TestWithParam<LeaseCase>
@@ -23,28 +28,65 @@
 
 TEST_P(PromotionLeaseRows, CanBeAcquiredOnlyWhenFree)
 {
-    constexpr Millis StoreNow(1000);
-    const std::optional<PromotionLease> lease
-        = nextLease(GetParam().current, "a", {.now = StoreNow, .era = GetParam().era});
-    ASSERT_EQ(lease.has_value(), GetParam().token.has_value());
-    if (!lease)
+    const LeaseOffer offer = nextLease(GetParam().current, "a", GetParam().instant,
+                                       {.fencedPromotions = GetParam().fencedPromotions});
+    ASSERT_EQ(offer.lease.has_value(), GetParam().token.has_value());
+    if (!offer.lease) {
+        EXPECT_EQ(offer.heldFor, GetParam().heldFor);
         return;
-    EXPECT_EQ(lease->fencingToken, *GetParam().token);
-    EXPECT_EQ(lease->until, StoreNow + LeaseDuration);
-    EXPECT_EQ(parseLease(leaseText(*lease), nullptr), lease);
+    }
+    EXPECT_EQ(offer.lease->fencingToken, *GetParam().token);
+    EXPECT_EQ(offer.lease->until, StoreNow + LeaseDuration);
+    EXPECT_EQ(offer.lease->candidateUntil, GetParam().openUntil);
+    EXPECT_EQ(offer.lease->candidate, "");
+    EXPECT_EQ(parseLease(leaseText(*offer.lease), nullptr), offer.lease);
 }
 
+PromotionLease leaseOf(const std::string &holder, std::uint64_t token, Millis until,
+                       std::uint64_t era = 0)
+{
+    return {.holder = holder, .fencingToken = token, .until = until, .era = era};
+}
+
+constexpr StoreInstant NoEra{.now = StoreNow};
+
+// Era 2, which began so long ago.
+constexpr StoreInstant secondEra(Millis age)
+{
+    return {.now = StoreNow, .era = 2, .eraSeenAt = StoreNow - age};
+}
+
+constexpr Millis Ahead(1);
+constexpr std::uint64_t FirstToken = 2 * TokensPerEra + 1;
+
 INSTANTIATE_TEST_SUITE_P(
     Rows, PromotionLeaseRows,
     testing::Values(
-        LeaseCase{"absent", std::nullopt, 1},
-        LeaseCase{"held", PromotionLease{"b", 4, Millis(1001)}, std::nullopt},
-        LeaseCase{"lapsed", PromotionLease{"b", 4, Millis(1000)}, 5},
-        LeaseCase{"own", PromotionLease{"a", 4, Millis(9000)}, 5},
-        LeaseCase{"absentInALaterEra", std::nullopt, 2 * TokensPerEra + 1, 2},
-        LeaseCase{"ofAnEarlierEra", PromotionLease{"b", 4, Millis(1000)}, 2 * TokensPerEra + 1, 2},
-        LeaseCase{"ofTheSameEra", PromotionLease{"b", 2 * TokensPerEra + 7, Millis(1000)},
-                  2 * TokensPerEra + 8, 2}),
+        LeaseCase{"absent", std::nullopt, NoEra, 1},
+        LeaseCase{"held", leaseOf("b", 4, StoreNow + Ahead), NoEra, std::nullopt, Ahead},
+        LeaseCase{"lapsed", leaseOf("b", 4, StoreNow), NoEra, 5},
+        LeaseCase{"own", leaseOf("a", 4, StoreNow + Millis(9000)), NoEra, 5},
+        LeaseCase{"absentInAnOldEra", std::nullopt, secondEra(ForgottenRequestLimit), FirstToken},
+        LeaseCase{"ofAnEarlierEraInAnOldEra", leaseOf("b", 4, Millis(0), 1),
+                  secondEra(ForgottenRequestLimit), FirstToken},
+        LeaseCase{"ofTheSameEraThatBeganNow", leaseOf("b", FirstToken + 6, StoreNow, 2),
+                  secondEra(Millis(0)), FirstToken + 7},
+        // The lost row may have held a lease that another host acquired just before.
+        LeaseCase{"absentWhileALostHolderMayAct", std::nullopt, secondEra(LeaseDuration - Ahead),
+                  std::nullopt, Ahead},
+        LeaseCase{"ownOfAnEarlierEraWhileALostHolderMayAct", leaseOf("a", 4, StoreNow, 1),
+                  secondEra(LeaseDuration - Ahead), std::nullopt, Ahead},
+        LeaseCase{"absentWhileALostRequestMayBeCarriedOut", std::nullopt, secondEra(LeaseDuration),
+                  FirstToken, Millis(0), true, StoreNow - LeaseDuration + ForgottenRequestLimit},
+        LeaseCase{"unfencedWhileALostRequestMayBeCarriedOut", std::nullopt,
+                  secondEra(LatePromotionLimit - Ahead), std::nullopt, Ahead, false},
+        LeaseCase{"unfencedAfterLostRequests", std::nullopt, secondEra(LatePromotionLimit),
+                  FirstToken, Millis(0), false},
+        // An old build wrote the row in the present era.
+        LeaseCase{"withoutAnEraAndHeld", leaseOf("b", 7, StoreNow + Ahead),
+                  secondEra(ForgottenRequestLimit), std::nullopt, Ahead},
+        LeaseCase{"withoutAnEraAndATokenOfThisOne", leaseOf("b", FirstToken, StoreNow),
+                  secondEra(ForgottenRequestLimit), FirstToken + 1}),
     [](const auto &info) { return info.param.name; });
 
 struct CandidateCase
@@ -61,8 +103,7 @@
 
 TEST_P(PromotionLeaseCandidates, AreWrittenOnlyUnderTheLease)
 {
-    constexpr Millis StoreNow(1000);
-    const PromotionLease current{"a", 4, Millis(3000)};
+    const PromotionLease current = leaseOf("a", 4, StoreNow + Millis(2000));
     const std::optional<PromotionLease> next
         = leaseWithCandidate(current, GetParam().holder, GetParam().token, "i1", StoreNow);
     ASSERT_EQ(next.has_value(), GetParam().written);
@@ -74,8 +115,8 @@
     EXPECT_EQ(parseLease(leaseText(*next), nullptr), next);
     // The next holder has to know of it for as long as a request for it may be carried out.
     const Millis lapse = next->candidateUntil;
-    EXPECT_EQ(nextLease(next, "b", {.now = lapse - Millis(1)})->candidate, "i1");
-    EXPECT_EQ(nextLease(next, "b", {.now = lapse})->candidate, "");
+    EXPECT_EQ(nextLease(next, "b", {.now = lapse - Ahead}, {}).lease->candidate, "i1");
+    EXPECT_EQ(nextLease(next, "b", {.now = lapse}, {}).lease->candidate, "");
     EXPECT_EQ(leaseWithCandidate(next, "a", 4, "", StoreNow), current);
 }
 
@@ -85,12 +126,28 @@
                                          CandidateCase{"ofAnEarlierLease", "a", 3, false}),
                          [](const auto &info) { return info.param.name; });
 
+// A request that the store has forgotten may promote any instance, until its time is over.
+TEST(PromotionLeaseCandidates, KeepAForgottenRequestOpen)
+{
+    PromotionLease current = leaseOf("a", FirstToken, StoreNow + LeaseDuration, 2);
+    current.candidateUntil = StoreNow + Millis(2000);
+    const auto recorded = leaseWithCandidate(current, "a", FirstToken, "i1", StoreNow);
+    ASSERT_TRUE(recorded);
+    EXPECT_EQ(recorded->candidate, "");
+    EXPECT_EQ(recorded->candidateUntil, StoreNow + LatePromotionLimit);
+    EXPECT_EQ(leaseWithCandidate(current, "a", FirstToken, "", StoreNow), current);
+    const Millis later = current.candidateUntil;
+    EXPECT_EQ(leaseWithCandidate(current, "a", FirstToken, "i1", later)->candidate, "i1");
+}
+
 TEST(PromotionLeaseText, IsRefusedIfInvalid)
 {
     for (const char *text :
          {"", "{}", "[]", R"({"holder":1,"fencingToken":1,"untilMs":1})",
           R"({"holder":"a","fencingToken":-1,"untilMs":1})",
           R"({"holder":"a","fencingToken":1,"untilMs":"x"})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"era":"x"})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"era":-1})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":"i"})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":1,"candidateUntilMs":2})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidateUntilMs":2})"}) {
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -74,8 +74,8 @@
 {
     std::optional<PromotionLease> lease;
     std::uint64_t leaseVersion = 0;
-    std::uint64_t era = 0; // 0: the store counts no eras.
-    std::optional<Millis> eraSeenAt;
+    std::uint64_t era = 0;           // 0: the store counts no eras.
+    std::optional<Millis> eraSeenAt; // As the hosts recorded it.
 };
 
 // What the store comes back with if it is restored.
@@ -498,29 +498,32 @@
         });
         return;
     }
-    const std::optional<PromotionLease> current = m_store.lease;
-    const std::uint64_t version = m_store.leaseVersion;
-    const std::optional<PromotionLease> newLease
-        = nextLease(current, "host" + std::to_string(host),
-                    {.now = m_now + StoreClockLead, .era = m_store.era});
-    if (!newLease) {
-        const Millis heldFor = current->until - (m_now + StoreClockLead);
+    const StoreState read = m_store;
+    if (!m_store.eraSeenAt)
+        m_store.eraSeenAt = m_now;
+    const StoreInstant instant{.now = m_now + StoreClockLead,
+                               .era = m_store.era,
+                               .eraSeenAt = *m_store.eraSeenAt + StoreClockLead};
+    const LeaseOffer offer = nextLease(read.lease, "host" + std::to_string(host), instant,
+                                       {.fencedPromotions = hostsAssumeFencing()});
+    if (!offer.lease) {
         atHost(host, m_now + NetworkDelay * 2, [=, this](SimulatedHost *requester) {
-            requester->engine.onLeaseResult(m_now, group, {.heldFor = heldFor});
+            requester->engine.onLeaseResult(m_now, group, {.heldFor = offer.heldFor});
         });
         return;
     }
     at(m_now + NetworkDelay * 3, [=, this] {
-        const bool granted = m_store.leaseVersion == version && m_now >= m_storeDownUntil;
+        const bool granted = m_store.leaseVersion == read.leaseVersion && m_store.era == read.era
+            && m_now >= m_storeDownUntil;
         if (granted) {
-            m_store.lease = newLease;
+            m_store.lease = offer.lease;
             ++m_store.leaseVersion;
         }
         LeaseResult result{.actUntil = askedAt + LeaseActingTime};
         if (granted) {
-            result.fencingToken = newLease->fencingToken;
-            result.openCandidate = newLease->candidate;
-            result.openUntil = newLease->candidateUntil - StoreClockLead;
+            result.fencingToken = offer.lease->fencingToken;
+            result.openCandidate = offer.lease->candidate;
+            result.openUntil = offer.lease->candidateUntil - StoreClockLead;
         }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onLeaseResult(m_now, group, result);
