Write host records again after the store was restored

A host that registered after the copy was made is not in the list for up to 60 s: it is no gateway, and others divide the instances' connections without it. A host whose record had been withdrawn is a gateway again for 25 s although it has stopped.

Cause: a record that was written once was taken to be there.

Change: HostRegistration decides when a host writes its record: at its start, once a minute, and within 4 s of learning of a new era, each at its own moment (3,900 hosts: about 1,000 writes a second; weighed: at once, which would be refused). HostLiveness reports a host at once whose withdrawn record comes back as it was. Followers learn of an era from their reader's update.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -48,15 +48,15 @@
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
     , m_era({})
+    , m_registration(m_self.host, {})
 {
 }
 
 void PlatformFeed::start()
 {
     m_startedAt = now();
-    registerSelf();
+    registerIfDue();
     readHosts();
-    m_loop->every(HostRenewalInterval, [this] { registerSelf(); });
     m_loop->every(StoppedHostCheckInterval, [this] { withdrawStoppedHosts(); });
 }
 
@@ -81,6 +81,7 @@
 void PlatformFeed::onTick()
 {
     m_cache.onTick(now());
+    registerIfDue();
 }
 
 void PlatformFeed::answerPeer(const PeerRequest &request, const PeerRespond &respond)
@@ -272,6 +273,7 @@
                   {"instancesAgeMs", update.instancesAge.count()}});
     m_readerUpToDate = upToDate;
     m_era.onAge(now(), update.storeEra, update.storeEraAge);
+    noteEra();
     m_cache.refresh(now(), update);
     if (update.routing)
         applyRouting(*update.routing);
@@ -319,6 +321,18 @@
     m_onConfiguration();
 }
 
+// The store may have forgotten this host's record in an earlier era.
+void PlatformFeed::noteEra()
+{
+    m_registration.onEra(now(), m_era.number());
+}
+
+void PlatformFeed::registerIfDue()
+{
+    if (m_registration.takeDue(now()))
+        registerSelf();
+}
+
 // Writes this host's record. Its heartbeat shows other hosts that this one is alive.
 void PlatformFeed::registerSelf()
 {
@@ -362,6 +376,7 @@
         return false;
     const std::uint64_t known = m_era.number();
     const StoreEra::Answer answer = m_era.onAnswer(now(), reading->position.era);
+    noteEra();
     if (answer != StoreEra::Answer::Current)
         logEvent(LogLevel::Warning,
                  answer == StoreEra::Answer::NewEra ? "platform.era" : "platform.answer-outdated",
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -9,6 +9,7 @@
 #include "connection/peerclient.h"
 #include "process/eventloop.h"
 #include "session/hostliveness.h"
+#include "session/hostregistration.h"
 #include "session/platformcache.h"
 #include "session/platformclient.h"
 #include "session/sessionengine.h"
@@ -61,6 +62,8 @@
     void findEraStart();
     void applyHosts(std::vector<HostRecord> hosts);
     void applyRouting(const RoutingTable &routing);
+    void noteEra();
+    void registerIfDue();
     void registerSelf();
     void withdrawStoppedHosts();
     Millis retryDelay(Millis first, int failures) const;
@@ -82,6 +85,7 @@
     PlatformCache m_cache;
     StoreEra m_era;
     std::uint64_t m_eraSought = 0; // For which the start was asked for.
+    HostRegistration m_registration;
     HostLiveness m_liveness;       // Of the hosts that follow this one.
     bool m_reading = false;        // The first list of hosts was read, or could not be.
     Millis m_followUntil;          // Until then only the platform reader is asked, unless it fails.
--- a/src/session/hostliveness.h
+++ b/src/session/hostliveness.h
@@ -51,7 +51,8 @@
     // The host asked for updates.
     void onRequest(Millis now, const std::string &host);
     // The hosts among `expected` that have stopped: they neither asked nor renewed their records.
-    // Each is reported once in Options::silence. To be called regularly while this host is the
+    // Each is reported once in Options::silence, and again if its record comes back as it was:
+    // when the store is restored from an older copy. To be called regularly while this host is the
     // platform reader.
     std::vector<HostRecord> takeSilent(Millis now, const std::vector<HostRecord> &expected);
 
@@ -62,7 +63,17 @@
         std::uint64_t heartbeat = 0;
     };
 
+    // A host that was reported.
+    struct Reported
+    {
+        std::uint64_t heartbeat = 0;
+        bool withdrawn = false; // Its record was seen to be gone.
+    };
+
+    bool cameBack(const HostRecord &record);
+
     Options m_options;
+    std::map<std::string, Reported> m_reported;
     std::optional<Millis> m_lastCheck;
     std::map<std::string, Follower> m_followers;
 };
--- a/src/session/tst_hostliveness.cpp
+++ b/src/session/tst_hostliveness.cpp
@@ -1,5 +1,6 @@
 // Tests of how a platform reader notices hosts that have stopped.
 #include "session/hostliveness.h"
+#include "session/hostregistration.h"
 
 #include <gtest/gtest.h>
 
@@ -88,5 +89,51 @@
                      {}}),
     [](const auto &info) { return info.param.name; });
 
+// The store was restored from a copy of before the record was withdrawn.
+TEST(HostLiveness, ReportsAHostAgainWhoseRecordComesBackAsItWas)
+{
+    HostLiveness liveness({.silence = Millis(10'000)});
+    const std::vector<HostRecord> records{{.host = "a", .heartbeat = 3}};
+    Millis now(0);
+    std::size_t reports = 0;
+    for (; reports == 0; now = now + Millis(2000))
+        reports = liveness.takeSilent(now, records).size();
+    EXPECT_TRUE(liveness.takeSilent(now, records).empty());
+    EXPECT_TRUE(liveness.takeSilent(now + Millis(2000), {}).empty());
+    EXPECT_EQ(liveness.takeSilent(now + Millis(4000), records).size(), 1U);
+    EXPECT_TRUE(liveness.takeSilent(now + Millis(6000), {}).empty());
+    // Its process was started again.
+    EXPECT_TRUE(liveness.takeSilent(now + Millis(8000), {{.host = "a", .heartbeat = 1}}).empty());
+    EXPECT_TRUE(liveness.takeSilent(now + Millis(10'000), records).empty());
+}
+
+TEST(HostRegistration, WritesAtOnceAtTheIntervalAndInEachEra)
+{
+    HostRegistration registration("host-1", {.interval = Millis(60'000), .spread = Millis(4000)});
+    EXPECT_TRUE(registration.takeDue(Millis(1000)));
+    registration.onEra(Millis(1100), 1);
+    EXPECT_FALSE(registration.takeDue(Millis(6000)));
+    registration.onEra(Millis(10'000), 2);
+    EXPECT_TRUE(registration.takeDue(Millis(14'000)));
+    registration.onEra(Millis(15'000), 2);
+    EXPECT_FALSE(registration.takeDue(Millis(73'999)));
+    EXPECT_TRUE(registration.takeDue(Millis(74'000)));
+}
+
+TEST(HostRegistration, SpreadsTheWritesOfAllHosts)
+{
+    constexpr int Hosts = 1000;
+    int early = 0;
+    for (int i = 0; i < Hosts; ++i) {
+        HostRegistration registration("host-" + std::to_string(i), {.spread = Millis(4000)});
+        registration.takeDue(Millis(0));
+        registration.onEra(Millis(0), 1);
+        registration.onEra(Millis(1000), 2);
+        early += registration.takeDue(Millis(1000 + 1000)) ? 1 : 0;
+        EXPECT_TRUE(registration.takeDue(Millis(200'000)));
+    }
+    EXPECT_NEAR(early, Hosts / 4, Hosts / 16);
+}
+
 } // namespace
 } // namespace cicadagap
