Order settings and records of the JSON interface by the table's era too

Found by looking for the same cause there: after the table was restored, the number of a lost change is given out again, and readers that had read the lost one never read the new one. A row that gets the same version again loses or wins by its text; one of a lower version is refused until the version has climbed above the lost one.

Cause: as in the session servers: orders of one era compared with those of another. Ruled out for this interface: leases and fencing tokens; its primaries are ordered by the instances' terms, which the table does not hold.

Change: the table's answers name its era, and rows the era in which they were written (0 from a platform that counts none). SettingsFeed reads all teams in a new era, and nothing across two eras. Records are ordered by era, then version, then text; a row of the copy keeps its earlier era, so it takes nothing back that hosts hold. A change of settings is refused in another era than its versions were read in. Gossip carries the era where there is one; old builds ignore it.

Result: MissesNoChangeWhoseNumberWasGivenOutBefore fails if either the feed or the order of records ignores the era (both tried), and passes; three tests more. What the table lost is not written back to it: hosts hold it as long as one of them runs.

--- a/src/connection/tablestore.cpp
+++ b/src/connection/tablestore.cpp
@@ -20,6 +20,8 @@
     row.key = textMember(object, "key");
     row.version = static_cast<std::uint64_t>(numberMember(object, "version"));
     row.value = textMember(object, "value");
+    row.era = static_cast<std::uint64_t>(numberMember(object, "era"));
+    row.tableEra = static_cast<std::uint64_t>(numberMember(object, "tableEra"));
     return row;
 }
 
@@ -60,8 +62,11 @@
             }
             std::vector<TableRow> result;
             for (const json::value &value : *rows) {
-                if (value.is_object())
-                    result.push_back(decodeRow(value.get_object()));
+                if (!value.is_object())
+                    continue;
+                result.push_back(decodeRow(value.get_object()));
+                result.back().tableEra
+                    = static_cast<std::uint64_t>(numberMember(*object, "tableEra"));
             }
             done(std::move(result));
         });
@@ -76,7 +81,9 @@
         json::array writes;
         for (const auto &write : transaction.writes)
             writes.push_back(json::object{{"key", write.key}, {"value", write.value}});
-        const json::object body{{"checks", std::move(checks)}, {"writes", std::move(writes)}};
+        json::object body{{"checks", std::move(checks)}, {"writes", std::move(writes)}};
+        if (transaction.era > 0)
+            body["era"] = transaction.era;
         callOnce(m_loop, m_platform,
                  {.method = "POST", .target = "/table/transact", .body = json::serialize(body)},
                  timeout,
--- a/src/process/recordstore.cpp
+++ b/src/process/recordstore.cpp
@@ -2,6 +2,9 @@
 
 #include "base/hash.h"
 
+#include <tuple>
+#include <utility>
+
 namespace cicadagap {
 
 bool RecordStore::merge(const Record &record)
@@ -9,9 +12,8 @@
     const auto found = m_records.find(record.key);
     if (found != m_records.end()) {
         const Record &known = found->second;
-        if (record.version < known.version)
-            return false;
-        if (record.version == known.version && record.body <= known.body)
+        if (std::tie(record.era, record.version, record.body)
+            <= std::tie(known.era, known.version, known.body))
             return false;
         toggleInDigest(known);
     }
@@ -60,7 +62,7 @@
     for (const auto &entry : m_records) {
         const std::size_t bucket = bucketOf(entry.first);
         if (m_digest.at(bucket) != other.at(bucket))
-            ids.push_back({entry.first, entry.second.version});
+            ids.push_back({entry.first, entry.second.version, entry.second.era});
     }
     return ids;
 }
@@ -68,9 +70,10 @@
 std::vector<Record> RecordStore::newerThan(const std::vector<RecordId> &ids,
                                            const Digest &other) const
 {
-    std::map<std::string_view, std::uint64_t> versions;
+    using Version = std::pair<std::uint64_t, std::uint64_t>; // The era first.
+    std::map<std::string_view, Version> versions;
     for (const RecordId &id : ids)
-        versions[id.key] = id.version;
+        versions[id.key] = {id.era, id.version};
     std::vector<Record> newer;
     for (const auto &entry : m_records) {
         const std::size_t bucket = bucketOf(entry.first);
@@ -79,7 +82,8 @@
         const auto known = versions.find(entry.first);
         // Equal versions are included too: their bodies may differ, and merge() decides which one
         // wins.
-        if (known == versions.end() || entry.second.version >= known->second)
+        if (known == versions.end()
+            || Version(entry.second.era, entry.second.version) >= known->second)
             newer.push_back(entry.second);
     }
     return newer;
--- a/src/process/recordstore.h
+++ b/src/process/recordstore.h
@@ -17,6 +17,9 @@
     std::string key; // "<kind>/<name>", for example "settings/valle".
     std::uint64_t version = 0;
     std::string body; // JSON text; not interpreted by the store.
+    // In which its version was given out: the platform's table may come back from an older copy of
+    // itself, and gives versions out again in each era. 0 for records of other origin.
+    std::uint64_t era = 0;
 
     bool operator==(const Record &) const = default;
 };
@@ -26,11 +29,13 @@
 {
     std::string key;
     std::uint64_t version = 0;
+    std::uint64_t era = 0;
 };
 
-// Holds the newest known version of each record. A record never returns to a lower version, in
-// whatever order its copies arrive. Keys are hashed into buckets. Two stores compare their digests,
-// which have one hash for each bucket, to find where they differ.
+// Holds the newest known version of each record: that of the latest era, and in it the highest. A
+// record never returns to an older one, in whatever order its copies arrive. Keys are hashed into
+// buckets. Two stores compare their digests, which have one hash for each bucket, to find where
+// they differ.
 //
 //     RecordStore store;
 //     store.merge({"primary/valle/tensile", 7, body});   // True: new or newer.
@@ -43,8 +48,8 @@
     static constexpr std::size_t BucketCount = 64;
     using Digest = std::array<std::uint64_t, BucketCount>;
 
-    // Stores `record` if its key is new or its version is higher than the stored one. If the
-    // versions are equal, the lexicographically greater body wins, so that all stores converge.
+    // Stores `record` if its key is new or it is newer than the stored one. If era and version
+    // are equal, the lexicographically greater body wins, so that all stores converge.
     // Returns whether the store changed.
     bool merge(const Record &record);
     // Removes the record with that key, if there is one.
@@ -63,7 +68,7 @@
     // The ids of the records in the buckets whose hash differs from that in `other`.
     std::vector<RecordId> idsInDifferingBuckets(const Digest &other) const;
     // The records in the buckets whose hash differs from that in `other`, without those for which
-    // `ids` contains a higher version.
+    // `ids` contains a newer version.
     std::vector<Record> newerThan(const std::vector<RecordId> &ids, const Digest &other) const;
 
 private:
--- a/src/programs/cicadagap-standin-platform/platformserver.cpp
+++ b/src/programs/cicadagap-standin-platform/platformserver.cpp
@@ -17,7 +17,7 @@
 
 json::object encodeRow(const std::string &key, const PlatformRow &row)
 {
-    return {{"key", key}, {"version", row.version}, {"value", row.value}};
+    return {{"key", key}, {"version", row.version}, {"value", row.value}, {"era", row.era}};
 }
 
 HttpResponse answer(const json::object &object)
@@ -91,7 +91,9 @@
 HttpResponse PlatformServer::row(const std::string &target)
 {
     const std::string key = queryValue(target, "key").value_or("");
-    return answer(encodeRow(key, m_table.row(key).value_or(PlatformRow{})));
+    json::object object = encodeRow(key, m_table.row(key).value_or(PlatformRow{}));
+    object["tableEra"] = m_table.era();
+    return answer(object);
 }
 
 HttpResponse PlatformServer::scan(const std::string &target)
@@ -103,7 +105,7 @@
     for (const auto &row : m_table.scan(queryValue(target, "prefix").value_or(""),
                                         queryValue(target, "after").value_or(""), limit))
         rows.push_back(encodeRow(row.first, row.second));
-    return answer({{"rows", std::move(rows)}});
+    return answer({{"rows", std::move(rows)}, {"tableEra", m_table.era()}});
 }
 
 HttpResponse PlatformServer::transact(const std::string &body, bool *applied)
@@ -127,7 +129,8 @@
             rowWrites.push_back(
                 {textMember(write.get_object(), "key"), textMember(write.get_object(), "value")});
     }
-    *applied = m_table.transact(rowChecks, rowWrites);
+    *applied = m_table.transact(rowChecks, rowWrites,
+                                static_cast<std::uint64_t>(numberMember(*object, "era")));
     return *applied ? HttpResponse{.body = "{}"} : HttpResponse{.status = 409, .body = "{}"};
 }
 
@@ -164,6 +167,10 @@
         return badRequest(reason.text());
     if (object->contains("down"))
         m_down = flagMember(*object, "down");
+    if (flagMember(*object, "keepCopy"))
+        m_table.keepCopy();
+    if (flagMember(*object, "putBack"))
+        m_table.putBack();
     m_delay = Millis(numberMember(*object, "delayMs", m_delay.count()));
     m_loseAnswers = static_cast<int>(numberMember(*object, "loseAnswers", m_loseAnswers));
     m_options.lag = Millis(numberMember(*object, "lagMs", m_options.lag.count()));
--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -52,6 +52,15 @@
     return team + "/" + group;
 }
 
+FeedRow toFeedRow(const TableRow &row)
+{
+    return {.key = row.key,
+            .version = row.version,
+            .value = row.value,
+            .era = row.era,
+            .tableEra = row.tableEra};
+}
+
 } // namespace
 
 Steward::Steward(EventLoop *loop, HostSettings settings)
@@ -403,16 +412,16 @@
     for (const FeedAction &action : actions) {
         switch (action.step) {
         case FeedStep::ReadHead:
-            m_platform->row(action.key, PlatformTimeout,
-                            [this](const std::optional<TableRow> &row) {
-                                std::optional<std::uint64_t> head;
-                                if (row) {
-                                    head = 0;
-                                    const std::string &text = row->value;
-                                    std::from_chars(text.data(), text.data() + text.size(), *head);
-                                }
-                                carryOutReads(m_feed.onHead(m_clock.now(), head));
-                            });
+            m_platform->row(
+                action.key, PlatformTimeout, [this](const std::optional<TableRow> &row) {
+                    std::optional<FeedHead> head;
+                    if (row) {
+                        head = FeedHead{.tableEra = row->tableEra};
+                        const std::string &text = row->value;
+                        std::from_chars(text.data(), text.data() + text.size(), head->number);
+                    }
+                    carryOutReads(m_feed.onHead(m_clock.now(), head));
+                });
             break;
         case FeedStep::ReadTeam:
             m_platform->row(action.key, PlatformTimeout,
@@ -420,7 +429,7 @@
                                 std::vector<FeedRecord> records;
                                 std::optional<FeedRow> feedRow;
                                 if (row)
-                                    feedRow = FeedRow{row->key, row->version, row->value};
+                                    feedRow = toFeedRow(*row);
                                 const auto next = m_feed.onTeam(m_clock.now(), feedRow, &records);
                                 publishSettings(records);
                                 carryOutReads(next);
@@ -436,7 +445,7 @@
                                  if (rows) {
                                      feedRows.emplace();
                                      for (const TableRow &row : *rows)
-                                         feedRows->push_back({row.key, row.version, row.value});
+                                         feedRows->push_back(toFeedRow(row));
                                  }
                                  std::vector<FeedRecord> records;
                                  const auto next = log
@@ -456,7 +465,7 @@
 void Steward::publishSettings(const std::vector<FeedRecord> &records)
 {
     for (const FeedRecord &record : records)
-        publish({settingsKey(record.team), record.version, record.body});
+        publish({settingsKey(record.team), record.version, record.body, record.era});
 }
 
 void Steward::assignGroups()
--- a/src/standin_core/platformtable.cpp
+++ b/src/standin_core/platformtable.cpp
@@ -23,8 +23,10 @@
 }
 
 bool PlatformTable::transact(const std::vector<RowCheck> &checks,
-                             const std::vector<RowWrite> &writes)
+                             const std::vector<RowWrite> &writes, std::uint64_t era)
 {
+    if (era > 0 && era != m_era)
+        return false;
     for (const RowCheck &check : checks) {
         const auto found = m_rows.find(check.key);
         const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
@@ -35,8 +37,15 @@
         PlatformRow &row = m_rows[write.key];
         ++row.version;
         row.value = write.value;
+        row.era = m_era;
     }
     return true;
 }
 
+void PlatformTable::putBack()
+{
+    m_rows = m_copy;
+    ++m_era;
+}
+
 } // namespace cicadagap
--- a/src/version/settingschange.cpp
+++ b/src/version/settingschange.cpp
@@ -23,7 +23,8 @@
 }
 
 ChangeAction SettingsChange::onRows(std::optional<std::uint64_t> teamVersion,
-                                    std::uint64_t headVersion, std::uint64_t head)
+                                    std::uint64_t headVersion, std::uint64_t head,
+                                    std::uint64_t era)
 {
     // Nothing has been written yet, so without an answer the change is known not to be applied.
     if (!teamVersion)
@@ -37,6 +38,7 @@
     m_teamVersion = *teamVersion;
     m_headVersion = headVersion;
     m_head = head;
+    m_era = era;
     ++m_attempts;
     return {ChangeStep::Transact, {}, 0};
 }
--- a/src/version/settingsfeed.cpp
+++ b/src/version/settingsfeed.cpp
@@ -60,11 +60,16 @@
     return {{FeedStep::ReadHead, SettingsHeadKey}};
 }
 
-std::vector<FeedAction> SettingsFeed::onHead(Millis now, std::optional<std::uint64_t> head)
+std::vector<FeedAction> SettingsFeed::onHead(Millis now, const std::optional<FeedHead> &head)
 {
-    if (!head)
+    if (!head || head->tableEra < m_era)
         return backOff(now);
-    m_head = *head;
+    if (head->tableEra > m_era) {
+        m_era = head->tableEra;
+        m_lastChangeRead.reset();
+        m_teamsToRead.clear();
+    }
+    m_head = head->number;
     if (!m_lastChangeRead || m_head - *m_lastChangeRead > m_options.maxChangesByLog)
         return {{FeedStep::ReadAll, SettingsPrefix}};
     if (m_head > *m_lastChangeRead)
@@ -75,7 +80,7 @@
 std::vector<FeedAction> SettingsFeed::onLog(Millis now,
                                             const std::optional<std::vector<FeedRow>> &rows)
 {
-    if (!rows)
+    if (!rows || !isOfThisEra(*rows))
         return backOff(now);
     for (const FeedRow &row : *rows) {
         const auto entry = decodeLogEntry(row.value);
@@ -92,11 +97,11 @@
                                             const std::optional<std::vector<FeedRow>> &rows,
                                             std::vector<FeedRecord> *records)
 {
-    if (!rows)
+    if (!rows || !isOfThisEra(*rows))
         return backOff(now);
     for (const FeedRow &row : *rows) {
         const std::string team = row.key.substr(std::string_view(SettingsPrefix).size());
-        records->push_back({team, row.version, row.value});
+        records->push_back({team, row.version, row.value, row.era});
     }
     if (!rows->empty())
         return {{FeedStep::ReadAll, rows->back().key}};
@@ -106,14 +111,20 @@
 std::vector<FeedAction> SettingsFeed::onTeam(Millis now, const std::optional<FeedRow> &row,
                                              std::vector<FeedRecord> *records)
 {
-    if (!row)
+    if (!row || !isOfThisEra({*row}))
         return backOff(now);
     const std::string team = row->key.substr(std::string_view(SettingsPrefix).size());
-    records->push_back({team, row->version, row->value});
+    records->push_back({team, row->version, row->value, row->era});
     std::erase(m_teamsToRead, row->key);
     return readNextTeam(now);
 }
 
+// Whether the rows were read in the era in which the head was.
+bool SettingsFeed::isOfThisEra(const std::vector<FeedRow> &rows) const
+{
+    return std::ranges::all_of(rows, [this](const FeedRow &row) { return row.tableEra == m_era; });
+}
+
 std::vector<FeedAction> SettingsFeed::backOff(Millis now)
 {
     m_readInProgress = false;
--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -1,3 +1,4 @@
+#include "process/recordstore.h"
 #include "standin_core/platformtable.h"
 #include "version/schema.h"
 #include "version/settingschange.h"
@@ -221,7 +222,8 @@
     const auto rows = [table](const std::string &prefix, const std::string &after) {
         std::vector<FeedRow> result;
         for (const auto &row : table->scan(prefix, after, 2))
-            result.push_back({row.first, row.second.version, row.second.value});
+            result.push_back(
+                {row.first, row.second.version, row.second.value, row.second.era, table->era()});
         return result;
     };
     while (!actions.empty()) {
@@ -229,7 +231,9 @@
         switch (action.step) {
         case FeedStep::ReadHead: {
             const auto head = table->row(action.key);
-            actions = feed->onHead(now, head ? std::stoull(head->value) : 0);
+            actions = feed->onHead(
+                now,
+                FeedHead{.number = head ? std::stoull(head->value) : 0, .tableEra = table->era()});
             break;
         }
         case FeedStep::ReadLog:
@@ -240,7 +244,9 @@
             break;
         case FeedStep::ReadTeam: {
             const auto row = table->row(action.key);
-            actions = feed->onTeam(now, FeedRow{action.key, row->version, row->value}, records);
+            actions = feed->onTeam(
+                now, FeedRow{action.key, row->version, row->value, row->era, table->era()},
+                records);
             break;
         }
         }
@@ -279,6 +285,85 @@
     EXPECT_EQ(records[0].version, 3U);
 }
 
+// The number of a lost change was given out again, for a change of another team.
+TEST(SettingsFeed, MissesNoChangeWhoseNumberWasGivenOutBefore)
+{
+    PlatformTable table;
+    for (const std::string team : {"a", "b"})
+        applyChange(&table, team);
+    SettingsFeed feed({});
+    RecordStore hosts;
+    const auto read = [&](Millis now) {
+        std::vector<FeedRecord> records;
+        answerReads(&table, &feed, feed.onTick(now, true), now, &records);
+        for (const FeedRecord &record : records)
+            hosts.merge({record.team, record.version, record.body, record.era});
+    };
+    table.keepCopy();
+    applyChange(&table, "a");
+    applyChange(&table, "a");
+    read(Millis(0));
+    EXPECT_EQ(hosts.find("a")->version, 3U);
+    table.putBack();
+    applyChange(&table, "b");
+    applyChange(&table, "a");
+    read(Millis(1000));
+    EXPECT_EQ(hosts.find("b")->version, 2U);
+    EXPECT_EQ(hosts.find("b")->era, 2U);
+    // A change of the later era is newer than the lost ones of higher versions.
+    EXPECT_EQ(hosts.find("a")->version, 2U);
+    EXPECT_EQ(hosts.find("a")->era, 2U);
+}
+
+// What was not written again since the copy is older than what the hosts hold.
+TEST(SettingsFeed, BringsNoOlderSettingsBackFromACopy)
+{
+    PlatformTable table;
+    applyChange(&table, "a");
+    SettingsFeed feed({});
+    RecordStore hosts;
+    const auto read = [&](Millis now) {
+        std::vector<FeedRecord> records;
+        answerReads(&table, &feed, feed.onTick(now, true), now, &records);
+        for (const FeedRecord &record : records)
+            hosts.merge({record.team, record.version, record.body, record.era});
+    };
+    table.keepCopy();
+    applyChange(&table, "a");
+    read(Millis(0));
+    table.putBack();
+    read(Millis(1000));
+    EXPECT_EQ(hosts.find("a")->version, 2U);
+}
+
+TEST(SettingsFeed, ReadsAgainWhatWasReadInAnotherEraThanTheHead)
+{
+    SettingsFeed feed({});
+    ASSERT_EQ(feed.onTick(Millis(0), true).size(), 1U);
+    ASSERT_EQ(feed.onHead(Millis(0), FeedHead{.number = 3, .tableEra = 2}).size(), 1U);
+    std::vector<FeedRecord> records;
+    const std::vector<FeedRow> rows{{.key = "settings/a", .version = 9, .tableEra = 1}};
+    EXPECT_TRUE(feed.onAll(Millis(0), rows, &records).empty());
+    EXPECT_TRUE(records.empty());
+    EXPECT_EQ(feed.confirmedAt(), std::nullopt);
+    // An earlier era's head that arrives late.
+    ASSERT_EQ(feed.onTick(Millis(10'000), true).size(), 1U);
+    EXPECT_TRUE(feed.onHead(Millis(10'000), FeedHead{.number = 9, .tableEra = 1}).empty());
+    EXPECT_EQ(feed.confirmedAt(), std::nullopt);
+}
+
+// The answer of the transaction came in another era than the versions that it checks.
+TEST(PlatformTable, RefusesATransactionOfAnEarlierEra)
+{
+    PlatformTable table;
+    table.keepCopy();
+    ASSERT_TRUE(table.transact({{"a", 0}}, {{"a", "first"}}, 1));
+    table.putBack();
+    ASSERT_TRUE(table.transact({{"a", 0}}, {{"a", "second"}}, 2));
+    EXPECT_FALSE(table.transact({{"a", 1}}, {{"a", "third"}}, 1));
+    EXPECT_EQ(table.row("a")->value, "second");
+}
+
 TEST(SettingsFeed, BacksOffWhileThePlatformDoesNotAnswer)
 {
     SettingsFeed feed({});
