Do not count on a lease that was written in a later era than it was read

Callers saw nothing of it. Found by the model of restored stores while it was written: two hosts read the same row; one acquires the lease; the store is restored; the other's write, sent in time, is carried out in the next era before any host has recorded that one. Both hold the lease, under one token.

Cause: a write's answer was taken for the outcome of its conditions in the era in which they were read.

Change: the write counts only if the store answers in that era.

--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -68,7 +68,8 @@
         = 0;
     // Replaces the row of the lease if it still has the version that was read, and no host has
     // recorded a later era than that of the reading: versions are given out again in each era. The
-    // verdict is NotRun otherwise, and MayHaveRun if the platform did not answer.
+    // verdict is NotRun otherwise. It is MayHaveRun if the platform did not answer, or wrote the
+    // row in a later era, in which the conditions say nothing.
     virtual void writeLease(const std::string &group, const std::string &text, StorePosition row,
                             std::function<void(Verdict)> done)
         = 0;
