--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -164,8 +164,12 @@
 {
     const Millis readAt = now();
     m_platform->instances([this, readAt, done](const std::optional<InstanceReading> &reading) {
-        const bool usable = isUsable("instances", reading)
-            && m_cache.setInstances(now(), reading->value, reading->position, now() - readAt);
+        bool usable = isUsable("instances", reading);
+        if (usable
+            && !m_cache.setInstances(now(), reading->value, reading->position, now() - readAt)) {
+            logOutdated("instances", reading->position);
+            usable = false;
+        }
         findEraStart();
         recordReading("instances", &m_instancesFailures, usable);
         if (usable)
@@ -375,18 +379,30 @@
     if (!reading)
         return false;
     const std::uint64_t known = m_era.number();
-    const StoreEra::Answer answer = m_era.onAnswer(now(), reading->position.era);
+    const StorePosition position = reading->position;
+    const StoreEra::Answer answer = m_era.onAnswer(now(), position.era);
     noteEra();
-    if (answer != StoreEra::Answer::Current)
-        logEvent(LogLevel::Warning,
-                 answer == StoreEra::Answer::NewEra ? "platform.era" : "platform.answer-outdated",
+    if (answer == StoreEra::Answer::NewEra)
+        logEvent(LogLevel::Warning, "platform.era",
                  {{"call", what},
-                  {"era", static_cast<std::int64_t>(reading->position.era)},
+                  {"era", static_cast<std::int64_t>(position.era)},
                   {"before", static_cast<std::int64_t>(known)},
-                  {"version", static_cast<std::int64_t>(reading->position.version)}});
+                  {"version", static_cast<std::int64_t>(position.version)}});
+    else if (answer == StoreEra::Answer::Outdated)
+        logOutdated(what, position);
     return answer != StoreEra::Answer::Outdated;
 }
 
+// An older answer arrived after a newer one.
+void PlatformFeed::logOutdated(std::string_view what, StorePosition position)
+{
+    logEvent(LogLevel::Warning, "platform.answer-outdated",
+             {{"call", what},
+              {"era", static_cast<std::int64_t>(position.era)},
+              {"known", static_cast<std::int64_t>(m_era.number())},
+              {"version", static_cast<std::int64_t>(position.version)}});
+}
+
 void PlatformFeed::recordReading(std::string_view what, int *failures, bool succeeded)
 {
     if (succeeded != (*failures == 0)) {
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -71,6 +71,7 @@
     void recordReading(std::string_view what, int *failures, bool succeeded);
     template <typename Value>
     bool isUsable(std::string_view what, const std::optional<StoreReading<Value>> &reading);
+    void logOutdated(std::string_view what, StorePosition position);
     Millis now() const { return m_clock.now(); }
 
     EventLoop *m_loop;
