--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -421,7 +421,15 @@
                   .fencedPromotions = false,
                   .faults = {SimulatedFault::LeavePrimary, SimulatedFault::KillHost,
                              SimulatedFault::RestartReplica, SimulatedFault::CrashPrimary,
-                             SimulatedFault::SplitPrimary}}}),
+                             SimulatedFault::SplitPrimary}}},
+        LossCase{"newPrimaryCrashedAndTheReplacedOneReturnedUnfenced",
+                 {.seed = 74,
+                  .hosts = 4,
+                  .maxConnections = 22,
+                  .duration = Millis(45'000),
+                  .fencedPromotions = false,
+                  .faults = {SimulatedFault::CrashPrimary, SimulatedFault::SilencePrimary,
+                             SimulatedFault::DelayCommands}}}),
     [](const auto &info) { return info.param.name; });
 
 TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -47,6 +47,7 @@
                         .callers = arguments["callers"].as<int>(),
                         .connections = arguments["connections"].as<int>(),
                         .fencedPromotions = arguments["fencing"].as<std::string>() != "off",
+                        .restores = arguments["restores"].as<std::string>() == "on",
                         .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
@@ -87,6 +88,8 @@
             cxxopts::value<int>()->default_value("22"));
         add("fencing", "Whether the platform checks fencing tokens: on or off",
             cxxopts::value<std::string>()->default_value("on"));
+        add("restores", "Whether the store also comes back from older copies of itself: on or off",
+            cxxopts::value<std::string>()->default_value("off"));
         add("program", "Path of the session server",
             cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
         add("address", "Loopback address of all listeners",
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr Millis StoreCopyInterval(400);
+constexpr Millis StoreAbsence(600); // Before it comes back from a copy.
 constexpr Millis RestartDelay(300);
 constexpr Millis CheckInterval(50);
 constexpr Millis ProbeInterval(150);
@@ -107,6 +109,8 @@
     }
     startCallers();
     scheduleFaults();
+    if (m_options.restores)
+        scheduleRestores();
     m_loop.every(CheckInterval, [this] { restartHosts(); });
     m_loop.every(ProbeInterval, [this] { probeConfiguration(); });
     return true;
@@ -179,9 +183,10 @@
 void Soak::scheduleFaults()
 {
     const auto span = static_cast<std::uint64_t>(m_options.duration.count());
+    constexpr auto Kinds = static_cast<std::uint64_t>(SoakFault::StoreRestored);
     const std::uint64_t count = 3 + m_random.below(1 + span / 1000);
     for (std::uint64_t i = 0; i < count; ++i) {
-        const auto fault = static_cast<SoakFault>(m_random.below(SoakFaultNames.rows.size()));
+        const auto fault = static_cast<SoakFault>(m_random.below(Kinds));
         const Millis when(1500 + static_cast<std::int64_t>(m_random.below(span * 2 / 3)));
         const Millis length(200 + static_cast<std::int64_t>(m_random.below(span / 4)));
         m_loop.after(when, [this, fault, length] { apply(fault, length); });
@@ -189,6 +194,33 @@
     m_loop.after(m_options.duration, [this] { endFaults(); });
 }
 
+// From a source of its own, so that a seed has the same other faults with and without restores.
+void Soak::scheduleRestores()
+{
+    constexpr std::uint64_t MaxAgeMs = 6000;
+    Random random(hash64("restores", m_options.seed));
+    const auto span = static_cast<std::uint64_t>(m_options.duration.count());
+    const std::uint64_t count = 1 + random.below(3);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const Millis when(2500 + static_cast<std::int64_t>(random.below(span * 2 / 3)));
+        const Millis age(static_cast<std::int64_t>(random.below(MaxAgeMs)));
+        m_loop.after(when, [this, age] { restoreStore(age); });
+    }
+    m_loop.every(StoreCopyInterval, [this] { m_deployment.storeServer().keepCopy(); });
+}
+
+void Soak::restoreStore(Millis age)
+{
+    m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
+                              + std::string(SoakFaultNames.name(SoakFault::StoreRestored)) + " "
+                              + std::to_string(age.count()));
+    m_deployment.storeServer().faults().down = true;
+    m_loop.after(StoreAbsence, [this, age] {
+        m_deployment.storeServer().faults().down = false;
+        m_deployment.putStoreBack(age);
+    });
+}
+
 void Soak::apply(SoakFault fault, Millis length)
 {
     m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -49,9 +49,10 @@
     StoreDropsHistory,
     ConfigurationChange,
     AllHostsKilled,
+    StoreRestored, // Only with SoakOptions::restores.
 };
 
-inline constexpr NameTable<SoakFault, 28> SoakFaultNames{{{
+inline constexpr NameTable<SoakFault, 29> SoakFaultNames{{{
     {SoakFault::KillHost, "kill-host"},
     {SoakFault::FreezeHost, "freeze-host"},
     {SoakFault::StopHost, "stop-host"},
@@ -80,6 +81,7 @@
     {SoakFault::StoreDropsHistory, "store-forgets"},
     {SoakFault::ConfigurationChange, "configuration-change"},
     {SoakFault::AllHostsKilled, "all-hosts-killed"},
+    {SoakFault::StoreRestored, "store-restored"},
 }}};
 
 struct SoakOptions
@@ -90,6 +92,9 @@
     int callers = 36;
     int connections = 22; // That an instance accepts; with few, hosts relay through gateways.
     bool fencedPromotions = true; // See StandinDeployment::Options.
+    // Besides the other faults, the store comes back from an older copy of itself, once to three
+    // times.
+    bool restores = false;
     // Faults begin 1.5 s after the start at the earliest, spread over two thirds of this time.
     Millis duration = Millis(15'000);
     std::string address = "127.0.0.1"; // Of all listeners; simultaneous runs need different ones.
@@ -152,6 +157,8 @@
     bool prepareHosts(Reason *reason);
     void startCallers();
     void scheduleFaults();
+    void scheduleRestores();
+    void restoreStore(Millis age);
     void apply(SoakFault fault, Millis length);
     void applyToHost(SoakFault fault, Millis length);
     void applyToInstance(SoakFault fault, Millis length);
