--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -285,20 +285,29 @@
     EXPECT_EQ(records[0].version, 3U);
 }
 
-// The number of a lost change was given out again, for a change of another team.
-TEST(SettingsFeed, MissesNoChangeWhoseNumberWasGivenOutBefore)
+// A table that can be restored from a copy, and the hosts that read it.
+class RestoredTable : public testing::Test
 {
-    PlatformTable table;
-    for (const std::string team : {"a", "b"})
-        applyChange(&table, team);
-    SettingsFeed feed({});
-    RecordStore hosts;
-    const auto read = [&](Millis now) {
+protected:
+    // The hosts take over what changed.
+    void read(Millis now)
+    {
         std::vector<FeedRecord> records;
         answerReads(&table, &feed, feed.onTick(now, true), now, &records);
         for (const FeedRecord &record : records)
             hosts.merge({record.team, record.version, record.body, record.era});
-    };
+    }
+
+    PlatformTable table;
+    SettingsFeed feed{SettingsFeed::Options{}};
+    RecordStore hosts;
+};
+
+// The number of a lost change was given out again, for a change of another team.
+TEST_F(RestoredTable, MissesNoChangeWhoseNumberWasGivenOutBefore)
+{
+    for (const std::string team : {"a", "b"})
+        applyChange(&table, team);
     table.keepCopy();
     applyChange(&table, "a");
     applyChange(&table, "a");
@@ -316,18 +325,9 @@
 }
 
 // What was not written again since the copy is older than what the hosts hold.
-TEST(SettingsFeed, BringsNoOlderSettingsBackFromACopy)
+TEST_F(RestoredTable, BringsNoOlderSettingsBack)
 {
-    PlatformTable table;
     applyChange(&table, "a");
-    SettingsFeed feed({});
-    RecordStore hosts;
-    const auto read = [&](Millis now) {
-        std::vector<FeedRecord> records;
-        answerReads(&table, &feed, feed.onTick(now, true), now, &records);
-        for (const FeedRecord &record : records)
-            hosts.merge({record.team, record.version, record.body, record.era});
-    };
     table.keepCopy();
     applyChange(&table, "a");
     read(Millis(0));
