Give the simulated store a file of its own, and mend a finding of the linter

Change: test/simulatedstore.* holds the lease's row, the record of eras and the copies. The test of HostRegistration compares whole numbers, with the same bounds.

--- a/src/session/tst_hostliveness.cpp
+++ b/src/session/tst_hostliveness.cpp
@@ -132,7 +132,9 @@
         early += registration.takeDue(Millis(1000 + 1000)) ? 1 : 0;
         EXPECT_TRUE(registration.takeDue(Millis(200'000)));
     }
-    EXPECT_NEAR(early, Hosts / 4, Hosts / 16);
+    // A quarter of the spread is over.
+    EXPECT_GT(early, Hosts / 4 - Hosts / 16);
+    EXPECT_LT(early, Hosts / 4 + Hosts / 16);
 }
 
 } // namespace
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -1,6 +1,7 @@
 #include "sessionsimulation.h"
 
 #include "guaranteechecker.h"
+#include "simulatedstore.h"
 
 #include "base/hash.h"
 #include "session/promotionlease.h"
@@ -40,8 +41,7 @@
 constexpr Millis MaxStoreAbsence(2000);
 constexpr Millis MaxStoreCopyAge(9000);
 constexpr Millis StoreCopyInterval(500);
-constexpr Millis StoreRefillTime(2000);     // Until the instances have registered again.
-constexpr Millis StoreClockLead(1'000'000); // Of the store's clock over the simulation's.
+constexpr Millis StoreRefillTime(2000); // Until the instances have registered again.
 
 // The databases, one for each consistency.
 constexpr std::array<std::pair<const char *, Consistency>, 3> Databases{{
@@ -69,23 +69,6 @@
     std::map<std::pair<std::size_t, ConnectionId>, ServedConnection> connections;
 };
 
-// What the store keeps of the group, besides the instances that register themselves.
-struct StoreState
-{
-    std::optional<PromotionLease> lease;
-    std::uint64_t leaseVersion = 0;
-    std::uint64_t era = 0;           // 0: the store counts no eras.
-    std::optional<Millis> eraSeenAt; // As the hosts recorded it.
-};
-
-// What the store comes back with if it is restored.
-struct StoreCopy
-{
-    Millis at;
-    StoreState state;
-    std::vector<RegisteredInstance> instances;
-};
-
 class SessionSimulation;
 
 // A host: a SessionEngine whose actions are carried out by the simulation.
@@ -203,7 +186,6 @@
     void tickHost(std::size_t index, std::uint64_t incarnation);
     void updateInstances(std::size_t index, std::uint64_t incarnation);
     std::vector<RegisteredInstance> registered() const;
-    std::vector<RegisteredInstance> listedInstances() const;
     void keepStoreCopies();
     void restoreStore(Millis length);
     void applyFault(SimulatedFault fault, Millis length);
@@ -240,11 +222,7 @@
     std::vector<Caller> m_callers;
     std::map<std::pair<std::size_t, SessionId>, std::size_t> m_sessionOwner;
     std::set<std::pair<std::size_t, std::string>> m_cutLinks;
-    StoreState m_store;
-    std::deque<StoreCopy> m_storeCopies; // The oldest first.
-    // Until then the list of instances is the one of the copy that the store came back from.
-    Millis m_copiedListUntil;
-    std::vector<RegisteredInstance> m_copiedList;
+    SimulatedStore m_store;
     std::uint64_t m_highestToken = 0;
     std::map<std::uint64_t, std::size_t> m_tokenHolders;
     std::set<std::pair<std::string, std::string>> m_cutReplication; // Primary and replica.
@@ -498,13 +476,9 @@
         });
         return;
     }
-    const StoreState read = m_store;
-    if (!m_store.eraSeenAt)
-        m_store.eraSeenAt = m_now;
-    const StoreInstant instant{.now = m_now + StoreClockLead,
-                               .era = m_store.era,
-                               .eraSeenAt = *m_store.eraSeenAt + StoreClockLead};
-    const LeaseOffer offer = nextLease(read.lease, "host" + std::to_string(host), instant,
+    m_store.recordEra(m_now);
+    const SimulatedStore::LeaseRow row = m_store.readLease(m_now);
+    const LeaseOffer offer = nextLease(row.lease, "host" + std::to_string(host), row.instant,
                                        {.fencedPromotions = hostsAssumeFencing()});
     if (!offer.lease) {
         atHost(host, m_now + NetworkDelay * 2, [=, this](SimulatedHost *requester) {
@@ -513,17 +487,12 @@
         return;
     }
     at(m_now + NetworkDelay * 3, [=, this] {
-        const bool granted = m_store.leaseVersion == read.leaseVersion && m_store.era == read.era
-            && m_now >= m_storeDownUntil;
-        if (granted) {
-            m_store.lease = offer.lease;
-            ++m_store.leaseVersion;
-        }
+        const bool granted = m_now >= m_storeDownUntil && m_store.writeLease(row, *offer.lease);
         LeaseResult result{.actUntil = askedAt + LeaseActingTime};
         if (granted) {
             result.fencingToken = offer.lease->fencingToken;
             result.openCandidate = offer.lease->candidate;
-            result.openUntil = offer.lease->candidateUntil - StoreClockLead;
+            result.openUntil = offer.lease->candidateUntil - SimulatedStore::ClockLead;
         }
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onLeaseResult(m_now, group, result);
@@ -540,8 +509,8 @@
     at(m_now + NetworkDelay * 2, [=, this] {
         if (m_now < m_storeDownUntil)
             return;
-        const std::vector<RegisteredInstance> list = listedInstances();
-        const std::uint64_t era = m_store.era;
+        const std::vector<RegisteredInstance> list = m_store.listed(m_now, registered());
+        const std::uint64_t era = m_store.era();
         atHost(host, m_now + NetworkDelay,
                [=, this](SimulatedHost *requester) { takeList(requester, list, readAt, era); });
     });
@@ -554,11 +523,8 @@
     const StoreEra::Answer answer = host->era.onAnswer(m_now, era);
     if (answer == StoreEra::Answer::Outdated)
         return;
-    if (answer == StoreEra::Answer::NewEra && era == m_store.era) {
-        if (!m_store.eraSeenAt)
-            m_store.eraSeenAt = m_now;
-        host->era.onAge(m_now, era, m_now - *m_store.eraSeenAt);
-    }
+    if (answer == StoreEra::Answer::NewEra && era == m_store.era())
+        host->era.onAge(m_now, era, m_now - m_store.recordEra(m_now));
     const bool settled = host->era.settled(readAt);
     if (settled)
         host->lastListAt = readAt;
@@ -569,13 +535,10 @@
                                         const std::string &candidate, std::uint64_t token)
 {
     at(m_now + NetworkDelay * 3, [=, this] {
+        const SimulatedStore::LeaseRow row = m_store.readLease(m_now);
         const std::optional<PromotionLease> next = leaseWithCandidate(
-            m_store.lease, "host" + std::to_string(host), token, candidate, m_now + StoreClockLead);
-        const bool recorded = next && m_now >= m_storeDownUntil;
-        if (recorded) {
-            m_store.lease = next;
-            ++m_store.leaseVersion;
-        }
+            row.lease, "host" + std::to_string(host), token, candidate, row.instant.now);
+        const bool recorded = next && m_now >= m_storeDownUntil && m_store.writeLease(row, *next);
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onCandidateRecorded(m_now, group, candidate, recorded);
         });
@@ -624,15 +587,9 @@
     m_checker.onPromoted(newPrimary, m_now);
 }
 
-// What the store answers to a host that reads the list of instances.
-std::vector<RegisteredInstance> SessionSimulation::listedInstances() const
-{
-    return m_now < m_copiedListUntil ? m_copiedList : registered();
-}
-
 void SessionSimulation::keepStoreCopies()
 {
-    m_storeCopies.push_back({.at = m_now, .state = m_store, .instances = listedInstances()});
+    m_store.keepCopy(m_now, registered());
     at(m_now + StoreCopyInterval, [this] { keepStoreCopies(); });
 }
 
@@ -644,17 +601,7 @@
     const Millis oldest = m_now - Millis(std::int64_t(m_random.below(MaxStoreCopyAge.count())));
     const Millis refilled = back + Millis(std::int64_t(m_random.below(StoreRefillTime.count())));
     m_storeDownUntil = std::max(m_storeDownUntil, back);
-    at(back, [this, oldest, refilled] {
-        while (m_storeCopies.size() > 1 && m_storeCopies.back().at > oldest)
-            m_storeCopies.pop_back();
-        const StoreCopy &copy = m_storeCopies.back();
-        const std::uint64_t era = m_store.era + 1;
-        m_store = copy.state;
-        m_store.era = era;
-        m_store.eraSeenAt.reset();
-        m_copiedList = copy.instances;
-        m_copiedListUntil = refilled;
-    });
+    at(back, [this, oldest, refilled] { m_store.putBack(oldest, refilled); });
 }
 
 std::vector<RegisteredInstance> SessionSimulation::registered() const
@@ -929,7 +876,7 @@
             reach.lastReachable = m_now;
     }
     if (m_now >= m_storeDownUntil && m_now >= host->frozenUntil) {
-        takeList(host, listedInstances(), m_now, m_store.era);
+        takeList(host, m_store.listed(m_now, registered()), m_now, m_store.era());
     }
     at(m_now + RegistrationInterval, [=, this] { updateInstances(index, incarnation); });
 }
@@ -997,8 +944,7 @@
         }
     }
     if (std::ranges::count(m_options.faults, SimulatedFault::RestoreStore) > 0) {
-        m_store.era = 1;
-        m_store.eraSeenAt = Millis(-60'000);
+        m_store.countEras(m_now);
         keepStoreCopies();
     }
     const auto span = static_cast<std::uint64_t>(m_options.duration.count()) / 2;
