--- a/model/settled.pml
+++ b/model/settled.pml
@@ -1,5 +1,5 @@
 /* What a list of instances says after the store came back from an older copy of itself (src/session/instancelist.h,
- * storeera.h, storeposition.h).
+ * storeepoch.h, storeposition.h).
  *
  * There are one instance and one host, and time passes in steps. The instance may announce that it leaves; new work may
  * reach it for DRAIN steps after the store has accepted the notice. The store may keep a copy, and return to it, in each step;
@@ -14,11 +14,11 @@
 #define DRAIN 5
 #define REFILL 1
 #define SETTLE 2
-#define MAX_ERA 3
+#define MAX_EPOCH 3
 
 /* The store. */
 byte version = 1, copiedVersion = 1;
-byte era = 1;
+byte epoch = 1;
 bool entryLeaving, copiedLeaving;
 byte refillAt;
 
@@ -27,7 +27,7 @@
 byte announcedAt;
 
 /* The host. */
-byte knownEra = 1, knownVersion, eraSeenAt;
+byte knownEpoch = 1, knownVersion, epochSeenAt;
 bool knownLeaving;
 byte lastReady, newWorkUntil;
 
@@ -36,8 +36,8 @@
     :: !announced -> announced = true; announcedAt = now; entryLeaving = true; version++
     :: version < 20 -> version++
     :: copiedVersion = version; copiedLeaving = entryLeaving
-    :: era < MAX_ERA ->
-        version = copiedVersion; entryLeaving = copiedLeaving; era++;
+    :: epoch < MAX_EPOCH ->
+        version = copiedVersion; entryLeaving = copiedLeaving; epoch++;
         if
         :: refillAt = now
         :: refillAt = now + REFILL
@@ -56,13 +56,13 @@
 inline readList() {
     settled = true;
     if
-    :: era > knownEra -> knownEra = era; eraSeenAt = now; knownVersion = 0
+    :: epoch > knownEpoch -> knownEpoch = epoch; epochSeenAt = now; knownVersion = 0
     :: else
     fi;
 #ifndef MUTANT_TAKE_BACK
-    settled = (knownEra == 1 || now >= eraSeenAt + SETTLE);
+    settled = (knownEpoch == 1 || now >= epochSeenAt + SETTLE);
 #endif
-#ifdef MUTANT_COMPARE_ACROSS_ERAS
+#ifdef MUTANT_COMPARE_ACROSS_EPOCHS
     newer = version >= highestVersion;
     highestVersion = (newer -> version : highestVersion);
 #else
@@ -87,7 +87,7 @@
 {
     byte now;
     bool settled, newer;
-#ifdef MUTANT_COMPARE_ACROSS_ERAS
+#ifdef MUTANT_COMPARE_ACROSS_EPOCHS
     byte highestVersion;
 #endif
     do
--- a/src/connection/tablestore.cpp
+++ b/src/connection/tablestore.cpp
@@ -20,8 +20,8 @@
     row.key = textMember(object, "key");
     row.version = static_cast<std::uint64_t>(numberMember(object, "version"));
     row.value = textMember(object, "value");
-    row.era = static_cast<std::uint64_t>(numberMember(object, "era"));
-    row.tableEra = static_cast<std::uint64_t>(numberMember(object, "tableEra"));
+    row.epoch = static_cast<std::uint64_t>(numberMember(object, "epoch"));
+    row.tableEpoch = static_cast<std::uint64_t>(numberMember(object, "tableEpoch"));
     return row;
 }
 
@@ -65,8 +65,8 @@
                 if (!value.is_object())
                     continue;
                 result.push_back(decodeRow(value.get_object()));
-                result.back().tableEra
-                    = static_cast<std::uint64_t>(numberMember(*object, "tableEra"));
+                result.back().tableEpoch
+                    = static_cast<std::uint64_t>(numberMember(*object, "tableEpoch"));
             }
             done(std::move(result));
         });
@@ -82,8 +82,8 @@
         for (const auto &write : transaction.writes)
             writes.push_back(json::object{{"key", write.key}, {"value", write.value}});
         json::object body{{"checks", std::move(checks)}, {"writes", std::move(writes)}};
-        if (transaction.era > 0)
-            body["era"] = transaction.era;
+        if (transaction.epoch > 0)
+            body["epoch"] = transaction.epoch;
         callOnce(m_loop, m_platform,
                  {.method = "POST", .target = "/table/transact", .body = json::serialize(body)},
                  timeout,
--- a/src/connection/tablestore.h
+++ b/src/connection/tablestore.h
@@ -23,9 +23,9 @@
     std::string key;
     std::uint64_t version = 0; // 0 if the row doesn't exist.
     std::string value;
-    // The table's eras; see session/storeposition.h. 0 if the platform counts none.
-    std::uint64_t era = 0;      // In which the row was written.
-    std::uint64_t tableEra = 0; // In which it was read.
+    // The table's epochs; see session/storeposition.h. 0 if the platform counts none.
+    std::uint64_t epoch = 0;      // In which the row was written.
+    std::uint64_t tableEpoch = 0; // In which it was read.
 };
 
 // A conditional write: all writes are applied if every checked row has the given version, and none
@@ -45,9 +45,9 @@
 
     std::vector<Check> checks;
     std::vector<Write> writes;
-    // The era in which the versions were read; the platform refuses the transaction in another one.
-    // 0 if it is not known.
-    std::uint64_t era = 0;
+    // The epoch in which the versions were read; the platform refuses the transaction in another
+    // one. 0 if it is not known.
+    std::uint64_t epoch = 0;
 };
 
 // The result of a TableTransaction.
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -328,8 +328,8 @@
 json::object encodeRecord(const Record &record)
 {
     json::object object{{"key", record.key}, {"version", record.version}, {"body", record.body}};
-    if (record.era > 0)
-        object["era"] = record.era;
+    if (record.epoch > 0)
+        object["epoch"] = record.epoch;
     return object;
 }
 
@@ -342,7 +342,7 @@
     record.key = textMember(*object, "key");
     record.version = unsignedMember(*object, "version");
     record.body = textMember(*object, "body");
-    record.era = unsignedMember(*object, "era");
+    record.epoch = unsignedMember(*object, "epoch");
     if (record.key.empty())
         return std::nullopt;
     return record;
@@ -362,8 +362,8 @@
     if (!message.ids.empty()) {
         json::array ids;
         for (const RecordId &id : message.ids)
-            ids.push_back(id.era > 0 ? json::array{id.key, id.version, id.era}
-                                     : json::array{id.key, id.version});
+            ids.push_back(id.epoch > 0 ? json::array{id.key, id.version, id.epoch}
+                                       : json::array{id.key, id.version});
         object["ids"] = std::move(ids);
     }
     if (!message.records.empty()) {
@@ -396,7 +396,7 @@
             message.digest->at(i) = fromHexadecimal(stringValue(digest[i]));
     }
     for (const json::value &value : arrayMember(*object, "ids")) {
-        // The key, the version and, if there is one, the era.
+        // The key, the version and, if there is one, the epoch.
         const json::array *id = value.if_array();
         const bool hasVersion = id && id->size() >= 2 && (*id)[1].is_number();
         if (!hasVersion)
@@ -405,7 +405,7 @@
         message.ids.push_back(
             {.key = std::string(stringValue((*id)[0])),
              .version = (*id)[1].to_number<std::uint64_t>(error),
-             .era = id->size() > 2 ? (*id)[2].to_number<std::uint64_t>(error) : 0});
+             .epoch = id->size() > 2 ? (*id)[2].to_number<std::uint64_t>(error) : 0});
     }
     for (const json::value &value : arrayMember(*object, "records")) {
         if (auto record = decodeRecord(value))
--- a/src/process/recordstore.cpp
+++ b/src/process/recordstore.cpp
@@ -12,8 +12,8 @@
     const auto found = m_records.find(record.key);
     if (found != m_records.end()) {
         const Record &known = found->second;
-        if (std::tie(record.era, record.version, record.body)
-            <= std::tie(known.era, known.version, known.body))
+        if (std::tie(record.epoch, record.version, record.body)
+            <= std::tie(known.epoch, known.version, known.body))
             return false;
         toggleInDigest(known);
     }
@@ -62,7 +62,7 @@
     for (const auto &entry : m_records) {
         const std::size_t bucket = bucketOf(entry.first);
         if (m_digest.at(bucket) != other.at(bucket))
-            ids.push_back({entry.first, entry.second.version, entry.second.era});
+            ids.push_back({entry.first, entry.second.version, entry.second.epoch});
     }
     return ids;
 }
@@ -70,10 +70,10 @@
 std::vector<Record> RecordStore::newerThan(const std::vector<RecordId> &ids,
                                            const Digest &other) const
 {
-    using Version = std::pair<std::uint64_t, std::uint64_t>; // The era first.
+    using Version = std::pair<std::uint64_t, std::uint64_t>; // The epoch first.
     std::map<std::string_view, Version> versions;
     for (const RecordId &id : ids)
-        versions[id.key] = {id.era, id.version};
+        versions[id.key] = {id.epoch, id.version};
     std::vector<Record> newer;
     for (const auto &entry : m_records) {
         const std::size_t bucket = bucketOf(entry.first);
@@ -83,7 +83,7 @@
         // Equal versions are included too: their bodies may differ, and merge() decides which one
         // wins.
         if (known == versions.end()
-            || Version(entry.second.era, entry.second.version) >= known->second)
+            || Version(entry.second.epoch, entry.second.version) >= known->second)
             newer.push_back(entry.second);
     }
     return newer;
--- a/src/process/recordstore.h
+++ b/src/process/recordstore.h
@@ -18,8 +18,8 @@
     std::uint64_t version = 0;
     std::string body; // JSON text; not interpreted by the store.
     // In which its version was given out: the platform's table may come back from an older copy of
-    // itself, and gives versions out again in each era. 0 for records of other origin.
-    std::uint64_t era = 0;
+    // itself, and gives versions out again in each epoch. 0 for records of other origin.
+    std::uint64_t epoch = 0;
 
     bool operator==(const Record &) const = default;
 };
@@ -29,10 +29,10 @@
 {
     std::string key;
     std::uint64_t version = 0;
-    std::uint64_t era = 0;
+    std::uint64_t epoch = 0;
 };
 
-// Holds the newest known version of each record: that of the latest era, and in it the highest. A
+// Holds the newest known version of each record: that of the latest epoch, and in it the highest. A
 // record never returns to an older one, in whatever order its copies arrive. Keys are hashed into
 // buckets. Two stores compare their digests, which have one hash for each bucket, to find where
 // they differ.
@@ -48,7 +48,7 @@
     static constexpr std::size_t BucketCount = 64;
     using Digest = std::array<std::uint64_t, BucketCount>;
 
-    // Stores `record` if its key is new or it is newer than the stored one. If era and version
+    // Stores `record` if its key is new or it is newer than the stored one. If epoch and version
     // are equal, the lexicographically greater body wins, so that all stores converge.
     // Returns whether the store changed.
     bool merge(const Record &record);
--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -1,7 +1,7 @@
 #include "platformfeed.h"
 
 #include "process/log.h"
-#include "session/erastart.h"
+#include "session/epochstart.h"
 
 #include <algorithm>
 #include <utility>
@@ -47,7 +47,7 @@
           std::clamp(options.configurationBound / 3, MinConfigurationWait, MaxConfigurationWait))
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
-    , m_era({})
+    , m_epoch({})
     , m_registration(m_self.host, {})
 {
 }
@@ -96,8 +96,8 @@
     }
     m_liveness.onRequest(now(), updateRequest->host);
     m_cache.requestUpdate(now(), *updateRequest, [this, respond](PlatformUpdate update) {
-        update.storeEra = m_era.number();
-        update.storeEraAge = now() - m_era.beganBy();
+        update.storeEpoch = m_epoch.number();
+        update.storeEpochAge = now() - m_epoch.beganBy();
         respond(encodePlatformUpdate(update));
     });
 }
@@ -129,7 +129,7 @@
         waitForChange ? m_configurationWait : Millis(0),
         [this](const std::optional<ConfigurationReading> &reading) {
             const bool usable = isUsable("configuration", reading);
-            findEraStart();
+            findEpochStart();
             recordReading("configuration", &m_configurationFailures, usable);
             if (usable) {
                 m_cache.setRouting(now(), reading->value);
@@ -170,7 +170,7 @@
             logOutdated("instances", reading->position);
             usable = false;
         }
-        findEraStart();
+        findEpochStart();
         recordReading("instances", &m_instancesFailures, usable);
         if (usable)
             applyInstances();
@@ -276,8 +276,8 @@
                   {"configurationAgeMs", update.routingAge.count()},
                   {"instancesAgeMs", update.instancesAge.count()}});
     m_readerUpToDate = upToDate;
-    m_era.onAge(now(), update.storeEra, update.storeEraAge);
-    noteEra();
+    m_epoch.onAge(now(), update.storeEpoch, update.storeEpochAge);
+    noteEpoch();
     m_cache.refresh(now(), update);
     if (update.routing)
         applyRouting(*update.routing);
@@ -292,26 +292,27 @@
     if (!m_cache.instances())
         return;
     const Millis readAt = m_cache.instancesReadAt();
-    m_engine->onInstances(now(), *m_cache.instances(), readAt, m_era.settled(readAt));
+    m_engine->onInstances(now(), *m_cache.instances(), readAt, m_epoch.settled(readAt));
 }
 
-// Learns, once for each era, since when it lasts.
-void PlatformFeed::findEraStart()
+// Learns, once for each epoch, since when it lasts.
+void PlatformFeed::findEpochStart()
 {
-    const std::uint64_t era = m_era.number();
-    if (era == std::exchange(m_eraSought, era))
+    const std::uint64_t epoch = m_epoch.number();
+    if (epoch == std::exchange(m_epochSought, epoch))
         return;
-    cicadagap::findEraStart(m_platform, era, [this, era](const std::optional<EraStart> &start) {
-        if (!start) {
-            m_eraSought = 0;
-            return;
-        }
-        const Millis age = start->storeNow - start->seenAt;
-        logEvent(LogLevel::Info, "platform.era-began",
-                 {{"era", static_cast<std::int64_t>(era)}, {"ageMs", age.count()}});
-        if (m_era.onAge(now(), era, age))
-            applyInstances();
-    });
+    cicadagap::findEpochStart(
+        m_platform, epoch, [this, epoch](const std::optional<EpochStart> &start) {
+            if (!start) {
+                m_epochSought = 0;
+                return;
+            }
+            const Millis age = start->storeNow - start->seenAt;
+            logEvent(LogLevel::Info, "platform.epoch-began",
+                     {{"epoch", static_cast<std::int64_t>(epoch)}, {"ageMs", age.count()}});
+            if (m_epoch.onAge(now(), epoch, age))
+                applyInstances();
+        });
 }
 
 void PlatformFeed::applyRouting(const RoutingTable &routing)
@@ -325,10 +326,10 @@
     m_onConfiguration();
 }
 
-// The store may have forgotten this host's record in an earlier era.
-void PlatformFeed::noteEra()
+// The store may have forgotten this host's record in an earlier epoch.
+void PlatformFeed::noteEpoch()
 {
-    m_registration.onEra(now(), m_era.number());
+    m_registration.onEpoch(now(), m_epoch.number());
 }
 
 void PlatformFeed::registerIfDue()
@@ -371,26 +372,26 @@
     }
 }
 
-// Whether the store answered, and not in an earlier era than it did before.
+// Whether the store answered, and not in an earlier epoch than it did before.
 template <typename Value>
 bool PlatformFeed::isUsable(std::string_view what,
                             const std::optional<StoreReading<Value>> &reading)
 {
     if (!reading)
         return false;
-    const std::uint64_t known = m_era.number();
+    const std::uint64_t known = m_epoch.number();
     const StorePosition position = reading->position;
-    const StoreEra::Answer answer = m_era.onAnswer(now(), position.era);
-    noteEra();
-    if (answer == StoreEra::Answer::NewEra)
-        logEvent(LogLevel::Warning, "platform.era",
+    const StoreEpoch::Answer answer = m_epoch.onAnswer(now(), position.epoch);
+    noteEpoch();
+    if (answer == StoreEpoch::Answer::NewEpoch)
+        logEvent(LogLevel::Warning, "platform.epoch",
                  {{"call", what},
-                  {"era", static_cast<std::int64_t>(position.era)},
+                  {"epoch", static_cast<std::int64_t>(position.epoch)},
                   {"before", static_cast<std::int64_t>(known)},
                   {"version", static_cast<std::int64_t>(position.version)}});
-    else if (answer == StoreEra::Answer::Outdated)
+    else if (answer == StoreEpoch::Answer::Outdated)
         logOutdated(what, position);
-    return answer != StoreEra::Answer::Outdated;
+    return answer != StoreEpoch::Answer::Outdated;
 }
 
 // An older answer arrived after a newer one.
@@ -398,8 +399,8 @@
 {
     logEvent(LogLevel::Warning, "platform.answer-outdated",
              {{"call", what},
-              {"era", static_cast<std::int64_t>(position.era)},
-              {"known", static_cast<std::int64_t>(m_era.number())},
+              {"epoch", static_cast<std::int64_t>(position.epoch)},
+              {"known", static_cast<std::int64_t>(m_epoch.number())},
               {"version", static_cast<std::int64_t>(position.version)}});
 }
 
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -13,7 +13,7 @@
 #include "session/platformcache.h"
 #include "session/platformclient.h"
 #include "session/sessionengine.h"
-#include "session/storeera.h"
+#include "session/storeepoch.h"
 
 #include <functional>
 #include <memory>
@@ -59,10 +59,10 @@
     void followReader();
     void applyUpdate(const PlatformUpdate &update);
     void applyInstances();
-    void findEraStart();
+    void findEpochStart();
     void applyHosts(std::vector<HostRecord> hosts);
     void applyRouting(const RoutingTable &routing);
-    void noteEra();
+    void noteEpoch();
     void registerIfDue();
     void registerSelf();
     void withdrawStoppedHosts();
@@ -84,8 +84,8 @@
     BootClock m_clock;
     Millis m_startedAt;
     PlatformCache m_cache;
-    StoreEra m_era;
-    std::uint64_t m_eraSought = 0; // For which the start was asked for.
+    StoreEpoch m_epoch;
+    std::uint64_t m_epochSought = 0; // For which the start was asked for.
     HostRegistration m_registration;
     HostLiveness m_liveness;       // Of the hosts that follow this one.
     bool m_reading = false;        // The first list of hosts was read, or could not be.
--- a/src/programs/cicadagap-standin-platform/platformserver.cpp
+++ b/src/programs/cicadagap-standin-platform/platformserver.cpp
@@ -17,7 +17,7 @@
 
 json::object encodeRow(const std::string &key, const PlatformRow &row)
 {
-    return {{"key", key}, {"version", row.version}, {"value", row.value}, {"era", row.era}};
+    return {{"key", key}, {"version", row.version}, {"value", row.value}, {"epoch", row.epoch}};
 }
 
 HttpResponse answer(const json::object &object)
@@ -92,7 +92,7 @@
 {
     const std::string key = queryValue(target, "key").value_or("");
     json::object object = encodeRow(key, m_table.row(key).value_or(PlatformRow{}));
-    object["tableEra"] = m_table.era();
+    object["tableEpoch"] = m_table.epoch();
     return answer(object);
 }
 
@@ -105,7 +105,7 @@
     for (const auto &row : m_table.scan(queryValue(target, "prefix").value_or(""),
                                         queryValue(target, "after").value_or(""), limit))
         rows.push_back(encodeRow(row.first, row.second));
-    return answer({{"rows", std::move(rows)}, {"tableEra", m_table.era()}});
+    return answer({{"rows", std::move(rows)}, {"tableEpoch", m_table.epoch()}});
 }
 
 HttpResponse PlatformServer::transact(const std::string &body, bool *applied)
@@ -130,7 +130,7 @@
                 {textMember(write.get_object(), "key"), textMember(write.get_object(), "value")});
     }
     *applied = m_table.transact(rowChecks, rowWrites,
-                                static_cast<std::uint64_t>(numberMember(*object, "era")));
+                                static_cast<std::uint64_t>(numberMember(*object, "epoch")));
     return *applied ? HttpResponse{.body = "{}"} : HttpResponse{.status = 409, .body = "{}"};
 }
 
--- a/src/programs/cicadagap-steward/steward.cpp
+++ b/src/programs/cicadagap-steward/steward.cpp
@@ -57,8 +57,8 @@
     return {.key = row.key,
             .version = row.version,
             .value = row.value,
-            .era = row.era,
-            .tableEra = row.tableEra};
+            .epoch = row.epoch,
+            .tableEpoch = row.tableEpoch};
 }
 
 } // namespace
@@ -416,7 +416,7 @@
                 action.key, PlatformTimeout, [this](const std::optional<TableRow> &row) {
                     std::optional<FeedHead> head;
                     if (row) {
-                        head = FeedHead{.tableEra = row->tableEra};
+                        head = FeedHead{.tableEpoch = row->tableEpoch};
                         const std::string &text = row->value;
                         std::from_chars(text.data(), text.data() + text.size(), head->number);
                     }
@@ -465,7 +465,7 @@
 void Steward::publishSettings(const std::vector<FeedRecord> &records)
 {
     for (const FeedRecord &record : records)
-        publish({settingsKey(record.team), record.version, record.body, record.era});
+        publish({settingsKey(record.team), record.version, record.body, record.epoch});
 }
 
 void Steward::assignGroups()
--- a/src/programs/cicadagap/commands.cpp
+++ b/src/programs/cicadagap/commands.cpp
@@ -71,14 +71,14 @@
     std::uint64_t number = 0;
     std::from_chars(head->value.data(), head->value.data() + head->value.size(), number);
     // If the table was restored between the two reads, the transaction is refused.
-    return change->onRows(team->version, head->version, number, team->tableEra);
+    return change->onRows(team->version, head->version, number, team->tableEpoch);
 }
 
 ChangeAction transact(TableStore *store, SettingsChange *change)
 {
     const std::uint64_t next = change->head() + 1;
     const SettingsLogEntry entry{change->options().team, change->options().change};
-    TableTransaction transaction{.era = change->era()};
+    TableTransaction transaction{.epoch = change->epoch()};
     transaction.checks = {{SettingsPrefix + change->options().team, change->teamVersion()},
                           {SettingsHeadKey, change->headVersion()},
                           {settingsLogKey(next), 0}};
--- a/src/session/hostregistration.cpp
+++ b/src/session/hostregistration.cpp
@@ -15,10 +15,10 @@
     m_delay = Millis(static_cast<std::int64_t>(hash64(host) % spread));
 }
 
-void HostRegistration::onEra(Millis now, std::uint64_t era)
+void HostRegistration::onEpoch(Millis now, std::uint64_t epoch)
 {
-    const std::uint64_t before = std::exchange(m_era, era);
-    if (before > 0 && before != era)
+    const std::uint64_t before = std::exchange(m_epoch, epoch);
+    if (before > 0 && before != epoch)
         m_nextAt = std::min(m_nextAt, now + m_delay);
 }
 
--- a/src/session/hostregistration.h
+++ b/src/session/hostregistration.h
@@ -26,8 +26,8 @@
     // `host` is this host's name.
     HostRegistration(const std::string &host, Options options);
 
-    // The store is known to be in this era.
-    void onEra(Millis now, std::uint64_t era);
+    // The store is known to be in this epoch.
+    void onEpoch(Millis now, std::uint64_t epoch);
     // Whether the record has to be written now. The next time is then after the interval.
     bool takeDue(Millis now);
 
@@ -35,7 +35,7 @@
     Options m_options;
     Millis m_delay; // This host's part of the spread.
     Millis m_nextAt;
-    std::uint64_t m_era = 0; // 0: not known.
+    std::uint64_t m_epoch = 0; // 0: not known.
 };
 
 } // namespace cicadagap
--- a/src/session/leaseclient.cpp
+++ b/src/session/leaseclient.cpp
@@ -1,7 +1,7 @@
 #include "session/leaseclient.h"
 
 #include "process/log.h"
-#include "session/erastart.h"
+#include "session/epochstart.h"
 
 #include <utility>
 
@@ -60,18 +60,18 @@
     attempt.row = record->row;
     attempt.storeNow = record->storeNow;
     attempt.readAt = m_clock->now();
-    const StoreInstant instant{.now = record->storeNow, .era = record->row.era};
-    if (isOfEra(attempt.current, instant.era)) {
+    const StoreInstant instant{.now = record->storeNow, .epoch = record->row.epoch};
+    if (isOfEpoch(attempt.current, instant.epoch)) {
         decide(attempt, instant);
         return;
     }
-    findEraStart(m_platform, instant.era, [=, this](const std::optional<EraStart> &start) {
+    findEpochStart(m_platform, instant.epoch, [=, this](const std::optional<EpochStart> &start) {
         if (!start) {
-            logEvent(LogLevel::Warning, "duty.era-unknown", {{"group", attempt.group}});
+            logEvent(LogLevel::Warning, "duty.epoch-unknown", {{"group", attempt.group}});
             attempt.done({});
             return;
         }
-        decide(attempt, {.now = instant.now, .era = instant.era, .eraSeenAt = start->seenAt});
+        decide(attempt, {.now = instant.now, .epoch = instant.epoch, .epochSeenAt = start->seenAt});
     });
 }
 
@@ -86,7 +86,7 @@
     logEvent(LogLevel::Info, "duty.held-elsewhere",
              {{"group", attempt.group},
               {"holder", attempt.current ? attempt.current->holder : std::string()},
-              {"era", static_cast<std::int64_t>(instant.era)},
+              {"epoch", static_cast<std::int64_t>(instant.epoch)},
               {"leftMs", offer.heldFor.count()}});
     attempt.done({.heldFor = offer.heldFor});
 }
@@ -99,7 +99,7 @@
                  {{"group", attempt.group},
                   {"fencingToken", static_cast<std::int64_t>(lease.fencingToken)},
                   {"rowVersion", static_cast<std::int64_t>(attempt.row.version)},
-                  {"era", static_cast<std::int64_t>(attempt.row.era)},
+                  {"epoch", static_cast<std::int64_t>(attempt.row.epoch)},
                   {"storeMs", attempt.storeNow.count()},
                   {"verdict", VerdictNames.name(verdict)}});
         LeaseResult result{.actUntil = attempt.requestedAt + LeaseActingTime};
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -115,13 +115,13 @@
 
 void write(StorePosition position, relaywire::StorePosition *out)
 {
-    out->set_era(position.era);
+    out->set_epoch(position.epoch);
     out->set_version(position.version);
 }
 
 StorePosition read(const relaywire::StorePosition &in)
 {
-    return {.era = in.era(), .version = in.version()};
+    return {.epoch = in.epoch(), .version = in.version()};
 }
 
 // Decodes all entries of a list; nothing, and a reason, if one of them is invalid.
@@ -172,8 +172,8 @@
     out.set_hosts_revision(update.hostsRevision);
     write(update.instancesPosition, out.mutable_instances_position());
     write(update.hostsPosition, out.mutable_hosts_position());
-    out.set_store_era(update.storeEra);
-    out.set_store_era_age_ms(milliseconds(update.storeEraAge));
+    out.set_store_epoch(update.storeEpoch);
+    out.set_store_epoch_age_ms(milliseconds(update.storeEpochAge));
     out.set_routing_age_ms(milliseconds(update.routingAge));
     out.set_instances_age_ms(milliseconds(update.instancesAge));
     out.set_hosts_age_ms(milliseconds(update.hostsAge));
@@ -192,8 +192,8 @@
                           .hostsRevision = in.hosts_revision(),
                           .instancesPosition = read(in.instances_position()),
                           .hostsPosition = read(in.hosts_position()),
-                          .storeEra = in.store_era(),
-                          .storeEraAge = Millis(in.store_era_age_ms()),
+                          .storeEpoch = in.store_epoch(),
+                          .storeEpochAge = Millis(in.store_epoch_age_ms()),
                           .routingAge = Millis(in.routing_age_ms()),
                           .instancesAge = Millis(in.instances_age_ms()),
                           .hostsAge = Millis(in.hosts_age_ms()),
@@ -253,12 +253,12 @@
     answerWaiting(now, AnswerWhom::Updated);
 }
 
-// A list of an earlier era may show what was lost since; within an era the version decides. A host
-// that does not say where its list stands says when it was read.
+// A list of an earlier epoch may show what was lost since; within an epoch the version decides. A
+// host that does not say where its list stands says when it was read.
 bool PlatformCache::isOlder(const Origin &origin, const Origin &than)
 {
-    const bool knowEras = origin.position.era > 0 && than.position.era > 0;
-    if (knowEras && origin.position != than.position)
+    const bool knowEpochs = origin.position.epoch > 0 && than.position.epoch > 0;
+    if (knowEpochs && origin.position != than.position)
         return origin.position < than.position;
     return origin.readAt < than.readAt;
 }
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -48,8 +48,8 @@
     // Where the lists stand in the store's history; all zero if the sender does not say.
     StorePosition instancesPosition;
     StorePosition hostsPosition;
-    std::uint64_t storeEra = 0; // The last one that the answering host knows.
-    Millis storeEraAge;         // It began at least so long ago.
+    std::uint64_t storeEpoch = 0; // The last one that the answering host knows.
+    Millis storeEpochAge;         // It began at least so long ago.
     Millis routingAge;
     Millis instancesAge;
     Millis hostsAge;
--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -24,16 +24,16 @@
 struct LeaseRecord
 {
     std::string text;  // See parseLease().
-    StorePosition row; // The row's version, in the era in which the store answered.
+    StorePosition row; // The row's version, in the epoch in which the store answered.
     Millis storeNow;   // The time on the store's clock when it answered.
 };
 
-// When an era of the store was first seen, as the hosts recorded it.
-struct EraRecord
+// When an epoch of the store was first seen, as the hosts recorded it.
+struct EpochRecord
 {
     std::optional<Millis> seenAt; // On the store's clock; nothing if no host has recorded it.
     Millis storeNow;              // The time on the store's clock when it answered.
-    std::uint64_t era = 0;        // In which it answered.
+    std::uint64_t epoch = 0;      // In which it answered.
 };
 
 using ConfigurationReading = StoreReading<RoutingTable>;
@@ -67,16 +67,19 @@
                            std::function<void(std::optional<LeaseRecord>)> done)
         = 0;
     // Replaces the row of the lease if it still has the version that was read, and no host has
-    // recorded a later era than that of the reading: versions are given out again in each era. The
-    // verdict is NotRun otherwise. It is MayHaveRun if the platform did not answer, or wrote the
-    // row in a later era, in which the conditions say nothing.
+    // recorded a later epoch than that of the reading: versions are given out again in each epoch.
+    // The verdict is NotRun otherwise. It is MayHaveRun if the platform did not answer, or wrote
+    // the row in a later epoch, in which the conditions say nothing.
     virtual void writeLease(const std::string &group, const std::string &text, StorePosition row,
                             std::function<void(Verdict)> done)
         = 0;
-    // Reads when the era was first seen.
-    virtual void readEra(std::uint64_t era, std::function<void(std::optional<EraRecord>)> done) = 0;
-    // Records when the era was first seen, unless a host already has.
-    virtual void recordEra(std::uint64_t era, Millis seenAt, std::function<void(Verdict)> done) = 0;
+    // Reads when the epoch was first seen.
+    virtual void readEpoch(std::uint64_t epoch,
+                           std::function<void(std::optional<EpochRecord>)> done)
+        = 0;
+    // Records when the epoch was first seen, unless a host already has.
+    virtual void recordEpoch(std::uint64_t epoch, Millis seenAt, std::function<void(Verdict)> done)
+        = 0;
     // Requests the promotion of an instance to primary of its group, under a lease's fencing token.
     virtual void promote(const std::string &group, const std::string &instance,
                          std::uint64_t fencingToken, std::function<void(PromotionResult)> done)
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -16,8 +16,8 @@
     json::object row{{"holder", lease.holder},
                      {"fencingToken", lease.fencingToken},
                      {"untilMs", lease.until.count()}};
-    if (lease.era > 0)
-        row["era"] = lease.era;
+    if (lease.epoch > 0)
+        row["epoch"] = lease.epoch;
     if (lease.candidateUntil > Millis(0)) {
         row["candidate"] = lease.candidate;
         row["candidateUntilMs"] = lease.candidateUntil.count();
@@ -46,10 +46,10 @@
     PromotionLease lease{.holder = std::string(holder->get_string()),
                          .fencingToken = fencingToken,
                          .until = Millis(until->get_int64())};
-    if (const json::value *era = object->if_contains("era"))
-        lease.era = era->to_number<std::uint64_t>(error);
+    if (const json::value *epoch = object->if_contains("epoch"))
+        lease.epoch = epoch->to_number<std::uint64_t>(error);
     if (error) {
-        setReason(reason, "the lease's era is not a whole number");
+        setReason(reason, "the lease's epoch is not a whole number");
         return std::nullopt;
     }
     const json::value *candidate = object->if_contains("candidate");
@@ -65,9 +65,9 @@
     return lease;
 }
 
-bool isOfEra(const std::optional<PromotionLease> &lease, std::uint64_t era)
+bool isOfEpoch(const std::optional<PromotionLease> &lease, std::uint64_t epoch)
 {
-    return era == 0 || (lease && lease->era == era);
+    return epoch == 0 || (lease && lease->epoch == epoch);
 }
 
 LeaseOffer nextLease(const std::optional<PromotionLease> &current, const std::string &self,
@@ -76,20 +76,20 @@
     Millis freeAt = instant.now;
     if (current && current->holder != self)
         freeAt = std::max(freeAt, current->until);
-    const bool known = isOfEra(current, instant.era);
+    const bool known = isOfEpoch(current, instant.epoch);
     if (!known)
         freeAt = std::max(freeAt,
-                          instant.eraSeenAt
+                          instant.epochSeenAt
                               + (rules.fencedPromotions ? LeaseDuration : LatePromotionLimit));
     if (freeAt > instant.now)
         return {.heldFor = freeAt - instant.now};
 
     const std::uint64_t lastToken = current ? current->fencingToken : 0;
     PromotionLease next{.holder = self,
-                        .fencingToken = std::max(lastToken, instant.era * TokensPerEra) + 1,
+                        .fencingToken = std::max(lastToken, instant.epoch * TokensPerEpoch) + 1,
                         .until = instant.now + LeaseDuration,
-                        .era = instant.era};
-    const Millis forgottenUntil = instant.eraSeenAt + ForgottenRequestLimit;
+                        .epoch = instant.epoch};
+    const Millis forgottenUntil = instant.epochSeenAt + ForgottenRequestLimit;
     if (!known && rules.fencedPromotions && forgottenUntil > instant.now) {
         next.candidateUntil = forgottenUntil;
     } else if (current && current->candidateUntil > instant.now) {
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -5,12 +5,12 @@
 // the row on the condition that it has not changed meanwhile. The lease ends at an instant on the
 // store's own clock, so that the clocks of two hosts are never compared. Each lease has a higher
 // fencing token than the one before; the platform refuses promotion requests with a lower one than
-// it has seen. The store may come back from an older copy of the row, but counts its eras (see
-// storeposition.h); so the tokens of a later era are all higher than those of an earlier one. (Gray
-// and Cheriton, "Leases", 1989; Kleppmann, "How to do distributed locking", 2016.)
+// it has seen. The store may come back from an older copy of the row, but counts its epochs (see
+// storeposition.h); so the tokens of a later epoch are all higher than those of an earlier one.
+// (Gray and Cheriton, "Leases", 1989; Kleppmann, "How to do distributed locking", 2016.)
 //
 //     std::optional<PromotionLease> current = parseLease(record.text, &reason);
-//     const StoreInstant instant{.now = record.storeNow, .era = record.row.era};
+//     const StoreInstant instant{.now = record.storeNow, .epoch = record.row.epoch};
 //     LeaseOffer offer = nextLease(current, "host-1", instant, {.fencedPromotions = true});
 //     if (offer.lease)
 //         store->writeLease(group, leaseText(*offer.lease), record.row, done);
@@ -36,19 +36,19 @@
 // recorded.
 inline constexpr Millis LatePromotionLimit(10'000);
 
-// How many fencing tokens an era has. An attempt to change a primary uses one.
-inline constexpr std::uint64_t TokensPerEra = std::uint64_t(1) << 32;
-// After an era began, for a promotion request of a holder of an earlier era, which may act for
+// How many fencing tokens an epoch has. An attempt to change a primary uses one.
+inline constexpr std::uint64_t TokensPerEpoch = std::uint64_t(1) << 32;
+// After an epoch began, for a promotion request of a holder of an earlier epoch, which may act for
 // LeaseActingTime, to be carried out. Without fenced promotions LatePromotionLimit suffices: the
-// candidate was recorded before the request, and so in the earlier era.
+// candidate was recorded before the request, and so in the earlier epoch.
 inline constexpr Millis ForgottenRequestLimit = LeaseActingTime + LatePromotionLimit;
 
 // When the store answered.
 struct StoreInstant
 {
     Millis now; // On the store's clock, which goes on when the store is restored.
-    std::uint64_t era = 0;
-    Millis eraSeenAt; // The era had begun by then. On the store's clock.
+    std::uint64_t epoch = 0;
+    Millis epochSeenAt; // The epoch had begun by then. On the store's clock.
 };
 
 // The content of the lease's row.
@@ -62,7 +62,7 @@
     // carried out that the store has forgotten.
     std::string candidate;
     Millis candidateUntil;
-    std::uint64_t era = 0; // In which it was acquired.
+    std::uint64_t epoch = 0; // In which it was acquired.
 
     bool operator==(const PromotionLease &) const = default;
 };
@@ -71,8 +71,8 @@
 std::string leaseText(const PromotionLease &lease);
 std::optional<PromotionLease> parseLease(std::string_view text, Reason *reason);
 
-// Whether the lease was acquired in the present era. Always, if the store counts no eras.
-bool isOfEra(const std::optional<PromotionLease> &lease, std::uint64_t era);
+// Whether the lease was acquired in the present epoch. Always, if the store counts no epochs.
+bool isOfEpoch(const std::optional<PromotionLease> &lease, std::uint64_t epoch);
 
 // What a host may do that wants the lease.
 struct LeaseOffer
@@ -88,7 +88,7 @@
 };
 
 // The lease that the host `self` has to write in order to acquire it. `current` is what the row
-// held at `instant`; empty if it did not exist. If it was not acquired in the present era, leases
+// held at `instant`; empty if it did not exist. If it was not acquired in the present epoch, leases
 // of an earlier one may have been lost: their holders have to have finished, and with them, if
 // promotions are not fenced, their requests.
 LeaseOffer nextLease(const std::optional<PromotionLease> &current, const std::string &self,
--- a/src/session/tst_hostliveness.cpp
+++ b/src/session/tst_hostliveness.cpp
@@ -107,15 +107,15 @@
     EXPECT_TRUE(liveness.takeSilent(now + Millis(10'000), records).empty());
 }
 
-TEST(HostRegistration, WritesAtOnceAtTheIntervalAndInEachEra)
+TEST(HostRegistration, WritesAtOnceAtTheIntervalAndInEachEpoch)
 {
     HostRegistration registration("host-1", {.interval = Millis(60'000), .spread = Millis(4000)});
     EXPECT_TRUE(registration.takeDue(Millis(1000)));
-    registration.onEra(Millis(1100), 1);
+    registration.onEpoch(Millis(1100), 1);
     EXPECT_FALSE(registration.takeDue(Millis(6000)));
-    registration.onEra(Millis(10'000), 2);
+    registration.onEpoch(Millis(10'000), 2);
     EXPECT_TRUE(registration.takeDue(Millis(14'000)));
-    registration.onEra(Millis(15'000), 2);
+    registration.onEpoch(Millis(15'000), 2);
     EXPECT_FALSE(registration.takeDue(Millis(73'999)));
     EXPECT_TRUE(registration.takeDue(Millis(74'000)));
 }
@@ -127,8 +127,8 @@
     for (int i = 0; i < Hosts; ++i) {
         HostRegistration registration("host-" + std::to_string(i), {.spread = Millis(4000)});
         registration.takeDue(Millis(0));
-        registration.onEra(Millis(0), 1);
-        registration.onEra(Millis(1000), 2);
+        registration.onEpoch(Millis(0), 1);
+        registration.onEpoch(Millis(1000), 2);
         early += registration.takeDue(Millis(1000 + 1000)) ? 1 : 0;
         EXPECT_TRUE(registration.takeDue(Millis(200'000)));
     }
--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -1,6 +1,6 @@
-// Tests of PlatformCache and its messages, and of StoreEra.
+// Tests of PlatformCache and its messages, and of StoreEpoch.
 #include "session/platformcache.h"
-#include "session/storeera.h"
+#include "session/storeepoch.h"
 
 #include <gtest/gtest.h>
 
@@ -126,37 +126,37 @@
     testing::Values(ListOrder{"laterVersion", {1, 7}, {1, 8}, Millis(100), true},
                     ListOrder{"earlierVersion", {1, 7}, {1, 6}, Millis(0), false},
                     ListOrder{"sameVersionReadLater", {1, 7}, {1, 7}, Millis(0), true},
-                    ListOrder{"laterEraOfALowerVersion", {1, 700}, {2, 20}, Millis(0), true},
-                    ListOrder{"earlierEraThatArrivesLate", {2, 20}, {1, 700}, Millis(0), false},
+                    ListOrder{"laterEpochOfALowerVersion", {1, 700}, {2, 20}, Millis(0), true},
+                    ListOrder{"earlierEpochThatArrivesLate", {2, 20}, {1, 700}, Millis(0), false},
                     ListOrder{"unknownPositionReadLater", {2, 20}, {}, Millis(0), true},
                     ListOrder{"unknownPositionReadEarlier", {2, 20}, {}, Millis(1), false},
-                    ListOrder{"storeWithoutEras", {0, 7}, {0, 6}, Millis(0), true}),
+                    ListOrder{"storeWithoutEpochs", {0, 7}, {0, 6}, Millis(0), true}),
     [](const testing::TestParamInfo<ListOrder> &info) { return info.param.name; });
 
-TEST(StoreEra, RefusesAnswersOfAnEarlierEra)
+TEST(StoreEpoch, RefusesAnswersOfAnEarlierEpoch)
 {
-    StoreEra era({});
-    EXPECT_EQ(era.onAnswer(Millis(0), 0), StoreEra::Answer::Current);
-    EXPECT_EQ(era.onAnswer(Millis(10), 3), StoreEra::Answer::NewEra);
-    EXPECT_EQ(era.onAnswer(Millis(20), 3), StoreEra::Answer::Current);
-    EXPECT_EQ(era.onAnswer(Millis(30), 2), StoreEra::Answer::Outdated);
-    EXPECT_EQ(era.onAnswer(Millis(30), 0), StoreEra::Answer::Outdated);
-    EXPECT_EQ(era.number(), 3U);
-    EXPECT_EQ(era.beganBy(), Millis(10));
+    StoreEpoch epoch({});
+    EXPECT_EQ(epoch.onAnswer(Millis(0), 0), StoreEpoch::Answer::Current);
+    EXPECT_EQ(epoch.onAnswer(Millis(10), 3), StoreEpoch::Answer::NewEpoch);
+    EXPECT_EQ(epoch.onAnswer(Millis(20), 3), StoreEpoch::Answer::Current);
+    EXPECT_EQ(epoch.onAnswer(Millis(30), 2), StoreEpoch::Answer::Outdated);
+    EXPECT_EQ(epoch.onAnswer(Millis(30), 0), StoreEpoch::Answer::Outdated);
+    EXPECT_EQ(epoch.number(), 3U);
+    EXPECT_EQ(epoch.beganBy(), Millis(10));
 }
 
-TEST(StoreEra, SettlesSoonerIfItIsKnownToBeOlder)
+TEST(StoreEpoch, SettlesSoonerIfItIsKnownToBeOlder)
 {
-    StoreEra era({.settleTime = Millis(3000)});
-    EXPECT_TRUE(era.settled(Millis(0)));
-    era.onAnswer(Millis(5000), 1);
-    EXPECT_FALSE(era.settled(Millis(7999)));
-    EXPECT_TRUE(era.settled(Millis(8000)));
-    EXPECT_FALSE(era.onAge(Millis(5100), 1, Millis(50)));
-    EXPECT_TRUE(era.onAge(Millis(5100), 1, Millis(60'000)));
-    EXPECT_TRUE(era.settled(Millis(5100)));
-    EXPECT_TRUE(era.onAge(Millis(6000), 2, Millis(0)));
-    EXPECT_FALSE(era.settled(Millis(6000)));
+    StoreEpoch epoch({.settleTime = Millis(3000)});
+    EXPECT_TRUE(epoch.settled(Millis(0)));
+    epoch.onAnswer(Millis(5000), 1);
+    EXPECT_FALSE(epoch.settled(Millis(7999)));
+    EXPECT_TRUE(epoch.settled(Millis(8000)));
+    EXPECT_FALSE(epoch.onAge(Millis(5100), 1, Millis(50)));
+    EXPECT_TRUE(epoch.onAge(Millis(5100), 1, Millis(60'000)));
+    EXPECT_TRUE(epoch.settled(Millis(5100)));
+    EXPECT_TRUE(epoch.onAge(Millis(6000), 2, Millis(0)));
+    EXPECT_FALSE(epoch.settled(Millis(6000)));
 }
 
 } // namespace
--- a/src/session/tst_promotionlease.cpp
+++ b/src/session/tst_promotionlease.cpp
@@ -43,50 +43,52 @@
 }
 
 PromotionLease leaseOf(const std::string &holder, std::uint64_t token, Millis until,
-                       std::uint64_t era = 0)
+                       std::uint64_t epoch = 0)
 {
-    return {.holder = holder, .fencingToken = token, .until = until, .era = era};
+    return {.holder = holder, .fencingToken = token, .until = until, .epoch = epoch};
 }
 
-constexpr StoreInstant NoEra{.now = StoreNow};
+constexpr StoreInstant NoEpoch{.now = StoreNow};
 
-// Era 2, which began so long ago.
-constexpr StoreInstant secondEra(Millis age)
+// Epoch 2, which began so long ago.
+constexpr StoreInstant secondEpoch(Millis age)
 {
-    return {.now = StoreNow, .era = 2, .eraSeenAt = StoreNow - age};
+    return {.now = StoreNow, .epoch = 2, .epochSeenAt = StoreNow - age};
 }
 
 constexpr Millis Ahead(1);
-constexpr std::uint64_t FirstToken = 2 * TokensPerEra + 1;
+constexpr std::uint64_t FirstToken = 2 * TokensPerEpoch + 1;
 
 INSTANTIATE_TEST_SUITE_P(
     Rows, PromotionLeaseRows,
     testing::Values(
-        LeaseCase{"absent", std::nullopt, NoEra, 1},
-        LeaseCase{"held", leaseOf("b", 4, StoreNow + Ahead), NoEra, std::nullopt, Ahead},
-        LeaseCase{"lapsed", leaseOf("b", 4, StoreNow), NoEra, 5},
-        LeaseCase{"own", leaseOf("a", 4, StoreNow + Millis(9000)), NoEra, 5},
-        LeaseCase{"absentInAnOldEra", std::nullopt, secondEra(ForgottenRequestLimit), FirstToken},
-        LeaseCase{"ofAnEarlierEraInAnOldEra", leaseOf("b", 4, Millis(0), 1),
-                  secondEra(ForgottenRequestLimit), FirstToken},
-        LeaseCase{"ofTheSameEraThatBeganNow", leaseOf("b", FirstToken + 6, StoreNow, 2),
-                  secondEra(Millis(0)), FirstToken + 7},
+        LeaseCase{"absent", std::nullopt, NoEpoch, 1},
+        LeaseCase{"held", leaseOf("b", 4, StoreNow + Ahead), NoEpoch, std::nullopt, Ahead},
+        LeaseCase{"lapsed", leaseOf("b", 4, StoreNow), NoEpoch, 5},
+        LeaseCase{"own", leaseOf("a", 4, StoreNow + Millis(9000)), NoEpoch, 5},
+        LeaseCase{"absentInAnOldEpoch", std::nullopt, secondEpoch(ForgottenRequestLimit),
+                  FirstToken},
+        LeaseCase{"ofAnEarlierEpochInAnOldEpoch", leaseOf("b", 4, Millis(0), 1),
+                  secondEpoch(ForgottenRequestLimit), FirstToken},
+        LeaseCase{"ofTheSameEpochThatBeganNow", leaseOf("b", FirstToken + 6, StoreNow, 2),
+                  secondEpoch(Millis(0)), FirstToken + 7},
         // The lost row may have held a lease that another host acquired just before.
-        LeaseCase{"absentWhileALostHolderMayAct", std::nullopt, secondEra(LeaseDuration - Ahead),
+        LeaseCase{"absentWhileALostHolderMayAct", std::nullopt, secondEpoch(LeaseDuration - Ahead),
                   std::nullopt, Ahead},
-        LeaseCase{"ownOfAnEarlierEraWhileALostHolderMayAct", leaseOf("a", 4, StoreNow, 1),
-                  secondEra(LeaseDuration - Ahead), std::nullopt, Ahead},
-        LeaseCase{"absentWhileALostRequestMayBeCarriedOut", std::nullopt, secondEra(LeaseDuration),
-                  FirstToken, Millis(0), true, StoreNow - LeaseDuration + ForgottenRequestLimit},
+        LeaseCase{"ownOfAnEarlierEpochWhileALostHolderMayAct", leaseOf("a", 4, StoreNow, 1),
+                  secondEpoch(LeaseDuration - Ahead), std::nullopt, Ahead},
+        LeaseCase{"absentWhileALostRequestMayBeCarriedOut", std::nullopt,
+                  secondEpoch(LeaseDuration), FirstToken, Millis(0), true,
+                  StoreNow - LeaseDuration + ForgottenRequestLimit},
         LeaseCase{"unfencedWhileALostRequestMayBeCarriedOut", std::nullopt,
-                  secondEra(LatePromotionLimit - Ahead), std::nullopt, Ahead, false},
-        LeaseCase{"unfencedAfterLostRequests", std::nullopt, secondEra(LatePromotionLimit),
+                  secondEpoch(LatePromotionLimit - Ahead), std::nullopt, Ahead, false},
+        LeaseCase{"unfencedAfterLostRequests", std::nullopt, secondEpoch(LatePromotionLimit),
                   FirstToken, Millis(0), false},
-        // An old build wrote the row in the present era.
-        LeaseCase{"withoutAnEraAndHeld", leaseOf("b", 7, StoreNow + Ahead),
-                  secondEra(ForgottenRequestLimit), std::nullopt, Ahead},
-        LeaseCase{"withoutAnEraAndATokenOfThisOne", leaseOf("b", FirstToken, StoreNow),
-                  secondEra(ForgottenRequestLimit), FirstToken + 1}),
+        // An old build wrote the row in the present epoch.
+        LeaseCase{"withoutAnEpochAndHeld", leaseOf("b", 7, StoreNow + Ahead),
+                  secondEpoch(ForgottenRequestLimit), std::nullopt, Ahead},
+        LeaseCase{"withoutAnEpochAndATokenOfThisOne", leaseOf("b", FirstToken, StoreNow),
+                  secondEpoch(ForgottenRequestLimit), FirstToken + 1}),
     [](const auto &info) { return info.param.name; });
 
 struct CandidateCase
@@ -146,8 +148,8 @@
          {"", "{}", "[]", R"({"holder":1,"fencingToken":1,"untilMs":1})",
           R"({"holder":"a","fencingToken":-1,"untilMs":1})",
           R"({"holder":"a","fencingToken":1,"untilMs":"x"})",
-          R"({"holder":"a","fencingToken":1,"untilMs":1,"era":"x"})",
-          R"({"holder":"a","fencingToken":1,"untilMs":1,"era":-1})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"epoch":"x"})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"epoch":-1})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":"i"})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":1,"candidateUntilMs":2})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidateUntilMs":2})"}) {
--- a/src/standin_core/platformtable.cpp
+++ b/src/standin_core/platformtable.cpp
@@ -23,9 +23,9 @@
 }
 
 bool PlatformTable::transact(const std::vector<RowCheck> &checks,
-                             const std::vector<RowWrite> &writes, std::uint64_t era)
+                             const std::vector<RowWrite> &writes, std::uint64_t epoch)
 {
-    if (era > 0 && era != m_era)
+    if (epoch > 0 && epoch != m_epoch)
         return false;
     for (const RowCheck &check : checks) {
         const auto found = m_rows.find(check.key);
@@ -37,7 +37,7 @@
         PlatformRow &row = m_rows[write.key];
         ++row.version;
         row.value = write.value;
-        row.era = m_era;
+        row.epoch = m_epoch;
     }
     return true;
 }
@@ -45,7 +45,7 @@
 void PlatformTable::putBack()
 {
     m_rows = m_copy;
-    ++m_era;
+    ++m_epoch;
 }
 
 } // namespace cicadagap
--- a/src/standin_core/platformtable.h
+++ b/src/standin_core/platformtable.h
@@ -1,6 +1,6 @@
 // The state of the stand-in for the platform's table service: rows with versions, and transactions
 // that check the versions of some rows and write others atomically. It can return to an earlier
-// copy of itself; a new era begins then, in which versions are given out again.
+// copy of itself; a new epoch begins then, in which versions are given out again.
 //
 // Performs no I/O and reads no clock. Not thread-safe.
 //
@@ -21,7 +21,7 @@
 {
     std::uint64_t version = 0; // The number of writes to this row.
     std::string value;
-    std::uint64_t era = 0; // In which it was written.
+    std::uint64_t epoch = 0; // In which it was written.
 };
 
 // A condition of a transaction: the row must be at `version`, or must not exist if that is 0.
@@ -47,11 +47,11 @@
     // order.
     std::vector<std::pair<std::string, PlatformRow>>
     scan(const std::string &prefix, const std::string &after, std::size_t limit) const;
-    // Applies all writes if all checks hold, and, unless it is 0, `era` is the present one.
+    // Applies all writes if all checks hold, and, unless it is 0, `epoch` is the present one.
     // Otherwise changes nothing and returns false.
     bool transact(const std::vector<RowCheck> &checks, const std::vector<RowWrite> &writes,
-                  std::uint64_t era = 0);
-    std::uint64_t era() const { return m_era; }
+                  std::uint64_t epoch = 0);
+    std::uint64_t epoch() const { return m_epoch; }
     // Keeps a copy of the rows, and returns to it.
     void keepCopy() { m_copy = m_rows; }
     void putBack();
@@ -59,7 +59,7 @@
 private:
     std::map<std::string, PlatformRow> m_rows;
     std::map<std::string, PlatformRow> m_copy;
-    std::uint64_t m_era = 1;
+    std::uint64_t m_epoch = 1;
 };
 
 } // namespace cicadagap
--- a/src/version/settingschange.cpp
+++ b/src/version/settingschange.cpp
@@ -24,7 +24,7 @@
 
 ChangeAction SettingsChange::onRows(std::optional<std::uint64_t> teamVersion,
                                     std::uint64_t headVersion, std::uint64_t head,
-                                    std::uint64_t era)
+                                    std::uint64_t epoch)
 {
     // Nothing has been written yet, so without an answer the change is known not to be applied.
     if (!teamVersion)
@@ -38,7 +38,7 @@
     m_teamVersion = *teamVersion;
     m_headVersion = headVersion;
     m_head = head;
-    m_era = era;
+    m_epoch = epoch;
     ++m_attempts;
     return {ChangeStep::Transact, {}, 0};
 }
--- a/src/version/settingschange.h
+++ b/src/version/settingschange.h
@@ -58,9 +58,9 @@
     ChangeAction start() const;
     // Handles the result of ReadRows: the versions of the rows, 0 for a row that does not exist,
     // and the number in the head row. `teamVersion` is empty if the platform did not answer.
-    // `era` is the table's, in which they were read.
+    // `epoch` is the table's, in which they were read.
     ChangeAction onRows(std::optional<std::uint64_t> teamVersion, std::uint64_t headVersion,
-                        std::uint64_t head, std::uint64_t era = 0);
+                        std::uint64_t head, std::uint64_t epoch = 0);
     // Handles the result of Transact. NotRun means that one of its checks failed.
     ChangeAction onTransacted(Verdict verdict);
     // Handles the result of ReadLogEntry: the id of the change in that row, or an empty string if
@@ -73,7 +73,7 @@
     std::uint64_t teamVersion() const { return m_teamVersion; }
     std::uint64_t headVersion() const { return m_headVersion; }
     std::uint64_t head() const { return m_head; }
-    std::uint64_t era() const { return m_era; }
+    std::uint64_t epoch() const { return m_epoch; }
 
 private:
     // Starts again by reading the rows, or gives up after too many attempts.
@@ -85,7 +85,7 @@
     std::uint64_t m_teamVersion = 0;
     std::uint64_t m_headVersion = 0;
     std::uint64_t m_head = 0;
-    std::uint64_t m_era = 0;
+    std::uint64_t m_epoch = 0;
     int m_attempts = 0;
     int m_logReads = 0; // That did not determine the outcome.
 };
--- a/src/version/settingsfeed.cpp
+++ b/src/version/settingsfeed.cpp
@@ -62,10 +62,10 @@
 
 std::vector<FeedAction> SettingsFeed::onHead(Millis now, const std::optional<FeedHead> &head)
 {
-    if (!head || head->tableEra < m_era)
+    if (!head || head->tableEpoch < m_epoch)
         return backOff(now);
-    if (head->tableEra > m_era) {
-        m_era = head->tableEra;
+    if (head->tableEpoch > m_epoch) {
+        m_epoch = head->tableEpoch;
         m_lastChangeRead.reset();
         m_teamsToRead.clear();
     }
@@ -80,7 +80,7 @@
 std::vector<FeedAction> SettingsFeed::onLog(Millis now,
                                             const std::optional<std::vector<FeedRow>> &rows)
 {
-    if (!rows || !isOfThisEra(*rows))
+    if (!rows || !isOfThisEpoch(*rows))
         return backOff(now);
     for (const FeedRow &row : *rows) {
         const auto entry = decodeLogEntry(row.value);
@@ -97,11 +97,11 @@
                                             const std::optional<std::vector<FeedRow>> &rows,
                                             std::vector<FeedRecord> *records)
 {
-    if (!rows || !isOfThisEra(*rows))
+    if (!rows || !isOfThisEpoch(*rows))
         return backOff(now);
     for (const FeedRow &row : *rows) {
         const std::string team = row.key.substr(std::string_view(SettingsPrefix).size());
-        records->push_back({team, row.version, row.value, row.era});
+        records->push_back({team, row.version, row.value, row.epoch});
     }
     if (!rows->empty())
         return {{FeedStep::ReadAll, rows->back().key}};
@@ -111,18 +111,19 @@
 std::vector<FeedAction> SettingsFeed::onTeam(Millis now, const std::optional<FeedRow> &row,
                                              std::vector<FeedRecord> *records)
 {
-    if (!row || !isOfThisEra({*row}))
+    if (!row || !isOfThisEpoch({*row}))
         return backOff(now);
     const std::string team = row->key.substr(std::string_view(SettingsPrefix).size());
-    records->push_back({team, row->version, row->value, row->era});
+    records->push_back({team, row->version, row->value, row->epoch});
     std::erase(m_teamsToRead, row->key);
     return readNextTeam(now);
 }
 
-// Whether the rows were read in the era in which the head was.
-bool SettingsFeed::isOfThisEra(const std::vector<FeedRow> &rows) const
+// Whether the rows were read in the epoch in which the head was.
+bool SettingsFeed::isOfThisEpoch(const std::vector<FeedRow> &rows) const
 {
-    return std::ranges::all_of(rows, [this](const FeedRow &row) { return row.tableEra == m_era; });
+    return std::ranges::all_of(rows,
+                               [this](const FeedRow &row) { return row.tableEpoch == m_epoch; });
 }
 
 std::vector<FeedAction> SettingsFeed::backOff(Millis now)
--- a/src/version/settingsfeed.h
+++ b/src/version/settingsfeed.h
@@ -5,8 +5,8 @@
 //   - a row "settings-head" with the number of the last change (the head);
 //   - a row "settings-log/<n>" for each change (the change log), which names the team.
 //
-// The table may come back from an older copy of itself. A new era begins then, in which the numbers
-// of lost changes are given out again; so the rows of all teams are read in each era.
+// The table may come back from an older copy of itself. A new epoch begins then, in which the
+// numbers of lost changes are given out again; so the rows of all teams are read in each epoch.
 #pragma once
 
 #include "base/millis.h"
@@ -58,15 +58,15 @@
     std::string key;
     std::uint64_t version = 0;
     std::string value;
-    std::uint64_t era = 0;      // In which it was written.
-    std::uint64_t tableEra = 0; // In which it was read.
+    std::uint64_t epoch = 0;      // In which it was written.
+    std::uint64_t tableEpoch = 0; // In which it was read.
 };
 
 // The head of the change log.
 struct FeedHead
 {
     std::uint64_t number = 0;
-    std::uint64_t tableEra = 0; // In which it was read.
+    std::uint64_t tableEpoch = 0; // In which it was read.
 };
 
 // A version of a team's settings that was read from the platform. `body` is JSON text.
@@ -75,7 +75,7 @@
     std::string team;
     std::uint64_t version = 0;
     std::string body;
-    std::uint64_t era = 0;
+    std::uint64_t epoch = 0;
 };
 
 // Reads the settings that changed. Only a few stewards of each data centre read from the platform
@@ -122,14 +122,14 @@
     std::vector<FeedAction> backOff(Millis now);
     // Reads the next team that changed. If there is none, ends the read in progress.
     std::vector<FeedAction> readNextTeam(Millis now);
-    bool isOfThisEra(const std::vector<FeedRow> &rows) const;
+    bool isOfThisEpoch(const std::vector<FeedRow> &rows) const;
 
     Options m_options;
     bool m_readInProgress = false;
     Millis m_nextRead;
     Millis m_backoff;
     Millis m_headReadAt;
-    std::uint64_t m_era = 0;                       // The table's, when the head was read.
+    std::uint64_t m_epoch = 0;                     // The table's, when the head was read.
     std::uint64_t m_head = 0;                      // Up to which the read in progress reads.
     std::optional<std::uint64_t> m_lastChangeRead; // All changes up to this one have been read.
     std::vector<std::string> m_teamsToRead;        // Keys of the rows of teams.
--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -222,8 +222,8 @@
     const auto rows = [table](const std::string &prefix, const std::string &after) {
         std::vector<FeedRow> result;
         for (const auto &row : table->scan(prefix, after, 2))
-            result.push_back(
-                {row.first, row.second.version, row.second.value, row.second.era, table->era()});
+            result.push_back({row.first, row.second.version, row.second.value, row.second.epoch,
+                              table->epoch()});
         return result;
     };
     while (!actions.empty()) {
@@ -231,9 +231,9 @@
         switch (action.step) {
         case FeedStep::ReadHead: {
             const auto head = table->row(action.key);
-            actions = feed->onHead(
-                now,
-                FeedHead{.number = head ? std::stoull(head->value) : 0, .tableEra = table->era()});
+            actions = feed->onHead(now,
+                                   FeedHead{.number = head ? std::stoull(head->value) : 0,
+                                            .tableEpoch = table->epoch()});
             break;
         }
         case FeedStep::ReadLog:
@@ -245,7 +245,7 @@
         case FeedStep::ReadTeam: {
             const auto row = table->row(action.key);
             actions = feed->onTeam(
-                now, FeedRow{action.key, row->version, row->value, row->era, table->era()},
+                now, FeedRow{action.key, row->version, row->value, row->epoch, table->epoch()},
                 records);
             break;
         }
@@ -295,7 +295,7 @@
         std::vector<FeedRecord> records;
         answerReads(&table, &feed, feed.onTick(now, true), now, &records);
         for (const FeedRecord &record : records)
-            hosts.merge({record.team, record.version, record.body, record.era});
+            hosts.merge({record.team, record.version, record.body, record.epoch});
     }
 
     PlatformTable table;
@@ -318,10 +318,10 @@
     applyChange(&table, "a");
     read(Millis(1000));
     EXPECT_EQ(hosts.find("b")->version, 2U);
-    EXPECT_EQ(hosts.find("b")->era, 2U);
-    // A change of the later era is newer than the lost ones of higher versions.
+    EXPECT_EQ(hosts.find("b")->epoch, 2U);
+    // A change of the later epoch is newer than the lost ones of higher versions.
     EXPECT_EQ(hosts.find("a")->version, 2U);
-    EXPECT_EQ(hosts.find("a")->era, 2U);
+    EXPECT_EQ(hosts.find("a")->epoch, 2U);
 }
 
 // What was not written again since the copy is older than what the hosts hold.
@@ -336,24 +336,24 @@
     EXPECT_EQ(hosts.find("a")->version, 2U);
 }
 
-TEST(SettingsFeed, ReadsAgainWhatWasReadInAnotherEraThanTheHead)
+TEST(SettingsFeed, ReadsAgainWhatWasReadInAnotherEpochThanTheHead)
 {
     SettingsFeed feed({});
     ASSERT_EQ(feed.onTick(Millis(0), true).size(), 1U);
-    ASSERT_EQ(feed.onHead(Millis(0), FeedHead{.number = 3, .tableEra = 2}).size(), 1U);
+    ASSERT_EQ(feed.onHead(Millis(0), FeedHead{.number = 3, .tableEpoch = 2}).size(), 1U);
     std::vector<FeedRecord> records;
-    const std::vector<FeedRow> rows{{.key = "settings/a", .version = 9, .tableEra = 1}};
+    const std::vector<FeedRow> rows{{.key = "settings/a", .version = 9, .tableEpoch = 1}};
     EXPECT_TRUE(feed.onAll(Millis(0), rows, &records).empty());
     EXPECT_TRUE(records.empty());
     EXPECT_EQ(feed.confirmedAt(), std::nullopt);
-    // An earlier era's head that arrives late.
+    // An earlier epoch's head that arrives late.
     ASSERT_EQ(feed.onTick(Millis(10'000), true).size(), 1U);
-    EXPECT_TRUE(feed.onHead(Millis(10'000), FeedHead{.number = 9, .tableEra = 1}).empty());
+    EXPECT_TRUE(feed.onHead(Millis(10'000), FeedHead{.number = 9, .tableEpoch = 1}).empty());
     EXPECT_EQ(feed.confirmedAt(), std::nullopt);
 }
 
-// The answer of the transaction came in another era than the versions that it checks.
-TEST(PlatformTable, RefusesATransactionOfAnEarlierEra)
+// The answer of the transaction came in another epoch than the versions that it checks.
+TEST(PlatformTable, RefusesATransactionOfAnEarlierEpoch)
 {
     PlatformTable table;
     table.keepCopy();
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -7,7 +7,7 @@
 #include "session/promotionlease.h"
 #include "session/relaycodec.h"
 #include "session/sessionengine.h"
-#include "session/storeera.h"
+#include "session/storeepoch.h"
 #include "standin_core/replicagroup.h"
 
 #include <algorithm>
@@ -111,7 +111,7 @@
 public:
     SessionEngine engine;
     std::map<ConnectionId, std::string> targets;
-    StoreEra era{StoreEra::Options{}};
+    StoreEpoch epoch{StoreEpoch::Options{}};
     std::uint64_t incarnation = 1;
     Millis frozenUntil;
     Millis lastListAt = Millis(-1); // When it got its newest list of instances.
@@ -160,7 +160,7 @@
     void promote(std::size_t host, const std::string &instance, std::uint64_t token);
     void readInstances(std::size_t host);
     void takeList(SimulatedHost *host, const std::vector<RegisteredInstance> &list, Millis readAt,
-                  std::uint64_t era);
+                  std::uint64_t epoch);
     void recordCandidate(std::size_t host, const std::string &group, const std::string &candidate,
                          std::uint64_t token);
 
@@ -476,7 +476,7 @@
         });
         return;
     }
-    m_store.recordEra(m_now);
+    m_store.recordEpoch(m_now);
     const SimulatedStore::LeaseRow row = m_store.readLease(m_now);
     const LeaseOffer offer = nextLease(row.lease, "host" + std::to_string(host), row.instant,
                                        {.fencedPromotions = hostsAssumeFencing()});
@@ -510,22 +510,22 @@
         if (m_now < m_storeDownUntil)
             return;
         const std::vector<RegisteredInstance> list = m_store.listed(m_now, registered());
-        const std::uint64_t era = m_store.era();
+        const std::uint64_t epoch = m_store.epoch();
         atHost(host, m_now + NetworkDelay,
-               [=, this](SimulatedHost *requester) { takeList(requester, list, readAt, era); });
+               [=, this](SimulatedHost *requester) { takeList(requester, list, readAt, epoch); });
     });
 }
 
-// A host gets the list that the store had in `era`.
+// A host gets the list that the store had in `epoch`.
 void SessionSimulation::takeList(SimulatedHost *host, const std::vector<RegisteredInstance> &list,
-                                 Millis readAt, std::uint64_t era)
+                                 Millis readAt, std::uint64_t epoch)
 {
-    const StoreEra::Answer answer = host->era.onAnswer(m_now, era);
-    if (answer == StoreEra::Answer::Outdated)
+    const StoreEpoch::Answer answer = host->epoch.onAnswer(m_now, epoch);
+    if (answer == StoreEpoch::Answer::Outdated)
         return;
-    if (answer == StoreEra::Answer::NewEra && era == m_store.era())
-        host->era.onAge(m_now, era, m_now - m_store.recordEra(m_now));
-    const bool settled = host->era.settled(readAt);
+    if (answer == StoreEpoch::Answer::NewEpoch && epoch == m_store.epoch())
+        host->epoch.onAge(m_now, epoch, m_now - m_store.recordEpoch(m_now));
+    const bool settled = host->epoch.settled(readAt);
     if (settled)
         host->lastListAt = readAt;
     host->engine.onInstances(m_now, list, readAt, settled);
@@ -876,7 +876,7 @@
             reach.lastReachable = m_now;
     }
     if (m_now >= m_storeDownUntil && m_now >= host->frozenUntil) {
-        takeList(host, m_store.listed(m_now, registered()), m_now, m_store.era());
+        takeList(host, m_store.listed(m_now, registered()), m_now, m_store.epoch());
     }
     at(m_now + RegistrationInterval, [=, this] { updateInstances(index, incarnation); });
 }
@@ -944,7 +944,7 @@
         }
     }
     if (std::ranges::count(m_options.faults, SimulatedFault::RestoreStore) > 0) {
-        m_store.countEras(m_now);
+        m_store.countEpochs(m_now);
         keepStoreCopies();
     }
     const auto span = static_cast<std::uint64_t>(m_options.duration.count()) / 2;
--- a/test/simulatedstore.cpp
+++ b/test/simulatedstore.cpp
@@ -4,21 +4,21 @@
 
 namespace {
 
-constexpr Millis FirstEraAge(60'000);
+constexpr Millis FirstEpochAge(60'000);
 
 } // namespace
 
-void SimulatedStore::countEras(Millis now)
+void SimulatedStore::countEpochs(Millis now)
 {
-    m_state.era = 1;
-    m_state.eraSeenAt = now - FirstEraAge;
+    m_state.epoch = 1;
+    m_state.epochSeenAt = now - FirstEpochAge;
 }
 
-Millis SimulatedStore::recordEra(Millis now)
+Millis SimulatedStore::recordEpoch(Millis now)
 {
-    if (!m_state.eraSeenAt)
-        m_state.eraSeenAt = now;
-    return *m_state.eraSeenAt;
+    if (!m_state.epochSeenAt)
+        m_state.epochSeenAt = now;
+    return *m_state.epochSeenAt;
 }
 
 SimulatedStore::LeaseRow SimulatedStore::readLease(Millis now) const
@@ -26,13 +26,13 @@
     return {.lease = m_state.lease,
             .version = m_state.leaseVersion,
             .instant = {.now = now + ClockLead,
-                        .era = m_state.era,
-                        .eraSeenAt = m_state.eraSeenAt.value_or(now) + ClockLead}};
+                        .epoch = m_state.epoch,
+                        .epochSeenAt = m_state.epochSeenAt.value_or(now) + ClockLead}};
 }
 
 bool SimulatedStore::writeLease(const LeaseRow &row, const PromotionLease &lease)
 {
-    if (m_state.leaseVersion != row.version || m_state.era != row.instant.era)
+    if (m_state.leaseVersion != row.version || m_state.epoch != row.instant.epoch)
         return false;
     m_state.lease = lease;
     ++m_state.leaseVersion;
@@ -49,10 +49,10 @@
     // The newer copies are of a history that is forgotten.
     while (m_copies.size() > 1 && m_copies.back().at > oldest)
         m_copies.pop_back();
-    const std::uint64_t era = m_state.era + 1;
+    const std::uint64_t epoch = m_state.epoch + 1;
     m_state = m_copies.back().state;
-    m_state.era = era;
-    m_state.eraSeenAt.reset();
+    m_state.epoch = epoch;
+    m_state.epochSeenAt.reset();
     m_copiedList = m_copies.back().instances;
     m_refilledAt = refilledAt;
 }
--- a/test/simulatedstore.h
+++ b/test/simulatedstore.h
@@ -1,5 +1,5 @@
 // The platform's store in the session simulation: the row of one group's promotion lease, what the
-// hosts record of its eras, and copies of itself that it can come back from.
+// hosts record of its epochs, and copies of itself that it can come back from.
 #pragma once
 
 #include "base/millis.h"
@@ -29,11 +29,11 @@
         StoreInstant instant;
     };
 
-    // From now on the store counts its eras; the first one began long ago.
-    void countEras(Millis now);
-    std::uint64_t era() const { return m_state.era; }
-    // A host sees the present era. Returns when the first one did.
-    Millis recordEra(Millis now);
+    // From now on the store counts its epochs; the first one began long ago.
+    void countEpochs(Millis now);
+    std::uint64_t epoch() const { return m_state.epoch; }
+    // A host sees the present epoch. Returns when the first one did.
+    Millis recordEpoch(Millis now);
 
     LeaseRow readLease(Millis now) const;
     // Writes the lease if nobody has since the row was read; returns whether it did.
@@ -55,8 +55,8 @@
     {
         std::optional<PromotionLease> lease;
         std::uint64_t leaseVersion = 0;
-        std::uint64_t era = 0;           // 0: the store counts no eras.
-        std::optional<Millis> eraSeenAt; // As the hosts recorded it.
+        std::uint64_t epoch = 0;           // 0: the store counts no epochs.
+        std::optional<Millis> epochSeenAt; // As the hosts recorded it.
     };
 
     struct Copy
