--- a/review/harness/testbed.h
+++ b/review/harness/testbed.h
@@ -122,6 +122,15 @@
         return result.get();
     }
 
+    // As run(); the function also gets the event loop.
+    template <typename Function> auto runWithLoop(Function function)
+    {
+        return run([this, function = std::move(function)](
+                       cicadagap::StandinDeployment &deployment) mutable {
+            return function(deployment, &m_loop);
+        });
+    }
+
 private:
     cicadagap::EventLoop m_loop;
     cicadagap::StandinDeployment m_deployment;
