Simulation: a trace of each schedule, and time for a change of primary after a late command

Ruled out: ending late commands before the end of the run (weaker: fewer late commands); no check at the end.

Change: CICADAGAP_TRACE writes faults, commands, promotions and group events of each schedule to standard error. A run goes on until 6 s after what was carried out late last; all checks hold for the longer run, and the gap in writes counts to its end.

--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -8,12 +8,24 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <iostream>
 #include <string>
 #include <tuple>
 
 namespace cicadagap {
 namespace {
 
+// With the variable CICADAGAP_TRACE set, each simulation writes what happens to standard error.
+SimulationReport simulate(SimulationOptions options)
+{
+    if (std::getenv("CICADAGAP_TRACE")) {
+        std::cerr << "seed " << options.seed << '\n';
+        options.trace = &std::cerr;
+    }
+    return runSimulation(options);
+}
+
 std::string text(const SimulationReport &report)
 {
     std::string all;
@@ -63,7 +75,7 @@
     options.maxConnections = connectionsFor(access);
     options.faults = faults.faults;
     for (options.seed = 1; options.seed <= seeds; ++options.seed) {
-        const SimulationReport report = runSimulation(options);
+        const SimulationReport report = simulate(options);
         EXPECT_TRUE(report.violations.empty()) << "seed " << options.seed << "\n" << text(report);
         EXPECT_TRUE(report.servesAtTheEnd) << "seed " << options.seed;
         EXPECT_GT(report.answered, 1000) << "seed " << options.seed;
@@ -92,7 +104,7 @@
         // The number is drawn anew for each fault: the seeds stand for these schedules.
         for (std::uint64_t i = 0; i < schedules.leastFaults + random.below(schedules.spread); ++i)
             options.faults.push_back(static_cast<SimulatedFault>(random.below(schedules.kinds)));
-        const SimulationReport report = runSimulation(options);
+        const SimulationReport report = simulate(options);
         EXPECT_TRUE(report.violations.empty()) << "seed " << seed << "\n" << text(report);
     }
 }
@@ -173,7 +185,7 @@
     for (options.seed = 1; options.seed <= 24; ++options.seed) {
         options.maxConnections
             = connectionsFor(options.seed % 2 == 0 ? Access::Direct : Access::Gateways);
-        const SimulationReport report = runSimulation(options);
+        const SimulationReport report = simulate(options);
         EXPECT_TRUE(report.violations.empty()) << "seed " << options.seed << "\n" << text(report);
         EXPECT_TRUE(report.servesAtTheEnd) << "seed " << options.seed;
     }
@@ -362,7 +374,7 @@
 
 TEST_P(LostWrite, IsKept)
 {
-    const SimulationReport report = runSimulation(GetParam().options);
+    const SimulationReport report = simulate(GetParam().options);
     EXPECT_TRUE(report.violations.empty()) << text(report);
 }
 
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -41,6 +42,7 @@
 constexpr Millis MaxStoreAbsence(2000);
 constexpr Millis MaxStoreCopyAge(9000);
 constexpr Millis StoreCopyInterval(500);
+constexpr Millis ChangeLimit(6000);     // For a change of primary.
 constexpr Millis StoreRefillTime(2000); // Until the instances have registered again.
 
 // The databases, one for each consistency.
@@ -99,10 +101,9 @@
                           std::uint64_t fencingToken) override;
     void recordCandidate(const std::string &group, const std::string &candidate,
                          std::uint64_t fencingToken) override;
-    void logGroupEvent(const std::string &, std::string_view, const std::string &, std::uint64_t,
-                       const std::string &) override
-    {
-    }
+    void logGroupEvent(const std::string &group, std::string_view event,
+                       const std::string &instance, std::uint64_t term,
+                       const std::string &detail) override;
 
 private:
     SessionSimulation *m_simulation;
@@ -131,6 +132,7 @@
 public:
     explicit SessionSimulation(const SimulationOptions &options)
         : m_options(options)
+        , m_end(options.duration)
         , m_random(options.seed)
         , m_group(this, {.replacedPrimaryGoesOn = !options.fencedPromotions})
         , m_checker({.seed = options.seed, .maxAge = MaxAge}, &m_group)
@@ -147,6 +149,9 @@
     // suspended then runs it when it continues.
     void atHost(std::size_t host, Millis when, std::function<void(SimulatedHost *)> function);
     Millis now() const { return m_now; }
+    void trace(std::string_view what, const std::string &detail) const;
+    void traceCommand(std::string_view what, std::size_t host, const std::string &instance,
+                      const Statement &statement) const;
     bool reaches(std::size_t host, const std::string &instance) const;
     void openTarget(std::size_t host, ConnectionId connection, const std::string &id);
     void runStatement(std::size_t host, ConnectionId connection, const std::string &id,
@@ -206,10 +211,12 @@
                  const Statement &statement) override;
     void onPromoted(const GroupInstance &newPrimary) override;
     void executePromotion(const std::string &id, std::uint64_t token);
+    void leaveTimeForChange();
     void startCaller(std::size_t index);
     void nextStatement(std::size_t index);
 
     SimulationOptions m_options;
+    Millis m_end; // Later than the options say if something is carried out late shortly before.
     Random m_random;
     SimulationReport m_report;
     Millis m_now;
@@ -286,6 +293,21 @@
     m_simulation->recordCandidate(m_index, group, candidate, fencingToken);
 }
 
+void SimulatedHost::logGroupEvent(const std::string &, std::string_view event,
+                                  const std::string &instance, std::uint64_t term,
+                                  const std::string &detail)
+{
+    m_simulation->trace(event,
+                        "host" + std::to_string(m_index) + " " + instance + " term "
+                            + std::to_string(term) + " " + detail);
+}
+
+void SessionSimulation::trace(std::string_view what, const std::string &detail) const
+{
+    if (m_options.trace)
+        *m_options.trace << m_now.count() << " ms " << what << " " << detail << '\n';
+}
+
 void SessionSimulation::atHost(std::size_t host, Millis when,
                                std::function<void(SimulatedHost *)> function)
 {
@@ -401,11 +423,16 @@
                 || statement.kind == StatementKind::StepDown;
             if (isCommand && m_now < m_delayCommandsUntil && m_random.below(3) == 0) {
                 at(m_now + Millis(2000 + std::int64_t(m_random.below(6000))), [=, this] {
+                    traceCommand("command.late", host, id, statement);
+                    leaveTimeForChange();
                     if (GroupInstance *receiver = m_group.find(id); receiver && receiver->running)
                         m_group.command(receiver, statement);
                 });
+                traceCommand("command.unanswered", host, id, statement);
                 return;
             }
+            if (isCommand)
+                traceCommand("command", host, id, statement);
             const auto reply = [=, this](const StatementAnswer &answer) {
                 const bool lost = m_now < m_loseAnswersUntil && needsSlot(statement.kind)
                     && m_random.below(20) == 0;
@@ -430,6 +457,24 @@
     });
 }
 
+void SessionSimulation::traceCommand(std::string_view what, std::size_t host,
+                                     const std::string &instance, const Statement &statement) const
+{
+    const std::string_view kind = statement.kind == StatementKind::Pause ? "pause"
+        : statement.kind == StatementKind::Resume                        ? "resume"
+                                                                         : "step-down";
+    trace(what,
+          "host" + std::to_string(host) + " " + std::string(kind) + " " + instance + " "
+              + statement.argument);
+}
+
+// What is carried out late may end the service of the primary, which then has to be replaced before
+// the run ends.
+void SessionSimulation::leaveTimeForChange()
+{
+    m_end = std::max(m_end, m_now + ChangeLimit);
+}
+
 void SessionSimulation::closeTarget(std::size_t host, ConnectionId connection,
                                     const std::string &id)
 {
@@ -552,8 +597,10 @@
         if (holder != host)
             m_checker.addViolation(m_now, "two hosts used one fencing token");
         if (m_now < m_delayPromotionsUntil && m_random.below(2) == 0) {
-            at(m_now + Millis(1000 + std::int64_t(m_random.below(4000))),
-               [=, this] { executePromotion(id, token); });
+            at(m_now + Millis(1000 + std::int64_t(m_random.below(4000))), [=, this] {
+                leaveTimeForChange();
+                executePromotion(id, token);
+            });
             return; // No response.
         }
         PromotionResult verdict = PromotionResult::Accepted;
@@ -584,6 +631,9 @@
 
 void SessionSimulation::onPromoted(const GroupInstance &newPrimary)
 {
+    trace("promoted",
+          newPrimary.id + " term " + std::to_string(newPrimary.term) + " at "
+              + positionText(newPrimary.end()));
     m_checker.onPromoted(newPrimary, m_now);
 }
 
@@ -637,6 +687,10 @@
 {
     GroupInstance *primary = m_group.primary();
     const std::size_t host = m_random.below(m_hosts.size());
+    trace("fault",
+          std::string(FaultNames.name(fault)) + " for " + std::to_string(length.count())
+              + " ms, host" + std::to_string(host) + ", primary "
+              + (primary ? primary->id : "none"));
     switch (fault) {
     case SimulatedFault::CrashPrimary:
         if (!primary)
@@ -958,13 +1012,13 @@
 SimulationReport SessionSimulation::run()
 {
     start();
-    while (!m_events.empty() && m_events.top().when <= m_options.duration) {
+    while (!m_events.empty() && m_events.top().when <= m_end) {
         const Event event = m_events.top();
         m_events.pop();
         m_now = event.when;
         event.function();
     }
-    m_now = m_options.duration;
+    m_now = m_end;
     m_checker.checkFinalState(m_now);
     const GuaranteeReport &guarantees = m_checker.report();
     m_report.violations = guarantees.violations;
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #include "base/millis.h"
+#include "base/names.h"
 
 #include <cstdint>
+#include <iosfwd>
 #include <memory>
 #include <set>
 #include <string>
@@ -14,7 +16,7 @@
 
 namespace cicadagap {
 
-// The faults that can be injected. Most last for a random time.
+// The faults that can be injected. Most last for a random time. FaultNames has their names.
 enum class SimulatedFault {
     CrashPrimary,    // The primary's connections break; it comes back with its log.
     SilencePrimary,  // The primary neither receives nor sends anything.
@@ -33,6 +35,24 @@
     RestoreStore,    // The store is away for a moment, and comes back from an older copy of itself.
 };
 
+inline constexpr NameTable<SimulatedFault, 15> FaultNames{{{
+    {SimulatedFault::CrashPrimary, "crash-primary"},
+    {SimulatedFault::SilencePrimary, "silence-primary"},
+    {SimulatedFault::RestartReplica, "restart-replica"},
+    {SimulatedFault::CutHost, "cut-host"},
+    {SimulatedFault::LagReplicas, "lag-replicas"},
+    {SimulatedFault::LoseAnswers, "lose-answers"},
+    {SimulatedFault::DelayCommands, "delay-commands"},
+    {SimulatedFault::DelayPromotions, "delay-promotions"},
+    {SimulatedFault::LeavePrimary, "leave-primary"},
+    {SimulatedFault::KillHost, "kill-host"},
+    {SimulatedFault::FreezeHost, "freeze-host"},
+    {SimulatedFault::StoreDown, "store-down"},
+    {SimulatedFault::SplitPrimary, "split-primary"},
+    {SimulatedFault::CutReplica, "cut-replica"},
+    {SimulatedFault::RestoreStore, "restore-store"},
+}}};
+
 struct SimulationOptions
 {
     std::uint64_t seed = 1;
@@ -45,6 +65,8 @@
     // Hosts act as if the platform checked fencing tokens, to show what that breaks.
     bool hostsIgnoreMissingFence = false;
     std::vector<SimulatedFault> faults; // Each is injected once, at a random time.
+    // Gets a line for each fault, command, promotion and event of a group; null for none.
+    std::ostream *trace = nullptr;
 };
 
 struct SimulationReport
