--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -338,6 +338,15 @@
                              });
 }
 
+void SessionServer::recordResumes(const std::string &group, const std::set<std::string> &instances,
+                                  std::uint64_t fencingToken)
+{
+    m_leases.recordResumes(group, instances, fencingToken,
+                           [this, group, instances, fencingToken](bool recorded) {
+                               m_engine.onResumesRecorded(group, instances, fencingToken, recorded);
+                           });
+}
+
 void SessionServer::requestPromotion(const std::string &group, const std::string &instance,
                                      std::uint64_t fencingToken)
 {
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -73,6 +73,8 @@
                           std::uint64_t fencingToken) override;
     void recordCandidate(const std::string &group, const std::string &candidate,
                          std::uint64_t fencingToken) override;
+    void recordResumes(const std::string &group, const std::set<std::string> &instances,
+                       std::uint64_t fencingToken) override;
     void logGroupEvent(const std::string &group, std::string_view event,
                        const std::string &instance, std::uint64_t term,
                        const std::string &detail) override;
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -74,6 +74,8 @@
 void GroupControl::onTick(Millis now)
 {
     m_now = now;
+    std::erase_if(m_lostResumes, [now](const auto &row) { return row.second <= now; });
+    const std::set<std::string> unanswered = unansweredResumes();
     for (auto &[name, group] : m_groups) {
         group.tracker.onTick(now);
         for (const std::string &id : group.tracker.instancesToProbe(now))
@@ -86,7 +88,8 @@
         const GroupState state{.listed = group.listed,
                                .primary = group.tracker.lastPrimary(),
                                .term = group.tracker.term(),
-                               .syncReplicas = group.syncReplicas};
+                               .syncReplicas = group.syncReplicas,
+                               .unansweredResumes = unanswered};
         group.change->onTick(now, group.tracker.cause(now), state);
     }
 }
@@ -116,6 +119,15 @@
         found->second.change->onCandidateRecorded(now, candidate, recorded);
 }
 
+void GroupControl::onResumesRecorded(const std::string &group,
+                                     const std::set<std::string> &instances,
+                                     std::uint64_t fencingToken, bool recorded)
+{
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end())
+        found->second.change->onResumesRecorded(instances, fencingToken, recorded);
+}
+
 void GroupControl::onCommitAcknowledged(const std::string &instance, Millis sentAt)
 {
     if (Group *group = groupOf(instance))
@@ -214,6 +226,7 @@
     const auto found = m_pendingByWork.extract(work);
     if (found.empty())
         return false;
+    noteLostResume(found.mapped());
     sendHeldCommand(found.mapped().instance);
     return true;
 }
@@ -236,6 +249,8 @@
     }
     if (kind == StatementKind::BeginReadOnly)
         return true; // Its position was recorded as evidence.
+    if (!answer.status)
+        noteLostResume(pending);
     sendHeldCommand(pending.instance);
     Group *group = groupOf(pending.instance);
     if (group && answer.status) {
@@ -335,6 +350,32 @@
         sendCommand(instance, held.mapped());
 }
 
+// A command that was sent and whose answer is lost may still be carried out.
+void GroupControl::noteLostResume(const PendingStatement &pending)
+{
+    if (pending.statement.kind != StatementKind::Resume || !pending.sentAt)
+        return;
+    Millis &until = m_lostResumes[pending.instance];
+    until = std::max(until, *pending.sentAt + LateCommandLimit);
+}
+
+// The instances with a resume that was sent, or will be, and is not answered.
+std::set<std::string> GroupControl::unansweredResumes() const
+{
+    std::set<std::string> ids;
+    for (const auto &row : m_pendingByWork) {
+        if (row.second.statement.kind == StatementKind::Resume)
+            ids.insert(row.second.instance);
+    }
+    for (const auto &row : m_lostResumes)
+        ids.insert(row.first);
+    for (const auto &[id, statement] : m_heldCommands) {
+        if (statement.kind == StatementKind::Resume)
+            ids.insert(id);
+    }
+    return ids;
+}
+
 void GroupControl::promote(const std::string &group, const std::string &instance,
                            std::uint64_t fencingToken)
 {
@@ -347,6 +388,12 @@
     m_output->recordCandidate(group, candidate, fencingToken);
 }
 
+void GroupControl::recordResumes(const std::string &group, const std::set<std::string> &instances,
+                                 std::uint64_t fencingToken)
+{
+    m_output->recordResumes(group, instances, fencingToken);
+}
+
 void GroupControl::stageChanged(const std::string &group, PrimaryChangeStage stage,
                                 PrimaryChangeCause cause, const std::string &detail)
 {
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -39,6 +39,11 @@
     virtual void recordCandidate(const std::string &group, const std::string &candidate,
                                  std::uint64_t fencingToken)
         = 0;
+    // Records the instances that may receive again in the lease's row; see PrimaryChangeOutput.
+    // Answered by onResumesRecorded().
+    virtual void recordResumes(const std::string &group, const std::set<std::string> &instances,
+                               std::uint64_t fencingToken)
+        = 0;
     // Logs that another primary is known for the group, or that its replacement entered another
     // stage. In the second case `instance` holds the cause of the replacement.
     virtual void logGroupEvent(const std::string &group, std::string_view event,
@@ -73,6 +78,8 @@
     void onPromotion(Millis now, const std::string &group, PromotionResult verdict);
     void onCandidateRecorded(Millis now, const std::string &group, const std::string &candidate,
                              bool recorded);
+    void onResumesRecorded(const std::string &group, const std::set<std::string> &instances,
+                           std::uint64_t fencingToken, bool recorded);
 
     // Evidence from callers' statements and from connections; see PrimaryTracker. `sentAt` is when
     // the answered request was sent.
@@ -135,6 +142,8 @@
                  std::uint64_t fencingToken) override;
     void recordCandidate(const std::string &group, const std::string &candidate,
                          std::uint64_t fencingToken) override;
+    void recordResumes(const std::string &group, const std::set<std::string> &instances,
+                       std::uint64_t fencingToken) override;
     void stageChanged(const std::string &group, PrimaryChangeStage stage, PrimaryChangeCause cause,
                       const std::string &detail) override;
     void probe(Millis now, const std::string &instance);
@@ -142,6 +151,8 @@
     void submit(const std::string &instance, const Statement &statement);
     bool oppositeIsOnItsWay(const std::string &instance, StatementKind kind);
     void sendHeldCommand(const std::string &instance);
+    void noteLostResume(const PendingStatement &pending);
+    std::set<std::string> unansweredResumes() const;
     void reportPrimary(const std::string &name, Group *group);
     void reportHandover(const std::string &name, Group *group);
     Group *groupOf(const std::string &instance);
@@ -157,6 +168,8 @@
     std::map<WorkId, PendingStatement> m_pendingByWork;
     // The command to each instance that waits for the answer to an opposite one.
     std::map<std::string, Statement> m_heldCommands;
+    // Instances that got a resume whose answer is lost, and until when it may be carried out.
+    std::map<std::string, Millis> m_lostResumes;
 };
 
 } // namespace cicadagap
--- a/src/session/leaseclient.cpp
+++ b/src/session/leaseclient.cpp
@@ -17,6 +17,14 @@
     return parseLease(record->text, reason);
 }
 
+std::string joined(const std::set<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names)
+        text += (text.empty() ? "" : ",") + name;
+    return text;
+}
+
 } // namespace
 
 struct LeaseClient::Attempt
@@ -102,41 +110,62 @@
                   {"epoch", static_cast<std::int64_t>(attempt.row.epoch)},
                   {"storeMs", attempt.storeNow.count()},
                   {"verdict", VerdictNames.name(verdict)}});
-        LeaseResult result{.actUntil = attempt.requestedAt + LeaseActingTime};
-        if (acquired)
-            result.fencingToken = lease.fencingToken;
-        result.openCandidate = lease.candidate;
-        // The store's clock was read before `readAt`.
-        result.openUntil = attempt.readAt + (lease.candidateUntil - attempt.storeNow);
-        attempt.done(result);
+        attempt.done(acquired ? acquiredLease(lease,
+                                              {.requestedAt = attempt.requestedAt,
+                                               .readAt = attempt.readAt,
+                                               .storeNow = attempt.storeNow})
+                              : LeaseResult{});
     });
 }
 
-void LeaseClient::recordCandidate(const std::string &group, const std::string &candidate,
-                                  std::uint64_t fencingToken, std::function<void(bool)> done)
+void LeaseClient::replace(const std::string &group, const NextLease &next,
+                          const std::function<void(bool, const std::string &)> &done)
 {
-    const auto handle = [=, this](const std::optional<LeaseRecord> &record) {
+    m_platform->readLease(group, [=, this](const std::optional<LeaseRecord> &record) {
         Reason reason;
-        const std::optional<PromotionLease> next
-            = leaseWithCandidate(storedLease(record, &reason), m_options.host, fencingToken,
-                                 candidate, record ? record->storeNow : Millis(0));
-        const auto report = [=, text = reason.text()](bool recorded) {
-            logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.candidate",
-                     {{"group", group},
-                      {"instance", candidate},
-                      {"fencingToken", static_cast<std::int64_t>(fencingToken)},
-                      {"recorded", recorded},
-                      {"reason", text}});
-            done(recorded);
-        };
-        if (!next) {
-            report(false);
+        const std::optional<PromotionLease> lease
+            = next(storedLease(record, &reason), record ? record->storeNow : Millis(0));
+        if (!lease) {
+            done(false, reason.text());
             return;
         }
-        m_platform->writeLease(group, leaseText(*next), record->row,
-                               [report](Verdict verdict) { report(verdict == Verdict::Ran); });
+        m_platform->writeLease(group, leaseText(*lease), record->row,
+                               [done](Verdict verdict) { done(verdict == Verdict::Ran, {}); });
+    });
+}
+
+void LeaseClient::recordCandidate(const std::string &group, const std::string &candidate,
+                                  std::uint64_t fencingToken, std::function<void(bool)> done)
+{
+    const auto next = [=, this](const std::optional<PromotionLease> &current, Millis storeNow) {
+        return leaseWithCandidate(current, m_options.host, fencingToken, candidate, storeNow);
+    };
+    replace(group, next, [=](bool recorded, const std::string &reason) {
+        logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.candidate",
+                 {{"group", group},
+                  {"instance", candidate},
+                  {"fencingToken", static_cast<std::int64_t>(fencingToken)},
+                  {"recorded", recorded},
+                  {"reason", reason}});
+        done(recorded);
+    });
+}
+
+void LeaseClient::recordResumes(const std::string &group, const std::set<std::string> &instances,
+                                std::uint64_t fencingToken, std::function<void(bool)> done)
+{
+    const auto next = [=, this](const std::optional<PromotionLease> &current, Millis) {
+        return leaseWithResumes(current, m_options.host, fencingToken, instances);
     };
-    m_platform->readLease(group, handle);
+    replace(group, next, [=](bool recorded, const std::string &reason) {
+        logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.resumes",
+                 {{"group", group},
+                  {"instances", joined(instances)},
+                  {"fencingToken", static_cast<std::int64_t>(fencingToken)},
+                  {"recorded", recorded},
+                  {"reason", reason}});
+        done(recorded);
+    });
 }
 
 } // namespace cicadagap
--- a/src/session/leaseclient.h
+++ b/src/session/leaseclient.h
@@ -1,5 +1,5 @@
-// Acquires promotion leases in the platform's store, and records candidates in their rows. What a
-// row allows is decided by session/promotionlease.h.
+// Acquires promotion leases in the platform's store, and records candidates and resumes in their
+// rows. What a row allows is decided by session/promotionlease.h.
 //
 // Load pattern: a few calls for each change of a primary, from several hosts at once.
 #pragma once
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace cicadagap {
@@ -33,13 +35,26 @@
     // the row was written.
     void recordCandidate(const std::string &group, const std::string &candidate,
                          std::uint64_t fencingToken, std::function<void(bool)> done);
+    // Records the instances that this host may let receive again; see leaseWithResumes(). The
+    // callback gets whether the row was written.
+    void recordResumes(const std::string &group, const std::set<std::string> &instances,
+                       std::uint64_t fencingToken, std::function<void(bool)> done);
 
 private:
+    // Computes the lease that replaces the present one at an instant of the store's clock; nothing
+    // if it may not be replaced.
+    using NextLease = std::function<std::optional<PromotionLease>(
+        const std::optional<PromotionLease> &current, Millis storeNow)>;
+
     struct Attempt; // To acquire a lease.
 
     void handleRecord(Attempt attempt, const std::optional<LeaseRecord> &record);
     void decide(const Attempt &attempt, const StoreInstant &instant);
     void write(const Attempt &attempt, const PromotionLease &lease);
+    // Replaces the lease in the row. The callback gets whether it did, and the reason if the row
+    // could not be read.
+    void replace(const std::string &group, const NextLease &next,
+                 const std::function<void(bool replaced, const std::string &reason)> &done);
 
     PlatformClient *m_platform;
     const Clock *m_clock;
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -2,9 +2,8 @@
 // instances and chooses the candidate is in primaryseals.cpp.
 #include "session/primarychange.h"
 
-#include "session/promotionlease.h"
-
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cicadagap {
@@ -54,6 +53,7 @@
     m_now = now;
     m_groupState = state;
     trackRegistrations(now, state.listed.instances);
+    recordResumes(now);
     switch (m_stage) {
     case PrimaryChangeStage::Idle:
         if (cause != PrimaryChangeCause::None && now >= m_retryAt)
@@ -75,6 +75,7 @@
             abandon(now, "the primary works again");
             return;
         }
+        forgetUndoneSeals(now);
         if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit
             && !possibleCandidates().empty() && listIsRecent())
             sealCandidateToo(now);
@@ -106,10 +107,9 @@
             + std::clamp(result.heldFor, MinRetryAfterLeaseRefused, MaxRetryAfterLeaseRefused);
         return;
     }
+    takeLease(result);
     if (m_cause == PrimaryChangeCause::LeftSealed) {
-        m_fencingToken = *result.fencingToken;
-        m_actUntil = result.actUntil;
-        onLeaseForLeftSealed(now, result);
+        onLeaseForLeftSealed(now);
         return;
     }
     if (m_cause == PrimaryChangeCause::Stalled && m_groupState.primary != m_leaseSoughtFor) {
@@ -119,12 +119,7 @@
     }
     if (m_cause == PrimaryChangeCause::Stalled && !m_options.fencedPromotions)
         m_cause = PrimaryChangeCause::Unreachable;
-    m_fencingToken = *result.fencingToken;
     m_leaseAt = now;
-    m_actUntil = result.actUntil;
-    m_openCandidate = result.openCandidate;
-    m_openUntil = result.openUntil;
-    m_mayResume = false;
     m_recordedCandidate.clear();
     m_unansweredPromotions = 0;
     m_outdatedPrimaries.clear();
@@ -132,6 +127,7 @@
     m_nextRecordAt = now;
     m_nextStepDownAt = now;
     m_sealed.clear();
+    m_paused.clear();
     m_candidate.clear();
     m_candidatePosition.reset();
     m_candidateStatus.clear();
@@ -151,10 +147,9 @@
     m_now = now;
     m_sealTerm = std::max(m_sealTerm, status.term + 1);
     m_newestTerm = std::max({m_newestTerm, m_groupState.term, status.term});
-    if (command == StatementKind::Resume) {
-        m_toResume.erase(instance);
+    noteWhetherPaused(instance, command, status);
+    if (command == StatementKind::Resume)
         return;
-    }
     if (m_stage != PrimaryChangeStage::Sealing || now >= m_actUntil)
         return;
     if (m_cause == PrimaryChangeCause::Stalled) {
@@ -175,7 +170,7 @@
         return;
     }
     if (status.primary && instance != m_oldPrimary) {
-        m_toResume.erase(instance);
+        noteReceives(instance);
         abandon(now, instance + " is primary of term " + std::to_string(status.term));
         return;
     }
@@ -186,6 +181,7 @@
         m_steppedDown = m_steppedDown || instance == m_oldPrimary;
         ++m_sealTerm;
         m_nextSendAt = now;
+        forgetUncertainSeals();
         requestPromotionIfSealed(now);
         return;
     }
@@ -196,7 +192,10 @@
         else if (instance == m_candidate)
             m_candidatePosition = status.received;
     }
-    if (command == StatementKind::Pause && status.pausedTerm > 0)
+    const bool paused = command == StatementKind::Pause && status.pausedTerm > 0;
+    const bool receives = m_cause == PrimaryChangeCause::Unreachable && instance != m_oldPrimary
+        && sealMayBeUndone(instance);
+    if (paused || receives)
         m_sealed[instance] = status;
     requestPromotionIfSealed(now);
 }
@@ -216,6 +215,18 @@
     requestPromotionIfSealed(now);
 }
 
+void PrimaryChange::onResumesRecorded(const std::set<std::string> &instances,
+                                      std::uint64_t fencingToken, bool recorded)
+{
+    if (fencingToken != m_fencingToken)
+        return;
+    m_recordsResumes = false;
+    if (!recorded)
+        return;
+    m_recordedResumes = instances;
+    m_nextResumeAt = m_now;
+}
+
 void PrimaryChange::onPromotion(Millis now, PromotionResult verdict)
 {
     if (m_stage != PrimaryChangeStage::RequestingPromotion)
@@ -257,14 +268,14 @@
         enter(now, PrimaryChangeStage::Idle,
               instance + " is primary of term " + std::to_string(term));
         m_openPromotions = 0;
-        m_toResume.erase(instance);
+        noteReceives(instance);
         allowResuming(now);
         forgetCandidate();
     } else if (m_stage == PrimaryChangeStage::Idle && isCandidate && m_openPromotions > 0
                && m_cause != PrimaryChangeCause::Stalled) {
         // The request was carried out after the attempt had ended.
         m_openPromotions = 0;
-        m_toResume.erase(instance);
+        noteReceives(instance);
         allowResuming(now);
     } else if (m_stage == PrimaryChangeStage::RequestingPromotion && isCandidate) {
         // The candidate was seen as primary before the platform answered. A stalled primary is
@@ -291,6 +302,21 @@
     m_output->acquireLease(m_group);
 }
 
+// Starts to act under a lease.
+void PrimaryChange::takeLease(const LeaseResult &result)
+{
+    m_fencingToken = *result.fencingToken;
+    m_actUntil = result.actUntil;
+    m_openCandidate = result.openCandidate;
+    m_openUntil = result.openUntil;
+    m_openResumes = result.openResumes;
+    m_mayResume = false;
+    m_sentResumes.clear();
+    m_recordedResumes.clear();
+    m_recordsResumes = false;
+    m_nextResumeRecordAt = m_now;
+}
+
 void PrimaryChange::abandon(Millis now, const std::string &reason)
 {
     enter(now, PrimaryChangeStage::Idle, reason);
@@ -345,6 +371,8 @@
     m_nextSendAt = now + ResendInterval;
     switch (m_cause) {
     case PrimaryChangeCause::Unreachable:
+        if (!m_openResumes.empty())
+            m_nextSendAt = now + CatchUpInterval;
         sealAroundFailedPrimary();
         return;
     case PrimaryChangeCause::Leaving:
@@ -428,20 +456,87 @@
 {
     m_mayResume = true;
     m_releaseAt = now;
+    recordResumes(now);
     resumeSealed(now);
 }
 
-// Lets the sealed instances receive again, as long as this host holds the lease: the next holder
-// may have sealed them itself. Repeated until they have answered.
+// Lets the sealed instances receive again, once the lease's row names them, and as long as this
+// host holds the lease: the next holder may have sealed them itself. Those that have not said that
+// they are paused are asked first, so that an instance that cannot be reached gets no resume.
+// Repeated until all have answered.
 void PrimaryChange::resumeSealed(Millis now)
 {
     if (now > m_actUntil + ResumeMargin)
         return;
-    m_nextResumeAt = now + ResendInterval;
     for (const std::string &id : m_toResume) {
-        if (isRegistered(id))
-            m_output->sendCommand(id, {.kind = StatementKind::Resume});
+        if (!isRegistered(id) || (m_paused.contains(id) && !m_recordedResumes.contains(id)))
+            continue;
+        m_nextResumeAt = now + ResendInterval;
+        if (!m_paused.contains(id)) {
+            m_output->sendCommand(id, {.kind = StatementKind::Status});
+            continue;
+        }
+        m_sentResumes.insert(id);
+        m_output->sendCommand(id, {.kind = StatementKind::Resume});
+    }
+}
+
+// Between two attempts, an instance that is not paused does not have to be told to receive.
+void PrimaryChange::noteWhetherPaused(const std::string &instance, StatementKind command,
+                                      const InstanceStatus &status)
+{
+    const bool resumed = command == StatementKind::Resume;
+    if (!resumed && status.pausedTerm > 0) {
+        if (m_paused.insert(instance).second)
+            m_nextResumeAt = m_now;
+        return;
     }
+    // The answer to an older status query may arrive after that to the pause.
+    const bool neverPaused
+        = m_stage == PrimaryChangeStage::Idle && m_mayResume && !m_paused.contains(instance);
+    if (resumed || neverPaused)
+        noteReceives(instance);
+}
+
+void PrimaryChange::noteReceives(const std::string &instance)
+{
+    m_toResume.erase(instance);
+    m_paused.erase(instance);
+}
+
+// The paused instances that may get a resume under this lease.
+std::set<std::string> PrimaryChange::instancesToResume() const
+{
+    std::set<std::string> ids;
+    const bool resumes = m_stage == PrimaryChangeStage::Idle && m_mayResume;
+    if (resumes || m_stage == PrimaryChangeStage::Confirming)
+        std::set_intersection(m_toResume.begin(), m_toResume.end(), m_paused.begin(),
+                              m_paused.end(), std::inserter(ids, ids.end()));
+    if (m_stage == PrimaryChangeStage::Confirming)
+        ids.erase(m_candidate);
+    return ids;
+}
+
+// Has the lease's row name the instances that may get a resume under this lease, and those that got
+// one and have not answered. Instances are taken out of it once no other one has to get one.
+void PrimaryChange::recordResumes(Millis now)
+{
+    const std::set<std::string> toResume = instancesToResume();
+    std::set<std::string> ids = toResume;
+    std::set_intersection(m_sentResumes.begin(), m_sentResumes.end(),
+                          m_groupState.unansweredResumes.begin(),
+                          m_groupState.unansweredResumes.end(), std::inserter(ids, ids.end()));
+    const bool complete
+        = std::includes(m_recordedResumes.begin(), m_recordedResumes.end(), ids.begin(), ids.end());
+    const bool mayWait = complete && (ids == m_recordedResumes || !toResume.empty());
+    if (mayWait || m_recordsResumes || now < m_nextResumeRecordAt
+        || now > m_actUntil + ResumeMargin)
+        return;
+    m_nextResumeRecordAt = now + ResendInterval;
+    m_recordsResumes = true;
+    // Until the store has answered, the row may name the old ones or the new ones.
+    std::erase_if(m_recordedResumes, [&ids](const std::string &id) { return !ids.contains(id); });
+    m_output->recordResumes(m_group, ids, m_fencingToken);
 }
 
 // Between two attempts. If the lease has ended, and nothing is wrong with the primary, acquires it
@@ -462,16 +557,14 @@
 }
 
 // The lease was acquired for the instances that are still sealed.
-void PrimaryChange::onLeaseForLeftSealed(Millis now, const LeaseResult &result)
+void PrimaryChange::onLeaseForLeftSealed(Millis now)
 {
     m_retryAt = now + RetryAfter;
-    m_openCandidate = result.openCandidate;
-    m_openUntil = result.openUntil;
     if (now < m_openUntil && !isOpenCandidate(m_groupState.primary)) {
         enter(now, PrimaryChangeStage::Idle,
               "the promotion of " + (m_openCandidate.empty() ? "some instance" : m_openCandidate)
                   + " may still be carried out");
-        m_releaseAt = result.openUntil;
+        m_releaseAt = m_openUntil;
         return;
     }
     enter(now, PrimaryChangeStage::Idle, std::to_string(m_toResume.size()) + " may receive again");
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -28,6 +28,13 @@
 // until the next promotion would be lost. A fencing token that is not used yet does not prevent
 // that.
 //
+// A command without an answer may be carried out late, and a resume undoes whatever pause is in
+// effect by then. So a holder names in the lease's row which instances it may let receive again,
+// before it does so, and takes out those at which every resume was answered. The seal of an
+// instance that an earlier holder named counts only if no primary is left that it could receive
+// from, or if it is itself the candidate: it is asked for its position, and receives until the
+// promotion.
+//
 // On a platform that checks no fencing token, a replaced primary goes on serving reads until it
 // hears of its successor, and a promotion request without an answer may be carried out after newer
 // ones. There, three more rules hold:
@@ -43,6 +50,7 @@
 
 #include "base/millis.h"
 #include "base/position.h"
+#include "session/promotionlease.h"
 #include "session/registry.h"
 #include "session/statement.h"
 
@@ -96,6 +104,8 @@
     std::string primary;    // The last known one, which may not be registered any more.
     std::uint64_t term = 0; // In which it was primary.
     int syncReplicas = 1;
+    // Instances at which a resume of this process may still be carried out: it was not answered.
+    std::set<std::string> unansweredResumes;
 };
 
 // The platform's answer to a promotion request.
@@ -115,18 +125,6 @@
     {PromotionResult::NotDone, "not-done"},
 }}};
 
-// The result of an attempt to acquire a promotion lease.
-struct LeaseResult
-{
-    std::optional<std::uint64_t> fencingToken; // Set if the lease was acquired.
-    Millis actUntil; // With a token: the instant, on this host's clock, until which it may be used.
-    Millis heldFor;  // Without a token: how much longer another host holds the lease.
-    // With a token: a request of an earlier holder may be carried out until the instant, on this
-    // host's clock, and promotes this instance; empty if it is not known which.
-    std::string openCandidate;
-    Millis openUntil;
-};
-
 // Carries out the actions of a PrimaryChange.
 class PrimaryChangeOutput
 {
@@ -152,6 +150,11 @@
     virtual void recordCandidate(const std::string &group, const std::string &candidate,
                                  std::uint64_t fencingToken)
         = 0;
+    // Records the instances that may receive again in the row of the lease, in place of those that
+    // were recorded before under the fencing token; answered by onResumesRecorded().
+    virtual void recordResumes(const std::string &group, const std::set<std::string> &instances,
+                               std::uint64_t fencingToken)
+        = 0;
     // Reports a change of stage, for the log.
     virtual void stageChanged(const std::string &group, PrimaryChangeStage stage,
                               PrimaryChangeCause cause, const std::string &detail)
@@ -190,6 +193,9 @@
     void onPromotion(Millis now, PromotionResult result);
     // The answer to recordCandidate(); `recorded` is false if the row may lack the candidate.
     void onCandidateRecorded(Millis now, const std::string &candidate, bool recorded);
+    // The answer to recordResumes(); `recorded` is false if the row may not name the instances.
+    void onResumesRecorded(const std::set<std::string> &instances, std::uint64_t fencingToken,
+                           bool recorded);
     // An instance proved that it is primary of `term`.
     void onPrimary(Millis now, const std::string &instance, std::uint64_t term);
 
@@ -204,11 +210,19 @@
     void enter(Millis now, PrimaryChangeStage stage, const std::string &detail);
     void start(Millis now, PrimaryChangeCause cause);
     void abandon(Millis now, const std::string &reason);
+    void takeLease(const LeaseResult &result);
     void trackRegistrations(Millis now, const std::vector<RegisteredInstance> &instances);
     std::set<std::string> possibleLogHolders() const;
     std::size_t sealsNeeded() const;
-    bool countsAsSealed(const std::string &instance) const;
-    std::size_t countableSeals() const;
+    bool mayBeResumed(const std::string &instance) const;
+    bool sealMayBeUndone(const std::string &instance) const;
+    void forgetUndoneSeals(Millis now);
+    void forgetUncertainSeals();
+    bool runsUntilPromoted(const std::string &instance) const;
+    bool countsAsSealed(const std::string &instance, const std::string &candidate) const;
+    std::size_t countableSeals(const std::string &candidate) const;
+    std::size_t sealsWithoutPrimary() const;
+    bool holdsItsLog(const std::string &instance, const InstanceStatus &status) const;
     void sendSeals(Millis now);
     void sealAroundFailedPrimary();
     void sealAroundLeavingPrimary(Millis now);
@@ -221,7 +235,8 @@
     std::string sealingText() const;
     bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
-    bool holdsAllAcknowledged(Position end) const;
+    bool holdsAllAcknowledged(const std::string &candidate) const;
+    bool coversCountedSeals(const std::string &candidate) const;
     bool oldPrimaryMayStepDown() const;
     bool mayBeCandidate(const std::string &instance) const;
     void requestPromotionIfSealed(Millis now);
@@ -238,8 +253,13 @@
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
     void resumeSealed(Millis now);
+    void noteWhetherPaused(const std::string &instance, StatementKind command,
+                           const InstanceStatus &status);
+    void noteReceives(const std::string &instance);
+    std::set<std::string> instancesToResume() const;
+    void recordResumes(Millis now);
     void resumeLeftSealed(Millis now, PrimaryChangeCause cause);
-    void onLeaseForLeftSealed(Millis now, const LeaseResult &result);
+    void onLeaseForLeftSealed(Millis now);
     bool isRegistered(const std::string &instance) const;
 
     std::string m_group;
@@ -263,9 +283,15 @@
     Millis m_nextSendAt;
     std::uint64_t m_sealTerm = 0; // The term that commands tell instances to adopt.
     std::map<std::string, InstanceStatus> m_sealed;
-    std::set<std::string> m_toResume; // May be sealed, and have to receive again at the end.
+    std::set<std::string> m_toResume; // May be paused, and have to receive again at the end.
     bool m_mayResume = false;         // As far as this host's own promotion requests are concerned.
     Millis m_nextResumeAt;
+    std::set<std::string> m_paused;              // Those that said so when they were asked last.
+    std::map<std::string, Millis> m_openResumes; // See LeaseResult.
+    std::set<std::string> m_sentResumes;         // The instances that got one under this lease.
+    std::set<std::string> m_recordedResumes;     // That the lease's row certainly names.
+    bool m_recordsResumes = false;               // The store has not answered yet.
+    Millis m_nextResumeRecordAt;
     Millis m_releaseAt; // Before that, no lease is sought for the sealed instances alone.
     std::string m_candidate;
     std::optional<Position> m_candidatePosition;
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -54,41 +54,96 @@
     return std::max(all > sync ? all - sync : 0, sync + 1);
 }
 
-// Whether the instance is sealed, and stays so until a promotion is carried out. When an instance
-// that leaves has ended, a new one continues its log, and receives from the old primary, if that
-// still leads.
-bool PrimaryChange::countsAsSealed(const std::string &instance) const
+// Whether a resume of an earlier holder may still be carried out at the instance.
+bool PrimaryChange::mayBeResumed(const std::string &instance) const
+{
+    return m_openResumes.contains(instance);
+}
+
+// Whether the instance may receive from the old primary although it was sealed.
+bool PrimaryChange::sealMayBeUndone(const std::string &instance) const
+{
+    return !m_steppedDown && mayBeResumed(instance);
+}
+
+// Resumes that cannot be carried out any more may have undone earlier seals.
+void PrimaryChange::forgetUndoneSeals(Millis now)
+{
+    std::erase_if(m_openResumes, [&](const auto &row) {
+        if (row.second > now)
+            return false;
+        forgetSeal(row.first);
+        m_nextSendAt = now;
+        return true;
+    });
+}
+
+// The old primary has stepped down. The instances that may have received from it until then are
+// sealed anew.
+void PrimaryChange::forgetUncertainSeals()
+{
+    for (const auto &row : m_openResumes)
+        forgetSeal(row.first);
+}
+
+// Whether the instance runs until a promotion that is requested now is carried out. When one that
+// leaves has ended, a new one continues its log, and receives from the old primary, if that still
+// leads.
+bool PrimaryChange::runsUntilPromoted(const std::string &instance) const
 {
-    if (!m_sealed.contains(instance))
-        return false;
     const std::optional<Millis> end = m_groupState.listed.endOf(instance);
-    return m_steppedDown || !end || *end >= m_now + PromotionTime;
+    return !end || *end >= m_now + PromotionTime;
+}
+
+// Whether the instance is sealed, and stays so until the candidate is promoted. The candidate
+// itself may receive until then.
+bool PrimaryChange::countsAsSealed(const std::string &instance, const std::string &candidate) const
+{
+    return m_sealed.contains(instance) && (m_steppedDown || runsUntilPromoted(instance))
+        && (instance == candidate || !sealMayBeUndone(instance));
 }
 
-// The number of sealed instances that certainly hold everything they ever acknowledged. One that
-// restarted lately may have lost its log, and counts only if its position is as high as that of all
-// other sealed instances.
-std::size_t PrimaryChange::countableSeals() const
+// Whether the instance certainly holds everything it ever acknowledged. One that restarted lately
+// may have lost its log, and counts only if its position is as high as that of all other sealed
+// instances.
+bool PrimaryChange::holdsItsLog(const std::string &instance, const InstanceStatus &status) const
+{
+    return !m_restarted.contains(instance)
+        || std::all_of(m_sealed.begin(), m_sealed.end(),
+                       [&](const auto &row) { return row.second.received <= status.received; });
+}
+
+// The number of sealed instances that count if the candidate is promoted, and certainly hold
+// everything they ever acknowledged.
+std::size_t PrimaryChange::countableSeals(const std::string &candidate) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
+            return countsAsSealed(row.first, candidate) && holdsItsLog(row.first, row.second);
+        }));
+}
+
+// The number of seals that would count if the old primary stepped down.
+std::size_t PrimaryChange::sealsWithoutPrimary() const
 {
-    Position highest;
-    for (const auto &row : m_sealed)
-        highest = std::max(highest, row.second.received);
     return static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return countsAsSealed(row.first)
-                && (!m_restarted.contains(row.first) || row.second.received == highest);
+            return (m_steppedDown || runsUntilPromoted(row.first))
+                && holdsItsLog(row.first, row.second);
         }));
 }
 
-// Seals all registered instances. The old primary first has to step down, if it still answers.
+// Seals all registered instances. The old primary first has to step down, if it still answers. One
+// that may receive in any case is only asked for its position.
 void PrimaryChange::sealAroundFailedPrimary()
 {
     const std::string term = std::to_string(m_sealTerm);
     const bool mayStepDown = oldPrimaryMayStepDown();
     for (const std::string &id : possibleLogHolders()) {
-        if (m_sealed.contains(id) || !isRegistered(id))
+        const bool receives = id != m_oldPrimary && sealMayBeUndone(id);
+        if ((m_sealed.contains(id) && !receives) || !isRegistered(id))
             continue;
-        if (id == m_oldPrimary && !mayStepDown) {
+        if (receives || (id == m_oldPrimary && !mayStepDown)) {
             m_output->sendCommand(id, {.kind = StatementKind::Status});
             continue;
         }
@@ -107,7 +162,7 @@
 // instance can be promoted: it would have to be promoted again otherwise.
 bool PrimaryChange::oldPrimaryMayStepDown() const
 {
-    const std::size_t seals = countableSeals();
+    const std::size_t seals = sealsWithoutPrimary();
     if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
         return true;
     // While it takes new work, its log soon goes beyond what the others hold.
@@ -132,7 +187,8 @@
         return;
     }
     for (const auto &row : m_registered) {
-        if (row.first == m_candidate || row.first == m_oldPrimary || m_sealed.contains(row.first))
+        if (row.first == m_candidate || row.first == m_oldPrimary || m_sealed.contains(row.first)
+            || sealMayBeUndone(row.first))
             continue;
         m_toResume.insert(row.first);
         m_output->sendCommand(
@@ -178,10 +234,11 @@
     if (!allAnswered && now - m_stageSince < CandidateQueryTime)
         return;
     // One that an earlier attempt left sealed does not receive. While a request to promote an
-    // instance may be carried out, that one is preferred.
+    // instance may be carried out, that one is preferred; then one that cannot be sealed.
     const auto rank = [this](const std::string &id) {
         const InstanceStatus &status = m_candidateStatus.at(id);
-        return std::tuple(isOpenCandidate(id), status.pausedTerm == 0, status.received);
+        return std::tuple(isOpenCandidate(id), sealMayBeUndone(id), status.pausedTerm == 0,
+                          status.received);
     };
     for (const std::string &id : ids) {
         if (m_candidateStatus.contains(id) && (m_candidate.empty() || rank(id) > rank(m_candidate)))
@@ -204,30 +261,44 @@
     return m_registered.contains(instance);
 }
 
-// Whether a log that ends at `end` holds every commit that was acknowledged before the instances
-// were sealed. The old primary may have entries beyond it that it never acknowledged.
-bool PrimaryChange::holdsAllAcknowledged(Position end) const
+// Whether the sealed instance holds every commit that is acknowledged until its promotion. The old
+// primary may have entries beyond its log that it never acknowledged.
+bool PrimaryChange::holdsAllAcknowledged(const std::string &candidate) const
 {
+    const Position end = m_sealed.at(candidate).received;
     const auto covered = static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return countsAsSealed(row.first) && !m_restarted.contains(row.first)
+            return countsAsSealed(row.first, candidate) && !m_restarted.contains(row.first)
                 && end.covers(row.second.received);
         }));
     return covered >= sealsNeeded();
 }
 
-// The sealed instance with the highest position: of those that stay, if one of them holds all
-// acknowledged commits, or else of all.
+// Whether the sealed instance's position is as high as that of all whose seals count.
+bool PrimaryChange::coversCountedSeals(const std::string &candidate) const
+{
+    const Position end = m_sealed.at(candidate).received;
+    return std::all_of(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
+        return row.second.received <= end || !countsAsSealed(row.first, candidate);
+    });
+}
+
+// Of the sealed instances that may be promoted, the one with the highest position: of those that
+// stay, if one of them holds all acknowledged commits, or else of all. Empty if there is none.
 std::string PrimaryChange::bestSealed() const
 {
-    const auto rank = [this](const auto &row) {
-        const bool stays = mayBeCandidate(row.first) && holdsAllAcknowledged(row.second.received);
-        return std::pair(stays, row.second.received);
-    };
-    const auto best = std::max_element(
-        m_sealed.begin(), m_sealed.end(),
-        [&](const auto &left, const auto &right) { return rank(left) < rank(right); });
-    return best == m_sealed.end() ? std::string() : best->first;
+    std::string best;
+    std::pair<bool, Position> bestRank;
+    for (const auto &[id, status] : m_sealed) {
+        const bool stays = mayBeCandidate(id) && holdsAllAcknowledged(id);
+        const bool suffices = countableSeals(id) >= sealsNeeded();
+        const std::pair rank(stays, status.received);
+        if (!suffices || (!stays && !coversCountedSeals(id)) || (!best.empty() && rank <= bestRank))
+            continue;
+        best = id;
+        bestRank = rank;
+    }
+    return best;
 }
 
 // Whether the list of instances holds all that may receive from the old primary, but for those that
@@ -247,7 +318,8 @@
     if (m_candidatePosition)
         text += " at " + positionText(*m_candidatePosition);
     for (const auto &[id, status] : m_sealed)
-        text += ", sealed " + id + " at " + positionText(status.received);
+        text += (sealMayBeUndone(id) ? ", receiving " : ", sealed ") + id + " at "
+            + positionText(status.received);
     return text;
 }
 
@@ -269,7 +341,7 @@
     const auto sealedOthers = static_cast<std::size_t>(
         std::count_if(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
             return row.first != m_oldPrimary && row.first != m_candidate
-                && countsAsSealed(row.first);
+                && countsAsSealed(row.first, m_candidate);
         }));
     return !m_candidate.empty() && sealedOthers >= others && candidateHasCaughtUp();
 }
@@ -277,13 +349,14 @@
 // Chooses the candidate once enough instances are sealed; false before.
 bool PrimaryChange::chooseSealedCandidate(Millis now)
 {
-    if (countableSeals() < sealsNeeded()) {
+    const std::string best = bestSealed();
+    if (best.empty()) {
         m_sealedSince.reset();
         return false;
     }
     if (!m_sealedSince)
         m_sealedSince = now;
-    m_candidate = bestSealed();
+    m_candidate = best;
     const bool othersMayFollow
         = std::any_of(m_registered.begin(), m_registered.end(), [this](const auto &row) {
               return mayBeCandidate(row.first) && !m_sealed.contains(row.first);
@@ -309,7 +382,7 @@
 {
     const std::set<std::string> all = possibleLogHolders();
     return std::all_of(all.begin(), all.end(), [this](const std::string &id) {
-        return isOpenCandidate(id) || countsAsSealed(id);
+        return isOpenCandidate(id) || (countsAsSealed(id, m_openCandidate) && !mayBeResumed(id));
     });
 }
 
@@ -323,22 +396,24 @@
     const auto open = m_sealed.find(m_openCandidate);
     if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
         return false;
-    if (!holdsAllAcknowledged(open->second.received))
+    if (!holdsAllAcknowledged(m_openCandidate))
         return false;
     m_candidate = m_openCandidate;
     return true;
 }
 
 // Whether no host can take the old primary for the present one: it has stepped down, or hosts have
-// stopped to trust it. A leaving primary still has a receiver, so it has to step down.
+// stopped to trust it. One whose candidate still receives has to step down.
 bool PrimaryChange::oldPrimaryIsHarmless(Millis now)
 {
     const std::set<std::string> all = possibleLogHolders();
-    const bool allSealed = std::all_of(
-        all.begin(), all.end(), [this](const std::string &id) { return m_sealed.contains(id); });
+    const bool allSealed = std::all_of(all.begin(), all.end(), [this](const std::string &id) {
+        return m_sealed.contains(id) && !mayBeResumed(id);
+    });
     if (m_steppedDown || allSealed)
         return true;
-    if (m_cause != PrimaryChangeCause::Leaving)
+    const bool hasReceiver = m_cause == PrimaryChangeCause::Leaving || mayBeResumed(m_candidate);
+    if (!hasReceiver)
         return m_sealedSince && now > *m_sealedSince + ReadLeaseDuration;
     if (now >= m_nextStepDownAt) {
         m_nextStepDownAt = now + ResendInterval;
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -1,5 +1,6 @@
 #include "session/promotionlease.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,6 +12,67 @@
 
 namespace json = boost::json;
 
+namespace {
+
+bool isLeaseOf(const std::optional<PromotionLease> &lease, const std::string &host,
+               std::uint64_t fencingToken)
+{
+    return lease && lease->holder == host && lease->fencingToken == fencingToken;
+}
+
+json::array namesOf(const std::set<std::string> &instances)
+{
+    json::array names;
+    for (const std::string &id : instances)
+        names.emplace_back(id);
+    return names;
+}
+
+json::object endsOf(const std::map<std::string, Millis> &openResumes)
+{
+    json::object ends;
+    for (const auto &[id, until] : openResumes)
+        ends[id] = until.count();
+    return ends;
+}
+
+// Reads the members that name resumes; false if one of them has another type.
+bool readResumes(const json::object &row, PromotionLease *lease)
+{
+    const json::value *resumes = row.if_contains("resumes");
+    const json::value *open = row.if_contains("openResumes");
+    if ((resumes && !resumes->is_array()) || (open && !open->is_object()))
+        return false;
+    if (resumes) {
+        for (const json::value &id : resumes->get_array()) {
+            if (!id.is_string())
+                return false;
+            lease->resumes.emplace(id.get_string());
+        }
+    }
+    if (open) {
+        for (const auto &entry : open->get_object()) {
+            if (!entry.value().is_int64())
+                return false;
+            lease->openResumes[std::string(entry.key())] = Millis(entry.value().get_int64());
+        }
+    }
+    return true;
+}
+
+// The resumes of earlier holders, as the next holder has to know them: those that `current` names
+// itself may have been sent until its end.
+std::map<std::string, Millis> openResumesAfter(const PromotionLease &current, Millis storeNow)
+{
+    std::map<std::string, Millis> open = current.openResumes;
+    for (const std::string &id : current.resumes)
+        open[id] = std::max(open[id], current.until + LateCommandLimit);
+    std::erase_if(open, [storeNow](const auto &row) { return row.second <= storeNow; });
+    return open;
+}
+
+} // namespace
+
 std::string leaseText(const PromotionLease &lease)
 {
     json::object row{{"holder", lease.holder},
@@ -22,6 +84,10 @@
         row["candidate"] = lease.candidate;
         row["candidateUntilMs"] = lease.candidateUntil.count();
     }
+    if (!lease.resumes.empty())
+        row["resumes"] = namesOf(lease.resumes);
+    if (!lease.openResumes.empty())
+        row["openResumes"] = endsOf(lease.openResumes);
     return json::serialize(row);
 }
 
@@ -52,6 +118,10 @@
         setReason(reason, "the lease's epoch is not a whole number");
         return std::nullopt;
     }
+    if (!readResumes(*object, &lease)) {
+        setReason(reason, "the lease's resumes are not a list of names and a table of ends");
+        return std::nullopt;
+    }
     const json::value *candidate = object->if_contains("candidate");
     const json::value *candidateUntil = object->if_contains("candidateUntilMs");
     if (!candidate && !candidateUntil)
@@ -70,6 +140,19 @@
     return epoch == 0 || (lease && lease->epoch == epoch);
 }
 
+LeaseResult acquiredLease(const PromotionLease &lease, const LeaseAttempt &attempt)
+{
+    // The store's clock was read before the reading arrived.
+    const Millis lead = attempt.storeNow - attempt.readAt;
+    LeaseResult result{.fencingToken = lease.fencingToken,
+                       .actUntil = attempt.requestedAt + LeaseActingTime,
+                       .openCandidate = lease.candidate,
+                       .openUntil = lease.candidateUntil - lead};
+    for (const auto &[id, until] : lease.openResumes)
+        result.openResumes[id] = until - lead;
+    return result;
+}
+
 LeaseOffer nextLease(const std::optional<PromotionLease> &current, const std::string &self,
                      const StoreInstant &instant, const LeaseRules &rules)
 {
@@ -89,6 +172,8 @@
                         .fencingToken = std::max(lastToken, instant.epoch * TokensPerEpoch) + 1,
                         .until = instant.now + LeaseDuration,
                         .epoch = instant.epoch};
+    if (current)
+        next.openResumes = openResumesAfter(*current, instant.now);
     const Millis forgottenUntil = instant.epochSeenAt + ForgottenRequestLimit;
     if (!known && rules.fencedPromotions && forgottenUntil > instant.now) {
         next.candidateUntil = forgottenUntil;
@@ -104,7 +189,7 @@
                                                  std::uint64_t fencingToken,
                                                  const std::string &candidate, Millis storeNow)
 {
-    if (!current || current->holder != self || current->fencingToken != fencingToken)
+    if (!isLeaseOf(current, self, fencingToken))
         return std::nullopt;
     PromotionLease next = *current;
     const Millis until = candidate.empty() ? Millis(0) : storeNow + LatePromotionLimit;
@@ -118,4 +203,15 @@
     return next;
 }
 
+std::optional<PromotionLease> leaseWithResumes(const std::optional<PromotionLease> &current,
+                                               const std::string &self, std::uint64_t fencingToken,
+                                               const std::set<std::string> &instances)
+{
+    if (!isLeaseOf(current, self, fencingToken))
+        return std::nullopt;
+    PromotionLease next = *current;
+    next.resumes = instances;
+    return next;
+}
+
 } // namespace cicadagap
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -22,7 +22,9 @@
 #include "base/reason.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -35,6 +37,9 @@
 // A promotion request without an answer may be carried out for this long after the candidate was
 // recorded.
 inline constexpr Millis LatePromotionLimit(10'000);
+// A command to an instance, if it is not answered, may be carried out for this long after it was
+// sent.
+inline constexpr Millis LateCommandLimit(13'000);
 
 // How many fencing tokens an epoch has. An attempt to change a primary uses one.
 inline constexpr std::uint64_t TokensPerEpoch = std::uint64_t(1) << 32;
@@ -63,6 +68,11 @@
     std::string candidate;
     Millis candidateUntil;
     std::uint64_t epoch = 0; // In which it was acquired.
+    // The instances that the holder may let receive again. It sends no resume to others.
+    std::set<std::string> resumes;
+    // The instances at which a resume of an earlier holder may still be carried out: until when, on
+    // the store's clock. Those that the store has forgotten are not known.
+    std::map<std::string, Millis> openResumes;
 
     bool operator==(const PromotionLease &) const = default;
 };
@@ -71,6 +81,31 @@
 std::string leaseText(const PromotionLease &lease);
 std::optional<PromotionLease> parseLease(std::string_view text, Reason *reason);
 
+// The result of an attempt to acquire a promotion lease.
+struct LeaseResult
+{
+    std::optional<std::uint64_t> fencingToken; // Set if the lease was acquired.
+    Millis actUntil; // With a token: the instant, on this host's clock, until which it may be used.
+    Millis heldFor;  // Without a token: how much longer another host holds the lease.
+    // With a token: a request of an earlier holder may be carried out until the instant, on this
+    // host's clock, and promotes this instance; empty if it is not known which.
+    std::string openCandidate;
+    Millis openUntil;
+    // With a token: see PromotionLease::openResumes. On this host's clock.
+    std::map<std::string, Millis> openResumes;
+};
+
+// When a host sought a lease, on its own clock.
+struct LeaseAttempt
+{
+    Millis requestedAt;
+    Millis readAt;   // When the row's reading arrived.
+    Millis storeNow; // The time on the store's clock at that reading.
+};
+
+// The result for the host that has written `lease`.
+LeaseResult acquiredLease(const PromotionLease &lease, const LeaseAttempt &attempt);
+
 // Whether the lease was acquired in the present epoch. Always, if the store counts no epochs.
 bool isOfEpoch(const std::optional<PromotionLease> &lease, std::uint64_t epoch);
 
@@ -103,4 +138,11 @@
                                                  std::uint64_t fencingToken,
                                                  const std::string &candidate, Millis storeNow);
 
+// The lease that its holder has to write before it lets `instances` receive again, and to take out
+// those at which no resume can be carried out any more. Nothing if `current` is not the lease of
+// `self` under `fencingToken`.
+std::optional<PromotionLease> leaseWithResumes(const std::optional<PromotionLease> &current,
+                                               const std::string &self, std::uint64_t fencingToken,
+                                               const std::set<std::string> &instances);
+
 } // namespace cicadagap
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -259,6 +259,13 @@
     m_pool.flush(now);
 }
 
+void SessionEngine::onResumesRecorded(const std::string &group,
+                                      const std::set<std::string> &instances,
+                                      std::uint64_t fencingToken, bool recorded)
+{
+    m_control.onResumesRecorded(group, instances, fencingToken, recorded);
+}
+
 void SessionEngine::onTick(Millis now)
 {
     m_pool.onTick(now);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -125,11 +125,13 @@
     void onRelayBatch(Millis now, RelayBatch batch, RelayGateway::Reply reply);
     void onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel);
 
-    // The answers to acquireLease(), requestPromotion() and recordCandidate().
+    // The answers to acquireLease(), requestPromotion(), recordCandidate() and recordResumes().
     void onLeaseResult(Millis now, const std::string &group, const LeaseResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionResult verdict);
     void onCandidateRecorded(Millis now, const std::string &group, const std::string &candidate,
                              bool recorded);
+    void onResumesRecorded(const std::string &group, const std::set<std::string> &instances,
+                           std::uint64_t fencingToken, bool recorded);
 
     void onTick(Millis now);
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
--- a/src/session/tst_promotionlease.cpp
+++ b/src/session/tst_promotionlease.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -142,6 +143,47 @@
     EXPECT_EQ(leaseWithCandidate(current, "a", FirstToken, "i1", later)->candidate, "i1");
 }
 
+// A resume may be sent until its lease ends, and is carried out late.
+TEST(PromotionLeaseResumes, AreKnownToLaterHoldersForAsLongAsTheyMayBeCarriedOut)
+{
+    const PromotionLease first = leaseOf("a", 4, StoreNow + LeaseDuration);
+    const std::optional<PromotionLease> named = leaseWithResumes(first, "a", 4, {"i1", "i2"});
+    ASSERT_TRUE(named);
+    EXPECT_EQ(parseLease(leaseText(*named), nullptr), named);
+    const Millis end = named->until + LateCommandLimit;
+
+    const StoreInstant lapse{.now = named->until};
+    const PromotionLease second = *nextLease(named, "b", lapse, {}).lease;
+    EXPECT_TRUE(second.resumes.empty());
+    EXPECT_EQ(second.openResumes, (std::map<std::string, Millis>{{"i1", end}, {"i2", end}}));
+    EXPECT_EQ(parseLease(leaseText(second), nullptr), second);
+    // The holders after that one know of them too. What it takes out is its own.
+    const PromotionLease settled = *leaseWithResumes(second, "b", 5, {});
+    EXPECT_EQ(nextLease(settled, "b", {.now = end - Ahead}, {}).lease->openResumes,
+              second.openResumes);
+    EXPECT_TRUE(nextLease(settled, "b", {.now = end}, {}).lease->openResumes.empty());
+}
+
+TEST(PromotionLeaseResumes, AreForgottenOnceAllWereAnswered)
+{
+    const PromotionLease first = leaseOf("a", 4, StoreNow + LeaseDuration);
+    const PromotionLease named = *leaseWithResumes(first, "a", 4, {"i1"});
+    EXPECT_EQ(leaseWithResumes(named, "a", 4, {}), first);
+    EXPECT_FALSE(leaseWithResumes(named, "a", 3, {}));
+    EXPECT_FALSE(leaseWithResumes(named, "b", 4, {}));
+}
+
+// A host counts on its own clock.
+TEST(PromotionLeaseResumes, EndOnTheHostsClock)
+{
+    PromotionLease lease = leaseOf("a", 4, StoreNow + LeaseDuration);
+    lease.openResumes["i1"] = StoreNow + Millis(700);
+    const LeaseResult result = acquiredLease(
+        lease, {.requestedAt = Millis(40), .readAt = Millis(50), .storeNow = StoreNow});
+    EXPECT_EQ(result.actUntil, Millis(40) + LeaseActingTime);
+    EXPECT_EQ(result.openResumes, (std::map<std::string, Millis>{{"i1", Millis(750)}}));
+}
+
 TEST(PromotionLeaseText, IsRefusedIfInvalid)
 {
     for (const char *text :
@@ -152,7 +194,11 @@
           R"({"holder":"a","fencingToken":1,"untilMs":1,"epoch":-1})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":"i"})",
           R"({"holder":"a","fencingToken":1,"untilMs":1,"candidate":1,"candidateUntilMs":2})",
-          R"({"holder":"a","fencingToken":1,"untilMs":1,"candidateUntilMs":2})"}) {
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"candidateUntilMs":2})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"resumes":{}})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"resumes":[1]})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"openResumes":[]})",
+          R"({"holder":"a","fencingToken":1,"untilMs":1,"openResumes":{"i":"x"}})"}) {
         Reason reason;
         EXPECT_FALSE(parseLease(text, &reason)) << text;
         EXPECT_FALSE(reason.text().empty());
--- a/test/sessionoutputs.h
+++ b/test/sessionoutputs.h
@@ -23,6 +23,9 @@
     void acquireLease(const std::string &) override { }
     void requestPromotion(const std::string &, const std::string &, std::uint64_t) override { }
     void recordCandidate(const std::string &, const std::string &, std::uint64_t) override { }
+    void recordResumes(const std::string &, const std::set<std::string> &, std::uint64_t) override
+    {
+    }
     void logGroupEvent(const std::string &, std::string_view, const std::string &, std::uint64_t,
                        const std::string &) override
     {
