An odd entry in a list of instances is refused alone, in each decoder

Here no process ended, but some odd entries passed for instances, and then counted among those whose log has to be sealed; and one entry that a host cannot decode kept it from taking anything of the platform reader's updates.

Ruled out by tests that passed before: the depth of nesting (the parser stops at 32), numbers beyond 64 bits or a double, ports above 65,535, arbitrary bytes, and the decoders of the JSON interface, which skip odd records already.

Change: a member is read with its range; parseRemoteEndpoint() refuses what cannot be connected to; a list is decoded entry by entry, with a log line, and the follower answers with the reader's revision, so that a list from which it left something out is not sent again at once. An entry without the time of its start is still taken: the platform's examples of entries do not have it.

--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -12,6 +12,8 @@
 // Whether `text` is a numeric IPv4 or IPv6 address.
 bool isIpAddress(const std::string &text)
 {
+    if (text.find('\0') != std::string::npos)
+        return false; // inet_pton() stops there.
     std::array<unsigned char, sizeof(in6_addr)> buffer{};
     return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1
         || inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
@@ -38,4 +40,13 @@
     return Endpoint{address, port};
 }
 
+std::optional<Endpoint> parseRemoteEndpoint(std::string_view text, Reason *reason)
+{
+    std::optional<Endpoint> endpoint = parseEndpoint(text, reason);
+    if (!endpoint || endpoint->port > 0)
+        return endpoint;
+    setReason(reason, "\"" + std::string(text) + "\" has port 0");
+    return std::nullopt;
+}
+
 } // namespace cicadagap
--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -26,5 +26,7 @@
 // Parses "ADDRESS:PORT". The address must be numeric: host names are not resolved. Returns nothing
 // and sets `reason` if `text` is malformed.
 std::optional<Endpoint> parseEndpoint(std::string_view text, Reason *reason);
+// The same for an endpoint to connect to: its port must not be 0.
+std::optional<Endpoint> parseRemoteEndpoint(std::string_view text, Reason *reason);
 
 } // namespace cicadagap
--- a/src/connection/tst_wire.cpp
+++ b/src/connection/tst_wire.cpp
@@ -81,6 +81,42 @@
     }));
 }
 
+TEST(Wire, RejectsDeeplyNestedMessages)
+{
+    for (const std::string &text :
+         {std::string(100'000, '['), "{\"name\":" + std::string(100'000, '{')}) {
+        std::string from;
+        Reason reason;
+        EXPECT_FALSE(decodeReply(text, &reason));
+        EXPECT_FALSE(decodeGossip(text, &from, &reason));
+        EXPECT_FALSE(decodeForwardedRequest(text, &reason));
+        EXPECT_FALSE(decodeReport(text, &reason));
+        EXPECT_FALSE(decodeHost(text, &reason));
+        EXPECT_FALSE(decodeViewUpdate(text, &reason));
+        EXPECT_FALSE(decodeTargetAnswer({}, text, &reason));
+    }
+}
+
+// One odd record of a peer's message does not keep the others from being used.
+TEST(Wire, KeepsTheOthersBesideOddRecords)
+{
+    const std::string records
+        = R"("records":[7,{"key":"a","version":1,"body":"x"},{"key":[[]],"version":1},)"
+          R"({"version":1e999,"body":"y"},{"key":"b","version":2,"body":"z"}])";
+    std::string from;
+    Reason reason;
+    const auto gossip = decodeGossip(
+        R"({"kind":"push","from":"h","ids":[[],["a",1e999],7],)" + records + "}", &from, &reason);
+    const auto view = decodeViewUpdate("{" + records + "}", &reason);
+    ASSERT_TRUE(gossip) << reason.text();
+    ASSERT_TRUE(view) << reason.text();
+    for (const std::vector<Record> &list : {gossip->records, view->records}) {
+        ASSERT_EQ(list.size(), 2U);
+        EXPECT_EQ(list[0].key, "a");
+        EXPECT_EQ(list[1].key, "b");
+    }
+}
+
 TEST(Wire, PutsTheLedgerOperationFirst)
 {
     TargetCall call{.term = 4, .operations = " [ ] ", .requestId = "r", .ledgerValue = "ran"};
--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -251,6 +251,8 @@
                    const std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
                        ? decodePlatformUpdate(reply.body, &reason)
                        : std::nullopt;
+                   if (update)
+                       logRefusedEntry(reason.text());
                    if (update && platformReader == m_followedReader) {
                        applyUpdate(*update);
                        m_loop->after(m_readerUpToDate ? Millis(0) : RoleCheckInterval,
@@ -266,6 +268,15 @@
                });
 }
 
+// Logs why an entry of the reader's lists was left out, once for each reason.
+void PlatformFeed::logRefusedEntry(const std::string &reason)
+{
+    if (reason == std::exchange(m_refusedEntry, reason) || reason.empty())
+        return;
+    logEvent(LogLevel::Warning, "platform.entry-refused",
+             {{"reader", m_followedReader}, {"reason", reason}});
+}
+
 void PlatformFeed::applyUpdate(const PlatformUpdate &update)
 {
     const bool upToDate = update.routingAge < m_configurationWait + ConfigurationAgeMargin
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -57,6 +57,7 @@
     void requestInstances(const std::function<void(bool succeeded)> &done);
     void readHosts();
     void followReader();
+    void logRefusedEntry(const std::string &reason);
     void applyUpdate(const PlatformUpdate &update);
     void applyInstances();
     void findEpochStart();
@@ -91,6 +92,7 @@
     bool m_reading = false;        // The first list of hosts was read, or could not be.
     Millis m_followUntil;          // Until then only the platform reader is asked, unless it fails.
     std::string m_followedReader;  // Empty while this host is the platform reader.
+    std::string m_refusedEntry;    // Why the last one was left out; empty if none was.
     bool m_readerUpToDate = false; // The followed reader's last update was recent enough.
     // How many readings of each kind have failed since the last one that succeeded.
     int m_configurationFailures = 0;
--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -61,15 +61,25 @@
         setReason(reason, "a member of the host's record is missing or has the wrong type");
         return std::nullopt;
     }
-    const auto endpoint = parseEndpoint(std::string(peers->get_string()), reason);
+    const auto endpoint = parseRemoteEndpoint(std::string(peers->get_string()), reason);
     if (!endpoint)
         return std::nullopt;
-    return HostRecord{.host = std::string(host->get_string()),
+    HostRecord record{.host = std::string(host->get_string()),
                       .dataCentre = std::string(dataCentre->get_string()),
                       .peerEndpoint = *endpoint,
                       .weight = weight->to_number<double>(error),
-                      .heartbeat = beat->to_number<std::uint64_t>(error),
                       .leaving = leaving->get_bool()};
+    if (!error)
+        record.heartbeat = beat->to_number<std::uint64_t>(error);
+    if (!error && isUsable(record))
+        return record;
+    setReason(reason, "the host's record has no name, or a number that is out of range");
+    return std::nullopt;
+}
+
+bool isUsable(const HostRecord &record)
+{
+    return !record.host.empty() && std::isfinite(record.weight) && record.weight > 0;
 }
 
 HostDirectory::HostDirectory(Options options)
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -43,6 +43,8 @@
 // record.
 std::string hostRecordText(const HostRecord &record);
 std::optional<HostRecord> parseHostRecord(std::string_view text, Reason *reason);
+// Whether the record has a name, and a weight that can be compared with others.
+bool isUsable(const HostRecord &record);
 
 // How this host reaches an instance.
 struct InstanceAccess
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -4,6 +4,7 @@
 #include "relaywire/relay.pb.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace cicadagap {
@@ -77,9 +78,13 @@
 
 std::optional<RegisteredInstance> read(const relaywire::Instance &in, Reason *reason)
 {
-    const std::optional<Endpoint> endpoint = parseEndpoint(in.endpoint(), reason);
+    const std::optional<Endpoint> endpoint = parseRemoteEndpoint(in.endpoint(), reason);
     if (!endpoint)
         return std::nullopt;
+    if (in.slots() < 1 || in.slots() > std::uint32_t(std::numeric_limits<int>::max())) {
+        setReason(reason, "the number of slots of " + in.id() + " is out of range");
+        return std::nullopt;
+    }
     return RegisteredInstance{.id = in.id(),
                               .group = in.group(),
                               .endpoint = *endpoint,
@@ -102,15 +107,19 @@
 
 std::optional<HostRecord> read(const relaywire::Host &in, Reason *reason)
 {
-    const std::optional<Endpoint> endpoint = parseEndpoint(in.endpoint(), reason);
+    const std::optional<Endpoint> endpoint = parseRemoteEndpoint(in.endpoint(), reason);
     if (!endpoint)
         return std::nullopt;
-    return HostRecord{.host = in.host(),
+    HostRecord record{.host = in.host(),
                       .dataCentre = in.data_centre(),
                       .peerEndpoint = *endpoint,
                       .weight = in.weight(),
                       .heartbeat = in.beat(),
                       .leaving = in.leaving()};
+    if (isUsable(record))
+        return record;
+    setReason(reason, "the record of " + in.host() + " has no name or no valid weight");
+    return std::nullopt;
 }
 
 void write(StorePosition position, relaywire::StorePosition *out)
@@ -124,16 +133,14 @@
     return {.epoch = in.epoch(), .version = in.version()};
 }
 
-// Decodes all entries of a list; nothing, and a reason, if one of them is invalid.
+// Decodes the entries of a list. Those that are invalid are left out; sets a reason then.
 template <typename Value, typename List>
-std::optional<std::vector<Value>> readAll(const List &list, Reason *reason)
+std::vector<Value> readValid(const List &list, Reason *reason)
 {
     std::vector<Value> values;
     for (const auto &entry : list) {
-        std::optional<Value> value = read(entry, reason);
-        if (!value)
-            return std::nullopt;
-        values.push_back(std::move(*value));
+        if (std::optional<Value> value = read(entry, reason))
+            values.push_back(std::move(*value));
     }
     return values;
 }
@@ -205,16 +212,10 @@
             return std::nullopt;
         }
     }
-    if (in.has_instances()) {
-        update.instances = readAll<RegisteredInstance>(in.instances(), reason);
-        if (!update.instances)
-            return std::nullopt;
-    }
-    if (in.has_hosts()) {
-        update.hosts = readAll<HostRecord>(in.hosts(), reason);
-        if (!update.hosts)
-            return std::nullopt;
-    }
+    if (in.has_instances())
+        update.instances = readValid<RegisteredInstance>(in.instances(), reason);
+    if (in.has_hosts())
+        update.hosts = readValid<HostRecord>(in.hosts(), reason);
     return update;
 }
 
@@ -266,12 +267,18 @@
 bool PlatformCache::setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
                                  StorePosition position, Millis age)
 {
-    const Origin origin{.position = position, .readAt = now - age};
+    return takeInstances(now, instances, {.position = position, .readAt = now - age},
+                         revisionOf<relaywire::Instance>(instances));
+}
+
+bool PlatformCache::takeInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                                  const Origin &origin, std::uint64_t revision)
+{
     if (isOlder(origin, m_instancesOrigin))
         return false;
     m_instancesOrigin = origin;
     m_instances = instances;
-    m_instancesRevision = revisionOf<relaywire::Instance>(instances);
+    m_instancesRevision = revision;
     answerWaiting(now, AnswerWhom::Updated);
     return true;
 }
@@ -279,12 +286,18 @@
 void PlatformCache::setHosts(Millis now, const std::vector<HostRecord> &hosts,
                              StorePosition position, Millis age)
 {
-    const Origin origin{.position = position, .readAt = now - age};
+    takeHosts(now, hosts, {.position = position, .readAt = now - age},
+              revisionOf<relaywire::Host>(hosts));
+}
+
+void PlatformCache::takeHosts(Millis now, const std::vector<HostRecord> &hosts,
+                              const Origin &origin, std::uint64_t revision)
+{
     if (isOlder(origin, m_hostsOrigin))
         return;
     m_hostsOrigin = origin;
     m_hosts = hosts;
-    m_hostsRevision = revisionOf<relaywire::Host>(hosts);
+    m_hostsRevision = revision;
     answerWaiting(now, AnswerWhom::Updated);
 }
 
@@ -302,21 +315,25 @@
         setRouting(now, *update.routing, update.routingAge);
     else
         m_routingAt = std::max(m_routingAt, now - update.routingAge);
+    const Origin instancesOrigin{.position = update.instancesPosition,
+                                 .readAt = now - update.instancesAge};
+    const Origin hostsOrigin{.position = update.hostsPosition, .readAt = now - update.hostsAge};
+    // The lists may lack entries that this host cannot read, so the reader's revisions count.
     if (update.instances)
-        setInstances(now, *update.instances, update.instancesPosition, update.instancesAge);
+        takeInstances(now, *update.instances, instancesOrigin, update.instancesRevision);
     else if (update.instancesRevision == m_instancesRevision)
-        confirm(&m_instancesOrigin, update.instancesPosition, now - update.instancesAge);
+        confirm(&m_instancesOrigin, instancesOrigin);
     if (update.hosts)
-        setHosts(now, *update.hosts, update.hostsPosition, update.hostsAge);
+        takeHosts(now, *update.hosts, hostsOrigin, update.hostsRevision);
     else if (update.hostsRevision == m_hostsRevision)
-        confirm(&m_hostsOrigin, update.hostsPosition, now - update.hostsAge);
+        confirm(&m_hostsOrigin, hostsOrigin);
 }
 
 // The same list was read again.
-void PlatformCache::confirm(Origin *origin, StorePosition position, Millis readAt)
+void PlatformCache::confirm(Origin *origin, const Origin &again)
 {
-    if (!isOlder({.position = position, .readAt = readAt}, *origin))
-        *origin = {.position = position, .readAt = std::max(origin->readAt, readAt)};
+    if (!isOlder(again, *origin))
+        *origin = {.position = again.position, .readAt = std::max(origin->readAt, again.readAt)};
 }
 
 PlatformUpdateRequest PlatformCache::request(Millis wait) const
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -57,7 +57,8 @@
 };
 
 // Encode as the messages Bulletin and BulletinRequest of generated/relaywire/relay.proto, and back;
-// nothing, and a reason, for bytes that are not such a message.
+// nothing, and a reason, for bytes that are not such a message. An entry of a list that is not
+// valid is left out, with a reason.
 std::string encodePlatformUpdate(const PlatformUpdate &update);
 std::optional<PlatformUpdate> decodePlatformUpdate(std::string_view bytes, Reason *reason);
 std::string encodePlatformUpdateRequest(const PlatformUpdateRequest &request);
@@ -117,7 +118,11 @@
     };
 
     static bool isOlder(const Origin &origin, const Origin &than);
-    static void confirm(Origin *origin, StorePosition position, Millis readAt);
+    static void confirm(Origin *origin, const Origin &again);
+    bool takeInstances(Millis now, const std::vector<RegisteredInstance> &instances,
+                       const Origin &origin, std::uint64_t revision);
+    void takeHosts(Millis now, const std::vector<HostRecord> &hosts, const Origin &origin,
+                   std::uint64_t revision);
     bool hasUpdate(const PlatformUpdateRequest &request) const;
     PlatformUpdate updateFor(Millis now, const PlatformUpdateRequest &request) const;
     enum class AnswerWhom {
--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <optional>
 #include <string>
 #include <vector>
@@ -96,6 +97,31 @@
     EXPECT_EQ(read->routing->databases.at("d").maxAge, Millis(2500));
 }
 
+// Guards against this failure: one odd entry of an update kept a host from following the reader.
+TEST(PlatformUpdate, KeepsTheOthersBesideOddEntries)
+{
+    const Endpoint good{.address = "10.0.0.1", .port = 5};
+    const Endpoint odd{.address = "somewhere", .port = 5};
+    PlatformUpdate sent{.instancesRevision = 41, .hostsRevision = 42};
+    sent.instances = {{.id = "i1", .endpoint = good}, {.id = "i2", .endpoint = odd}};
+    sent.hosts = {{.host = "h1", .peerEndpoint = odd},
+                  {.host = "h2", .peerEndpoint = good},
+                  {.host = "h3", .peerEndpoint = good, .weight = std::nan("")}};
+    Reason reason;
+    const auto read = decodePlatformUpdate(encodePlatformUpdate(sent), &reason);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->instances->size(), 1U);
+    EXPECT_EQ(read->instances->front().id, "i1");
+    ASSERT_EQ(read->hosts->size(), 1U);
+    EXPECT_EQ(read->hosts->front().host, "h2");
+    EXPECT_FALSE(reason.text().empty());
+    // Asked again with what it knows, the reader must not send the same list once more.
+    PlatformCache follower;
+    follower.refresh(Millis(0), *read);
+    EXPECT_EQ(follower.request(Millis(0)).instancesRevision, 41U);
+    EXPECT_EQ(follower.request(Millis(0)).hostsRevision, 42U);
+}
+
 struct ListOrder
 {
     std::string name;
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -193,6 +193,42 @@
     }
 }
 
+// A host's record in the platform's store that this system did not write as it stands.
+struct OddHostRecord
+{
+    std::string name;
+    std::string from; // Replaced by `to` in the text of a valid record.
+    std::string to;
+};
+
+class OddHostRecords : public testing::TestWithParam<OddHostRecord>
+{
+};
+
+TEST_P(OddHostRecords, AreRefusedWithAReason)
+{
+    std::string text
+        = R"({"host":"a","dataCentre":"d","peers":"10.0.0.1:7","weight":2,"beat":9,"leaving":false})";
+    const std::size_t at = text.find(GetParam().from);
+    ASSERT_NE(at, std::string::npos);
+    text.replace(at, GetParam().from.size(), GetParam().to);
+    Reason reason;
+    EXPECT_FALSE(parseHostRecord(text, &reason));
+    EXPECT_FALSE(reason.text().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, OddHostRecords,
+                         testing::Values(OddHostRecord{"deeplyNested", "{",
+                                                       "{\"x\":" + std::string(100'000, '[')},
+                                         OddHostRecord{"portOutOfRange", ":7\"", ":70000\""},
+                                         OddHostRecord{"portZero", ":7\"", ":0\""},
+                                         OddHostRecord{"weightBeyondDouble", ":2,", ":1e999,"},
+                                         OddHostRecord{"negativeWeight", ":2,", ":-2,"},
+                                         OddHostRecord{"beatBeyondRange", ":9,", ":1e30,"},
+                                         OddHostRecord{"negativeBeat", ":9,", ":-9,"},
+                                         OddHostRecord{"emptyName", "\"a\"", "\"\""}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(RelayCodec, PreservesBatches)
 {
     RelayBatch batch{.origin = "h/1",
