Work whose time is over is refused when it would be started, not only by the next tick

What callers could see: a host that is suspended with a command waiting for a connection sends it when it continues, seconds after its lease has ended.

Cause: TargetPool ended work past its deadline on its ticks only; an opened or freed connection that was handled before the next tick started it.

Ruled out: that the queue itself skips it (neither the urgent one nor the one of statements did).

Change: startNext() refuses expired work, as not run.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -31,8 +31,9 @@
 // After a fenced promotion request: the other host's lease has to end first.
 constexpr Millis RetryAfterFenced(5000);
 // After the acting time of the lease, for commands that let instances receive again. Together with
-// the time that they take, it has to end before the lease does.
-constexpr Millis ResumeMargin(1500);
+// the time for which they wait for a connection, and for which a broken link may hold them up, it
+// has to end about when the lease does.
+constexpr Millis ResumeMargin(500);
 // An instance that is no longer registered, without having announced that it leaves, may come back
 // with its log for this long.
 constexpr Millis MissingMemory(60'000);
--- a/src/session/promotionlease.h
+++ b/src/session/promotionlease.h
@@ -38,7 +38,7 @@
 // recorded.
 inline constexpr Millis LatePromotionLimit(10'000);
 // A command to an instance, if it is not answered, may be carried out for this long after it was
-// sent.
+// sent. Includes the time for which a broken link may hold it up.
 inline constexpr Millis LateCommandLimit(13'000);
 
 // How many fencing tokens an epoch has. An attempt to change a primary uses one.
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -576,6 +576,11 @@
         return true; // It was cancelled; there may be more.
     const TargetWork work = std::move(waiting->second.work);
     m_queued.erase(waiting);
+    if (now >= work.deadline) {
+        // Its time ended while this process was suspended, and the tick has not come yet.
+        m_listener->onWorkRefused(now, work.id, Cause::Overloaded);
+        return true;
+    }
     const std::optional<ConnectionId> chosen = cheapestIdle(*instance, work);
     Connection &connection = m_connections.at(*chosen);
     connection.state = State::Owned;
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -36,12 +36,13 @@
 class TransactionOpener : public TargetListener
 {
 public:
-    void onWorkStarted(Millis now, WorkId, ConnectionId connection) override
+    void onWorkStarted(Millis now, WorkId work, ConnectionId connection) override
     {
         started.push_back(connection);
+        works.push_back(work);
         pool->send(now, connection, SendPurpose::OpenTransaction, {.kind = StatementKind::Begin});
     }
-    void onWorkRefused(Millis, WorkId, Cause) override { }
+    void onWorkRefused(Millis, WorkId work, Cause) override { refused.push_back(work); }
     void onWorkAnswer(Millis now, WorkId, ConnectionId connection, SendPurpose purpose,
                       StatementKind, Millis, const StatementAnswer &) override
     {
@@ -57,6 +58,8 @@
 
     TargetPool *pool = nullptr;
     std::vector<ConnectionId> started;
+    std::vector<WorkId> works;
+    std::vector<WorkId> refused;
 };
 
 class PooledWork : public testing::Test
@@ -138,6 +141,36 @@
     EXPECT_EQ(listener.started.size(), std::size_t(SlotCount) + 2);
 }
 
+// Guards against this failure: a host that was suspended sent a command that had waited for a
+// connection, seconds after its right to change the primary had ended.
+class ExpiredWork : public testing::TestWithParam<bool>
+{
+};
+
+TEST_P(ExpiredWork, IsNotStartedWhenAConnectionOpensTooLate)
+{
+    RecordingOutput output;
+    TransactionOpener listener;
+    TargetPool pool({}, &output, &listener, [](Millis, const std::string &) { return ""; });
+    listener.pool = &pool;
+    pool.setInstance(Millis(0), {.id = "i", .slots = 1}, {.connections = 1}, true);
+    pool.flush(Millis(0));
+    ASSERT_EQ(output.opening.size(), 1U);
+    constexpr Millis Deadline(1000);
+    pool.submit(Millis(1), "i", {.id = 1, .deadline = Deadline, .needsSlot = GetParam()});
+    pool.submit(Millis(1), "i", {.id = 2, .deadline = Deadline * 9, .needsSlot = GetParam()});
+    // The host continues, and this event comes before its next tick.
+    pool.onOpened(Deadline * 8, output.opening.front());
+    pool.flush(Deadline * 8);
+    EXPECT_EQ(listener.works, std::vector<WorkId>{2});
+    pool.onTick(Deadline * 8);
+    EXPECT_EQ(listener.refused, std::vector<WorkId>{1});
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ExpiredWork, testing::Bool(), [](const auto &info) {
+    return std::string(info.param ? "withSlot" : "urgent");
+});
+
 // Passes all events to a RelayGateway, as SessionEngine does for relayed work.
 class GatewayListener : public TargetListener
 {
