Simulation: a reply reaches only the process that sent its batch

Cause: replies of a gateway that was suspended were delivered to the next process of a killed host, which uses the same numbers for other channels. Real replies come on the connection of the process that asked.

Ruled out: a fault of the product (the JSON and session servers match replies by connection).

Change: the reply is dropped if the origin's process has changed since the batch was sent. No check is changed.

--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -366,7 +366,11 @@
     batch.origin = "host" + std::to_string(host) + "/" + std::to_string(m_hosts[host]->incarnation);
     const std::string bytes = encodeRelayBatch(batch);
     const std::uint64_t incarnation = m_hosts[to]->incarnation;
+    const std::uint64_t originIncarnation = m_hosts[host]->incarnation;
     const auto answer = [=, this](const RelayReply &reply) {
+        // A reply comes on the connection of the process that sent the batch.
+        if (m_hosts[host]->incarnation != originIncarnation)
+            return;
         const std::string encoded = encodeRelayReply(reply);
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onRelayReply(m_now, connection, gateway,
