Move what lets sealed instances receive again into a file of its own

Ruled out: a class of its own, which would need most of the attempt's state handed over.

No behaviour changes.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -1,9 +1,9 @@
 // The part of PrimaryChange that handles events and the stages of an attempt. The part that seals
-// instances and chooses the candidate is in primaryseals.cpp.
+// instances and chooses the candidate is in primaryseals.cpp, the one that lets them receive again
+// in primaryresumes.cpp.
 #include "session/primarychange.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cicadagap {
@@ -22,18 +22,12 @@
 constexpr Millis PromotionResend(400);
 // From an accepted promotion request until the candidate is seen as primary.
 constexpr Millis ConfirmTimeout(3000);
-// Before the next attempt, after one that failed.
-constexpr Millis RetryAfter(600);
 // Bounds of the wait after the lease was refused. Between them the wait is the time for which
 // another host holds the lease.
 constexpr Millis MinRetryAfterLeaseRefused(400);
 constexpr Millis MaxRetryAfterLeaseRefused(2000);
 // After a fenced promotion request: the other host's lease has to end first.
 constexpr Millis RetryAfterFenced(5000);
-// After the acting time of the lease, for commands that let instances receive again. Together with
-// the time for which they wait for a connection, and for which a broken link may hold them up, it
-// has to end about when the lease does.
-constexpr Millis ResumeMargin(500);
 // An instance that is no longer registered, without having announced that it leaves, may come back
 // with its log for this long.
 constexpr Millis MissingMemory(60'000);
@@ -216,18 +210,6 @@
     requestPromotionIfSealed(now);
 }
 
-void PrimaryChange::onResumesRecorded(const std::set<std::string> &instances,
-                                      std::uint64_t fencingToken, bool recorded)
-{
-    if (fencingToken != m_fencingToken)
-        return;
-    m_recordsResumes = false;
-    if (!recorded)
-        return;
-    m_recordedResumes = instances;
-    m_nextResumeAt = m_now;
-}
-
 void PrimaryChange::onPromotion(Millis now, PromotionResult verdict)
 {
     if (m_stage != PrimaryChangeStage::RequestingPromotion)
@@ -311,11 +293,7 @@
     m_openCandidate = result.openCandidate;
     m_openUntil = result.openUntil;
     m_openResumes = result.openResumes;
-    m_mayResume = false;
-    m_sentResumes.clear();
-    m_recordedResumes.clear();
-    m_recordsResumes = false;
-    m_nextResumeRecordAt = m_now;
+    forgetSentResumes();
 }
 
 void PrimaryChange::abandon(Millis now, const std::string &reason)
@@ -452,125 +430,4 @@
     m_output->promote(m_group, m_candidate, m_fencingToken);
 }
 
-// No promotion request of this host stands against it any more that the sealed instances receive.
-void PrimaryChange::allowResuming(Millis now)
-{
-    m_mayResume = true;
-    m_releaseAt = now;
-    recordResumes(now);
-    resumeSealed(now);
-}
-
-// Lets the sealed instances receive again, once the lease's row names them, and as long as this
-// host holds the lease: the next holder may have sealed them itself. Those that have not said that
-// they are paused are asked first, so that an instance that cannot be reached gets no resume.
-// Repeated until all have answered.
-void PrimaryChange::resumeSealed(Millis now)
-{
-    if (now > m_actUntil + ResumeMargin)
-        return;
-    for (const std::string &id : m_toResume) {
-        if (!isRegistered(id) || (m_paused.contains(id) && !m_recordedResumes.contains(id)))
-            continue;
-        m_nextResumeAt = now + ResendInterval;
-        if (!m_paused.contains(id)) {
-            m_output->sendCommand(id, {.kind = StatementKind::Status});
-            continue;
-        }
-        m_sentResumes.insert(id);
-        m_output->sendCommand(id, {.kind = StatementKind::Resume});
-    }
-}
-
-// Between two attempts, an instance that is not paused does not have to be told to receive.
-void PrimaryChange::noteWhetherPaused(const std::string &instance, StatementKind command,
-                                      const InstanceStatus &status)
-{
-    const bool resumed = command == StatementKind::Resume;
-    if (!resumed && status.pausedTerm > 0) {
-        if (m_paused.insert(instance).second)
-            m_nextResumeAt = m_now;
-        return;
-    }
-    // The answer to an older status query may arrive after that to the pause.
-    const bool neverPaused
-        = m_stage == PrimaryChangeStage::Idle && m_mayResume && !m_paused.contains(instance);
-    if (resumed || neverPaused)
-        noteReceives(instance);
-}
-
-void PrimaryChange::noteReceives(const std::string &instance)
-{
-    m_toResume.erase(instance);
-    m_paused.erase(instance);
-}
-
-// The paused instances that may get a resume under this lease.
-std::set<std::string> PrimaryChange::instancesToResume() const
-{
-    std::set<std::string> ids;
-    const bool resumes = m_stage == PrimaryChangeStage::Idle && m_mayResume;
-    if (resumes || m_stage == PrimaryChangeStage::Confirming)
-        std::set_intersection(m_toResume.begin(), m_toResume.end(), m_paused.begin(),
-                              m_paused.end(), std::inserter(ids, ids.end()));
-    if (m_stage == PrimaryChangeStage::Confirming)
-        ids.erase(m_candidate);
-    return ids;
-}
-
-// Has the lease's row name the instances that may get a resume under this lease, and those that got
-// one and have not answered. Instances are taken out of it once no other one has to get one.
-void PrimaryChange::recordResumes(Millis now)
-{
-    const std::set<std::string> toResume = instancesToResume();
-    std::set<std::string> ids = toResume;
-    std::set_intersection(m_sentResumes.begin(), m_sentResumes.end(),
-                          m_groupState.unansweredResumes.begin(),
-                          m_groupState.unansweredResumes.end(), std::inserter(ids, ids.end()));
-    const bool complete
-        = std::includes(m_recordedResumes.begin(), m_recordedResumes.end(), ids.begin(), ids.end());
-    const bool mayWait = complete && (ids == m_recordedResumes || !toResume.empty());
-    if (mayWait || m_recordsResumes || now < m_nextResumeRecordAt
-        || now > m_actUntil + ResumeMargin)
-        return;
-    m_nextResumeRecordAt = now + ResendInterval;
-    m_recordsResumes = true;
-    // Until the store has answered, the row may name the old ones or the new ones.
-    std::erase_if(m_recordedResumes, [&ids](const std::string &id) { return !ids.contains(id); });
-    m_output->recordResumes(m_group, ids, m_fencingToken);
-}
-
-// Between two attempts. If the lease has ended, and nothing is wrong with the primary, acquires it
-// again for the instances that are still sealed.
-void PrimaryChange::resumeLeftSealed(Millis now, PrimaryChangeCause cause)
-{
-    std::erase_if(m_toResume, [this](const std::string &id) { return !isRegistered(id); });
-    if (m_toResume.empty())
-        return;
-    if (m_mayResume && now <= m_actUntil + ResumeMargin) {
-        if (now >= m_nextResumeAt)
-            resumeSealed(now);
-        return;
-    }
-    if (cause == PrimaryChangeCause::None && !m_groupState.primary.empty() && now >= m_releaseAt
-        && now >= m_retryAt)
-        start(now, PrimaryChangeCause::LeftSealed);
-}
-
-// The lease was acquired for the instances that are still sealed.
-void PrimaryChange::onLeaseForLeftSealed(Millis now)
-{
-    m_retryAt = now + RetryAfter;
-    if (now < m_openUntil && !isOpenCandidate(m_groupState.primary)) {
-        enter(now, PrimaryChangeStage::Idle,
-              "the promotion of " + (m_openCandidate.empty() ? "some instance" : m_openCandidate)
-                  + " may still be carried out");
-        m_releaseAt = m_openUntil;
-        return;
-    }
-    enter(now, PrimaryChangeStage::Idle, std::to_string(m_toResume.size()) + " may receive again");
-    m_openPromotions = 0;
-    allowResuming(now);
-}
-
 } // namespace cicadagap
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -206,6 +206,8 @@
 private:
     // Between repeated commands to an instance that does not answer.
     static constexpr Millis ResendInterval = Millis(300);
+    // Before the next attempt, after one that failed.
+    static constexpr Millis RetryAfter = Millis(600);
 
     void enter(Millis now, PrimaryChangeStage stage, const std::string &detail);
     void start(Millis now, PrimaryChangeCause cause);
@@ -253,6 +255,7 @@
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
     void resumeSealed(Millis now);
+    void forgetSentResumes();
     void noteWhetherPaused(const std::string &instance, StatementKind command,
                            const InstanceStatus &status);
     void noteReceives(const std::string &instance);
@@ -286,11 +289,11 @@
     std::set<std::string> m_toResume; // May be paused, and have to receive again at the end.
     bool m_mayResume = false;         // As far as this host's own promotion requests are concerned.
     Millis m_nextResumeAt;
-    std::set<std::string> m_paused;              // Those that said so when they were asked last.
+    std::set<std::string> m_paused;              // They said so when they were asked last.
     std::map<std::string, Millis> m_openResumes; // See LeaseResult.
     std::set<std::string> m_sentResumes;         // The instances that got one under this lease.
     std::set<std::string> m_recordedResumes;     // That the lease's row certainly names.
-    bool m_recordsResumes = false;               // The store has not answered yet.
+    bool m_recordingResumes = false;             // The store has not answered yet.
     Millis m_nextResumeRecordAt;
     Millis m_releaseAt; // Before that, no lease is sought for the sealed instances alone.
     std::string m_candidate;
