--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts in review/6 to review/10 start, into target/review-2/.
+# Builds the stand-ins that the scripts in review/7 to review/9 start, into target/review-2/.
 set -eu
 cd "$(dirname "$0")/.."
 cmake -S review/harness-2 -B target/review-2 -DCMAKE_BUILD_TYPE=RelWithDebInfo
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -133,7 +133,6 @@
     if (m_output >= 0)
         ::close(m_output);
     m_output = ends[0];
-    ++m_starts;
     if (error != 0)
         m_pid = 0;
     return error == 0;
@@ -219,13 +218,12 @@
     m_store.put("op", "config", json::serialize(configuration));
     m_loop->every(RenewalCheck, [this] { renew(); });
     for (int i = 0; i < m_options.hosts; ++i) {
-        Host::Options options{
-            .name = "frontend-" + std::to_string(i + 1),
-            .zone = zones.at(m_options.oneZone ? 0 : static_cast<std::size_t>(i) % zones.size()),
-            .callers = freeEndpoint(),
-            .readiness = freeEndpoint(),
-            .peerPort = freeEndpoint().port,
-            .pipe = m_options.pipes};
+        Host::Options options{.name = "frontend-" + std::to_string(i + 1),
+                              .zone = zones.at(static_cast<std::size_t>(i) % zones.size()),
+                              .callers = freeEndpoint(),
+                              .readiness = freeEndpoint(),
+                              .peerPort = freeEndpoint().port,
+                              .pipe = m_options.pipes};
         options.bootFile = m_options.work + "/" + options.name + ".conf";
         options.log = m_options.work + "/" + options.name + ".log";
         std::ofstream(options.bootFile) << bootText(options);
@@ -253,14 +251,6 @@
                                 .statementTime = m_options.statementTime});
     if (!entry.server->start(m_options.address, &reason))
         return false;
-    entry.tap = std::make_unique<Tap>(m_loop, entry.server->endpoint(),
-                                      [this, id](const std::string &statement) {
-                                          if (statement == InternalStatementId)
-                                              return;
-                                          m_arrived.insert(statement);
-                                          m_record->line("reaches " + id + " " + statement);
-                                      });
-    entry.published = entry.tap->start();
     return true;
 }
 
@@ -345,7 +335,7 @@
     m_store.put(
         "servers", id,
         json::serialize(json::object{{"service", GroupName},
-                                     {"address", entry->published.text()},
+                                     {"address", entry->server->endpoint().text()},
                                      {"zone", entry->zone},
                                      {"version", "v1"},
                                      {"slots", 3},
@@ -410,53 +400,6 @@
     return PromotionResult::Accepted;
 }
 
-Ingress::Ingress(EventLoop *loop, std::vector<std::unique_ptr<Host>> *hosts, Record *record)
-    : m_loop(loop)
-    , m_hosts(hosts)
-    , m_record(record)
-{
-}
-
-void Ingress::start()
-{
-    constexpr Millis CheckInterval(1000);
-    m_loop->every(CheckInterval, [this] { check(); });
-}
-
-void Ingress::check()
-{
-    constexpr int StatusOk = 200;
-    constexpr int MissesToLeave = 2;
-    constexpr Millis Timeout(900);
-    for (const std::unique_ptr<Host> &each : *m_hosts) {
-        Host *host = each.get();
-        callOnce(m_loop, host->options().readiness, {.target = "/readiness"}, Timeout,
-                 [this, host](const std::optional<HttpResponse> &response, const CallFailure &) {
-                     const bool ready = response && response->status == StatusOk;
-                     const int before = m_misses[host];
-                     m_misses[host] = ready ? 0 : before + 1;
-                     if (!ready && before + 1 == MissesToLeave)
-                         m_record->line(host->options().name + " is out of rotation");
-                     if (ready && before >= MissesToLeave)
-                         m_record->line(host->options().name + " is in rotation again");
-                 });
-    }
-}
-
-Host *Ingress::choose()
-{
-    constexpr int MissesToLeave = 2;
-    std::vector<Host *> all;
-    std::vector<Host *> inRotation;
-    for (const std::unique_ptr<Host> &host : *m_hosts) {
-        all.push_back(host.get());
-        if (m_misses[host.get()] < MissesToLeave)
-            inRotation.push_back(host.get());
-    }
-    const std::vector<Host *> &used = inRotation.size() * 2 < all.size() ? all : inRotation;
-    return used[m_next++ % used.size()];
-}
-
 // A caller's connection to a host. Calls no handler after close().
 class Writer::Connection : public std::enable_shared_from_this<Connection>
 {
@@ -607,13 +550,6 @@
     answer.outcome = m_outcome;
     m_succeeded += m_outcome == "COMPLETE" ? 1 : 0;
     m_record->line("answered " + answer.id + " " + m_outcome);
-    if (m_newSessions) {
-        m_connection->send("CLOSE\r\n");
-        m_connection->close();
-        m_connection.reset();
-        m_loop->after(m_thinkTime, [this] { connect(); });
-        return;
-    }
     m_loop->after(m_thinkTime, [this, connection = m_connection] {
         if (connection == m_connection)
             onOpened();
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -8,7 +8,6 @@
 #include "process/eventloop.h"
 #include "standin_core/replicagroup.h"
 #include "storeserver.h"
-#include "tap.h"
 
 #include <sys/types.h>
 
@@ -115,7 +114,6 @@
     bool start();
     void signal(int number);
     bool running();
-    int starts() const { return m_starts; }
     const Options &options() const { return m_options; }
     // Reads what the process has written to its pipe and keeps it in the log file.
     void readOutput();
@@ -124,7 +122,6 @@
 private:
     Options m_options;
     pid_t m_pid = 0;
-    int m_starts = 0;
     int m_output = -1;
     bool m_reading = true;
 };
@@ -142,7 +139,6 @@
         std::string address = ownAddress();
         int hosts = 3;
         bool pipes = false;
-        bool oneZone = false; // All hosts are in one zone.
         Millis statementTime = Millis(2);
         Links::Options links;
         Millis heartbeat = Millis(1200);
@@ -168,8 +164,6 @@
     Links &links() { return m_links; }
     cicadagap::ReplicaGroup &group() { return m_group; }
     cicadagap::StoreServer &store() { return m_store; }
-    // The statements that reached an instance.
-    const std::set<std::string> &arrived() const { return m_arrived; }
     static constexpr const char *GroupName = "ensayos-db";
     static constexpr const char *Database = "pull-log";
 
@@ -177,8 +171,6 @@
     struct Entry
     {
         std::unique_ptr<cicadagap::InstanceServer> server;
-        std::unique_ptr<Tap> tap;
-        Endpoint published; // The tap's.
         std::string zone;
         bool reachesStore = true;
         bool registered = false;
@@ -208,33 +200,10 @@
     std::vector<cicadagap::Respond> m_unanswered; // Calls whose connections stay open.
     std::map<std::string, Entry> m_entries;
     std::vector<std::unique_ptr<Host>> m_hosts;
-    std::set<std::string> m_arrived;
     std::set<std::uint16_t> m_ports; // That were given to hosts.
     std::uint64_t m_highestToken = 0;
 };
 
-// The platform's entry point for the hosts of one zone: asks each of them once a second whether it
-// is ready, and takes one out of rotation after two misses. If fewer than half are in rotation, it
-// uses all.
-class Ingress
-{
-public:
-    Ingress(EventLoop *loop, std::vector<std::unique_ptr<Host>> *hosts, Record *record);
-
-    void start();
-    // The host for the next connection.
-    Host *choose();
-
-private:
-    void check();
-
-    EventLoop *m_loop;
-    std::vector<std::unique_ptr<Host>> *m_hosts;
-    Record *m_record;
-    std::map<Host *, int> m_misses; // In a row.
-    std::size_t m_next = 0;
-};
-
 // A caller that writes one item after the other, each outside of a transaction. It closes its
 // session if that takes more than 2 s to open, or if a write is not answered by its deadline.
 class Writer
@@ -254,8 +223,6 @@
     Writer(EventLoop *loop, std::string name, Millis thinkTime, std::function<Host *()> chooseHost,
            Record *record);
 
-    // From now on, each write has a session of its own.
-    void useNewSessions() { m_newSessions = true; }
     void start() { connect(); }
     void stop() { m_stopping = true; }
     const std::vector<Answer> &answers() const { return m_answers; }
@@ -279,7 +246,6 @@
     std::string m_host;
     bool m_open = false;
     bool m_stopping = false;
-    bool m_newSessions = false;
     std::uint64_t m_attempts = 0; // Sessions that were opened and writes that were sent.
     std::vector<Answer> m_answers;
     std::string m_outcome;
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -29,7 +29,6 @@
     {
         int count = 0;
         Millis thinkTime;
-        bool newSessions = false;
     };
 
     Case(Deployment::Options options, Writers callers, const std::string &recordFile)
@@ -72,7 +71,6 @@
     Deployment deployment;
     std::vector<std::unique_ptr<Writer>> writers;
     bool started = false;
-    Ingress *ingress = nullptr; // Chooses the hosts, if set.
 
 private:
     // A caller goes to the next host whenever its connection ends.
@@ -82,14 +80,10 @@
         writers.push_back(std::make_unique<Writer>(
             &loop, "w" + std::to_string(number), m_callers.thinkTime,
             [this, next] {
-                if (ingress)
-                    return ingress->choose();
                 auto &hosts = deployment.hosts();
                 return hosts[(*next)++ % hosts.size()].get();
             },
             &record));
-        if (m_callers.newSessions)
-            writers.back()->useNewSessions();
         writers.back()->start();
     }
 
@@ -266,71 +260,12 @@
     });
 }
 
-// Two of the three hosts of a zone are stopped at once. Callers whose connections end go through
-// the platform's entry point again.
-int lateRequest(const std::string &work, bool trouble)
-{
-    constexpr Millis LateAfter(3000); // Requests that were sent earlier are excused.
-    constexpr Millis GracePeriod(6000);
-    Case test({.work = work, .oneZone = true, .statementTime = Millis(18)},
-              {.count = 24, .thinkTime = Millis(20), .newSessions = true}, work + "/record.txt");
-    Ingress ingress(&test.loop, &test.deployment.hosts(), &test.record);
-    test.ingress = &ingress;
-    ingress.start();
-    Millis stoppedAt;
-    std::set<std::string> stopped;
-    const auto begin = [&] {
-        test.loop.after(Millis(6000), [&] {
-            stoppedAt = test.record.now();
-            for (const std::size_t index : {std::size_t(0), std::size_t(1)}) {
-                Host *host = test.deployment.hosts()[index].get();
-                stopped.insert(host->options().name);
-                if (!trouble)
-                    continue;
-                test.record.line("SIGTERM to " + host->options().name);
-                host->signal(SIGTERM);
-                test.loop.after(GracePeriod, [&test, host, number = host->starts()] {
-                    if (host->starts() == number) {
-                        test.record.line("SIGKILL to " + host->options().name);
-                        host->signal(SIGKILL);
-                    }
-                });
-            }
-        });
-        test.loop.after(Millis(14'000), [&] { test.loop.stop(); });
-    };
-    return test.run(begin, [&] {
-        int answered = 0;
-        int lost = 0;
-        for (const auto &writer : test.writers) {
-            for (const Writer::Answer &answer : writer->answers()) {
-                answered += answer.outcome == "COMPLETE" ? 1 : 0;
-                const bool late = answer.sentAt > stoppedAt + LateAfter
-                    && answer.endedAt <= stoppedAt + GracePeriod + Millis(1000);
-                if (answer.outcome != "CLOSED" || !late || !stopped.contains(answer.host)
-                    || !test.deployment.arrived().contains(answer.id))
-                    continue;
-                ++lost;
-                test.record.line("LOST: " + answer.id + " was sent to " + answer.host + " "
-                                 + std::to_string((answer.sentAt - stoppedAt).count())
-                                 + " ms after SIGTERM, was passed on to an instance, and its "
-                                   "connection ended without an answer");
-            }
-        }
-        std::cout << answered << " writes answered; " << lost
-                  << " were read and passed on by a host that stops, and never answered\n";
-        return lost > 0 ? RuleBroken : RuleHeld;
-    });
-}
-
 int runCase(const std::string &name, const std::string &work, bool trouble)
 {
     if (name == "unlisted-replica")
         return unlistedReplica(work, trouble);
     if (name == "late-promotion")
         return latePromotion(work, trouble);
-    if (name == "late-request")
-        return lateRequest(work, trouble);
     if (name == "unread-log")
         return unreadLog(work, trouble);
     std::cerr << "there is no case " << name << '\n';
