A primary that answers steps down before its successor is promoted

Cause: a promotion relied on the listed instances being those that receive.

Ruled out: an old list (it is read after the lease), and more memory in the process (the script restarts all hosts).

Change: a leaving primary serves until a replica follows it closely; the platform accepts the present primary's own promotion (raises the token, shows that the platform answers, is settled after 2 s); then the primary steps down, and an instance is promoted that covers the end of its log. If none does in 0.2 s, it is promoted again. The way by seals stays for a primary that does not answer; if it steps down meanwhile, its end counts there too. The candidate is recorded in the lease's row before each request, also with fencing: a process may end between a request and a record that follows it.

Conclusion: no list is needed where the old primary answers. Unlisted receivers beside a primary that does not answer remain.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -1,6 +1,6 @@
-// The part of PrimaryChange that handles events and the stages of an attempt. The part that seals
-// instances and chooses the candidate is in primaryseals.cpp, the one that lets them receive again
-// in primaryresumes.cpp.
+// The part of PrimaryChange that handles events and the stages of an attempt. The handover from a
+// primary that answers is in primaryhandover.cpp, the part that seals instances around one that
+// does not in primaryseals.cpp, and the one that lets them receive again in primaryresumes.cpp.
 #include "session/primarychange.h"
 
 #include <algorithm>
@@ -13,11 +13,8 @@
 // For the store's answers when the lease is acquired, and for the platform's answer to a promotion
 // request before the request is repeated.
 constexpr Millis AnswerTimeout(3000);
-// From the lease until a leaving primary's candidate has to have caught up. The rest of the time
-// for which the lease may be used has to suffice for the other way.
-constexpr Millis CatchUpLimit(800);
-// Between status queries to a candidate that has not caught up yet.
-constexpr Millis CatchUpInterval(60);
+// Between status queries to instances that may receive although they should be sealed.
+constexpr Millis ReceiverQueryInterval(60);
 // Before a promotion request is repeated whose outcome is unknown or that had no effect.
 constexpr Millis PromotionResend(400);
 // From an accepted promotion request until the candidate is seen as primary.
@@ -28,9 +25,18 @@
 constexpr Millis MaxRetryAfterLeaseRefused(2000);
 // After a fenced promotion request: the other host's lease has to end first.
 constexpr Millis RetryAfterFenced(5000);
+// After the promotion of an old primary that had stepped down and that no replica covered. Its
+// replicas follow again by then.
+constexpr Millis RetryAfterReturn(1000);
 // An instance that is no longer registered, without having announced that it leaves, may come back
 // with its log for this long.
 constexpr Millis MissingMemory(60'000);
+// An instance whose entry had expired when this process started has written it again by then.
+constexpr Millis ListMemory(10'000);
+// Of the list of instances, in which the store was not out of reach.
+constexpr Millis UsualListAge(4500);
+// After the store was out of reach, until the instances have written their entries again.
+constexpr Millis EntryReturnTime(2500);
 // A restarted instance has received the primary's whole log after this time.
 constexpr Millis RestartMemory(10'000);
 
@@ -60,6 +66,11 @@
         if (now - m_stageSince > AnswerTimeout)
             abandon(now, "the store did not answer the request for the lease");
         return;
+    case PrimaryChangeStage::CatchingUp:
+    case PrimaryChangeStage::Fencing:
+    case PrimaryChangeStage::SteppingDown:
+        tickHandover(now, cause);
+        return;
     case PrimaryChangeStage::Sealing:
         if (now >= m_actUntil) {
             abandon(now, "the promotion could not be requested in time: " + sealingText());
@@ -71,9 +82,6 @@
             return;
         }
         forgetUndoneSeals(now);
-        if (m_cause == PrimaryChangeCause::Leaving && now - m_stageSince > CatchUpLimit
-            && !possibleCandidates().empty() && listIsRecent())
-            sealCandidateToo(now);
         sendSeals(now);
         requestPromotionIfSealed(now);
         return;
@@ -116,22 +124,26 @@
         m_cause = PrimaryChangeCause::Unreachable;
     m_leaseAt = now;
     m_recordedCandidate.clear();
+    m_recordingCandidate.clear();
     m_unansweredPromotions = 0;
     m_outdatedPrimaries.clear();
     m_sealedSince.reset();
     m_nextRecordAt = now;
-    m_nextStepDownAt = now;
     m_sealed.clear();
     m_paused.clear();
     m_candidate.clear();
-    m_candidatePosition.reset();
-    m_candidateStatus.clear();
-    m_oldPrimaryStepsDownLast = false;
+    m_followers.clear();
+    m_followerTarget.reset();
     m_oldPrimaryEnd.reset();
+    m_oldPrimaryTerm = 0;
     m_oldPrimary = m_groupState.primary;
     m_steppedDown = false;
     m_sealTerm = std::max(m_sealTerm, m_groupState.term) + 1;
     m_nextSendAt = now;
+    if (m_cause == PrimaryChangeCause::Leaving) {
+        beginHandover(now);
+        return;
+    }
     enter(now, PrimaryChangeStage::Sealing, "fencing token " + std::to_string(m_fencingToken));
     sendSeals(now);
 }
@@ -145,19 +157,25 @@
     noteWhetherPaused(instance, command, status);
     if (command == StatementKind::Resume)
         return;
-    if (m_stage != PrimaryChangeStage::Sealing || now >= m_actUntil)
+    if (now >= m_actUntil)
+        return;
+    if (m_stage == PrimaryChangeStage::CatchingUp || m_stage == PrimaryChangeStage::SteppingDown) {
+        onHandoverStatus(now, instance, command, status);
+        return;
+    }
+    if (m_stage != PrimaryChangeStage::Sealing)
         return;
     if (m_cause == PrimaryChangeCause::Stalled) {
         if (command != StatementKind::Status || instance != m_oldPrimary)
             return;
-        if (status.primary && status.term >= m_groupState.term)
-            promoteStalledAgain(now);
-        else
+        if (status.primary && status.term >= m_groupState.term) {
+            if (stalledIsRecorded(now))
+                promoteStalledAgain(now);
+        } else {
             abandon(now, instance + " is not primary of term " + std::to_string(m_groupState.term));
+        }
         return;
     }
-    if (command == StatementKind::Status && instance == m_oldPrimary && status.primary)
-        m_oldPrimaryEnd = status.received;
     const bool outdated = !m_options.fencedPromotions && status.term < m_newestTerm;
     if (status.primary && instance != m_oldPrimary && outdated) {
         if (m_outdatedPrimaries.insert(instance).second)
@@ -173,20 +191,16 @@
         // It is a replica now, and may receive from a primary that this host does not know of. It
         // has to be sealed like the others, in a higher term.
         m_outdatedPrimaries.erase(instance);
-        m_steppedDown = m_steppedDown || instance == m_oldPrimary;
+        if (instance == m_oldPrimary) {
+            m_steppedDown = true;
+            m_oldPrimaryEnd = status.received;
+        }
         ++m_sealTerm;
         m_nextSendAt = now;
         forgetUncertainSeals();
         requestPromotionIfSealed(now);
         return;
     }
-    if (command == StatementKind::Status && m_cause == PrimaryChangeCause::Leaving) {
-        m_candidateStatus[instance] = status;
-        if (m_candidate.empty())
-            m_nextSendAt = now; // A candidate may be chosen.
-        else if (instance == m_candidate)
-            m_candidatePosition = status.received;
-    }
     const bool paused = command == StatementKind::Pause && status.pausedTerm > 0;
     const bool receives = m_cause == PrimaryChangeCause::Unreachable && instance != m_oldPrimary
         && sealMayBeUndone(instance);
@@ -204,14 +218,26 @@
 void PrimaryChange::onCandidateRecorded(Millis now, const std::string &candidate, bool recorded)
 {
     m_now = now;
-    if (m_stage != PrimaryChangeStage::Sealing || !recorded || now >= m_actUntil)
+    const bool attempts
+        = m_stage != PrimaryChangeStage::Idle && m_stage != PrimaryChangeStage::AcquiringLease;
+    if (!attempts || !recorded || now >= m_actUntil)
         return;
     m_recordedCandidate = candidate;
-    requestPromotionIfSealed(now);
+    if (m_stage == PrimaryChangeStage::Sealing)
+        requestPromotionIfSealed(now);
+    else
+        continueHandover(now);
+    if (m_cause == PrimaryChangeCause::Stalled)
+        m_nextSendAt = now; // The primary has to say again that it is one.
 }
 
 void PrimaryChange::onPromotion(Millis now, PromotionResult verdict)
 {
+    m_now = now;
+    if (m_stage == PrimaryChangeStage::Fencing) {
+        onFenceAnswer(now, verdict);
+        return;
+    }
     if (m_stage != PrimaryChangeStage::RequestingPromotion)
         return;
     const std::string detail = m_candidate + " " + std::string(PromotionResultNames.name(verdict));
@@ -224,26 +250,27 @@
         enter(now, PrimaryChangeStage::Confirming, detail);
         return;
     case PromotionResult::Fenced:
-        // Another host holds the lease now. It is also the one to unseal the instances.
-        m_toResume.clear();
-        m_openPromotions = 0;
-        abandon(now, detail);
-        m_retryAt = now + RetryAfterFenced;
+        onFenced(now, detail);
         return;
     case PromotionResult::NotRunning:
         abandon(now, detail);
         return;
     case PromotionResult::Unknown:
-        // Without fenced promotions the row names the candidate already.
-        if (m_options.fencedPromotions)
-            m_output->recordCandidate(m_group, m_candidate, m_fencingToken);
-        [[fallthrough]];
     case PromotionResult::NotDone:
         m_nextSendAt = now + PromotionResend;
         return;
     }
 }
 
+// Another host holds the lease now. It is also the one to unseal the instances.
+void PrimaryChange::onFenced(Millis now, const std::string &detail)
+{
+    m_toResume.clear();
+    m_openPromotions = 0;
+    abandon(now, detail);
+    m_retryAt = now + RetryAfterFenced;
+}
+
 void PrimaryChange::onPrimary(Millis now, const std::string &instance, std::uint64_t term)
 {
     const bool isCandidate = instance == m_candidate;
@@ -254,6 +281,12 @@
         noteReceives(instance);
         allowResuming(now);
         forgetCandidate();
+        if (m_cause == PrimaryChangeCause::Leaving && instance == m_oldPrimary) {
+            m_fence = {.primary = instance,
+                       .fencingToken = m_fencingToken,
+                       .settledAt = now + RetryAfterReturn};
+            m_retryAt = m_fence->settledAt;
+        }
     } else if (m_stage == PrimaryChangeStage::Idle && isCandidate && m_openPromotions > 0
                && m_cause != PrimaryChangeCause::Stalled) {
         // The request was carried out after the attempt had ended.
@@ -340,6 +373,11 @@
             m_missing[id] = now;
     }
     std::erase_if(m_missing, [now](const auto &row) { return now - row.second > MissingMemory; });
+    const bool isOld = now - m_groupState.listed.readAt > UsualListAge;
+    if (!m_listIsEvidenceFrom)
+        m_listIsEvidenceFrom = now + ListMemory;
+    else if (isOld)
+        m_listIsEvidenceFrom = std::max(*m_listIsEvidenceFrom, now + EntryReturnTime);
     m_registered = std::move(present);
 }
 
@@ -351,22 +389,27 @@
     switch (m_cause) {
     case PrimaryChangeCause::Unreachable:
         if (!m_openResumes.empty())
-            m_nextSendAt = now + CatchUpInterval;
+            m_nextSendAt = now + ReceiverQueryInterval;
         sealAroundFailedPrimary();
         return;
-    case PrimaryChangeCause::Leaving:
-        m_nextSendAt = now + CatchUpInterval;
-        sealAroundLeavingPrimary(now);
-        return;
     case PrimaryChangeCause::Stalled:
+        stalledIsRecorded(now);
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
         return;
+    case PrimaryChangeCause::Leaving:
     case PrimaryChangeCause::LeftSealed:
     case PrimaryChangeCause::None:
         return;
     }
 }
 
+// Whether the lease's row names the stalled primary. A row that names another candidate, whose
+// promotion may still be carried out, is kept.
+bool PrimaryChange::stalledIsRecorded(Millis now)
+{
+    return earlierRequestIsOpen(now) || isRecorded(now, m_oldPrimary);
+}
+
 // Unseals the replicas that an earlier attempt left sealed. The present primary is promoted again
 // first, under a higher fencing token: from then on no earlier promotion request can be carried
 // out. It has confirmed under this lease that it is still primary; promoting one that was replaced
@@ -382,31 +425,35 @@
     sendPromotionRequest(now);
 }
 
-// Requests the promotion once enough instances are sealed and, without fenced promotions, once the
-// old primary can do no harm and the candidate is recorded.
+// Requests the promotion once enough instances are sealed, the candidate is recorded and, without
+// fenced promotions, the old primary can do no harm.
 void PrimaryChange::requestPromotionIfSealed(Millis now)
 {
-    if (m_stage != PrimaryChangeStage::Sealing)
+    if (m_stage != PrimaryChangeStage::Sealing || m_cause == PrimaryChangeCause::Stalled)
         return;
-    const bool leaving = m_cause == PrimaryChangeCause::Leaving;
-    if (leaving ? !leavingPrimaryIsSealed() : !chooseSealedCandidate(now))
+    if (!chooseSealedCandidate(now))
         return;
     if (!listIsRecent() || !preferOpenCandidate(now))
         return;
-    if (!m_options.fencedPromotions && (!candidateIsRecorded(now) || !oldPrimaryIsHarmless(now)))
+    if (!isRecorded(now, m_candidate))
         return;
-    enter(now, PrimaryChangeStage::RequestingPromotion, m_candidate);
+    if (!m_options.fencedPromotions && !oldPrimaryIsHarmless(now))
+        return;
+    enter(now, PrimaryChangeStage::RequestingPromotion, sealingText());
     sendPromotionRequest(now);
 }
 
-// Whether the lease's row names the candidate; has it written if it does not.
-bool PrimaryChange::candidateIsRecorded(Millis now)
+// Whether the lease's row names the candidate. If not, has it written, and onCandidateRecorded()
+// goes on.
+bool PrimaryChange::isRecorded(Millis now, const std::string &candidate)
 {
-    if (m_recordedCandidate == m_candidate)
+    if (m_recordedCandidate == candidate)
         return true;
-    if (now >= m_nextRecordAt) {
+    const bool isNew = m_recordingCandidate != candidate;
+    if (isNew || now >= m_nextRecordAt) {
         m_nextRecordAt = now + ResendInterval;
-        m_output->recordCandidate(m_group, m_candidate, m_fencingToken);
+        m_recordingCandidate = candidate;
+        m_output->recordCandidate(m_group, candidate, m_fencingToken);
     }
     return false;
 }
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -6,17 +6,28 @@
 // each lease; the platform refuses promotion requests with a lower one than it has seen. The host
 // proceeds in three steps:
 //
-// 1. Seal. A sealed instance has adopted a higher term and accepts nothing more from a primary of a
-//    lower one. Replicas are sealed by the Pause command, so that the old primary cannot
-//    acknowledge anything that the new one lacks. If the primary has failed, all instances but
-//    `syncReplicas` are sealed; the one with the highest position holds every acknowledged commit
-//    and becomes the candidate. If the primary is leaving, it goes on serving with the candidate as
-//    its only receiver until the candidate has caught up. The candidate is the replica that has
-//    received the most. If none catches up soon, the rest is sealed as around a failed primary. The
-//    old primary steps down last, once it is certain that another instance can be promoted.
-//    The list of instances has to be about as new as the lease: one that registered since an older
-//    list is not sealed, and lets the old primary go on acknowledging.
-// 2. Request the promotion of the candidate from the platform, under the fencing token.
+// 1. Make sure that an instance holds, and will hold, all that is acknowledged until its promotion.
+//    There are two ways:
+//
+//    Handover, if the old primary answers (it leaves). It steps down first. From then on it
+//    acknowledges nothing, and its log ends with or after the last commit that it acknowledged: an
+//    instance that covers this end may be promoted, whichever instances received. Before that, a
+//    replica has to follow closely, and the platform has to answer a promotion request for the old
+//    primary itself (the fence). That changes nothing, but shows that the platform answers, and
+//    raises the fencing token, so that no earlier request can be carried out any more. The old
+//    primary steps down under the next lease, once the fence cannot take effect any more: it would
+//    be promoted again. There is no fence if the old primary would end before. If no replica covers
+//    the end, the old primary is promoted again on purpose.
+//
+//    Seals, if the old primary does not answer. A sealed instance has adopted a higher term and
+//    accepts nothing more from a primary of a lower one; replicas are sealed by the Pause command.
+//    All instances but `syncReplicas` are sealed; the one with the highest position holds every
+//    acknowledged commit and becomes the candidate. This relies on the list of instances, which has
+//    to be about as new as the lease: one that registered since an older list is not sealed, and
+//    lets the old primary go on acknowledging. If the old primary does answer meanwhile, and steps
+//    down, the candidate has to cover its end too, unless the list is evidence of all receivers.
+// 2. Request the promotion of the candidate from the platform, under the fencing token. The
+//    candidate is recorded in the lease's row before.
 // 3. Wait until the new primary is seen as primary, then let the sealed instances receive again.
 //
 // An attempt that ends without an answer to its promotion request leaves the instances sealed. Its
@@ -41,8 +52,8 @@
 //
 // - The old primary steps down before the request, or the request waits until no host trusts the
 //   old primary any more (see session/readlease.h).
-// - The candidate is recorded in the lease's row before the request. While a request for it may
-//   still be carried out, no host requests the promotion of another instance.
+// - While a request for a candidate may still be carried out, no host requests the promotion of
+//   another instance.
 // - A primary that stalls is replaced. Promoting it again would not stop earlier requests.
 //
 // model/promotion.pml, model/unfenced.pml and model/primaryread.pml check these rules.
@@ -83,15 +94,21 @@
 // The steps of an attempt to change the primary.
 enum class PrimaryChangeStage {
     Idle,
-    AcquiringLease,      // The promotion lease was requested; no answer yet.
-    Sealing,             // Commands go to the instances until enough are sealed.
+    AcquiringLease, // The promotion lease was requested; no answer yet.
+    CatchingUp,     // The old primary serves on until a replica follows it closely.
+    Fencing,        // The old primary's own promotion was requested; no answer yet.
+    SteppingDown,   // The old primary is told to step down, and replicas have to cover its end.
+    Sealing,        // Commands go to the instances until enough are sealed.
     RequestingPromotion, // The request was sent to the platform; no answer yet.
     Confirming,          // The platform accepted; the candidate is not seen as primary yet.
 };
 
-inline constexpr NameTable<PrimaryChangeStage, 5> PrimaryChangeStageNames{{{
+inline constexpr NameTable<PrimaryChangeStage, 8> PrimaryChangeStageNames{{{
     {PrimaryChangeStage::Idle, "idle"},
     {PrimaryChangeStage::AcquiringLease, "claiming"},
+    {PrimaryChangeStage::CatchingUp, "catching-up"},
+    {PrimaryChangeStage::Fencing, "fencing"},
+    {PrimaryChangeStage::SteppingDown, "stepping-down"},
     {PrimaryChangeStage::Sealing, "sealing"},
     {PrimaryChangeStage::RequestingPromotion, "ordering"},
     {PrimaryChangeStage::Confirming, "confirming"},
@@ -144,9 +161,9 @@
     virtual void promote(const std::string &group, const std::string &instance,
                          std::uint64_t fencingToken)
         = 0;
-    // Records the candidate in the row of the lease, or, if it is empty, that no promotion request
-    // may be carried out any more; answered by onCandidateRecorded(). With fenced promotions, after
-    // a request stayed without an answer; otherwise before the request.
+    // Records the candidate in the row of the lease before its promotion is requested, or, if it is
+    // empty, that no promotion request may be carried out any more; answered by
+    // onCandidateRecorded().
     virtual void recordCandidate(const std::string &group, const std::string &candidate,
                                  std::uint64_t fencingToken)
         = 0;
@@ -209,6 +226,9 @@
     // Before the next attempt, after one that failed.
     static constexpr Millis RetryAfter = Millis(600);
 
+    // That a promotion takes at the most, from its request on.
+    static constexpr Millis PromotionTime = Millis(2000);
+
     void enter(Millis now, PrimaryChangeStage stage, const std::string &detail);
     void start(Millis now, PrimaryChangeCause cause);
     void abandon(Millis now, const std::string &reason);
@@ -223,34 +243,51 @@
     bool runsUntilPromoted(const std::string &instance) const;
     bool countsAsSealed(const std::string &instance, const std::string &candidate) const;
     std::size_t countableSeals(const std::string &candidate) const;
-    std::size_t sealsWithoutPrimary() const;
     bool holdsItsLog(const std::string &instance, const InstanceStatus &status) const;
+    void beginHandover(Millis now);
+    void tickHandover(Millis now, PrimaryChangeCause cause);
+    void queryFollowers(Millis now);
+    void onHandoverStatus(Millis now, const std::string &instance, StatementKind command,
+                          const InstanceStatus &status);
+    std::string bestReplicaAt(Position end) const;
+    bool someReplicaIsPaused() const;
+    void fenceIfReplicaFollows(Millis now);
+    bool needsFence(Millis now) const;
+    bool fenceHolds() const;
+    void sendFence(Millis now);
+    void onFenceAnswer(Millis now, PromotionResult result);
+    void stepDown(Millis now);
+    void sendStepDown(Millis now);
+    void continueHandover(Millis now);
+    void promoteIfCovered(Millis now);
+    std::string handoverText() const;
+    void sealUnderSafeToken(Millis now);
+    void sealInstead(Millis now, const std::string &reason);
     void sendSeals(Millis now);
     void sealAroundFailedPrimary();
-    void sealAroundLeavingPrimary(Millis now);
-    void sealCandidateToo(Millis now);
     void retryAfterPromotionRequest(Millis now, const std::string &reason);
+    bool stalledIsRecorded(Millis now);
     void promoteStalledAgain(Millis now);
-    void chooseCandidate(Millis now);
+    void onFenced(Millis now, const std::string &detail);
     std::vector<std::string> possibleCandidates() const;
     bool listIsRecent() const;
     std::string sealingText() const;
-    bool candidateHasCaughtUp() const;
     std::string bestSealed() const;
     bool holdsAllAcknowledged(const std::string &candidate) const;
     bool coversCountedSeals(const std::string &candidate) const;
-    bool oldPrimaryMayStepDown() const;
+    bool listIsEvidence() const;
+    bool oldPrimaryMayReturn() const;
+    bool coversOldPrimary(const std::string &candidate) const;
     bool mayBeCandidate(const std::string &instance) const;
     void requestPromotionIfSealed(Millis now);
     bool forgetSeal(const std::string &instance);
-    bool leavingPrimaryIsSealed() const;
     bool chooseSealedCandidate(Millis now);
     bool earlierRequestIsOpen(Millis now) const;
     bool isOpenCandidate(const std::string &instance) const;
     bool openCandidateIsHarmless() const;
     bool preferOpenCandidate(Millis now);
-    bool oldPrimaryIsHarmless(Millis now);
-    bool candidateIsRecorded(Millis now);
+    bool oldPrimaryIsHarmless(Millis now) const;
+    bool isRecorded(Millis now, const std::string &candidate);
     void forgetCandidate();
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
@@ -273,6 +310,7 @@
     // Instances that are no longer registered although they did not announce that they leave, and
     // since when.
     std::map<std::string, Millis> m_missing;
+    std::optional<Millis> m_listIsEvidenceFrom; // See listIsEvidence().
     // Instances that restarted lately and may have lost their log, and when that was seen.
     std::map<std::string, Millis> m_restarted;
     PrimaryChangeStage m_stage = PrimaryChangeStage::Idle;
@@ -297,11 +335,21 @@
     Millis m_nextResumeRecordAt;
     Millis m_releaseAt; // Before that, no lease is sought for the sealed instances alone.
     std::string m_candidate;
-    std::optional<Position> m_candidatePosition;
-    // What the possible candidates of a leaving primary answered before one was chosen.
-    std::map<std::string, InstanceStatus> m_candidateStatus;
-    bool m_oldPrimaryStepsDownLast = false;  // It leaves, and serves on until then.
-    std::optional<Position> m_oldPrimaryEnd; // Of its log, when it was asked last.
+    // The last fence that the platform accepted; see above.
+    struct Fence
+    {
+        std::string primary;
+        std::uint64_t fencingToken = 0;
+        Millis settledAt; // It cannot take effect any more.
+    };
+    std::optional<Fence> m_fence;
+    // What the replicas answered in the present round of queries of a handover.
+    std::map<std::string, InstanceStatus> m_followers;
+    std::optional<Position> m_followerTarget; // The old primary's end before that round.
+    // Where the old primary's log ends: as it said last or, once it has stepped down, for good.
+    std::optional<Position> m_oldPrimaryEnd;
+    std::uint64_t m_oldPrimaryTerm = 0; // In which it said that it is primary.
+    Millis m_stepDownAt;                // When it was told to step down, or said that it has.
     std::string m_oldPrimary;
     std::string m_leaseSoughtFor;        // The primary when the lease was requested.
     bool m_steppedDown = false;          // The old primary became a replica in this attempt.
@@ -309,14 +357,14 @@
     std::optional<Millis> m_sealedSince; // Since when enough instances are sealed.
     std::string m_openCandidate;         // See LeaseResult.
     Millis m_openUntil;
+    int m_unansweredPromotions = 0;   // Requests of this attempt without an answer.
+    std::string m_recordedCandidate;  // What the lease's row holds, as far as this host wrote it.
+    std::string m_recordingCandidate; // What it was asked to hold last.
+    Millis m_nextRecordAt;
     // The following are used only without fenced promotions.
     std::uint64_t m_newestTerm = 0; // The highest one that an instance reported.
     // Instances that were primary of an earlier term and go on leading; they have to step down.
     std::set<std::string> m_outdatedPrimaries;
-    int m_unansweredPromotions = 0;  // Requests of this attempt without an answer.
-    std::string m_recordedCandidate; // What the lease's row holds, as far as this host wrote it.
-    Millis m_nextRecordAt;
-    Millis m_nextStepDownAt;
 };
 
 } // namespace cicadagap
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -1,5 +1,5 @@
-// The part of PrimaryChange that seals instances, chooses the candidate, and decides when its
-// promotion may be requested.
+// The part of PrimaryChange that seals instances around a primary that does not answer, chooses the
+// candidate, and decides when its promotion may be requested.
 #include "session/primarychange.h"
 
 #include "session/readlease.h"
@@ -12,13 +12,9 @@
 
 namespace {
 
-// How long the possible candidates of a leaving primary have to answer before one is chosen.
-constexpr Millis CandidateQueryTime(200);
 // From sufficient seals until an instance that leaves is promoted, if no other one holds
 // everything.
 constexpr Millis StayingCandidateWait(500);
-// That a promotion takes at the most, from its request on.
-constexpr Millis PromotionTime(2000);
 // Of the list of instances when the lease is acquired, to seal them by it. The store may stop
 // answering after it has granted the lease.
 constexpr Millis MaxListAge(1000);
@@ -123,27 +119,16 @@
         }));
 }
 
-// The number of seals that would count if the old primary stepped down.
-std::size_t PrimaryChange::sealsWithoutPrimary() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [&](const auto &row) {
-            return (m_steppedDown || runsUntilPromoted(row.first))
-                && holdsItsLog(row.first, row.second);
-        }));
-}
-
 // Seals all registered instances. The old primary first has to step down, if it still answers. One
 // that may receive in any case is only asked for its position.
 void PrimaryChange::sealAroundFailedPrimary()
 {
     const std::string term = std::to_string(m_sealTerm);
-    const bool mayStepDown = oldPrimaryMayStepDown();
     for (const std::string &id : possibleLogHolders()) {
         const bool receives = id != m_oldPrimary && sealMayBeUndone(id);
         if ((m_sealed.contains(id) && !receives) || !isRegistered(id))
             continue;
-        if (receives || (id == m_oldPrimary && !mayStepDown)) {
+        if (receives) {
             m_output->sendCommand(id, {.kind = StatementKind::Status});
             continue;
         }
@@ -158,59 +143,7 @@
     }
 }
 
-// Whether the old primary's service may end. One that leaves but serves has to go on until another
-// instance can be promoted: it would have to be promoted again otherwise.
-bool PrimaryChange::oldPrimaryMayStepDown() const
-{
-    const std::size_t seals = sealsWithoutPrimary();
-    if (!m_oldPrimaryStepsDownLast || seals >= sealsNeeded())
-        return true;
-    // While it takes new work, its log soon goes beyond what the others hold.
-    const std::optional<Millis> end = m_groupState.listed.endOf(m_oldPrimary);
-    const bool takesWork = !end || m_now < *end;
-    if (takesWork || !m_oldPrimaryEnd || seals + 1 < sealsNeeded())
-        return false;
-    return std::any_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-        return mayBeCandidate(row.first) && row.second.received.covers(*m_oldPrimaryEnd);
-    });
-}
-
-// Seals all replicas but the candidate. With one synchronous replica, the primary then acknowledges
-// only what the candidate has received.
-void PrimaryChange::sealAroundLeavingPrimary(Millis now)
-{
-    chooseCandidate(now);
-    if (m_candidate.empty()) {
-        m_nextSendAt = now + ResendInterval;
-        for (const std::string &id : possibleCandidates())
-            m_output->sendCommand(id, {.kind = StatementKind::Status});
-        return;
-    }
-    for (const auto &row : m_registered) {
-        if (row.first == m_candidate || row.first == m_oldPrimary || m_sealed.contains(row.first)
-            || sealMayBeUndone(row.first))
-            continue;
-        m_toResume.insert(row.first);
-        m_output->sendCommand(
-            row.first, {.kind = StatementKind::Pause, .argument = std::to_string(m_sealTerm)});
-    }
-    m_output->sendCommand(m_candidate, {.kind = StatementKind::Status});
-}
-
-// A leaving primary's candidate has not caught up, or not all other replicas could be sealed.
-// Waiting longer would not help, and the primary has to be replaced before it stops.
-void PrimaryChange::sealCandidateToo(Millis now)
-{
-    const std::string detail = sealingText();
-    m_cause = PrimaryChangeCause::Unreachable;
-    m_oldPrimaryStepsDownLast = true;
-    m_candidate.clear();
-    m_candidatePosition.reset();
-    m_nextSendAt = now;
-    enter(now, PrimaryChangeStage::Sealing, "the candidate as well: " + detail);
-}
-
-// The replicas of a leaving primary that may replace it.
+// The replicas that may replace the old primary.
 std::vector<std::string> PrimaryChange::possibleCandidates() const
 {
     std::vector<std::string> ids;
@@ -221,34 +154,6 @@
     return ids;
 }
 
-// Chooses the replica that has received the most, once all have answered or had time to.
-void PrimaryChange::chooseCandidate(Millis now)
-{
-    if (!m_candidate.empty() && mayBeCandidate(m_candidate))
-        return;
-    m_candidate.clear();
-    m_candidatePosition.reset();
-    const std::vector<std::string> ids = possibleCandidates();
-    const bool allAnswered = std::all_of(
-        ids.begin(), ids.end(), [this](const auto &id) { return m_candidateStatus.contains(id); });
-    if (!allAnswered && now - m_stageSince < CandidateQueryTime)
-        return;
-    // One that an earlier attempt left sealed does not receive. While a request to promote an
-    // instance may be carried out, that one is preferred; then one that cannot be sealed.
-    const auto rank = [this](const std::string &id) {
-        const InstanceStatus &status = m_candidateStatus.at(id);
-        return std::tuple(isOpenCandidate(id), sealMayBeUndone(id), status.pausedTerm == 0,
-                          status.received);
-    };
-    for (const std::string &id : ids) {
-        if (m_candidateStatus.contains(id) && (m_candidate.empty() || rank(id) > rank(m_candidate)))
-            m_candidate = id;
-    }
-    if (!m_candidate.empty())
-        m_candidatePosition = m_candidateStatus.at(m_candidate).received;
-    m_sealed.erase(m_candidate);
-}
-
 // Whether the instance is registered and not leaving.
 bool PrimaryChange::mayBeCandidate(const std::string &instance) const
 {
@@ -283,6 +188,29 @@
     });
 }
 
+// Whether the list shows all that may have received from the old primary: this process has seen it
+// for a while, it was not out of reach lately, and no instance is missing from it.
+bool PrimaryChange::listIsEvidence() const
+{
+    return m_listIsEvidenceFrom && m_now >= *m_listIsEvidenceFrom && m_missing.empty();
+}
+
+// Whether the sealed instance's log reaches the end of that of an old primary that has stepped
+// down. What that one acknowledged is before its end, whichever instances received it. Entries at
+// its end may never have been acknowledged, so that the seals suffice if the list is evidence.
+bool PrimaryChange::coversOldPrimary(const std::string &candidate) const
+{
+    return !m_steppedDown || !m_oldPrimaryEnd || listIsEvidence()
+        || m_sealed.at(candidate).received.covers(*m_oldPrimaryEnd);
+}
+
+// Whether it makes sense to promote the old primary again, once it has stepped down. If it ends
+// before, its successor has its log.
+bool PrimaryChange::oldPrimaryMayReturn() const
+{
+    return runsUntilPromoted(m_oldPrimary);
+}
+
 // Of the sealed instances that may be promoted, the one with the highest position: of those that
 // stay, if one of them holds all acknowledged commits, or else of all. Empty if there is none.
 std::string PrimaryChange::bestSealed() const
@@ -291,7 +219,9 @@
     std::pair<bool, Position> bestRank;
     for (const auto &[id, status] : m_sealed) {
         const bool stays = mayBeCandidate(id) && holdsAllAcknowledged(id);
-        const bool suffices = countableSeals(id) >= sealsNeeded();
+        const bool returns = id == m_oldPrimary;
+        const bool suffices = countableSeals(id) >= sealsNeeded() && coversOldPrimary(id)
+            && (!returns || oldPrimaryMayReturn());
         const std::pair rank(stays, status.received);
         if (!suffices || (!stays && !coversCountedSeals(id)) || (!best.empty() && rank <= bestRank))
             continue;
@@ -315,37 +245,15 @@
     if (!listIsRecent())
         text += ", list read " + std::to_string((m_leaseAt - m_groupState.listed.readAt).count())
             + " ms before the lease";
-    if (m_candidatePosition)
-        text += " at " + positionText(*m_candidatePosition);
+    if (m_steppedDown && m_oldPrimaryEnd)
+        text += ", " + m_oldPrimary + " stepped down at " + positionText(*m_oldPrimaryEnd)
+            + (listIsEvidence() ? "" : ", the list may lack receivers");
     for (const auto &[id, status] : m_sealed)
         text += (sealMayBeUndone(id) ? ", receiving " : ", sealed ") + id + " at "
             + positionText(status.received);
     return text;
 }
 
-// Whether the candidate holds everything that any sealed instance has received.
-bool PrimaryChange::candidateHasCaughtUp() const
-{
-    if (!m_candidatePosition)
-        return false;
-    return std::all_of(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-        return m_candidatePosition->covers(row.second.received);
-    });
-}
-
-// Whether the candidate holds all that the leaving primary has acknowledged, and will.
-bool PrimaryChange::leavingPrimaryIsSealed() const
-{
-    const std::size_t others = m_registered.size() - (m_registered.contains(m_oldPrimary) ? 1 : 0)
-        - (m_registered.contains(m_candidate) ? 1 : 0);
-    const auto sealedOthers = static_cast<std::size_t>(
-        std::count_if(m_sealed.begin(), m_sealed.end(), [this](const auto &row) {
-            return row.first != m_oldPrimary && row.first != m_candidate
-                && countsAsSealed(row.first, m_candidate);
-        }));
-    return !m_candidate.empty() && sealedOthers >= others && candidateHasCaughtUp();
-}
-
 // Chooses the candidate once enough instances are sealed; false before.
 bool PrimaryChange::chooseSealedCandidate(Millis now)
 {
@@ -365,10 +273,14 @@
         || now - *m_sealedSince >= StayingCandidateWait;
 }
 
-// Whether a request of an earlier holder may still be carried out that changes the primary.
+// Whether a request of an earlier holder may still be carried out that changes the primary. One for
+// the old primary itself does so only if that has stepped down, or on a platform on which it may
+// come after newer ones.
 bool PrimaryChange::earlierRequestIsOpen(Millis now) const
 {
-    return now < m_openUntil && !(m_options.fencedPromotions && isOpenCandidate(m_oldPrimary));
+    const bool changesNothing
+        = m_options.fencedPromotions && !m_steppedDown && isOpenCandidate(m_oldPrimary);
+    return now < m_openUntil && !changesNothing;
 }
 
 bool PrimaryChange::isOpenCandidate(const std::string &instance) const
@@ -393,10 +305,10 @@
     if (!earlierRequestIsOpen(now) || isOpenCandidate(m_candidate)
         || (m_options.fencedPromotions && openCandidateIsHarmless()))
         return true;
-    const auto open = m_sealed.find(m_openCandidate);
-    if (m_cause == PrimaryChangeCause::Leaving || open == m_sealed.end())
+    if (!m_sealed.contains(m_openCandidate) || !holdsAllAcknowledged(m_openCandidate))
         return false;
-    if (!holdsAllAcknowledged(m_openCandidate))
+    // Without fenced promotions nothing can prevent the late one.
+    if (m_options.fencedPromotions && !coversOldPrimary(m_openCandidate))
         return false;
     m_candidate = m_openCandidate;
     return true;
@@ -404,7 +316,7 @@
 
 // Whether no host can take the old primary for the present one: it has stepped down, or hosts have
 // stopped to trust it. One whose candidate still receives has to step down.
-bool PrimaryChange::oldPrimaryIsHarmless(Millis now)
+bool PrimaryChange::oldPrimaryIsHarmless(Millis now) const
 {
     const std::set<std::string> all = possibleLogHolders();
     const bool allSealed = std::all_of(all.begin(), all.end(), [this](const std::string &id) {
@@ -412,16 +324,7 @@
     });
     if (m_steppedDown || allSealed)
         return true;
-    const bool hasReceiver = m_cause == PrimaryChangeCause::Leaving || mayBeResumed(m_candidate);
-    if (!hasReceiver)
-        return m_sealedSince && now > *m_sealedSince + ReadLeaseDuration;
-    if (now >= m_nextStepDownAt) {
-        m_nextStepDownAt = now + ResendInterval;
-        m_output->sendCommand(
-            m_oldPrimary,
-            {.kind = StatementKind::StepDown, .argument = std::to_string(m_sealTerm)});
-    }
-    return false;
+    return !mayBeResumed(m_candidate) && m_sealedSince && now > *m_sealedSince + ReadLeaseDuration;
 }
 
 } // namespace cicadagap
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -170,6 +170,8 @@
     bool receive(const std::string &from, const std::string &to, std::size_t length,
                  std::uint64_t term);
 
+    // Whether an instance was promoted after the primary of `term`.
+    bool hasPromotedSince(std::uint64_t term) const;
     // Makes a primary that was replaced a replica once it hears of its successor.
     void demoteWhenReachable(const std::string &replaced, std::uint64_t term);
     // Takes the entries out of the instance's log that the primary does not have.
