A replica that has ended counts until others are known to hold its log

Ruled out: the step-down through other hosts (none of those asked reached the primary); the highest known position (the promoter never reached that replica).

Change: it counts as a possible holder until a later commit was acknowledged, another replica covers a later position of the primary, or 10 s have passed. While one is remembered, an instance has to cover the end of an old primary that stepped down.

Tests: EndedReceiver, 4 cases, all lose writes without the change; EndedReplica, 5 cases.

Conclusion: no more writes are lost to an ended replica that the promoter knew; the price is up to 10 s without a primary if that fails too.

--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -130,14 +130,20 @@
 
 void GroupControl::onCommitAcknowledged(const std::string &instance, Millis sentAt)
 {
-    if (Group *group = groupOf(instance))
-        group->tracker.onCommitAcknowledged(instance, sentAt);
+    Group *group = groupOf(instance);
+    if (!group)
+        return;
+    group->tracker.onCommitAcknowledged(instance, sentAt);
+    group->change->onCommitAcknowledged(instance, sentAt);
 }
 
 void GroupControl::onPosition(Millis now, const std::string &instance, Millis sentAt, Position end)
 {
-    if (Group *group = groupOf(instance))
-        group->tracker.onPosition(now, instance, sentAt, end);
+    Group *group = groupOf(instance);
+    if (!group)
+        return;
+    group->tracker.onPosition(now, instance, sentAt, end);
+    group->change->onPosition(instance, sentAt, end);
 }
 
 bool GroupControl::mayServe(Millis now, const std::string &instance, Millis instant,
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -37,6 +37,9 @@
 constexpr Millis UsualListAge(4500);
 // After the store was out of reach, until the instances have written their entries again.
 constexpr Millis EntryReturnTime(2500);
+// For how long no instance is promoted that may lack what one held that has ended. Callers wait for
+// the old primary to come back, which has it; then the log of the others has to do.
+constexpr Millis EndedMemory(10'000);
 // A restarted instance has received the primary's whole log after this time.
 constexpr Millis RestartMemory(10'000);
 
@@ -243,6 +246,34 @@
         m_nextSendAt = now; // The primary has to say again that it is one.
 }
 
+// A commit that was sent after instances had ended was received by one that remains, and with it
+// all before it.
+void PrimaryChange::onCommitAcknowledged(const std::string &instance, Millis sentAt)
+{
+    if (instance == m_groupState.primary)
+        forgetEnded(sentAt);
+}
+
+void PrimaryChange::onPosition(const std::string &instance, Millis sentAt, Position end)
+{
+    if (m_ended.empty())
+        return;
+    if (instance == m_groupState.primary) {
+        if (!m_primarySample)
+            m_primarySample = {.sentAt = sentAt, .end = end};
+        return;
+    }
+    if (!m_primarySample || !mayBeCandidate(instance) || !end.covers(m_primarySample->end))
+        return;
+    forgetEnded(m_primarySample->sentAt);
+    m_primarySample.reset();
+}
+
+void PrimaryChange::forgetEnded(Millis before)
+{
+    std::erase_if(m_ended, [before](const auto &row) { return row.second < before; });
+}
+
 void PrimaryChange::onPromotion(Millis now, PromotionResult verdict)
 {
     m_now = now;
@@ -374,6 +405,7 @@
     for (const RegisteredInstance &instance : instances) {
         present[instance.id] = instance;
         m_missing.erase(instance.id);
+        m_ended.erase(instance.id);
         const auto known = m_registered.find(instance.id);
         if (known == m_registered.end() || known->second.incarnation == instance.incarnation)
             continue;
@@ -382,9 +414,14 @@
     }
     std::erase_if(m_restarted, [now](const auto &row) { return now - row.second > RestartMemory; });
     for (const auto &[id, instance] : m_registered) {
-        if (!present.contains(id) && !instance.leaving)
+        if (present.contains(id))
+            continue;
+        if (!instance.leaving)
             m_missing[id] = now;
+        else if (id != m_groupState.primary)
+            m_ended[id] = now;
     }
+    std::erase_if(m_ended, [now](const auto &row) { return now - row.second > EndedMemory; });
     std::erase_if(m_missing, [now](const auto &row) { return now - row.second > MissingMemory; });
     const bool isOld = now - m_groupState.listed.readAt > UsualListAge;
     if (!m_listIsEvidenceFrom)
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -214,6 +214,10 @@
     void onRelayFailed(Millis now);
     // The instance closed a connection or refused one. It may have restarted, which unseals it.
     void onConnectionLost(Millis now, const std::string &instance);
+    // The instance acknowledged, as primary, a commit that was sent to it at `sentAt`.
+    void onCommitAcknowledged(const std::string &instance, Millis sentAt);
+    // The instance's log ended at `end` when it answered a request that was sent at `sentAt`.
+    void onPosition(const std::string &instance, Millis sentAt, Position end);
     void onPromotion(Millis now, PromotionResult result);
     // The answer to recordCandidate(); `recorded` is false if the row may lack the candidate.
     void onCandidateRecorded(Millis now, const std::string &candidate, bool recorded);
@@ -245,6 +249,8 @@
     void abandon(Millis now, const std::string &reason);
     void takeLease(const LeaseResult &result);
     void trackRegistrations(Millis now, const std::vector<RegisteredInstance> &instances);
+    void forgetEnded(Millis before);
+    std::set<std::string> possibleReceivers() const;
     std::set<std::string> possibleLogHolders() const;
     std::size_t sealsNeeded() const;
     bool mayBeResumed(const std::string &instance) const;
@@ -324,6 +330,17 @@
     // Instances that are no longer registered although they did not announce that they leave, and
     // since when.
     std::map<std::string, Millis> m_missing;
+    // Instances that left and have ended, and when that was seen. Each may have been the only one
+    // to receive what the primary acknowledged, until another replica is known to hold it.
+    std::map<std::string, Millis> m_ended;
+    // Where the primary's log ended after the last of them had; a replica that covers it holds all
+    // that they held.
+    struct PrimarySample
+    {
+        Millis sentAt;
+        Position end;
+    };
+    std::optional<PrimarySample> m_primarySample;
     std::optional<Millis> m_listIsEvidenceFrom; // See listIsEvidence().
     // Instances that restarted lately and may have lost their log, and when that was seen.
     std::map<std::string, Millis> m_restarted;
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -32,8 +32,8 @@
     return true;
 }
 
-// The instances whose logs may hold acknowledged commits.
-std::set<std::string> PrimaryChange::possibleLogHolders() const
+// The instances that may receive from a primary.
+std::set<std::string> PrimaryChange::possibleReceivers() const
 {
     std::set<std::string> ids;
     for (const auto &row : m_registered)
@@ -43,6 +43,18 @@
     return ids;
 }
 
+// The instances whose logs may hold acknowledged commits. Those that have ended do not matter once
+// the old primary has stepped down: the candidate covers its end.
+std::set<std::string> PrimaryChange::possibleLogHolders() const
+{
+    std::set<std::string> ids = possibleReceivers();
+    if (!m_steppedDown) {
+        for (const auto &row : m_ended)
+            ids.insert(row.first);
+    }
+    return ids;
+}
+
 // How many instances have to be sealed. Any set of that many holds at least one copy of each
 // acknowledged commit.
 std::size_t PrimaryChange::sealsNeeded() const
@@ -127,7 +139,7 @@
 {
     stepDownThroughOthers(m_now);
     const std::string term = std::to_string(m_sealTerm);
-    for (const std::string &id : possibleLogHolders()) {
+    for (const std::string &id : possibleReceivers()) {
         const bool receives = id != m_oldPrimary && sealMayBeUndone(id);
         if ((m_sealed.contains(id) && !receives) || !isRegistered(id))
             continue;
@@ -198,10 +210,13 @@
 }
 
 // Whether the list shows all that may have received from the old primary: this process has seen it
-// for a while, it was not out of reach lately, and no instance is missing from it. An instance that
-// has not registered for some time after the old primary stepped down is taken to be gone.
+// for a while, it was not out of reach lately, and no instance is missing from it or has ended. An
+// instance that has not registered for some time after the old primary stepped down is taken to be
+// gone.
 bool PrimaryChange::listIsEvidence() const
 {
+    if (!m_ended.empty())
+        return false;
     if (m_downSince && m_downSince->first == m_oldPrimary
         && m_now >= m_downSince->second + RegistrationWait)
         return true;
@@ -322,7 +337,7 @@
 // cannot acknowledge anything: all others are sealed. All are, if it is not known.
 bool PrimaryChange::openCandidateIsHarmless() const
 {
-    const std::set<std::string> all = possibleLogHolders();
+    const std::set<std::string> all = possibleReceivers();
     return std::all_of(all.begin(), all.end(), [this](const std::string &id) {
         return isOpenCandidate(id) || (countsAsSealed(id, m_openCandidate) && !mayBeResumed(id));
     });
@@ -348,7 +363,7 @@
 // stopped to trust it. One whose candidate still receives has to step down.
 bool PrimaryChange::oldPrimaryIsHarmless(Millis now) const
 {
-    const std::set<std::string> all = possibleLogHolders();
+    const std::set<std::string> all = possibleReceivers();
     const bool allSealed = std::all_of(all.begin(), all.end(), [this](const std::string &id) {
         return m_sealed.contains(id) && !mayBeResumed(id);
     });
--- a/src/session/tst_acknowledgedwrites.cpp
+++ b/src/session/tst_acknowledgedwrites.cpp
@@ -112,6 +112,46 @@
                              return "after" + std::to_string(info.param.count());
                          });
 
+// Guards against this failure (review/1): a leaving replica was the only one to receive what a cut
+// primary acknowledged, and ended; a replica was promoted that had received nothing of it.
+class EndedReceiver : public AcknowledgedWrites, public testing::WithParamInterface<Millis>
+{
+};
+
+TEST_P(EndedReceiver, LosesNoWriteThatItAloneReceived)
+{
+    constexpr Millis Departure(12'000);
+    constexpr Millis Cut(17'000);
+    constexpr Millis EndOfReplica(19'000);
+    constexpr Millis EndOfCut(24'000);
+    scenario.runUntil(Departure);
+    scenario.leave("c");
+    scenario.runUntil(Cut);
+    scenario.receiveNothing = {"b"};
+    scenario.hosts[0]->unreachable = "a";
+    // The host notices the cut only now; it would seal the leaving replica before.
+    scenario.at(EndOfReplica, [this] { scenario.end("c"); });
+    scenario.at(EndOfReplica + GetParam(),
+                [this] { scenario.hosts[0]->cause = PrimaryChangeCause::Unreachable; });
+    scenario.at(EndOfReplica + Millis(100), [this] {
+        scenario.receiveNothing.insert("d");
+        scenario.startInstance("d");
+    });
+    scenario.at(EndOfCut, [this] {
+        scenario.receiveNothing.clear();
+        scenario.hosts[0]->unreachable.clear();
+    });
+    scenario.runUntil(Millis(40'000));
+    EXPECT_EQ(scenario.lostWrites, std::vector<std::string>{});
+    ASSERT_TRUE(scenario.group.primary());
+}
+
+INSTANTIATE_TEST_SUITE_P(Changes, EndedReceiver,
+                         testing::Values(Millis(0), Millis(300), Millis(2000), Millis(4000)),
+                         [](const auto &info) {
+                             return "noticed" + std::to_string(info.param.count());
+                         });
+
 // How the request comes to stay open.
 enum class Beginning {
     Leaves,     // The primary leaves, and the platform does not answer.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -429,6 +429,59 @@
     EXPECT_FALSE(recorder.has("promote b 7"));
 }
 
+// How it becomes known that others hold what an ended replica received.
+enum class Evidence {
+    None,
+    Commit,        // One that was sent after the end was acknowledged.
+    EarlierCommit, // It was sent before the end.
+    Position,      // Another replica covers the end of the primary's log after the end.
+    Time,
+};
+
+constexpr NameTable<Evidence, 5> EvidenceNames{{{
+    {Evidence::None, "none"},
+    {Evidence::Commit, "commit"},
+    {Evidence::EarlierCommit, "earlierCommit"},
+    {Evidence::Position, "position"},
+    {Evidence::Time, "time"},
+}}};
+
+// The replica c leaves and ends; the primary a then fails beside b and d.
+class EndedReplica : public PrimaryChangeTest, public testing::WithParamInterface<Evidence>
+{
+};
+
+TEST_P(EndedReplica, CountsUntilOthersAreKnownToHoldItsLog)
+{
+    instances.push_back({.id = "d"});
+    instances[2].leaving = true;
+    const Millis ended = Start - (GetParam() == Evidence::Time ? Millis(10'001) : Millis(1000));
+    change.onTick(ended - Millis(100), PrimaryChangeCause::None, groupState());
+    instances.erase(instances.begin() + 2);
+    change.onTick(ended, PrimaryChangeCause::None, groupState());
+    const Position end{.term = 4, .index = 12};
+    if (GetParam() == Evidence::Commit)
+        change.onCommitAcknowledged("a", ended + Millis(1));
+    if (GetParam() == Evidence::EarlierCommit)
+        change.onCommitAcknowledged("a", ended - Millis(1));
+    if (GetParam() == Evidence::Position) {
+        change.onPosition("a", ended + Millis(1), end);
+        change.onPosition("d", ended + Millis(2), end);
+    }
+    begin(PrimaryChangeCause::Unreachable);
+    reportPaused("b", 10);
+    reportPaused("d", 12);
+    const bool counts = GetParam() == Evidence::None || GetParam() == Evidence::EarlierCommit;
+    EXPECT_EQ(recorder.has("promote d 7"), !counts);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EndedReplica,
+                         testing::Values(Evidence::None, Evidence::Commit, Evidence::EarlierCommit,
+                                         Evidence::Position, Evidence::Time),
+                         [](const auto &info) {
+                             return std::string(EvidenceNames.name(info.param));
+                         });
+
 // Replaces the leaving primary a, which still answers.
 class Handover : public PrimaryChangeTest
 {
--- a/test/changescenario.cpp
+++ b/test/changescenario.cpp
@@ -66,6 +66,13 @@
     m_runsUntil[instance] = m_now + time;
 }
 
+void ChangeScenario::end(const std::string &instance)
+{
+    GroupInstance *ended = group.find(instance);
+    ended->running = false;
+    ended->removed = true;
+}
+
 void ChangeScenario::setListed(const std::string &instance, bool listed)
 {
     if (listed)
@@ -153,9 +160,9 @@
     at(m_now + delay, std::move(function));
 }
 
-bool ChangeScenario::canReplicate(const std::string &, const std::string &)
+bool ChangeScenario::canReplicate(const std::string &, const std::string &to)
 {
-    return true;
+    return !receiveNothing.contains(to);
 }
 
 Millis ChangeScenario::receiveDelay()
--- a/test/changescenario.h
+++ b/test/changescenario.h
@@ -102,6 +102,8 @@
     void crashPrimary(std::size_t host);
     // The instance announces that it leaves. It takes new work for `time`.
     void leave(const std::string &instance, Millis time = Millis(7000));
+    // The instance ends, and its log goes with it.
+    void end(const std::string &instance);
     // An instance without an entry in the list goes on receiving.
     void setListed(const std::string &instance, bool listed);
     // A replica with an empty log starts.
@@ -112,6 +114,7 @@
     ReplicaGroup group;
     SimulatedStore store;
     std::vector<std::unique_ptr<ChangingHost>> hosts;
+    std::set<std::string> receiveNothing; // Replicas that the primary cannot reach.
     bool othersReachAll = false;          // Hosts that take no part in changes pass commands on.
     std::set<std::string> delaysCommands; // Instances that leave commands unanswered now.
     Millis lateness = Millis(6000);       // Of a command that gets no answer.
@@ -145,7 +148,7 @@
     void carryOutPromotion(const std::string &instance, std::uint64_t token);
     PromotionResult judgePromotion(const std::string &instance, std::uint64_t token);
     void after(Millis delay, std::function<void()> function) override;
-    bool canReplicate(const std::string &, const std::string &to) override;
+    bool canReplicate(const std::string &from, const std::string &to) override;
     Millis receiveDelay() override;
     void onRead(const GroupInstance &, const InstanceConnection &, const Statement &) override { }
     void onWrite(const GroupInstance &, const InstanceConnection &, const Statement &) override { }
