A log that nothing reads does not stop the process

Cause: each line was written synchronously on the only thread; a full pipe blocks.

Ruled out: the limit on request lines, which bounds the rate, not a write; O_NONBLOCK, which other processes that share the descriptor would see.

SIGPIPE is ignored, so that a reader that goes away does not end the process.

--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,19 +1,23 @@
 #include "process/log.h"
 
 #include "base/millis.h"
+#include "process/linewriter.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <csignal>
 #include <memory>
 #include <utility>
 
+#include <unistd.h>
+
 namespace cicadagap {
 
 namespace {
@@ -32,6 +36,54 @@
     }
 };
 
+boost::json::object lineOf(LogLevel level, std::string_view event)
+{
+    boost::json::object line;
+    line["at"] = timeOfDay().count();
+    line["level"] = LogLevelNames.name(level);
+    line["program"] = programName;
+    line["host"] = hostName;
+    line["event"] = event;
+    return line;
+}
+
+// Writes to a file descriptor without waiting for its reader, and says how many lines were dropped
+// once the reader has gone on. The library calls append() for one event at a time.
+class DescriptorAppender : public log4cplus::Appender
+{
+public:
+    explicit DescriptorAppender(int descriptor)
+        : m_writer({.descriptor = descriptor})
+    {
+    }
+    ~DescriptorAppender() override { destructorImpl(); }
+
+    void close() override
+    {
+        m_writer.flush();
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        if (m_dropped > 0 && m_writer.flush()) {
+            boost::json::object line = lineOf(LogLevel::Warning, "log.unread");
+            line["lines"] = m_dropped;
+            m_dropped = 0;
+            m_writer.write(boost::json::serialize(line) + '\n');
+        }
+        log4cplus::tostringstream text;
+        layout->formatAndAppend(text, event);
+        m_writer.write(text.str());
+        m_dropped += m_writer.takeDropped();
+    }
+
+private:
+    LineWriter m_writer;
+    std::uint64_t m_dropped = 0;
+};
+
 log4cplus::LogLevel log4cplusLevel(LogLevel level)
 {
     switch (level) {
@@ -57,9 +109,10 @@
     static_cast<void>(library);
     programName = options.program;
     hostName = options.host;
-    constexpr bool FlushEachLine = true;
+    // A reader that goes away must not end the process.
+    ::signal(SIGPIPE, SIG_IGN);
     log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(!options.toStandardOutput, FlushEachLine));
+        new DescriptorAppender(options.toStandardOutput ? STDOUT_FILENO : STDERR_FILENO));
     appender->setLayout(std::make_unique<JsonLinesLayout>());
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
@@ -71,12 +124,7 @@
     static const log4cplus::Logger root = log4cplus::Logger::getRoot();
     if (!root.isEnabledFor(log4cplusLevel(level)))
         return;
-    boost::json::object line;
-    line["at"] = timeOfDay().count();
-    line["level"] = LogLevelNames.name(level);
-    line["program"] = programName;
-    line["host"] = hostName;
-    line["event"] = event;
+    boost::json::object line = lineOf(level, event);
     for (const LogField &field : fields)
         line[field.name] = field.value;
     root.log(log4cplusLevel(level), boost::json::serialize(line));
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -62,7 +62,9 @@
     boost::json::value value;
 };
 
-// Starts logging. Call it once, before any thread logs.
+// Starts logging. Call it once, before any thread logs. Nothing waits for the reader of the log:
+// lines for which there is no room are dropped and counted, in the event log.unread. The process
+// ignores SIGPIPE from then on.
 void startLog(const LogOptions &options);
 
 // Writes one line if `level` is enabled. `event` is a dotted name that stays the same across
