An update that waited in a suspended host's socket buffer counts as old

Cause: the ages in an update of the platform reader were counted from its handling, also if it had waited while the host was suspended.

Ruled out: the whole time since the request as its age: a request waits up to 1.5 s at the reader for a change, so that lists would usually count as outdated.

Change: ArrivalDelay bounds how long a message may have waited: since the last tick, or since the suspension that has just ended, but not longer than since the request. It is added to the ages of updates and of readings of the configuration; readings of hosts count from their request, as those of instances did. Ages that are taken elsewhere were looked at: leases count from their request and on the store's clock, an epoch's age is a lower bound, positions and evidence count from when a query was sent, and a batch's required age becomes stricter if the batch waits.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -80,6 +80,7 @@
 
 void PlatformFeed::onTick()
 {
+    m_arrivalDelay.onTick(now());
     m_cache.onTick(now());
     registerIfDue();
 }
@@ -127,12 +128,12 @@
     const bool waitForChange = m_configurationFailures == 0 && m_engine->configurationVersion() > 0;
     m_platform->configuration(
         waitForChange ? m_configurationWait : Millis(0),
-        [this](const std::optional<ConfigurationReading> &reading) {
+        [this, requestedAt = now()](const std::optional<ConfigurationReading> &reading) {
             const bool usable = isUsable("configuration", reading);
             findEpochStart();
             recordReading("configuration", &m_configurationFailures, usable);
             if (usable) {
-                m_cache.setRouting(now(), reading->value);
+                m_cache.setRouting(now(), reading->value, m_arrivalDelay.bound(now(), requestedAt));
                 applyRouting(reading->value);
             }
             m_loop->after(usable ? Millis(0)
@@ -184,11 +185,11 @@
         m_loop->after(RoleCheckInterval, [this] { readHosts(); });
         return;
     }
-    m_platform->hosts([this](const std::optional<HostReading> &reading) {
+    m_platform->hosts([this, requestedAt = now()](const std::optional<HostReading> &reading) {
         const bool usable = isUsable("hosts", reading);
         recordReading("hosts", &m_hostsFailures, usable);
         if (usable) {
-            m_cache.setHosts(now(), reading->value, reading->position);
+            m_cache.setHosts(now(), reading->value, reading->position, now() - requestedAt);
             applyHosts(reading->value);
         }
         startReading();
@@ -246,14 +247,16 @@
     PlatformUpdateRequest request = m_cache.request(wait);
     request.host = m_self.host;
     peer->call({.path = "/bulletin", .body = encodePlatformUpdateRequest(request)},
-               wait + UpdateMargin, [this, platformReader](const PeerReply &reply) {
+               wait + UpdateMargin,
+               [this, platformReader, requestedAt = now()](const PeerReply &reply) {
                    Reason reason;
-                   const std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
+                   std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
                        ? decodePlatformUpdate(reply.body, &reason)
                        : std::nullopt;
                    if (update)
                        logRefusedEntry(reason.text());
                    if (update && platformReader == m_followedReader) {
+                       update->addAge(m_arrivalDelay.bound(now(), requestedAt));
                        applyUpdate(*update);
                        m_loop->after(m_readerUpToDate ? Millis(0) : RoleCheckInterval,
                                      [this] { followReader(); });
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -8,6 +8,7 @@
 
 #include "connection/peerclient.h"
 #include "process/eventloop.h"
+#include "session/arrivaldelay.h"
 #include "session/hostliveness.h"
 #include "session/hostregistration.h"
 #include "session/platformcache.h"
@@ -87,6 +88,7 @@
     PlatformCache m_cache;
     StoreEpoch m_epoch;
     std::uint64_t m_epochSought = 0; // For which the start was asked for.
+    ArrivalDelay m_arrivalDelay;
     HostRegistration m_registration;
     HostLiveness m_liveness;       // Of the hosts that follow this one.
     bool m_reading = false;        // The first list of hosts was read, or could not be.
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -54,6 +54,14 @@
     Millis instancesAge;
     Millis hostsAge;
     bool reachesPlatform = false; // The answering host's last reading of each kind succeeded.
+
+    // The update may have been on its way for so long. storeEpochAge, a lower bound, stays true.
+    void addAge(Millis delay)
+    {
+        routingAge = routingAge + delay;
+        instancesAge = instancesAge + delay;
+        hostsAge = hostsAge + delay;
+    }
 };
 
 // Encode as the messages Bulletin and BulletinRequest of generated/relaywire/relay.proto, and back;
