A session that is always in use ends after an answer when its host stops

Cause: sessions were ended by the tick only, every 20 ms, if they had no statement at that instant; one whose next statement comes within 2 ms seldom is. The rest was cut off with the process.

Ruled out: a longer stop (SIGKILL comes after the grace period); ending sessions in the middle of a statement (in doubt).

Change: after the drain delay, a session is also ended right after an answer, once nothing refers to it in that event and no statement of it waits. A statement that arrives in the last 1.5 s before the process stops is refused as not run, so that it goes to another host.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cicadagap {
@@ -29,6 +30,8 @@
 constexpr Millis MaxEarlyWait(1200);
 // The process stops at the latest this long before the end of the grace period, which is SIGKILL.
 constexpr Millis StopMargin(500);
+// That a statement may need which is started last.
+constexpr Millis LastStatementTime(1500);
 // The process keeps running for at least this long after the request to stop, to serve callers that
 // were about to connect then.
 constexpr Millis MinStopTime(2600);
@@ -114,7 +117,10 @@
     logEvent(LogLevel::Info, "server.stopping",
              {{"sessions", static_cast<std::int64_t>(m_engine.sessions())}});
     m_feed->announceLeaving();
-    m_engine.drain(now(), m_options.gracePeriod / 2);
+    const Millis lastStart = m_options.gracePeriod - StopMargin - LastStatementTime;
+    m_engine.drain(now(),
+                   {.transactions = m_options.gracePeriod / 2,
+                    .newStatements = std::max(lastStart, MinStopTime)});
 }
 
 void SessionServer::accept()
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -42,7 +42,7 @@
         return;
     m_routing = routing;
     applyInstances(now);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances,
@@ -53,7 +53,7 @@
          m_instances.update(now, instances, readAt.value_or(now), settled))
         logDeparture(now, departure);
     applyInstances(now);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::logDeparture(Millis now, const InstanceList::Departure &departure)
@@ -108,7 +108,7 @@
     m_hosts.setRecords(now, hosts);
     if (m_hosts.takeChanged())
         applyInstances(now);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 bool SessionEngine::needsInstances(Millis now) const
@@ -143,7 +143,7 @@
     m_pool.onRelayReply(now, connection, reply);
     if (!reply.primary.empty())
         m_control.onReportedPrimary(now, reply.primary);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 // Asks the other hosts that may hold connections to the instance.
@@ -180,7 +180,7 @@
     const bool answered = !reply.answers.empty() && reply.answers.front().status;
     m_control.onRelayedCommand(now, command.instance, command.kind, command.sentAt,
                                answered ? reply.answers.front().status : std::nullopt);
-    m_pool.flush(now);
+    finishEvent(now);
     return true;
 }
 
@@ -201,13 +201,13 @@
               reply(std::move(answer));
           };
     m_relayGateway.onBatch(now, std::move(batch), replyWithPrimary);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel)
 {
     m_relayGateway.onDropped(now, origin, channel);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 Cause SessionEngine::onConnect(Millis now, SessionId session, const std::string &database)
@@ -232,9 +232,11 @@
     }
     if (session->operation)
         session->pending.push_back(std::move(statement));
+    else if (comesTooLate(now, *session))
+        answerLocally(now, id, session, Cause::Overloaded);
     else
         startStatement(now, id, session, std::move(statement));
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onCallerClosed(Millis now, SessionId id)
@@ -257,51 +259,51 @@
         endTransaction(now, session, /*rollBackFirst=*/true);
     m_active.erase(id);
     m_sessions.erase(id);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onTargetOpened(Millis now, ConnectionId connection)
 {
     m_pool.onOpened(now, connection);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onTargetOpenFailed(Millis now, ConnectionId connection, bool full)
 {
     m_pool.onOpenFailed(now, connection, full);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onTargetAnswer(Millis now, ConnectionId connection,
                                    const StatementAnswer &answer)
 {
     m_pool.onAnswer(now, connection, answer);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onTargetClosed(Millis now, ConnectionId connection)
 {
     m_pool.onClosed(now, connection);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onLeaseResult(Millis now, const std::string &group, const LeaseResult &result)
 {
     m_control.onLeaseResult(now, group, result);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onPromotion(Millis now, const std::string &group, PromotionResult verdict)
 {
     m_control.onPromotion(now, group, verdict);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onCandidateRecorded(Millis now, const std::string &group,
                                         const std::string &candidate, bool recorded)
 {
     m_control.onCandidateRecorded(now, group, candidate, recorded);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
 void SessionEngine::onResumesRecorded(const std::string &group,
@@ -345,14 +347,25 @@
     moveReadsFromSilentInstances(now);
     if (m_drainingSince)
         endIdleSessions(now);
-    m_pool.flush(now);
+    finishEvent(now);
 }
 
-void SessionEngine::drain(Millis now, Millis transactionTime)
+void SessionEngine::drain(Millis now, const DrainTimes &times)
 {
     if (!m_drainingSince)
         m_drainingSince = now;
-    m_drainTransactionTime = transactionTime;
+    m_drainTimes = times;
+}
+
+// Does what an event has left to do, once nothing refers to its session any more.
+void SessionEngine::finishEvent(Millis now)
+{
+    for (const SessionId id : std::exchange(m_answered, {})) {
+        const Session *session = find(id);
+        if (session && mayEndForDrain(now, *session))
+            endForDrain(now, id);
+    }
+    m_pool.flush(now);
 }
 
 bool SessionEngine::ready() const
@@ -431,19 +444,38 @@
 // In a graceful shutdown, ends idle sessions once new ones have stopped arriving.
 void SessionEngine::endIdleSessions(Millis now)
 {
-    const Millis since = now - *m_drainingSince;
-    if (since < m_options.drainDelay)
-        return;
     std::vector<SessionId> idle;
     for (auto &[id, session] : m_sessions) {
-        const bool inTransaction = session.phase != SessionPhase::Idle;
-        if (!session.operation && (!inTransaction || since > m_drainTransactionTime))
+        if (mayEndForDrain(now, session))
             idle.push_back(id);
     }
-    for (const SessionId id : idle) {
-        m_output->closeCaller(id, Cause::None);
-        onCallerClosed(now, id);
-    }
+    for (const SessionId id : idle)
+        endForDrain(now, id);
+}
+
+// Whether the graceful shutdown has come so far that the session ends as soon as it is idle, and it
+// is. One that is always in use is idle only right after an answer.
+bool SessionEngine::mayEndForDrain(Millis now, const Session &session) const
+{
+    if (!m_drainingSince || now - *m_drainingSince < m_options.drainDelay)
+        return false;
+    const bool inTransaction = session.phase != SessionPhase::Idle;
+    const bool mayAbort = now - *m_drainingSince > m_drainTimes.transactions;
+    return !session.operation && session.pending.empty() && (!inTransaction || mayAbort);
+}
+
+void SessionEngine::endForDrain(Millis now, SessionId id)
+{
+    m_output->closeCaller(id, Cause::None);
+    onCallerClosed(now, id);
+}
+
+// Whether a statement that arrives now, outside of transactions, could be cut off by the end of the
+// process.
+bool SessionEngine::comesTooLate(Millis now, const Session &session) const
+{
+    return m_drainingSince && now - *m_drainingSince > m_drainTimes.newStatements
+        && session.phase == SessionPhase::Idle && !session.operation;
 }
 
 void SessionEngine::logEvent(Millis now, std::string_view event, SessionId id,
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -134,9 +134,15 @@
                            std::uint64_t fencingToken, bool recorded);
 
     void onTick(Millis now);
+    // How long a graceful shutdown allows for what callers do.
+    struct DrainTimes
+    {
+        Millis transactions;  // After that, sessions inside transactions are ended too.
+        Millis newStatements; // After that, statements outside of transactions are refused.
+    };
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
-    // idle. After `transactionTime`, sessions inside transactions are ended too.
-    void drain(Millis now, Millis transactionTime);
+    // idle, and one that is always in use after an answer.
+    void drain(Millis now, const DrainTimes &times);
 
     // Whether the routing table and the instances are known, and no shutdown has begun.
     bool ready() const;
@@ -260,7 +266,11 @@
     void endTransaction(Millis now, Session *session, bool rollBackFirst);
     void startNextPending(Millis now, SessionId id);
     void checkTimeouts(Millis now, SessionId id, Session *session);
+    void finishEvent(Millis now);
     void endIdleSessions(Millis now);
+    bool mayEndForDrain(Millis now, const Session &session) const;
+    void endForDrain(Millis now, SessionId id);
+    bool comesTooLate(Millis now, const Session &session) const;
     void applyInstances(Millis now);
     void logDeparture(Millis now, const InstanceList::Departure &departure);
     void moveReadsFromSilentInstances(Millis now);
@@ -293,7 +303,8 @@
     std::set<SessionId> m_active; // Those with an operation or a transaction.
     WorkId m_lastWork = 0;
     std::optional<Millis> m_drainingSince;
-    Millis m_drainTransactionTime;
+    DrainTimes m_drainTimes;
+    std::set<SessionId> m_answered; // In the event that is being handled.
 };
 
 } // namespace cicadagap
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -634,6 +634,8 @@
     if (!session->transaction)
         m_active.erase(id);
     m_output->answerCaller(id, answer);
+    if (m_drainingSince)
+        m_answered.insert(id);
     startNextPending(now, id);
 }
 
@@ -642,6 +644,8 @@
     if (!session->transaction)
         m_active.erase(id);
     m_output->answerCaller(id, {.cause = cause, .phase = session->phase});
+    if (m_drainingSince)
+        m_answered.insert(id);
     startNextPending(now, id);
 }
 
