--- a/model/leaving.pml
+++ b/model/leaving.pml
@@ -1,4 +1,6 @@
-/* The replacement of a primary that leaves but still serves (src/session/primarychange.h), with fenced promotions.
+/* The replacement of a primary that leaves but still serves by seals, with fenced promotions. A primary that answers is
+ * replaced by model/handover.pml since; of this model, src/session/primaryseals.cpp has the way in which all replicas are
+ * sealed, and the rules for open requests.
  *
  * There are three instances, and the primary acknowledges an entry once one replica has received it. Holders of the
  * promotion lease follow each other under increasing fencing tokens. A holder seals one replica, so that the other one,
