An earlier answer does not change the end of a primary that has stepped down

Cause: read in the diff: an answer to a status query that was sent before the step-down may arrive after it, and its position replaced the end that the candidate has to cover.

Test: Handover.IgnoresEarlierAnswersOfThePrimaryThatHasSteppedDown, which fails without the change.

--- a/src/session/primaryhandover.cpp
+++ b/src/session/primaryhandover.cpp
@@ -124,15 +124,17 @@
         continueHandover(now);
         return;
     }
+    // Answers to earlier queries may arrive after that to the step-down.
+    if (m_steppedDown)
+        return;
     if (status.primary) {
         m_oldPrimaryEnd = status.received;
         m_oldPrimaryTerm = status.term;
         return;
     }
     const bool wasPrimary = m_oldPrimaryTerm > 0 && status.term <= m_oldPrimaryTerm;
-    if (command != StatementKind::StepDown || !wasPrimary || m_steppedDown) {
-        if (!m_steppedDown)
-            abandon(now, instance + " is not primary any more");
+    if (command != StatementKind::StepDown || !wasPrimary) {
+        abandon(now, instance + " is not primary any more");
         return;
     }
     m_steppedDown = true;
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -562,6 +562,17 @@
     EXPECT_EQ(recorder.recordedCandidates.back(), "c");
 }
 
+// Its end would be taken for an earlier one.
+TEST_F(Handover, IgnoresEarlierAnswersOfThePrimaryThatHasSteppedDown)
+{
+    beginAtTheEnd();
+    follow(11);
+    reportSteppedDown(12);
+    reportPrimary(11);
+    reportReceived("b", 11);
+    EXPECT_FALSE(recorder.has("promote b 7"));
+}
+
 TEST_F(Handover, PromotesTheOldPrimaryAgainIfNoReplicaCoversItsEnd)
 {
     beginAtTheEnd();
