--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -472,6 +472,49 @@
     return std::string(info.param ? "fenced" : "unfenced");
 });
 
+// The instances that receive are not those that hosts know of, or change meanwhile.
+struct ReceiverCase
+{
+    std::string name;
+    std::vector<SimulatedFault> faults;
+};
+
+class ChangingReceivers : public testing::TestWithParam<ReceiverCase>
+{
+};
+
+TEST_P(ChangingReceivers, KeepTheGuarantees)
+{
+    SimulationOptions options{.hosts = 4, .duration = Millis(30'000), .faults = GetParam().faults};
+    for (options.seed = 1; options.seed <= 40; ++options.seed) {
+        const SimulationReport report = simulate(options);
+        EXPECT_TRUE(report.violations.empty()) << "seed " << options.seed << "\n" << text(report);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, ChangingReceivers,
+    testing::Values(ReceiverCase{"unlisted",
+                                 {SimulatedFault::UnlistReplica, SimulatedFault::UnlistReplica,
+                                  SimulatedFault::LeavePrimary}},
+                    ReceiverCase{"unlistedAndKilledHosts",
+                                 {SimulatedFault::UnlistReplica, SimulatedFault::UnlistReplica,
+                                  SimulatedFault::LeavePrimary, SimulatedFault::KillHost,
+                                  SimulatedFault::KillHost, SimulatedFault::KillHost}},
+                    ReceiverCase{"replicasLeave",
+                                 {SimulatedFault::LeaveReplica, SimulatedFault::LeavePrimary,
+                                  SimulatedFault::LeaveReplica}},
+                    ReceiverCase{"replicasLeaveAndLatePromotions",
+                                 {SimulatedFault::LeaveReplica, SimulatedFault::LeavePrimary,
+                                  SimulatedFault::DelayPromotions,
+                                  SimulatedFault::DelayPromotions}},
+                    ReceiverCase{"replicasLeaveAndCutHosts",
+                                 {SimulatedFault::LeaveReplica, SimulatedFault::CutHost,
+                                  SimulatedFault::CutHost, SimulatedFault::LeavePrimary}},
+                    ReceiverCase{"replicasLeaveAndCrash",
+                                 {SimulatedFault::LeaveReplica, SimulatedFault::CrashPrimary}}),
+    [](const auto &info) { return info.param.name; });
+
 TEST(SessionSimulationRandom, KeepsItsGuarantees)
 {
     expectGuarantees(
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -68,6 +68,7 @@
     Millis silentUntil;
     Millis lastReachable;
     std::optional<Millis> leavingSince;
+    Millis unlistedUntil; // Its entry is missing from the store.
     std::map<std::pair<std::size_t, ConnectionId>, ServedConnection> connections;
 };
 
@@ -203,6 +204,8 @@
                       ServedConnection *connection);
     void cutReplica(Millis length);
     void restartReplica();
+    void leaveReplica();
+    std::vector<std::string> runningReplicas() const;
     void splitPrimary(Millis length);
     void killHost(std::size_t index);
     void breakConnections(const std::string &id);
@@ -685,7 +688,9 @@
 {
     std::vector<RegisteredInstance> list;
     for (const auto &[id, instance] : m_group.instances()) {
-        if (instance.removed || m_now - m_instanceReach.at(id).lastReachable > RegistrationExpiry)
+        const InstanceReach &reach = m_instanceReach.at(id);
+        if (instance.removed || m_now < reach.unlistedUntil
+            || m_now - reach.lastReachable > RegistrationExpiry)
             continue;
         list.push_back({.id = id,
                         .group = "group",
@@ -778,6 +783,14 @@
     case SimulatedFault::RestoreStore:
         restoreStore(length);
         return;
+    case SimulatedFault::UnlistReplica:
+        if (const std::vector<std::string> replicas = runningReplicas(); !replicas.empty())
+            m_instanceReach[replicas[m_random.below(replicas.size())]].unlistedUntil
+                = m_now + length;
+        return;
+    case SimulatedFault::LeaveReplica:
+        leaveReplica();
+        return;
     }
 }
 
@@ -851,14 +864,46 @@
     at(m_now + length, [this, cut] { m_cutReplication.erase(cut); });
 }
 
-// A replica's process ends and is started again with the same id. It may lose its log.
-void SessionSimulation::restartReplica()
+std::vector<std::string> SessionSimulation::runningReplicas() const
 {
     std::vector<std::string> replicas;
     for (const auto &[id, instance] : m_group.instances()) {
         if (instance.running && !instance.primary && !instance.removed)
             replicas.push_back(id);
     }
+    return replicas;
+}
+
+// A new replica starts with an empty log; another one announces that it leaves, receives until it
+// ends, and its log is gone with it.
+void SessionSimulation::leaveReplica()
+{
+    const std::vector<std::string> replicas = runningReplicas();
+    if (replicas.empty())
+        return;
+    const std::string id = replicas[m_random.below(replicas.size())];
+    const std::string successor = id + "s";
+    if (m_group.find(id)->leaving || m_group.find(successor))
+        return;
+    m_group.add(successor);
+    m_group.find(successor)->incarnation = m_now.count();
+    m_instanceReach[successor].lastReachable = m_now;
+    m_group.find(id)->leaving = true;
+    m_instanceReach[id].leavingSince = m_now;
+    at(m_now + LeavingTime, [this, id] {
+        GroupInstance *ended = m_group.find(id);
+        if (ended->primary)
+            return; // It was promoted meanwhile, and leaves as such.
+        ended->removed = true;
+        ended->running = false;
+        breakConnections(id);
+    });
+}
+
+// A replica's process ends and is started again with the same id. It may lose its log.
+void SessionSimulation::restartReplica()
+{
+    const std::vector<std::string> replicas = runningReplicas();
     if (replicas.empty())
         return;
     const std::string id = replicas[m_random.below(replicas.size())];
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -33,9 +33,11 @@
     SplitPrimary,    // The primary is cut off from its replicas and from some hosts.
     CutReplica,      // One replica receives nothing from the primary.
     RestoreStore,    // The store is away for a moment, and comes back from an older copy of itself.
+    UnlistReplica,   // A replica's entry is missing from the store, while it goes on receiving.
+    LeaveReplica,    // A new replica starts; another one leaves, and its log goes with it.
 };
 
-inline constexpr NameTable<SimulatedFault, 15> FaultNames{{{
+inline constexpr NameTable<SimulatedFault, 17> FaultNames{{{
     {SimulatedFault::CrashPrimary, "crash-primary"},
     {SimulatedFault::SilencePrimary, "silence-primary"},
     {SimulatedFault::RestartReplica, "restart-replica"},
@@ -51,6 +53,8 @@
     {SimulatedFault::SplitPrimary, "split-primary"},
     {SimulatedFault::CutReplica, "cut-replica"},
     {SimulatedFault::RestoreStore, "restore-store"},
+    {SimulatedFault::UnlistReplica, "unlist-replica"},
+    {SimulatedFault::LeaveReplica, "leave-replica"},
 }}};
 
 struct SimulationOptions
