--- a/bench/changegap.cpp
+++ b/bench/changegap.cpp
@@ -22,7 +22,7 @@
     std::vector<SimulatedFault> faults;
 };
 
-const std::vector<ChangeKind> Kinds{
+const std::vector<ChangeKind> changeKinds{
     {"none", {}},
     {"planned", {SimulatedFault::LeavePrimary}},
     {"planned-late-promotions", {SimulatedFault::LeavePrimary, SimulatedFault::DelayPromotions}},
@@ -45,7 +45,7 @@
         std::cerr << "usage: changegap SEEDS\n";
         return 2;
     }
-    for (const ChangeKind &kind : Kinds) {
+    for (const ChangeKind &kind : changeKinds) {
         std::vector<Millis> gaps;
         int promotions = 0;
         std::size_t violations = 0;
--- a/src/process/linewriter.h
+++ b/src/process/linewriter.h
@@ -17,8 +17,8 @@
 public:
     struct Options
     {
-        int descriptor = -1;              // Is not closed.
-        std::size_t capacity = 64 * 1024; // Of the lines that are kept, in bytes.
+        int descriptor = -1;           // Is not closed.
+        std::size_t capacity = 65'536; // Of the lines that are kept, in bytes.
     };
 
     explicit LineWriter(Options options)
--- a/src/process/tst_linewriter.cpp
+++ b/src/process/tst_linewriter.cpp
@@ -14,7 +14,7 @@
 namespace cicadagap {
 namespace {
 
-const std::string Line = std::string(99, 'x') + "\n";
+const std::string shortLine = std::string(99, 'x') + "\n";
 
 class LineWriterTest : public testing::Test
 {
@@ -56,7 +56,7 @@
         constexpr int MoreThanFits = 100'000;
         std::size_t kept = 0;
         for (int i = 0; i < MoreThanFits; ++i)
-            kept += writer->write(Line) ? 1 : 0;
+            kept += writer->write(shortLine) ? 1 : 0;
         return kept;
     }
 
@@ -80,11 +80,11 @@
     std::string text = readAll();
     EXPECT_TRUE(writer.flush());
     text += readAll();
-    ASSERT_EQ(text.size(), kept * Line.size());
-    for (std::size_t at = 0; at < text.size(); at += Line.size())
-        ASSERT_EQ(text.substr(at, Line.size()), Line);
-    EXPECT_TRUE(writer.write(Line));
-    EXPECT_EQ(readAll(), Line);
+    ASSERT_EQ(text.size(), kept * shortLine.size());
+    for (std::size_t at = 0; at < text.size(); at += shortLine.size())
+        ASSERT_EQ(text.substr(at, shortLine.size()), shortLine);
+    EXPECT_TRUE(writer.write(shortLine));
+    EXPECT_EQ(readAll(), shortLine);
 }
 
 TEST_F(LineWriterTest, WritesLinesThatAreLongerThanThePipeTakesAtOnce)
@@ -105,7 +105,7 @@
     ::signal(SIGPIPE, SIG_IGN);
     LineWriter writer({.descriptor = ends[1], .capacity = 10'000});
     closeReader();
-    EXPECT_TRUE(writer.write(Line));
+    EXPECT_TRUE(writer.write(shortLine));
     EXPECT_EQ(writer.takeDropped(), 1U);
 }
 
--- a/test/changescenario.cpp
+++ b/test/changescenario.cpp
@@ -12,7 +12,6 @@
 constexpr Millis NetworkDelay(2);
 constexpr Millis StoreTime(12);
 constexpr Millis TickInterval(20);
-constexpr Millis DrainTime(7000);     // In which an instance that leaves takes new work.
 constexpr Millis SearchLimit(1200);   // Without a known primary, until a host replaces it.
 constexpr Millis RequestTimeout(900); // For the platform's answer.
 
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -881,7 +881,7 @@
     const std::vector<std::string> replicas = runningReplicas();
     if (replicas.empty())
         return;
-    const std::string id = replicas[m_random.below(replicas.size())];
+    const std::string &id = replicas[m_random.below(replicas.size())];
     const std::string successor = id + "s";
     if (m_group.find(id)->leaving || m_group.find(successor))
         return;
@@ -906,7 +906,7 @@
     const std::vector<std::string> replicas = runningReplicas();
     if (replicas.empty())
         return;
-    const std::string id = replicas[m_random.below(replicas.size())];
+    const std::string &id = replicas[m_random.below(replicas.size())];
     const bool losesLog = m_random.below(2) == 0;
     m_group.crash(id);
     breakConnections(id);
