Tests for three rules that nothing guarded, and for an unlisted instance that starts

Change: DoesNotRelyOnTheListRightAfterTheStoreWasOutOfReach, CountsTheTimeForWhichAnUpdateWaited, IsUsedByALogWhoseReaderMayGo; StartingInstance has two cases in which the instance that starts is not listed.

--- a/src/process/tst_linewriter.cpp
+++ b/src/process/tst_linewriter.cpp
@@ -1,6 +1,8 @@
 // A log whose reader stops or goes away does not stop the process that writes it.
 #include "process/linewriter.h"
 
+#include "process/log.h"
+
 #include <gtest/gtest.h>
 
 #include <array>
@@ -100,6 +102,17 @@
     EXPECT_EQ(text, line);
 }
 
+// The reader of a process's log may go away.
+TEST_F(LineWriterTest, IsUsedByALogWhoseReaderMayGo)
+{
+    ::signal(SIGPIPE, SIG_DFL);
+    startLog({.program = "test", .host = "h", .level = LogLevel::Error});
+    closeReader();
+    LineWriter writer({.descriptor = ends[1], .capacity = 10'000});
+    EXPECT_TRUE(writer.write(shortLine));
+    EXPECT_EQ(writer.takeDropped(), 1U);
+}
+
 TEST_F(LineWriterTest, CountsLinesOfAReaderThatIsGone)
 {
     ::signal(SIGPIPE, SIG_IGN);
--- a/src/session/tst_acknowledgedwrites.cpp
+++ b/src/session/tst_acknowledgedwrites.cpp
@@ -89,7 +89,13 @@
 
 // Guards against this failure (review/2): an instance that started between the request for a
 // promotion and its effect let the old primary, which the promoter could not reach, acknowledge.
-class StartingInstance : public AcknowledgedWrites, public testing::WithParamInterface<Millis>
+struct StartingCase
+{
+    Millis after; // The failure.
+    bool listed = true;
+};
+
+class StartingInstance : public AcknowledgedWrites, public testing::WithParamInterface<StartingCase>
 {
 };
 
@@ -99,17 +105,23 @@
     scenario.othersReachAll = true;
     scenario.runUntil(Failure);
     scenario.cutPrimary(0);
-    scenario.at(Failure + GetParam(), [this] { scenario.startInstance("d"); });
+    scenario.at(Failure + GetParam().after, [this] {
+        scenario.setListed("d", GetParam().listed);
+        scenario.startInstance("d");
+    });
     scenario.runUntil(End);
     EXPECT_EQ(scenario.lostWrites, std::vector<std::string>{});
     EXPECT_EQ(scenario.promotions.size(), 1U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Changes, StartingInstance,
-                         testing::Values(Millis(40), Millis(60), Millis(100), Millis(200),
-                                         Millis(300)),
+                         testing::Values(StartingCase{Millis(40)}, StartingCase{Millis(60)},
+                                         StartingCase{Millis(100)}, StartingCase{Millis(200)},
+                                         StartingCase{Millis(300)}, StartingCase{Millis(60), false},
+                                         StartingCase{Millis(200), false}),
                          [](const auto &info) {
-                             return "after" + std::to_string(info.param.count());
+                             return "after" + std::to_string(info.param.after.count())
+                                 + (info.param.listed ? "" : "_unlisted");
                          });
 
 // Guards against this failure (review/1): a leaving replica was the only one to receive what a cut
@@ -129,8 +141,8 @@
     scenario.runUntil(Cut);
     scenario.receiveNothing = {"b"};
     scenario.hosts[0]->unreachable = "a";
-    // The host notices the cut only now; it would seal the leaving replica before.
     scenario.at(EndOfReplica, [this] { scenario.end("c"); });
+    // The host notices the cut only now; it would seal the leaving replica before.
     scenario.at(EndOfReplica + GetParam(),
                 [this] { scenario.hosts[0]->cause = PrimaryChangeCause::Unreachable; });
     scenario.at(EndOfReplica + Millis(100), [this] {
--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -42,6 +42,23 @@
     EXPECT_EQ(answers.back().instancesAge, Millis(300));
 }
 
+// Guards against this failure (review/5): an update that had waited while the host was suspended
+// passed for new.
+TEST_F(PlatformCacheTest, CountsTheTimeForWhichAnUpdateWaited)
+{
+    PlatformUpdate update{.instances = std::vector<RegisteredInstance>{{.id = "i1"}},
+                          .storeEpochAge = Millis(50),
+                          .routingAge = Millis(100),
+                          .instancesAge = Millis(200),
+                          .hostsAge = Millis(300)};
+    update.addAge(Millis(3500));
+    EXPECT_EQ(update.routingAge, Millis(3600));
+    EXPECT_EQ(update.hostsAge, Millis(3800));
+    EXPECT_EQ(update.storeEpochAge, Millis(50));
+    follower.refresh(Millis(10'000), update);
+    EXPECT_EQ(follower.instancesReadAt(), Millis(6300));
+}
+
 TEST_F(PlatformCacheTest, IgnoresOlderVersions)
 {
     follower.setRouting(Millis(0), {.version = 5});
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -215,6 +215,26 @@
     EXPECT_TRUE(recorder.has("promote b 8") || recorder.has("promote c 8"));
 }
 
+// An instance whose entry expired meanwhile may not have registered again.
+TEST_F(PrimaryChangeTest, DoesNotRelyOnTheListRightAfterTheStoreWasOutOfReach)
+{
+    change.onTick(Start - Millis(20'000), PrimaryChangeCause::None, groupState());
+    listedAt = Start - Millis(6500);
+    change.onTick(Start - Millis(1900), PrimaryChangeCause::None, groupState());
+    listedAt = Start;
+    begin(PrimaryChangeCause::Unreachable);
+    change.onStatus(Start, "a", StatementKind::StepDown,
+                    {.term = 4, .received = {.term = 4, .index = 13}});
+    reportPaused("b", 10);
+    reportPaused("c", 12);
+    recorder.now = Start + Millis(580);
+    change.onTick(recorder.now, PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_FALSE(recorder.has("promote c 7"));
+    recorder.now = Start + Millis(600);
+    change.onTick(recorder.now, PrimaryChangeCause::Unreachable, groupState());
+    EXPECT_TRUE(recorder.has("promote c 7"));
+}
+
 // The list is evidence of all receivers, so that the end of the old primary is not needed.
 TEST_F(PrimaryChangeTest, DoesNotWaitForOtherHostsOnceTheListWasSeenForAWhile)
 {
