Tests: one queue of events, one list of next holders, one set-up of handovers

Cause: the queue of timed events stood in three simulations, the choice of the next holder in two tests (one of them new), and the start of a handover five times in one.

Change: EventQueue, NextHolder with ChangeScenario::continueOn(), Handover::beginWithTimeLeft(). No assertion, case or name of a case is changed. A comment that spoke of an order says request.

--- a/src/session/tst_acknowledgedwrites.cpp
+++ b/src/session/tst_acknowledgedwrites.cpp
@@ -17,19 +17,6 @@
 constexpr Millis DepartureTime(1000);
 constexpr Millis End(30'000);
 
-// Which host goes on with a change that was begun.
-enum class Continuation {
-    SameHost,
-    OtherHost,     // The first one's process is killed.
-    RestartedHost, // The process of the host that began is killed and started again.
-};
-
-constexpr NameTable<Continuation, 3> ContinuationNames{{{
-    {Continuation::SameHost, "sameHost"},
-    {Continuation::OtherHost, "otherHost"},
-    {Continuation::RestartedHost, "restartedHost"},
-}}};
-
 class AcknowledgedWrites : public testing::Test
 {
 protected:
@@ -41,14 +28,6 @@
         scenario.startProcess(0);
     }
 
-    void continueOn(Continuation continuation)
-    {
-        if (continuation == Continuation::SameHost)
-            return;
-        scenario.stopProcess(0);
-        scenario.startProcess(continuation == Continuation::OtherHost ? 1 : 0);
-    }
-
     ChangeScenario scenario;
 };
 
@@ -180,7 +159,7 @@
 struct OpenPromotionCase
 {
     Beginning beginning = Beginning::Leaves;
-    Continuation continuation = Continuation::SameHost;
+    NextHolder holder = NextHolder::SameHost;
     Millis lateness;             // Of the promotions that are requested while the fault lasts.
     Millis secondDeparture;      // Of the candidate, after the first one.
     bool successorStarts = true; // Of the candidate.
@@ -189,7 +168,7 @@
 std::string caseName(const testing::TestParamInfo<OpenPromotionCase> &info)
 {
     return std::string(BeginningNames.name(info.param.beginning)) + "_"
-        + std::string(ContinuationNames.name(info.param.continuation)) + "_"
+        + std::string(NextHolderNames.name(info.param.holder)) + "_"
         + std::to_string(info.param.lateness.count()) + "late_"
         + std::to_string(info.param.secondDeparture.count())
         + (info.param.successorStarts ? "" : "_noSuccessor");
@@ -228,7 +207,7 @@
         if (GetParam().successorStarts)
             scenario.startInstance("d");
         scenario.leave("b");
-        continueOn(GetParam().continuation);
+        scenario.continueOn(GetParam().holder);
     });
     scenario.at(DepartureTime + FaultTime, [this] { scenario.promotionLateness = Millis(0); });
     scenario.runUntil(End);
@@ -240,42 +219,36 @@
 INSTANTIATE_TEST_SUITE_P(
     Departures, OpenPromotion,
     testing::Values(
-        OpenPromotionCase{Beginning::Leaves, Continuation::SameHost, Millis(3500), Millis(2000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::OtherHost, Millis(3500), Millis(2000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::RestartedHost, Millis(3500),
-                          Millis(2000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::SameHost, Millis(6000), Millis(2000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::OtherHost, Millis(9000), Millis(2000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::RestartedHost, Millis(9000),
-                          Millis(1000)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::SameHost, Millis(9000), Millis(500)},
-        OpenPromotionCase{Beginning::Leaves, Continuation::SameHost, Millis(3500), Millis(2000),
+        OpenPromotionCase{Beginning::Leaves, NextHolder::SameHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::OtherHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::RestartedHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::SameHost, Millis(6000), Millis(2000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::OtherHost, Millis(9000), Millis(2000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::RestartedHost, Millis(9000), Millis(1000)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::SameHost, Millis(9000), Millis(500)},
+        OpenPromotionCase{Beginning::Leaves, NextHolder::SameHost, Millis(3500), Millis(2000),
                           false},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::SameHost, Millis(3500),
-                          Millis(2000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::OtherHost, Millis(3500),
-                          Millis(2000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::RestartedHost, Millis(3500),
-                          Millis(2000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::SameHost, Millis(6000),
-                          Millis(2000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::OtherHost, Millis(9000),
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::SameHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::OtherHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::RestartedHost, Millis(3500),
                           Millis(2000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::RestartedHost, Millis(9000),
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::SameHost, Millis(6000), Millis(2000)},
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::OtherHost, Millis(9000), Millis(2000)},
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::RestartedHost, Millis(9000),
                           Millis(1000)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::SameHost, Millis(9000), Millis(500)},
-        OpenPromotionCase{Beginning::LeavesSoon, Continuation::SameHost, Millis(3500), Millis(2000),
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::SameHost, Millis(9000), Millis(500)},
+        OpenPromotionCase{Beginning::LeavesSoon, NextHolder::SameHost, Millis(3500), Millis(2000),
                           false},
-        OpenPromotionCase{Beginning::Crashes, Continuation::SameHost, Millis(3500), Millis(2000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::OtherHost, Millis(3500), Millis(2000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::RestartedHost, Millis(3500),
+        OpenPromotionCase{Beginning::Crashes, NextHolder::SameHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::Crashes, NextHolder::OtherHost, Millis(3500), Millis(2000)},
+        OpenPromotionCase{Beginning::Crashes, NextHolder::RestartedHost, Millis(3500),
                           Millis(2000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::SameHost, Millis(6000), Millis(2000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::OtherHost, Millis(9000), Millis(2000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::RestartedHost, Millis(9000),
+        OpenPromotionCase{Beginning::Crashes, NextHolder::SameHost, Millis(6000), Millis(2000)},
+        OpenPromotionCase{Beginning::Crashes, NextHolder::OtherHost, Millis(9000), Millis(2000)},
+        OpenPromotionCase{Beginning::Crashes, NextHolder::RestartedHost, Millis(9000),
                           Millis(1000)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::SameHost, Millis(9000), Millis(500)},
-        OpenPromotionCase{Beginning::Crashes, Continuation::SameHost, Millis(3500), Millis(2000),
+        OpenPromotionCase{Beginning::Crashes, NextHolder::SameHost, Millis(9000), Millis(500)},
+        OpenPromotionCase{Beginning::Crashes, NextHolder::SameHost, Millis(3500), Millis(2000),
                           false}),
     caseName);
 
--- a/src/session/tst_lateresume.cpp
+++ b/src/session/tst_lateresume.cpp
@@ -2,8 +2,6 @@
 // change late.
 #include "changescenario.h"
 
-#include "base/names.h"
-
 #include <gtest/gtest.h>
 
 #include <string>
@@ -23,22 +21,9 @@
     Crash, // It does not run any more.
 };
 
-// Who makes the second change.
-enum class SecondHost {
-    Same,
-    Other,
-    Restarted, // The first host, after a restart of its process.
-};
-
-constexpr NameTable<SecondHost, 3> SecondHostNames{{{
-    {SecondHost::Same, "sameHost"},
-    {SecondHost::Other, "otherHost"},
-    {SecondHost::Restarted, "restartedHost"},
-}}};
-
 struct LateResumeCase
 {
-    SecondHost second = SecondHost::Same;
+    NextHolder second = NextHolder::SameHost;
     Failure failure = Failure::Cut;
     std::vector<std::string> late; // The instances that carry out a resume late.
     Millis lead;                   // From the second failure to the late resume.
@@ -49,7 +34,7 @@
 
 std::string caseName(const testing::TestParamInfo<LateResumeCase> &info)
 {
-    std::string name(SecondHostNames.name(info.param.second));
+    std::string name(NextHolderNames.name(info.param.second));
     name += info.param.failure == Failure::Cut ? "Cut" : "Crash";
     for (const std::string &id : info.param.late)
         name += "_" + id;
@@ -91,11 +76,7 @@
     void failAgain()
     {
         scenario.runUntil(lateAt - GetParam().lead);
-        const std::size_t host = GetParam().second == SecondHost::Other ? 1 : 0;
-        if (GetParam().second != SecondHost::Same) {
-            scenario.stopProcess(0);
-            scenario.startProcess(host);
-        }
+        const std::size_t host = scenario.continueOn(GetParam().second);
         if (GetParam().failure == Failure::Cut)
             scenario.cutPrimary(host);
         else
@@ -119,18 +100,19 @@
 INSTANTIATE_TEST_SUITE_P(
     Changes, LateResume,
     testing::Values(
-        LateResumeCase{SecondHost::Same, Failure::Cut, {"b"}, Millis(500)},
-        LateResumeCase{SecondHost::Same, Failure::Cut, {"c"}, Millis(500)},
-        LateResumeCase{SecondHost::Same, Failure::Cut, {"b", "c"}, Millis(500)},
-        LateResumeCase{SecondHost::Same, Failure::Cut, {"c"}, Millis(900)},
-        LateResumeCase{SecondHost::Other, Failure::Cut, {"c"}, Millis(500)},
-        LateResumeCase{SecondHost::Other, Failure::Cut, {"b", "c"}, Millis(500)},
-        LateResumeCase{SecondHost::Restarted, Failure::Cut, {"c"}, Millis(500)},
-        LateResumeCase{SecondHost::Restarted, Failure::Cut, {"b", "c"}, Millis(500)},
-        LateResumeCase{SecondHost::Other, Failure::Cut, {"c"}, Millis(500), Millis(11'000)},
-        LateResumeCase{SecondHost::Other, Failure::Cut, {"c"}, Millis(500), Millis(11'000), true},
-        LateResumeCase{SecondHost::Same, Failure::Crash, {"c"}, Millis(500)},
-        LateResumeCase{SecondHost::Other, Failure::Crash, {"b", "c"}, Millis(500)}),
+        LateResumeCase{NextHolder::SameHost, Failure::Cut, {"b"}, Millis(500)},
+        LateResumeCase{NextHolder::SameHost, Failure::Cut, {"c"}, Millis(500)},
+        LateResumeCase{NextHolder::SameHost, Failure::Cut, {"b", "c"}, Millis(500)},
+        LateResumeCase{NextHolder::SameHost, Failure::Cut, {"c"}, Millis(900)},
+        LateResumeCase{NextHolder::OtherHost, Failure::Cut, {"c"}, Millis(500)},
+        LateResumeCase{NextHolder::OtherHost, Failure::Cut, {"b", "c"}, Millis(500)},
+        LateResumeCase{NextHolder::RestartedHost, Failure::Cut, {"c"}, Millis(500)},
+        LateResumeCase{NextHolder::RestartedHost, Failure::Cut, {"b", "c"}, Millis(500)},
+        LateResumeCase{NextHolder::OtherHost, Failure::Cut, {"c"}, Millis(500), Millis(11'000)},
+        LateResumeCase{
+            NextHolder::OtherHost, Failure::Cut, {"c"}, Millis(500), Millis(11'000), true},
+        LateResumeCase{NextHolder::SameHost, Failure::Crash, {"c"}, Millis(500)},
+        LateResumeCase{NextHolder::OtherHost, Failure::Crash, {"b", "c"}, Millis(500)}),
     caseName);
 
 } // namespace
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -506,13 +506,15 @@
 class Handover : public PrimaryChangeTest
 {
 protected:
-    // The time of a's notice is over, so that there is no fence.
-    void beginAtTheEnd()
+    // Instance a, which leaves, takes new work for so long.
+    void beginWithTimeLeft(Millis time)
     {
         instances[0].leaving = true;
-        runsUntil["a"] = Start;
+        runsUntil["a"] = Start + time;
         begin(PrimaryChangeCause::Leaving);
     }
+    // The time of a's notice is over, so that there is no fence.
+    void beginAtTheEnd() { beginWithTimeLeft(Millis(0)); }
 
     void reportPrimary(std::uint64_t index)
     {
@@ -627,13 +629,11 @@
     EXPECT_FALSE(recorder.has("promote c 7"));
 }
 
-// An order is judged when it takes effect: the old primary would be promoted again after it has
+// A request is judged when it takes effect: the old primary would be promoted again after it has
 // stepped down, and acknowledge what its successor lacks.
 TEST_F(Handover, WaitsUntilTheFenceCannotTakeEffectAnyMore)
 {
-    instances[0].leaving = true;
-    runsUntil["a"] = Start + Millis(6000);
-    begin(PrimaryChangeCause::Leaving);
+    beginWithTimeLeft(Millis(6000));
     follow(11);
     EXPECT_TRUE(recorder.has("promote a 7"));
     EXPECT_EQ(recorder.recordedCandidates, std::vector<std::string>{"a"});
@@ -652,9 +652,7 @@
 // What another holder has requested meanwhile is not known to be over.
 TEST_F(Handover, RaisesTheTokenAgainIfAnotherHostHeldTheLease)
 {
-    instances[0].leaving = true;
-    runsUntil["a"] = Start + Millis(9000);
-    begin(PrimaryChangeCause::Leaving);
+    beginWithTimeLeft(Millis(9000));
     follow(11);
     change.onPromotion(now, PromotionResult::Accepted);
     tick(Millis(2000));
@@ -669,9 +667,7 @@
 // out late, after it has stepped down.
 TEST_F(Handover, KeepsThePrimaryWhileThePlatformDoesNotAnswer)
 {
-    instances[0].leaving = true;
-    runsUntil["a"] = Start + Millis(6000);
-    begin(PrimaryChangeCause::Leaving);
+    beginWithTimeLeft(Millis(6000));
     follow(11);
     change.onPromotion(now, PromotionResult::Unknown);
     EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
@@ -692,9 +688,7 @@
 // The platform would carry out both, and the late one would undo what the other one led to.
 TEST_F(Handover, RequestsNothingElseUnderTheTokenOfAnUnansweredFence)
 {
-    instances[0].leaving = true;
-    runsUntil["a"] = Start + Millis(6000);
-    begin(PrimaryChangeCause::Leaving);
+    beginWithTimeLeft(Millis(6000));
     follow(11);
     recorder.take();
     change.onTick(now + Millis(20), PrimaryChangeCause::Unreachable, groupState());
--- a/test/changescenario.cpp
+++ b/test/changescenario.cpp
@@ -31,11 +31,9 @@
 
 void ChangeScenario::runUntil(Millis end)
 {
-    while (!m_events.empty() && m_events.top().when <= end) {
-        const Event event = m_events.top();
-        m_events.pop();
-        m_now = event.when;
-        event.function();
+    while (const std::optional<EventQueue::Event> event = m_events.takeUntil(end)) {
+        m_now = event->when;
+        event->function();
     }
     m_now = end;
 }
@@ -47,6 +45,16 @@
     hosts[host]->change = std::make_unique<PrimaryChange>("group", hosts[host].get());
 }
 
+std::size_t ChangeScenario::continueOn(NextHolder holder)
+{
+    const std::size_t host = holder == NextHolder::OtherHost ? 1 : 0;
+    if (holder == NextHolder::SameHost)
+        return host;
+    stopProcess(0);
+    startProcess(host);
+    return host;
+}
+
 void ChangeScenario::cutPrimary(std::size_t host)
 {
     hosts[host]->unreachable = group.primary()->id;
--- a/test/changescenario.h
+++ b/test/changescenario.h
@@ -7,6 +7,7 @@
 // Checked is that each promoted instance holds all acknowledged writes.
 #pragma once
 
+#include "eventqueue.h"
 #include "simulatedstore.h"
 
 #include "base/millis.h"
@@ -21,15 +22,26 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 namespace cicadagap {
 
+// Which host makes the next change, or goes on with one that was begun.
+enum class NextHolder {
+    SameHost,
+    OtherHost,     // The first one's process is killed.
+    RestartedHost, // The first one's process is killed and started again.
+};
+
+inline constexpr NameTable<NextHolder, 3> NextHolderNames{{{
+    {NextHolder::SameHost, "sameHost"},
+    {NextHolder::OtherHost, "otherHost"},
+    {NextHolder::RestartedHost, "restartedHost"},
+}}};
+
 class ChangeScenario;
 
 // A host that changes the primary.
@@ -86,16 +98,15 @@
     // The group has the instances a (the primary), b and c; there are two hosts, without processes.
     explicit ChangeScenario(Options options);
 
-    void at(Millis when, std::function<void()> function)
-    {
-        m_events.push({when, ++m_sequence, std::move(function)});
-    }
+    void at(Millis when, std::function<void()> function) { m_events.at(when, std::move(function)); }
     Millis now() const { return m_now; }
     void runUntil(Millis end);
 
     // The host takes part in changes from now on, with a new process.
     void startProcess(std::size_t host);
     void stopProcess(std::size_t host) { hosts[host]->change.reset(); }
+    // The first host's process goes on, or another one takes its place. Returns the host's number.
+    std::size_t continueOn(NextHolder holder);
     // The host cannot reach the present primary any more, and has to replace it.
     void cutPrimary(std::size_t host);
     // As cutPrimary(), and the primary does not run any more.
@@ -130,18 +141,6 @@
 private:
     friend class ChangingHost;
 
-    struct Event
-    {
-        Millis when;
-        std::uint64_t sequence = 0;
-        std::function<void()> function;
-
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.when, other.sequence) < std::tie(when, sequence);
-        }
-    };
-
     void tick();
     void tickHost(ChangingHost *host);
     void write(int number);
@@ -156,8 +155,7 @@
 
     Options m_options;
     Millis m_now;
-    std::uint64_t m_sequence = 0;
-    std::priority_queue<Event> m_events;
+    EventQueue m_events;
     std::vector<std::string> m_acknowledged;
     Millis m_lastAcknowledged;
     int m_receiveDelays = 0; // That were asked for since the newest write.
--- a/test/clustersimulation.cpp
+++ b/test/clustersimulation.cpp
@@ -133,21 +133,20 @@
 {
     const Millis end = m_now + limit;
     while (!condition()) {
-        if (m_events.empty() || m_events.top().at > end) {
+        const std::optional<EventQueue::Event> event = m_events.takeUntil(end);
+        if (!event) {
             m_now = end;
             return condition();
         }
-        const Event event = m_events.top();
-        m_events.pop();
-        m_now = std::max(m_now, event.at);
-        event.function();
+        m_now = std::max(m_now, event->when);
+        event->function();
     }
     return true;
 }
 
 void ClusterSimulation::after(Millis delay, std::function<void()> function)
 {
-    m_events.push({m_now + delay, ++m_order, std::move(function)});
+    m_events.at(m_now + delay, std::move(function));
 }
 
 void ClusterSimulation::request(const std::string &host, const TestRequest &request,
--- a/test/clustersimulation.h
+++ b/test/clustersimulation.h
@@ -12,6 +12,8 @@
 // Not thread-safe.
 #pragma once
 
+#include "eventqueue.h"
+
 #include "base/hash.h"
 #include "connection/gateway.h"
 #include "process/groupmonitor.h"
@@ -22,7 +24,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -112,17 +113,6 @@
     struct Host;
     struct Node;
     struct Call;
-    // A function that is to run at a time; `order` keeps the order of events at the same time.
-    struct Event
-    {
-        Millis at;
-        std::uint64_t order;
-        std::function<void()> function;
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
     // A call from one process to another: the receiver handles the body and replies; the sender
     // gets the reply, or nothing and whether the call was sent.
     using Reply = std::function<void(const std::string &)>;
@@ -162,8 +152,7 @@
     Options m_options;
     Random m_random;
     Millis m_now = Millis(1000);
-    std::uint64_t m_order = 0;
-    std::priority_queue<Event> m_events;
+    EventQueue m_events;
     std::map<std::string, std::unique_ptr<Process>> m_processes;
     std::map<std::string, std::unique_ptr<Host>> m_hosts;
     std::map<std::string, std::unique_ptr<Node>> m_nodes;
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -1,5 +1,6 @@
 #include "sessionsimulation.h"
 
+#include "eventqueue.h"
 #include "guaranteechecker.h"
 #include "simulatedstore.h"
 
@@ -18,8 +19,6 @@
 #include <map>
 #include <optional>
 #include <ostream>
-#include <queue>
-#include <tuple>
 #include <utility>
 
 namespace cicadagap {
@@ -144,10 +143,7 @@
 
     SimulationReport run();
 
-    void at(Millis when, std::function<void()> function)
-    {
-        m_events.push({when, ++m_sequence, std::move(function)});
-    }
+    void at(Millis when, std::function<void()> function) { m_events.at(when, std::move(function)); }
     // Runs `function` for a host at `when`, unless its process was replaced by then. A host that is
     // suspended then runs it when it continues.
     void atHost(std::size_t host, Millis when, std::function<void(SimulatedHost *)> function);
@@ -175,18 +171,6 @@
                        const std::set<std::string> &instances, std::uint64_t token);
 
 private:
-    struct Event
-    {
-        Millis when;
-        std::uint64_t sequence = 0;
-        std::function<void()> function;
-
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.when, other.sequence) < std::tie(when, sequence);
-        }
-    };
-
     bool hostsAssumeFencing() const
     {
         return m_options.fencedPromotions || m_options.hostsIgnoreMissingFence;
@@ -227,8 +211,7 @@
     Random m_random;
     SimulationReport m_report;
     Millis m_now;
-    std::uint64_t m_sequence = 0;
-    std::priority_queue<Event> m_events;
+    EventQueue m_events;
     std::vector<std::unique_ptr<SimulatedHost>> m_hosts;
     ReplicaGroup m_group;
     std::map<std::string, InstanceReach> m_instanceReach;
@@ -1084,11 +1067,9 @@
 SimulationReport SessionSimulation::run()
 {
     start();
-    while (!m_events.empty() && m_events.top().when <= m_end) {
-        const Event event = m_events.top();
-        m_events.pop();
-        m_now = event.when;
-        event.function();
+    while (const std::optional<EventQueue::Event> event = m_events.takeUntil(m_end)) {
+        m_now = event->when;
+        event->function();
     }
     m_now = m_end;
     m_checker.checkFinalState(m_now);
