Handover: one place for repeated commands, names that say what is done

A command under the attempt's term was put together in three places, the query of the candidates stood twice; isRecorded() writes a row; two conditions of the shutdown could not be false (a session has pending statements only while one runs); the hosts that reach an instance were sorted and then cut twice.

Ruled out: deriving m_stepDownAt from m_downSince, which may be of an earlier attempt; a shared watch of suspensions for ArrivalDelay and PrimaryTracker, which have one comparison in common and do different things with it.

Change: termCommand(), queryCandidates(), ensureRecorded(), simpler conditions, types where a reader looks for them, two comments. Behaviour is the same.

--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -148,20 +148,19 @@
 std::vector<std::string> HostDirectory::othersThatReach(const RegisteredInstance &instance,
                                                         int maxConnections) const
 {
-    const bool viaGateways = !allConnectDirectly(maxConnections);
-    std::vector<const KnownHost *> hosts;
-    if (viaGateways) {
-        hosts = highestScores(instance, candidates(instance.dataCentre), m_options.gateways);
-    } else {
+    std::vector<const KnownHost *> reaching;
+    if (allConnectDirectly(maxConnections)) {
         for (const auto &row : m_hosts)
-            hosts.push_back(&row.second);
-        hosts = highestScores(instance, std::move(hosts), m_options.relayingHosts + 1);
+            reaching.push_back(&row.second);
+    } else {
+        reaching = highestScores(instance, candidates(instance.dataCentre), m_options.gateways);
     }
+    std::erase_if(reaching,
+                  [this](const KnownHost *host) { return host->record.host == m_options.self; });
     std::vector<std::string> names;
-    for (const KnownHost *host : hosts) {
-        if (host->record.host != m_options.self && names.size() < m_options.relayingHosts)
-            names.push_back(host->record.host);
-    }
+    for (const KnownHost *host :
+         highestScores(instance, std::move(reaching), m_options.relayingHosts))
+        names.push_back(host->record.host);
     return names;
 }
 
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -33,7 +33,7 @@
 constexpr Millis MissingMemory(60'000);
 // An instance whose entry had expired when this process started has written it again by then.
 constexpr Millis ListMemory(10'000);
-// Of the list of instances, in which the store was not out of reach.
+// A list of instances that is older shows that the store is out of reach.
 constexpr Millis UsualListAge(4500);
 // After the store was out of reach, until the instances have written their entries again.
 constexpr Millis EntryReturnTime(2500);
@@ -175,7 +175,7 @@
         if (command != StatementKind::Status || instance != m_oldPrimary)
             return;
         if (status.primary && status.term >= m_groupState.term) {
-            if (stalledIsRecorded(now))
+            if (ensureStalledRecorded(now))
                 promoteStalledAgain(now);
         } else {
             abandon(now, instance + " is not primary of term " + std::to_string(m_groupState.term));
@@ -443,7 +443,7 @@
         sealAroundFailedPrimary();
         return;
     case PrimaryChangeCause::Stalled:
-        stalledIsRecorded(now);
+        ensureStalledRecorded(now);
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
         return;
     case PrimaryChangeCause::Leaving:
@@ -453,11 +453,11 @@
     }
 }
 
-// Whether the lease's row names the stalled primary. A row that names another candidate, whose
-// promotion may still be carried out, is kept.
-bool PrimaryChange::stalledIsRecorded(Millis now)
+// Has the lease's row name the stalled primary; see ensureRecorded(). A row that names another
+// candidate, whose promotion may still be carried out, is kept.
+bool PrimaryChange::ensureStalledRecorded(Millis now)
 {
-    return earlierRequestIsOpen(now) || isRecorded(now, m_oldPrimary);
+    return earlierRequestIsOpen(now) || ensureRecorded(now, m_oldPrimary);
 }
 
 // Unseals the replicas that an earlier attempt left sealed. The present primary is promoted again
@@ -485,7 +485,7 @@
         return;
     if (!listIsRecent() || !preferOpenCandidate(now))
         return;
-    if (!isRecorded(now, m_candidate) || mayStillStepDown(now))
+    if (!ensureRecorded(now, m_candidate) || mayStillStepDown(now))
         return;
     if (!m_options.fencedPromotions && !oldPrimaryIsHarmless(now))
         return;
@@ -493,9 +493,9 @@
     sendPromotionRequest(now);
 }
 
-// Whether the lease's row names the candidate. If not, has it written, and onCandidateRecorded()
+// Has the lease's row name the candidate. Returns whether it does; if not, onCandidateRecorded()
 // goes on.
-bool PrimaryChange::isRecorded(Millis now, const std::string &candidate)
+bool PrimaryChange::ensureRecorded(Millis now, const std::string &candidate)
 {
     if (m_recordedCandidate == candidate)
         return true;
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -264,6 +264,7 @@
     void beginHandover(Millis now);
     void tickHandover(Millis now, PrimaryChangeCause cause);
     void queryFollowers(Millis now);
+    void queryCandidates();
     void onHandoverStatus(Millis now, const std::string &instance, StatementKind command,
                           const InstanceStatus &status);
     std::string bestReplicaAt(Position end) const;
@@ -281,11 +282,12 @@
     void sealUnderSafeToken(Millis now);
     void sealInstead(Millis now, const std::string &reason);
     void sendSeals(Millis now);
+    Statement termCommand(StatementKind kind) const;
     void sealAroundFailedPrimary();
     void stepDownThroughOthers(Millis now);
     bool mayStillStepDown(Millis now) const;
     void retryAfterPromotionRequest(Millis now, const std::string &reason);
-    bool stalledIsRecorded(Millis now);
+    bool ensureStalledRecorded(Millis now);
     void promoteStalledAgain(Millis now);
     void onFenced(Millis now, const std::string &detail);
     std::vector<std::string> possibleCandidates() const;
@@ -307,7 +309,7 @@
     bool openCandidateIsHarmless() const;
     bool preferOpenCandidate(Millis now);
     bool oldPrimaryIsHarmless(Millis now) const;
-    bool isRecorded(Millis now, const std::string &candidate);
+    bool ensureRecorded(Millis now, const std::string &candidate);
     void forgetCandidate();
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
@@ -380,7 +382,7 @@
     // Where the old primary's log ends: as it said last or, once it has stepped down, for good.
     std::optional<Position> m_oldPrimaryEnd;
     std::uint64_t m_oldPrimaryTerm = 0; // In which it said that it is primary.
-    Millis m_stepDownAt;                // When it was told to step down, or said that it has.
+    Millis m_stepDownAt;                // When it answered that it has stepped down, in a handover.
     std::string m_oldPrimary;
     std::string m_leaseSoughtFor;   // The primary when the lease was requested.
     bool m_replacesStalled = false; // The old primary stalled.
--- a/src/session/primaryhandover.cpp
+++ b/src/session/primaryhandover.cpp
@@ -4,7 +4,7 @@
 #include "session/primarychange.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace cicadagap {
 
@@ -92,7 +92,7 @@
     case PrimaryChangeStage::SteppingDown:
         if (m_steppedDown)
             promoteIfCovered(now);
-        else if (isRecorded(now, m_candidate) && now >= m_nextSendAt)
+        else if (ensureRecorded(now, m_candidate) && now >= m_nextSendAt)
             sendStepDown(now);
         return;
     default:
@@ -108,6 +108,11 @@
     m_followerTarget = m_oldPrimaryEnd;
     m_followers.clear();
     m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
+    queryCandidates();
+}
+
+void PrimaryChange::queryCandidates()
+{
     for (const std::string &id : possibleCandidates())
         m_output->sendCommand(id, {.kind = StatementKind::Status});
 }
@@ -151,9 +156,9 @@
 std::string PrimaryChange::bestReplicaAt(Position end) const
 {
     std::string best;
-    std::tuple<bool, Position> bestRank;
+    std::pair<bool, Position> bestRank;
     for (const auto &[id, status] : m_followers) {
-        const std::tuple rank(!m_restarted.contains(id), status.received);
+        const std::pair rank(!m_restarted.contains(id), status.received);
         if (!mayBeCandidate(id) || !status.received.covers(end)
             || (!best.empty() && rank <= bestRank))
             continue;
@@ -179,7 +184,7 @@
         if (now - m_stageSince <= CatchUpLimit || !someReplicaIsPaused())
             return;
         if (m_options.fencedPromotions && m_oldPrimaryTerm > 0) {
-            if (!isRecorded(now, m_oldPrimary))
+            if (!ensureRecorded(now, m_oldPrimary))
                 return;
             m_cause = PrimaryChangeCause::Stalled;
             promoteStalledAgain(now);
@@ -222,7 +227,7 @@
 // so the row names it.
 void PrimaryChange::sendFence(Millis now)
 {
-    if (!isRecorded(now, m_oldPrimary) || m_unansweredPromotions > 0)
+    if (!ensureRecorded(now, m_oldPrimary) || m_unansweredPromotions > 0)
         return;
     ++m_unansweredPromotions;
     m_output->promote(m_group, m_oldPrimary, m_fencingToken);
@@ -264,8 +269,7 @@
 void PrimaryChange::sendStepDown(Millis now)
 {
     m_nextSendAt = now + StepDownResend;
-    m_output->sendCommand(
-        m_oldPrimary, {.kind = StatementKind::StepDown, .argument = std::to_string(m_sealTerm)});
+    m_output->sendCommand(m_oldPrimary, termCommand(StatementKind::StepDown));
 }
 
 // The old primary has stepped down. Requests the promotion of a replica that covers its end or, if
@@ -278,8 +282,7 @@
         if (now < m_nextSendAt)
             return;
         m_nextSendAt = now + CoverQueryInterval;
-        for (const std::string &id : possibleCandidates())
-            m_output->sendCommand(id, {.kind = StatementKind::Status});
+        queryCandidates();
         return;
     }
     if (covering.empty() && !oldPrimaryMayReturn()) {
@@ -291,7 +294,7 @@
     const bool keepsRecorded = recorded != m_followers.end() && mayBeCandidate(recorded->first)
         && recorded->second.received.covers(*m_oldPrimaryEnd);
     m_candidate = covering.empty() ? m_oldPrimary : keepsRecorded ? recorded->first : covering;
-    if (!isRecorded(now, m_candidate))
+    if (!ensureRecorded(now, m_candidate))
         return;
     enter(now, PrimaryChangeStage::RequestingPromotion, handoverText());
     sendPromotionRequest(now);
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -5,7 +5,6 @@
 #include "session/readlease.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace cicadagap {
@@ -133,12 +132,17 @@
         }));
 }
 
+// A Pause or StepDown under the term of this attempt.
+Statement PrimaryChange::termCommand(StatementKind kind) const
+{
+    return {.kind = kind, .argument = std::to_string(m_sealTerm)};
+}
+
 // Seals all registered instances. The old primary first has to step down, if it still answers. One
 // that may receive in any case is only asked for its position.
 void PrimaryChange::sealAroundFailedPrimary()
 {
     stepDownThroughOthers(m_now);
-    const std::string term = std::to_string(m_sealTerm);
     for (const std::string &id : possibleReceivers()) {
         const bool receives = id != m_oldPrimary && sealMayBeUndone(id);
         if ((m_sealed.contains(id) && !receives) || !isRegistered(id))
@@ -152,9 +156,7 @@
         if (!mayBePrimary)
             m_toResume.insert(id);
         m_output->sendCommand(
-            id,
-            {.kind = mayBePrimary ? StatementKind::StepDown : StatementKind::Pause,
-             .argument = term});
+            id, termCommand(mayBePrimary ? StatementKind::StepDown : StatementKind::Pause));
     }
 }
 
@@ -272,8 +274,7 @@
     if (m_steppedDown || now < m_relaysSentAt + RelayInterval)
         return;
     m_relaysSentAt = now;
-    m_relays = m_output->relayCommand(
-        m_oldPrimary, {.kind = StatementKind::StepDown, .argument = std::to_string(m_sealTerm)});
+    m_relays = m_output->relayCommand(m_oldPrimary, termCommand(StatementKind::StepDown));
 }
 
 // Whether the end of the old primary may become known soon, and is needed: if the list is evidence,
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -461,7 +461,7 @@
         return false;
     const bool inTransaction = session.phase != SessionPhase::Idle;
     const bool mayAbort = now - *m_drainingSince > m_drainTimes.transactions;
-    return !session.operation && session.pending.empty() && (!inTransaction || mayAbort);
+    return !session.operation && (!inTransaction || mayAbort);
 }
 
 void SessionEngine::endForDrain(Millis now, SessionId id)
@@ -475,7 +475,7 @@
 bool SessionEngine::comesTooLate(Millis now, const Session &session) const
 {
     return m_drainingSince && now - *m_drainingSince > m_drainTimes.newStatements
-        && session.phase == SessionPhase::Idle && !session.operation;
+        && session.phase == SessionPhase::Idle;
 }
 
 void SessionEngine::logEvent(Millis now, std::string_view event, SessionId id,
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -96,6 +96,13 @@
         TargetPool::Options pool;
     };
 
+    // How long a graceful shutdown allows for what callers do.
+    struct DrainTimes
+    {
+        Millis transactions;  // After that, sessions inside transactions are ended too.
+        Millis newStatements; // After that, statements outside of transactions are refused.
+    };
+
     SessionEngine(Options options, SessionOutput *output);
 
     // A version of the routing table was read. Ignored unless it is newer than the one in use.
@@ -134,12 +141,6 @@
                            std::uint64_t fencingToken, bool recorded);
 
     void onTick(Millis now);
-    // How long a graceful shutdown allows for what callers do.
-    struct DrainTimes
-    {
-        Millis transactions;  // After that, sessions inside transactions are ended too.
-        Millis newStatements; // After that, statements outside of transactions are refused.
-    };
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
     // idle, and one that is always in use after an answer.
     void drain(Millis now, const DrainTimes &times);
@@ -223,6 +224,14 @@
         std::deque<Statement> pending; // Arrived before the operation ended.
     };
 
+    // A command that another host was asked to pass on to an instance.
+    struct RelayedCommand
+    {
+        std::string instance;
+        StatementKind kind = StatementKind::Status;
+        Millis sentAt;
+    };
+
     void onWorkStarted(Millis now, WorkId work, ConnectionId connection) override;
     void onWorkRefused(Millis now, WorkId work, Cause cause) override;
     void onWorkAnswer(Millis now, WorkId work, ConnectionId connection, SendPurpose purpose,
@@ -291,14 +300,7 @@
     InstanceList m_instances;
     bool m_instancesKnown = false;
     std::map<SessionId, Session> m_sessions;
-    // A command that another host was asked to pass on to an instance.
-    struct RelayedCommand
-    {
-        std::string instance;
-        StatementKind kind = StatementKind::Status;
-        Millis sentAt;
-    };
-    std::map<ConnectionId, RelayedCommand> m_relayedCommands;
+    std::map<ConnectionId, RelayedCommand> m_relayedCommands; // By the channel of each.
     std::map<WorkId, SessionId> m_sessionByWork;
     std::set<SessionId> m_active; // Those with an operation or a transaction.
     WorkId m_lastWork = 0;
