Prepared statements get numbered names on connections to instances

Cause: the name on the connection was composed from the caller's shape, and a name ends at the first blank. The rest of the shape was read as kind, shape or parameters.

Change: PreparedNames allots a number to each statement on a connection; nothing of a caller's text is in it, and a number is not used again on the same connection, so that a name that the instance lacks for any reason is refused there (UNPREPARED) and runs nothing else. A gateway maps the names of a channel to its own connection's: before, it kept one prepared statement a channel, and would have taken a write for a read where a transaction came back to its first statement.

Ruled out: a digest of the shape as the name (bounded too, but the shape's length and the same text for ever would stay visible, and a name could come back for another connection state); escaping (longer than the message limit for long shapes).

--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -10,44 +10,81 @@
 // Moves the session's state out of the batch. It is restored later, as far as the connection that
 // will serve the batch does not hold it already.
 void extractSessionState(std::vector<RelayedStatement> *statements, SessionValues *values,
-                         std::optional<PreparedStatement> *prepared)
+                         RelayedNames *prepared)
 {
     std::erase_if(*statements, [&](const RelayedStatement &entry) {
         if (entry.purpose != SendPurpose::Restore)
             return false;
         const Statement &statement = entry.statement;
-        if (statement.kind == StatementKind::SetValue)
+        switch (statement.kind) {
+        case StatementKind::Reset:
+            values->clear();
+            prepared->clear();
+            break;
+        case StatementKind::SetValue:
             (*values)[statement.name] = statement.argument;
-        if (statement.kind == StatementKind::Prepare)
-            *prepared = {.shape = statement.argument, .writes = statement.preparesWrite};
+            break;
+        case StatementKind::Prepare:
+            (*prepared)[statement.name]
+                = {.shape = statement.argument, .writes = statement.preparesWrite};
+            break;
+        case StatementKind::Deallocate:
+            prepared->erase(statement.name);
+            break;
+        default:
+            break;
+        }
         return true;
     });
 }
 
-// Whether a statement of this kind writes, if executing the channel's prepared statement does as
-// `preparedWrite` says.
-bool isWrite(StatementKind kind, bool preparedWrite)
+// The prepared statement that an Execute runs; null if the origin has prepared none under its name,
+// and for statements of other kinds.
+const PreparedStatement *executedBy(const Statement &statement, const RelayedNames &prepared)
+{
+    if (statement.kind != StatementKind::Execute)
+        return nullptr;
+    const auto found = prepared.find(statement.name);
+    return found == prepared.end() ? nullptr : &found->second;
+}
+
+bool isWrite(const Statement &statement, const RelayedNames &prepared)
 {
-    return kind == StatementKind::Write || (kind == StatementKind::Execute && preparedWrite);
+    const PreparedStatement *executed = executedBy(statement, prepared);
+    return statement.kind == StatementKind::Write || (executed && executed->writes);
 }
 
-// Whether the batch consists of a single write outside of a transaction, besides statements that
-// restore the session's state.
-bool onlyWrites(const std::vector<RelayedStatement> &statements)
+// The prepared statement that the batch executes; null if it executes none.
+const PreparedStatement *executedByBatch(const std::vector<RelayedStatement> &statements,
+                                         const RelayedNames &prepared)
 {
-    bool preparesWrite = false;
-    bool writes = false;
     for (const RelayedStatement &entry : statements) {
-        const Statement &statement = entry.statement;
-        if (entry.purpose == SendPurpose::Restore) {
-            preparesWrite = preparesWrite || statement.preparesWrite;
-            continue;
-        }
-        writes = isWrite(statement.kind, preparesWrite);
-        if (entry.purpose != SendPurpose::Work || !writes)
-            return false;
+        if (const PreparedStatement *executed = executedBy(entry.statement, prepared))
+            return executed;
     }
-    return writes;
+    return nullptr;
+}
+
+bool executesUnknownName(const std::vector<RelayedStatement> &statements,
+                         const RelayedNames &prepared)
+{
+    return std::any_of(statements.begin(), statements.end(), [&](const RelayedStatement &entry) {
+        return entry.statement.kind == StatementKind::Execute
+            && !executedBy(entry.statement, prepared);
+    });
+}
+
+// Whether the batch consists of a single write outside of a transaction, besides statements that
+// restore the session's state.
+bool onlyWrites(std::vector<RelayedStatement> statements)
+{
+    SessionValues values;
+    RelayedNames prepared;
+    extractSessionState(&statements, &values, &prepared);
+    return !statements.empty()
+        && std::all_of(statements.begin(), statements.end(), [&](const RelayedStatement &entry) {
+               return entry.purpose == SendPurpose::Work && isWrite(entry.statement, prepared);
+           });
 }
 
 } // namespace
@@ -131,6 +168,12 @@
     channel.lastUsed = now;
     channel.statements = std::move(batch.statements);
     extractSessionState(&channel.statements, &channel.values, &channel.prepared);
+    if (executesUnknownName(channel.statements, channel.prepared)) {
+        if (channel.connection != 0)
+            m_pool->discard(now, channel.connection);
+        endChannel(key, Cause::UnknownName, /*sent=*/false);
+        return;
+    }
     if (required && !channel.statements.empty()) {
         std::optional<Position> &after = channel.statements.front().statement.requiredPosition;
         after = std::max(after.value_or(*required), *required);
@@ -147,8 +190,9 @@
                     .priority = batch.priority,
                     .deadline = now + batch.maxWait,
                     .needsSlot = batch.needsSlot,
-                    .values = &channel.values,
-                    .prepared = channel.prepared};
+                    .values = &channel.values};
+    if (const PreparedStatement *executed = executedByBatch(channel.statements, channel.prepared))
+        work.prepared = *executed;
     if (!m_pool->isDirect(batch.instance) || !m_pool->submit(now, batch.instance, std::move(work)))
         endChannel(key, Cause::Overloaded, /*sent=*/false);
 }
@@ -195,8 +239,8 @@
 
 void RelayGateway::sendBatch(Millis now, Channel *channel)
 {
-    const PreparedStatement *prepared = channel->prepared ? &*channel->prepared : nullptr;
-    m_pool->restore(now, channel->connection, channel->values, prepared);
+    m_pool->restore(now, channel->connection, channel->values,
+                    executedByBatch(channel->statements, channel->prepared));
     channel->unanswered = channel->statements.size();
     const bool opensTransaction = !channel->statements.empty()
         && channel->statements.front().purpose == SendPurpose::OpenTransaction;
@@ -211,12 +255,17 @@
 
 void RelayGateway::sendStatements(Millis now, Channel *channel)
 {
-    const bool preparedWrite = channel->prepared && channel->prepared->writes;
+    channel->sendsWrite = false;
     for (RelayedStatement &entry : std::exchange(channel->statements, {})) {
-        const StatementKind kind = entry.statement.kind;
-        if (kind == StatementKind::Commit || isWrite(kind, preparedWrite))
+        Statement &statement = entry.statement;
+        const bool writes = isWrite(statement, channel->prepared);
+        channel->sendsWrite = channel->sendsWrite || writes;
+        if (statement.kind == StatementKind::Commit || writes)
             channel->writeSentAt = now;
-        m_pool->send(now, channel->connection, entry.purpose, std::move(entry.statement));
+        // The origin's name is valid on its channel only, not on this host's connection.
+        if (const PreparedStatement *executed = executedBy(statement, channel->prepared))
+            statement.name = m_pool->restore(now, channel->connection, channel->values, executed);
+        m_pool->send(now, channel->connection, entry.purpose, std::move(statement));
     }
 }
 
@@ -264,7 +313,8 @@
     }
     // The success of a write outside of a transaction, or of a transaction's commit, acknowledges a
     // commit.
-    const bool writes = isWrite(kind, channel->prepared && channel->prepared->writes);
+    const bool writes
+        = channel->sendsWrite && (kind == StatementKind::Write || kind == StatementKind::Execute);
     channel->wrote = channel->wrote || (writes && answer.succeeded());
     const bool committed = answer.succeeded() && answer.phase == SessionPhase::Idle
         && channel->wrote && (writes || kind == StatementKind::Commit);
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -22,6 +22,9 @@
 
 namespace cicadagap {
 
+// Prepared statements by the names that the origin of a channel gave them there.
+using RelayedNames = std::map<std::string, PreparedStatement>;
+
 // The channels of other hosts on this host.
 //
 //     gateway.onBatch(now, batch, [](RelayReply reply) { send(reply); });
@@ -71,13 +74,14 @@
         WorkId work = 0;
         ConnectionId connection = 0;
         SessionValues values;
-        std::optional<PreparedStatement> prepared;
+        RelayedNames prepared;
         std::vector<RelayedStatement> statements; // Of the batch in progress, not sent yet.
         std::size_t unanswered = 0;               // Statements of that batch without an answer.
         RelayReply reply;
         Reply respond; // Set only while a batch is in progress.
         Millis lastUsed;
         bool onlyReads = false;
+        bool sendsWrite = false;           // The batch in progress has a write.
         bool wrote = false;                // A write succeeded on it.
         std::optional<Millis> writeSentAt; // Of an unanswered write or commit.
     };
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -251,6 +251,7 @@
     void startForwarded(Millis now, SessionId id, Session *session, Statement statement);
     void dispatch(Millis now, SessionId id, Session *session);
     void runInTransaction(Millis now, Session *session);
+    void restoreState(Millis now, Session *session);
     bool mayUseTransaction(Millis now, const Transaction &transaction) const;
     void giveUpOpening(Millis now, Session *session);
     std::string chooseInstance(Millis now, const Session &session, Operation *operation);
--- a/src/session/sessionstate.cpp
+++ b/src/session/sessionstate.cpp
@@ -1,6 +1,7 @@
 #include "session/sessionstate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadagap {
 
@@ -20,14 +21,15 @@
     }
 }
 
-std::vector<Statement> ConnectionSessionState::restore(const SessionValues &values,
-                                                       const PreparedStatement *prepared)
+ConnectionSessionState::Restoration
+ConnectionSessionState::restore(const SessionValues &values, const PreparedStatement *prepared)
 {
-    std::vector<Statement> statements;
+    Restoration restoration;
+    std::vector<Statement> &statements = restoration.statements;
     if (needsReset(values)) {
         statements.push_back({.kind = StatementKind::Reset});
         m_values.clear();
-        m_prepared.clear();
+        m_names.clear();
     }
     for (const auto &[name, value] : values) {
         const auto current = m_values.find(name);
@@ -36,20 +38,36 @@
         statements.push_back({.kind = StatementKind::SetValue, .name = name, .argument = value});
         m_values[name] = value;
     }
-    if (prepared && m_prepared.insert(prepared->sharedName()).second) {
-        statements.push_back({.kind = StatementKind::Prepare,
-                              .name = prepared->sharedName(),
-                              .argument = prepared->shape,
-                              .preparesWrite = prepared->writes});
+    if (!prepared)
+        return restoration;
+    if (std::optional<std::string> name = m_names.use(*prepared)) {
+        restoration.preparedName = std::move(*name);
+        return restoration;
     }
-    return statements;
+    PreparedNames::Allotment allotment = m_names.allot(*prepared);
+    for (std::string &name : allotment.removed)
+        statements.push_back({.kind = StatementKind::Deallocate, .name = std::move(name)});
+    statements.push_back({.kind = StatementKind::Prepare,
+                          .name = allotment.name,
+                          .argument = prepared->shape,
+                          .preparesWrite = prepared->writes});
+    restoration.preparedName = std::move(allotment.name);
+    restoration.isNewName = true;
+    return restoration;
 }
 
 std::size_t ConnectionSessionState::restoreCost(const SessionValues &values,
                                                 const PreparedStatement *prepared) const
 {
-    ConnectionSessionState copy = *this;
-    return copy.restore(values, prepared).size();
+    if (needsReset(values))
+        return 1 + values.size() + (prepared ? 1 : 0);
+    const auto differs = [this](const auto &wanted) {
+        const auto current = m_values.find(wanted.first);
+        return current == m_values.end() || current->second != wanted.second;
+    };
+    const auto different = std::count_if(values.begin(), values.end(), differs);
+    const bool prepares = prepared && !m_names.contains(*prepared);
+    return static_cast<std::size_t>(different) + (prepares ? 1 : 0);
 }
 
 // Whether the connection holds a value that the session has not set. A single value can be
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -100,7 +100,6 @@
         }
         operation.prepared = prepared->second;
         operation.writes = prepared->second.writes;
-        statement.name = prepared->second.sharedName();
     } else {
         operation.writes = kind == StatementKind::Write;
     }
@@ -204,11 +203,22 @@
     operation.connection = session->transaction->connection;
     operation.work = session->transaction->work;
     operation.instance = session->transaction->instance;
-    const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
-    m_pool.restore(now, operation.connection, session->state.values, prepared);
+    restoreState(now, session);
     sendOperation(now, session);
 }
 
+// Makes the operation's connection hold the session's state. An EXECUTE then carries the name that
+// its prepared statement has there.
+void SessionEngine::restoreState(Millis now, Session *session)
+{
+    Operation &operation = *session->operation;
+    const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
+    const std::string name
+        = m_pool.restore(now, operation.connection, session->state.values, prepared);
+    if (prepared)
+        operation.statement.name = name;
+}
+
 // The instance that is expected to answer soonest among those that may serve the operation; empty
 // if none can be chosen now. Sets what the instance's data has to include for a read.
 std::string SessionEngine::chooseInstance(Millis now, const Session &session, Operation *operation)
@@ -312,8 +322,7 @@
     Operation &operation = *session->operation;
     operation.connection = connection;
     ++operation.attempts;
-    const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
-    m_pool.restore(now, connection, session->state.values, prepared);
+    restoreState(now, session);
     if (!session->transaction && !operation.inInternalTransaction) {
         sendOperation(now, session);
         return;
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -169,14 +169,16 @@
     m_queued.erase(work);
 }
 
-void TargetPool::restore(Millis now, ConnectionId connection, const SessionValues &values,
-                         const PreparedStatement *prepared)
+std::string TargetPool::restore(Millis now, ConnectionId connection, const SessionValues &values,
+                                const PreparedStatement *prepared)
 {
     Connection *found = find(connection);
     if (!found)
-        return;
-    for (const Statement &step : found->sessionState.restore(values, prepared))
-        send(now, connection, SendPurpose::Restore, step);
+        return {};
+    ConnectionSessionState::Restoration restoration = found->sessionState.restore(values, prepared);
+    for (Statement &step : restoration.statements)
+        send(now, connection, SendPurpose::Restore, std::move(step));
+    return std::move(restoration.preparedName);
 }
 
 void TargetPool::send(Millis now, ConnectionId connection, SendPurpose purpose, Statement statement)
@@ -552,12 +554,14 @@
     const ConnectionId id = ++m_lastConnection;
     const WorkId owner = work.id;
     work.values = nullptr;
-    m_connections[id] = {.instance = instance->registered.id,
-                         .state = State::Owned,
-                         .owner = owner,
-                         .since = now,
-                         .gateway = std::move(gateway),
-                         .relayed = std::move(work)};
+    m_connections[id]
+        = {.instance = instance->registered.id,
+           .state = State::Owned,
+           .sessionState = ConnectionSessionState({.form = PreparedNames::Form::Compatible}),
+           .owner = owner,
+           .since = now,
+           .gateway = std::move(gateway),
+           .relayed = std::move(work)};
     instance->connections.insert(id);
     m_listener->onWorkStarted(now, owner, id);
     return true;
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -182,9 +182,10 @@
     // each connection.
     void flush(Millis now);
     // Sends the statements that make the connection hold the session's state. Has to be called
-    // before the statements that depend on that state are sent.
-    void restore(Millis now, ConnectionId connection, const SessionValues &values,
-                 const PreparedStatement *prepared);
+    // before the statements that depend on that state are sent. Returns the name that the prepared
+    // statement has on the connection; empty without one, and if the connection does not exist.
+    std::string restore(Millis now, ConnectionId connection, const SessionValues &values,
+                        const PreparedStatement *prepared);
     // Gives the connection back; it is reused once everything sent on it is answered.
     void release(Millis now, ConnectionId connection);
     // Closes the connection, because a statement may still run or a transaction be open on it.
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -33,7 +33,7 @@
     ConnectionSessionState memory;
     memory.restore(GetParam().before, nullptr);
     std::vector<StatementKind> kinds;
-    for (const Statement &step : memory.restore(GetParam().wanted, nullptr))
+    for (const Statement &step : memory.restore(GetParam().wanted, nullptr).statements)
         kinds.push_back(step.kind);
     EXPECT_EQ(kinds, GetParam().steps);
     EXPECT_EQ(memory.restoreCost(GetParam().wanted, nullptr), 0U);
@@ -55,13 +55,21 @@
 {
     ConnectionSessionState memory;
     const PreparedStatement statement{.shape = "q2", .writes = true};
-    ASSERT_EQ(memory.restore({}, &statement).size(), 1U);
-    EXPECT_TRUE(memory.restore({}, &statement).empty());
+    const auto first = memory.restore({}, &statement);
+    ASSERT_EQ(first.statements.size(), 1U);
+    EXPECT_TRUE(first.isNewName);
+    EXPECT_EQ(first.statements[0].name, first.preparedName);
+    const auto second = memory.restore({}, &statement);
+    EXPECT_TRUE(second.statements.empty());
+    EXPECT_FALSE(second.isNewName);
+    EXPECT_EQ(second.preparedName, first.preparedName);
     const PreparedStatement reading{.shape = "q2", .writes = false};
-    EXPECT_EQ(memory.restore({}, &reading).size(), 1U);
+    EXPECT_EQ(memory.restore({}, &reading).statements.size(), 1U);
     // Removing a value takes a reset, which removes prepared statements too.
     memory.restore({{"a", "1"}}, nullptr);
-    EXPECT_EQ(memory.restore({}, &statement).size(), 2U);
+    const auto afterReset = memory.restore({}, &statement);
+    EXPECT_EQ(afterReset.statements.size(), 2U);
+    EXPECT_NE(afterReset.preparedName, first.preparedName);
 }
 
 std::vector<HostRecord> hostsOf(int count, int dataCentres)
--- a/src/standin_core/replicagroup.cpp
+++ b/src/standin_core/replicagroup.cpp
@@ -20,10 +20,12 @@
         && (!instance.primary || instance.term != connection.beganTerm);
 }
 
-bool writes(const Statement &statement)
+bool writes(const Statement &statement, const InstanceConnection &connection)
 {
-    return statement.kind == StatementKind::Write
-        || (statement.kind == StatementKind::Execute && statement.name.starts_with('w'));
+    if (statement.kind != StatementKind::Execute)
+        return statement.kind == StatementKind::Write;
+    const auto prepared = connection.prepared.find(statement.name);
+    return prepared != connection.prepared.end() && prepared->second.writes;
 }
 
 bool isCommand(StatementKind kind)
@@ -66,7 +68,7 @@
         return;
     }
     const bool commits = statement.kind == StatementKind::Commit
-        || (connection->phase == SessionPhase::Idle && writes(statement));
+        || (connection->phase == SessionPhase::Idle && writes(statement, *connection));
     const StatementAnswer answer = run(instance, connection, statement);
     if (!commits || !answer.succeeded() || connection->writes.empty()) {
         reply(answer);
@@ -129,7 +131,8 @@
         connection->prepared.clear();
         break;
     case StatementKind::Prepare:
-        connection->prepared[statement.name] = statement.argument;
+        connection->prepared[statement.name]
+            = {.shape = statement.argument, .writes = statement.preparesWrite};
         break;
     case StatementKind::Deallocate:
         connection->prepared.erase(statement.name);
@@ -139,7 +142,7 @@
             answer.cause = Cause::UnknownName;
             return answer;
         }
-        if (!writes(statement))
+        if (!writes(statement, *connection))
             return runRead(instance, connection, statement);
         runWrite(instance, connection, statement, &answer);
         break;
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -42,7 +42,7 @@
     std::uint64_t beganTerm = 0;       // The instance's term when the open transaction began.
     std::vector<GroupLogEntry> writes; // Of the open transaction.
     SessionValues values;
-    std::map<std::string, std::string> prepared; // The shapes of prepared statements, by name.
+    std::map<std::string, PreparedStatement> prepared; // By name.
 };
 
 // One instance of the group.
@@ -135,8 +135,7 @@
 
     // Runs a statement and passes the answer to `reply`. A commit with writes is answered when a
     // replica has received it, and not at all if the instance stops or is no longer primary by
-    // then. The item of a Read or Write is the statement's name. An Execute writes if the name of
-    // the prepared statement begins with 'w'.
+    // then. The item of a Read or Write is the statement's name.
     void execute(GroupInstance *instance, InstanceConnection *connection,
                  const Statement &statement, const Reply &reply);
     // Carries out one of the commands Status, Pause, Resume and StepDown, possibly after a delay.
