--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -44,9 +44,10 @@
     NoConnection,    // The instance has reached its connection limit.
     UnknownDatabase, // No route exists for the database.
     UnknownName,     // No statement was prepared under that name.
+    TooLong,         // It, or what it needs, exceeds a limit on lengths; it has not run.
 };
 
-inline constexpr NameTable<Cause, 23> CauseNames{{{
+inline constexpr NameTable<Cause, 24> CauseNames{{{
     {Cause::None, "none"},
     {Cause::Invalid, "invalid"},
     {Cause::UnknownTeam, "unknown-team"},
@@ -70,6 +71,7 @@
     {Cause::NoConnection, "no-connection"},
     {Cause::UnknownDatabase, "unknown-database"},
     {Cause::UnknownName, "unknown-name"},
+    {Cause::TooLong, "too-long"},
 }}};
 
 } // namespace cicadagap
--- a/src/programs/cicadagap-sessiond/callersocket.cpp
+++ b/src/programs/cicadagap-sessiond/callersocket.cpp
@@ -23,6 +23,7 @@
 CallerSocket::CallerSocket(tcp::socket socket, const SessionCodec *codec)
     : m_socket(std::move(socket))
     , m_codec(codec)
+    , m_lines(codec->maxLineBytes())
 {
 }
 
@@ -88,18 +89,22 @@
         Reason reason;
         std::optional<CallerMessage> message = m_codec->parseCaller(*line, &reason);
         if (!message) {
-            logEvent(LogLevel::Warning, "caller.line-unreadable", {{"reason", reason.text()}});
-            m_codec->writeRefusal(Cause::Invalid, &m_output);
-            close();
-            m_handlers.closed();
+            refuseInput(reason.text());
             return;
         }
         m_handlers.message(std::move(*message));
     }
-    if (!m_closed && m_lines.pending() > m_codec->maxLineBytes()) {
-        logEvent(LogLevel::Warning, "caller.line-too-long", {});
-        fail();
-    }
+    if (!m_closed && !m_closeAfterWrite && m_lines.isTooLong())
+        refuseInput("longer than " + std::to_string(m_codec->maxLineBytes()) + " bytes");
+}
+
+// Ends the session of a caller whose line cannot be read.
+void CallerSocket::refuseInput(const std::string &reason)
+{
+    logEvent(LogLevel::Warning, "caller.line-unreadable", {{"reason", reason}});
+    m_codec->writeRefusal(Cause::Invalid, &m_output);
+    close();
+    m_handlers.closed();
 }
 
 void CallerSocket::write()
--- a/src/programs/cicadagap-sessiond/callersocket.h
+++ b/src/programs/cicadagap-sessiond/callersocket.h
@@ -38,6 +38,7 @@
 private:
     void read();
     void handleInput();
+    void refuseInput(const std::string &reason);
     void write();
     void closeSocket();
     void fail();
--- a/src/programs/cicadagap-sessiond/targetsocket.cpp
+++ b/src/programs/cicadagap-sessiond/targetsocket.cpp
@@ -25,6 +25,7 @@
     , m_codec(codec)
     , m_handlers(std::move(handlers))
     , m_answerCollector(codec)
+    , m_lines(codec->maxLineBytes())
 {
 }
 
@@ -32,11 +33,17 @@
 {
     error_code error;
     const auto address = asio::ip::make_address(instance.endpoint.address, error);
-    m_codec->writeHello(instance, &m_output);
     if (error) {
         logEvent(LogLevel::Warning, "instance.address-unreadable",
                  {{"instance", instance.id}, {"address", instance.endpoint.address}});
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+        failLater();
+        return;
+    }
+    Reason reason;
+    if (!m_codec->writeHello(instance, &m_output, &reason)) {
+        logEvent(LogLevel::Warning, "instance.hello-impossible",
+                 {{"instance", instance.id}, {"group", instance.group}, {"reason", reason.text()}});
+        failLater();
         return;
     }
     m_socket.async_connect(tcp::endpoint(address, instance.endpoint.port),
@@ -59,7 +66,14 @@
 void TargetSocket::send(const std::vector<Statement> &statements)
 {
     for (const Statement &statement : statements) {
-        m_codec->writeStatement(statement, &m_output);
+        Reason reason;
+        if (!m_codec->writeStatement(statement, &m_output, &reason)) {
+            // What follows depends on it, so nothing more is sent.
+            logEvent(LogLevel::Error, "instance.statement-impossible",
+                     {{"request", statement.id}, {"reason", reason.text()}});
+            failLater();
+            break;
+        }
         m_awaitedKinds.push_back(statement.kind);
     }
     write();
@@ -117,8 +131,10 @@
             m_handlers.answered(*answer);
         }
     }
-    if (!m_closed && m_lines.pending() > m_codec->maxLineBytes())
+    if (!m_closed && m_lines.isTooLong()) {
+        logEvent(LogLevel::Warning, "instance.line-unreadable", {{"reason", "too long"}});
         fail();
+    }
 }
 
 void TargetSocket::handleOpening(const TargetMessage &message)
@@ -149,6 +165,12 @@
                       });
 }
 
+// Reports the failure from the event loop, outside of the call that caused it.
+void TargetSocket::failLater()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+}
+
 void TargetSocket::fail()
 {
     if (m_closed)
--- a/src/programs/cicadagap-sessiond/targetsocket.h
+++ b/src/programs/cicadagap-sessiond/targetsocket.h
@@ -42,6 +42,7 @@
     void handleOpening(const TargetMessage &message);
     void write();
     void fail();
+    void failLater();
 
     boost::asio::ip::tcp::socket m_socket;
     const SessionCodec *m_codec;
--- a/src/session/sessioncodec.cpp
+++ b/src/session/sessioncodec.cpp
@@ -39,6 +39,7 @@
 {
     if (m_start > 0) {
         m_bytes.erase(0, m_start);
+        m_searched -= m_start;
         m_start = 0;
     }
     m_bytes.append(bytes);
@@ -46,11 +47,21 @@
 
 std::optional<std::string_view> LineBuffer::next()
 {
-    const std::size_t end = m_bytes.find("\r\n", m_start);
-    if (end == std::string::npos)
+    constexpr std::string_view LineEnd = "\r\n";
+    const std::size_t end = m_bytes.find(LineEnd, m_searched);
+    const bool complete = end != std::string::npos;
+    const std::size_t length = (complete ? end + LineEnd.size() : m_bytes.size()) - m_start;
+    m_isTooLong = m_isTooLong || length > m_maxLineBytes;
+    if (m_isTooLong)
         return std::nullopt;
+    if (!complete) {
+        // Its first byte may have arrived.
+        m_searched = m_bytes.ends_with(LineEnd.front()) ? m_bytes.size() - 1 : m_bytes.size();
+        return std::nullopt;
+    }
     const std::string_view line(m_bytes.data() + m_start, end - m_start);
-    m_start = end + 2;
+    m_start = end + LineEnd.size();
+    m_searched = m_start;
     return line;
 }
 
--- a/src/session/sessioncodec.h
+++ b/src/session/sessioncodec.h
@@ -6,6 +6,8 @@
 #include "session/registry.h"
 #include "session/statement.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -71,9 +73,13 @@
     // Reports to a caller that its session is open, or why it is not.
     virtual void writeWelcome(std::string *output) const = 0;
     virtual void writeRefusal(Cause cause, std::string *output) const = 0;
+    // The following return false, set a reason and append nothing if the protocol has no line that
+    // an instance would parse back to the same fields.
     // Opens the conversation with an instance, which refuses if it is not the expected one.
-    virtual void writeHello(const RegisteredInstance &instance, std::string *output) const = 0;
-    virtual void writeStatement(const Statement &statement, std::string *output) const = 0;
+    virtual bool writeHello(const RegisteredInstance &instance, std::string *output,
+                            Reason *reason) const = 0;
+    virtual bool writeStatement(const Statement &statement, std::string *output,
+                                Reason *reason) const = 0;
 };
 
 // Collects the lines of an instance's answers, one answer after the other. Not thread-safe.
@@ -100,15 +106,24 @@
 class LineBuffer
 {
 public:
+    // `maxLineBytes` is the greatest length of a line, including its end.
+    explicit LineBuffer(std::size_t maxLineBytes = SIZE_MAX)
+        : m_maxLineBytes(maxLineBytes)
+    {
+    }
+
     void append(std::string_view bytes);
-    // The next whole line without its end; nothing if none is complete.
+    // The next whole line without its end; nothing if none is complete or it is too long.
     std::optional<std::string_view> next();
-    // The number of bytes that next() has not returned yet.
-    std::size_t pending() const { return m_bytes.size() - m_start; }
+    // Whether the next line, complete or not, is too long. No line follows it.
+    bool isTooLong() const { return m_isTooLong; }
 
 private:
+    std::size_t m_maxLineBytes;
     std::string m_bytes;
     std::size_t m_start = 0;
+    std::size_t m_searched = 0; // No line end begins before, from m_start on.
+    bool m_isTooLong = false;
 };
 
 } // namespace cicadagap
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -479,10 +479,11 @@
 }
 
 void SessionEngine::logEvent(Millis now, std::string_view event, SessionId id,
-                             const Session &session, Cause cause)
+                             const Session &session, Cause cause, std::string_view request)
 {
     RequestEvent record{.event = event,
                         .session = id,
+                        .request = request,
                         .database = session.database,
                         .cause = cause,
                         .configuration = m_routing.version};
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -246,6 +246,7 @@
                      const Statement &statement) override;
     bool onCommandRelayed(Millis now, ConnectionId connection, const RelayReply &reply);
     void startStatement(Millis now, SessionId id, Session *session, Statement statement);
+    void refuseAtOnce(Millis now, SessionId id, Session *session, const Statement &statement);
     void beginTransaction(Millis now, SessionId id, Session *session, const Statement &statement);
     void rollBack(Millis now, SessionId id, Session *session);
     void startForwarded(Millis now, SessionId id, Session *session, Statement statement);
@@ -285,7 +286,7 @@
     void logDeparture(Millis now, const InstanceList::Departure &departure);
     void moveReadsFromSilentInstances(Millis now);
     void logEvent(Millis now, std::string_view event, SessionId id, const Session &session,
-                  Cause cause);
+                  Cause cause, std::string_view request = {});
     Session *find(SessionId id);
     const DatabaseRoute *route(const std::string &database) const;
     WorkId nextWork() { return ++m_lastWork; }
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -41,7 +41,9 @@
         }
         return;
     }
-    if (kind == StatementKind::Begin || kind == StatementKind::BeginReadOnly)
+    if (statement.refusal != Cause::None)
+        refuseAtOnce(now, id, session, statement);
+    else if (kind == StatementKind::Begin || kind == StatementKind::BeginReadOnly)
         beginTransaction(now, id, session, statement);
     else if (kind == StatementKind::Rollback)
         rollBack(now, id, session);
@@ -51,6 +53,19 @@
         answerLocally(now, id, session, session->state.apply(statement));
 }
 
+// Answers a statement that no instance can get. A transaction around it is lost, as it would be if
+// an instance had refused the statement.
+void SessionEngine::refuseAtOnce(Millis now, SessionId id, Session *session,
+                                 const Statement &statement)
+{
+    logEvent(now, "request.refused", id, *session, statement.refusal, statement.id);
+    if (session->transaction) {
+        endTransaction(now, session, /*rollBackFirst=*/true);
+        session->phase = SessionPhase::FailedTransaction;
+    }
+    answerLocally(now, id, session, statement.refusal);
+}
+
 void SessionEngine::beginTransaction(Millis now, SessionId id, Session *session,
                                      const Statement &statement)
 {
--- a/src/session/statement.h
+++ b/src/session/statement.h
@@ -47,6 +47,8 @@
     // SetValue: the value. Prepare: the shape, which is the text with placeholders for parameters.
     // Execute: the parameters. Pause and StepDown: the term.
     std::string argument;
+    // Callers' statements only: why it cannot be run, as far as its text alone tells.
+    Cause refusal = Cause::None;
     bool preparesWrite = false; // Prepare only: executing the prepared statement writes.
     // The instance refuses the statement unless its log holds this position.
     std::optional<Position> requiredPosition;
--- a/test/soak/soakcaller.cpp
+++ b/test/soak/soakcaller.cpp
@@ -59,7 +59,10 @@
     {
         m_sentKind = statement.kind;
         statement.text.clear(); // So that the codec composes the text from the other members.
-        codec.writeStatement(statement, &m_output);
+        if (!codec.writeStatement(statement, &m_output, nullptr)) {
+            fail();
+            return;
+        }
         write();
     }
 
