A name that an instance has lost is not reported to the caller who prepared it

A gateway gave the connection back to its pool, where it refused every later EXECUTE of the shape, five times for each statement, which ended as BUSY.

Cause: the answer was taken for the caller's mistake, and outside the pool's owner nobody drew the conclusion that the connection does not hold what its host recorded.

Change: the pool closes a connection that has answered so once it is released; a transaction ends as ABORTED.

Evidence: PreparedShapes.AreNotReportedAsUnknownInsideATransaction failed before (cause unknown-name in place of aborted) and passes now.

--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -484,6 +484,11 @@
         finishCommit(now, id, session, answer);
         return;
     }
+    if (session->transaction && answer.cause == Cause::UnknownName) {
+        // The session prepared it, so to its caller it is not unknown.
+        refuse(now, id, session, Cause::Aborted);
+        return;
+    }
     if (session->transaction) {
         session->transaction->lastUsed = now;
         session->transaction->hasRun = session->transaction->hasRun || answer.succeeded();
@@ -502,10 +507,7 @@
         answerOperation(now, id, session, answer);
         return;
     }
-    if (answer.cause == Cause::UnknownName)
-        m_pool.discard(now, operation.connection);
-    else
-        m_pool.release(now, operation.connection);
+    m_pool.release(now, operation.connection);
     m_sessionByWork.erase(operation.work);
     const bool notRun = answer.cause == Cause::Overloaded || answer.cause == Cause::Behind
         || answer.cause == Cause::NotPrimary || answer.cause == Cause::UnknownName;
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -352,6 +352,8 @@
     const Sent sent = found->awaited.front();
     found->awaited.pop_front();
     found->phase = answer.phase;
+    // The instance lacks a statement that was prepared on this connection.
+    found->stateUnknown = found->stateUnknown || answer.cause == Cause::UnknownName;
     if (answer.cause == Cause::Overloaded)
         m_instances.at(name).overloadedUntil = now + OverloadMemory;
     recordAnswer(now, &m_instances.at(name), sent);
@@ -703,7 +705,7 @@
         return;
     found->state = State::Idle;
     found->since = now;
-    if (m_instances.at(found->instance).removed || found->relayed)
+    if (m_instances.at(found->instance).removed || found->relayed || found->stateUnknown)
         closeConnection(now, connection);
     else
         startWork(now, found->instance);
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -250,6 +250,7 @@
         std::deque<Sent> awaited;
         std::vector<RelayedStatement> unsent; // Leave with the next flush().
         std::vector<RelayedStatement> held;   // Wait for a free slot.
+        bool stateUnknown = false;            // What sessionState says is wrong.
         bool workSent = false;                // The work's own statement may have left.
         bool reserved = false;                // A slot is reserved for the work's first statement.
         // Channels at a gateway only.
