Gateways close connections that lack a name, and refuse empty batches

When an instance answered that it lacks a prepared name, the gateway gave its connection back as if it held the name. Each later execution of that shape on the connection failed as well. A transaction stayed open on it. The gateway now closes the connection and ends the channel. A host does so with its own connections outside of transactions already.

A batch without a statement to answer, which only a broken host sends, took a connection and a slot and was never answered: the channel waited for answers that could not come, and idle channels are only ended while no batch is in progress. It is refused as not run.

New tests: names of several origins on one connection, of transactions, after a reset, after a lost connection, prepared again, and of origins of earlier versions.

--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -65,13 +65,19 @@
     return nullptr;
 }
 
-bool executesUnknownName(const std::vector<RelayedStatement> &statements,
-                         const RelayedNames &prepared)
+// Why a batch cannot be run, given its statements without those that restore the session's state;
+// None if it can.
+Cause refusal(const std::vector<RelayedStatement> &statements, const RelayedNames &prepared)
 {
-    return std::any_of(statements.begin(), statements.end(), [&](const RelayedStatement &entry) {
-        return entry.statement.kind == StatementKind::Execute
-            && !executedBy(entry.statement, prepared);
-    });
+    // No answer would end its channel.
+    if (statements.empty())
+        return Cause::Invalid;
+    const bool executesUnknownName
+        = std::any_of(statements.begin(), statements.end(), [&](const RelayedStatement &entry) {
+              return entry.statement.kind == StatementKind::Execute
+                  && !executedBy(entry.statement, prepared);
+          });
+    return executesUnknownName ? Cause::UnknownName : Cause::None;
 }
 
 // Whether the batch consists of a single write outside of a transaction, besides statements that
@@ -168,10 +174,10 @@
     channel.lastUsed = now;
     channel.statements = std::move(batch.statements);
     extractSessionState(&channel.statements, &channel.values, &channel.prepared);
-    if (executesUnknownName(channel.statements, channel.prepared)) {
+    if (const Cause cause = refusal(channel.statements, channel.prepared); cause != Cause::None) {
         if (channel.connection != 0)
             m_pool->discard(now, channel.connection);
-        endChannel(key, Cause::UnknownName, /*sent=*/false);
+        endChannel(key, cause, /*sent=*/false);
         return;
     }
     if (required && !channel.statements.empty()) {
@@ -322,6 +328,12 @@
         m_groups->onCommitAcknowledged(channel->instance, sentAt);
     channel->reply.answers.push_back(answer);
     --channel->unanswered;
+    if (answer.cause == Cause::UnknownName) {
+        // The instance lacks a name that this host takes the connection to hold.
+        m_pool->discard(now, channel->connection);
+        endChannel(key, Cause::UnknownName, /*sent=*/false);
+        return true;
+    }
     const bool refused = purpose == SendPurpose::OpenTransaction && !answer.succeeded();
     if (refused) {
         // The statements that were to run inside the transaction must not run.
