Calls between hosts limit the length of bodies

A host collected bodies of any length from its peers, up to 10,000 at a time on each connection.

A client does not send a longer one. A server closes the stream with REFUSED_STREAM, which in HTTP/2 promises that the call was not processed; the client reports NotRun then. A longer response counts as MayHaveRun. Other calls on the connection go on.

--- a/src/connection/peerclient.cpp
+++ b/src/connection/peerclient.cpp
@@ -49,6 +49,7 @@
     std::string received;
     std::string outgoing;
     std::size_t sent = 0; // How many bytes of `outgoing` were passed to nghttp2.
+    bool tooLong = false; // The received message exceeds the limit; it is dropped.
     bool failed = false;  // Whether the response's status is not 200. Client side only.
     std::function<void(PeerReply)> done;       // Client side only.
     std::shared_ptr<asio::steady_timer> timer; // Client side only.
@@ -59,8 +60,9 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    explicit Session(tcp::socket socket)
+    Session(tcp::socket socket, PeerLimits limits)
         : m_socket(std::move(socket))
+        , m_limits(limits)
     {
     }
     virtual ~Session() { nghttp2_session_del(m_session); }
@@ -70,8 +72,11 @@
 protected:
     // A complete message was received on the stream.
     virtual void onMessage(std::int32_t id, Stream *stream) = 0;
+    // The message on the stream exceeds the limit, and the rest of it will be dropped. Returns the
+    // error code to close the stream with.
+    virtual std::uint32_t onTooLong(Stream *stream) = 0;
     // The stream was closed, whether or not its message is complete.
-    virtual void onStreamClosed(std::int32_t id, Stream *stream) = 0;
+    virtual void onStreamClosed(std::int32_t id, Stream *stream, std::uint32_t errorCode) = 0;
     // The connection was closed.
     virtual void onClosed() = 0;
     // Some bytes were received.
@@ -198,8 +203,17 @@
     static int onData(nghttp2_session *, std::uint8_t, std::int32_t id, const std::uint8_t *data,
                       std::size_t length, void *user)
     {
-        if (Stream *stream = static_cast<Session *>(user)->stream(id))
+        auto *self = static_cast<Session *>(user);
+        Stream *stream = self->stream(id);
+        if (!stream || stream->tooLong)
+            return 0;
+        if (length <= self->m_limits.maxBodyBytes - stream->received.size()) {
             stream->received.append(reinterpret_cast<const char *>(data), length);
+            return 0;
+        }
+        stream->tooLong = true;
+        stream->received = {};
+        nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, id, self->onTooLong(stream));
         return 0;
     }
 
@@ -210,12 +224,13 @@
             = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
         if (!carriesMessage || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
             return 0;
-        if (Stream *stream = self->stream(frame->hd.stream_id))
+        Stream *stream = self->stream(frame->hd.stream_id);
+        if (stream && !stream->tooLong)
             self->onMessage(frame->hd.stream_id, stream);
         return 0;
     }
 
-    static int onClose(nghttp2_session *, std::int32_t id, std::uint32_t, void *user)
+    static int onClose(nghttp2_session *, std::int32_t id, std::uint32_t errorCode, void *user)
     {
         auto *self = static_cast<Session *>(user);
         const auto found = self->m_streams.find(id);
@@ -223,7 +238,7 @@
             return 0;
         const std::unique_ptr<Stream> stream = std::move(found->second);
         self->m_streams.erase(found);
-        self->onStreamClosed(id, stream.get());
+        self->onStreamClosed(id, stream.get(), errorCode);
         return 0;
     }
 
@@ -241,6 +256,7 @@
     }
 
     tcp::socket m_socket;
+    PeerLimits m_limits;
     nghttp2_session *m_session = nullptr;
     std::map<std::int32_t, std::unique_ptr<Stream>> m_streams;
     std::array<char, ReadBufferBytes> m_input{};
@@ -253,9 +269,9 @@
 class ServerSession : public Session
 {
 public:
-    ServerSession(tcp::socket socket, PeerHandler handler,
+    ServerSession(tcp::socket socket, PeerLimits limits, PeerHandler handler,
                   std::shared_ptr<std::atomic<int>> activeCalls)
-        : Session(std::move(socket))
+        : Session(std::move(socket), limits)
         , m_handler(std::move(handler))
         , m_activeCalls(std::move(activeCalls))
     {
@@ -279,7 +295,9 @@
             });
         });
     }
-    void onStreamClosed(std::int32_t, Stream *) override { }
+    // Tells the client that the call was not processed.
+    std::uint32_t onTooLong(Stream *) override { return NGHTTP2_REFUSED_STREAM; }
+    void onStreamClosed(std::int32_t, Stream *, std::uint32_t) override { }
     void onClosed() override { }
 
 private:
@@ -303,9 +321,10 @@
 class PeerServerImpl : public PeerServer
 {
 public:
-    PeerServerImpl(EventLoop *loop, PeerHandler handler)
+    PeerServerImpl(EventLoop *loop, PeerHandler handler, PeerLimits limits)
         : m_acceptor(std::make_shared<tcp::acceptor>(asio::make_strand(*loop->context())))
         , m_loop(loop)
+        , m_limits(limits)
         , m_handler(std::move(handler))
         , m_activeCalls(std::make_shared<std::atomic<int>>(0))
     {
@@ -337,7 +356,7 @@
             return false;
         }
         m_endpoint = {endpoint.address, m_acceptor->local_endpoint().port()};
-        accept(m_loop, m_acceptor, m_handler, m_activeCalls);
+        accept(m_loop, m_acceptor, m_limits, m_handler, m_activeCalls);
         return true;
     }
 
@@ -346,23 +365,25 @@
 
 private:
     static void accept(EventLoop *loop, const std::shared_ptr<tcp::acceptor> &acceptor,
-                       const PeerHandler &handler,
+                       PeerLimits limits, const PeerHandler &handler,
                        const std::shared_ptr<std::atomic<int>> &activeCalls)
     {
-        acceptor->async_accept(
-            asio::make_strand(*loop->context()),
-            [loop, acceptor, handler, activeCalls](const error_code &error, tcp::socket socket) {
-                if (!acceptor->is_open())
-                    return;
-                if (!error)
-                    std::make_shared<ServerSession>(std::move(socket), handler, activeCalls)
-                        ->start();
-                accept(loop, acceptor, handler, activeCalls);
-            });
+        acceptor->async_accept(asio::make_strand(*loop->context()),
+                               [loop, acceptor, limits, handler,
+                                activeCalls](const error_code &error, tcp::socket socket) {
+                                   if (!acceptor->is_open())
+                                       return;
+                                   if (!error)
+                                       std::make_shared<ServerSession>(std::move(socket), limits,
+                                                                       handler, activeCalls)
+                                           ->start();
+                                   accept(loop, acceptor, limits, handler, activeCalls);
+                               });
     }
 
     std::shared_ptr<tcp::acceptor> m_acceptor;
     EventLoop *m_loop;
+    PeerLimits m_limits;
     PeerHandler m_handler;
     std::shared_ptr<std::atomic<int>> m_activeCalls;
     Endpoint m_endpoint;
@@ -380,8 +401,8 @@
 class ClientSession : public Session
 {
 public:
-    explicit ClientSession(tcp::socket socket)
-        : Session(std::move(socket))
+    ClientSession(tcp::socket socket, PeerLimits limits)
+        : Session(std::move(socket), limits)
         , m_pingTimer(this->socket().get_executor())
     {
     }
@@ -422,9 +443,15 @@
         if (!stream->failed)
             finish(stream, {Verdict::Ran, std::move(stream->received)});
     }
-    void onStreamClosed(std::int32_t, Stream *stream) override
+    std::uint32_t onTooLong(Stream *stream) override
     {
         finish(stream, {Verdict::MayHaveRun, {}});
+        return NGHTTP2_CANCEL;
+    }
+    void onStreamClosed(std::int32_t, Stream *stream, std::uint32_t errorCode) override
+    {
+        const bool refused = errorCode == NGHTTP2_REFUSED_STREAM;
+        finish(stream, {refused ? Verdict::NotRun : Verdict::MayHaveRun, {}});
     }
     void onClosed() override
     {
@@ -494,9 +521,10 @@
 class PeerClientImpl : public PeerClient, public std::enable_shared_from_this<PeerClientImpl>
 {
 public:
-    PeerClientImpl(EventLoop *loop, Endpoint endpoint)
+    PeerClientImpl(EventLoop *loop, Endpoint endpoint, PeerLimits limits)
         : m_strand(asio::make_strand(*loop->context()))
         , m_endpoint(std::move(endpoint))
+        , m_limits(limits)
     {
     }
 
@@ -519,6 +547,10 @@
 private:
     void send(PendingCall pending)
     {
+        if (pending.request.body.size() > m_limits.maxBodyBytes) {
+            pending.done({Verdict::NotRun, {}});
+            return;
+        }
         if (m_session && m_session->isUsable()) {
             m_session->submit(std::move(pending), m_clock.now());
             return;
@@ -557,7 +589,7 @@
                 pending.done({Verdict::NotRun, {}});
             return;
         }
-        m_session = std::make_shared<ClientSession>(std::move(socket));
+        m_session = std::make_shared<ClientSession>(std::move(socket), m_limits);
         m_session->start();
         for (PendingCall &pending : waiting) {
             if (m_clock.now() < pending.deadline)
@@ -569,6 +601,7 @@
 
     asio::strand<asio::io_context::executor_type> m_strand;
     Endpoint m_endpoint;
+    PeerLimits m_limits;
     SteadyClock m_clock;
     std::shared_ptr<ClientSession> m_session;
     std::vector<PendingCall> m_waitingForConnection;
@@ -577,15 +610,17 @@
 
 } // namespace
 
-std::shared_ptr<PeerClient> PeerClient::create(EventLoop *loop, const Endpoint &endpoint)
+std::shared_ptr<PeerClient> PeerClient::create(EventLoop *loop, const Endpoint &endpoint,
+                                               PeerLimits limits)
 {
-    return std::make_shared<PeerClientImpl>(loop, endpoint);
+    return std::make_shared<PeerClientImpl>(loop, endpoint, limits);
 }
 
 std::unique_ptr<PeerServer> PeerServer::listen(EventLoop *loop, const Endpoint &endpoint,
-                                               PeerHandler handler, Reason *reason)
+                                               PeerHandler handler, Reason *reason,
+                                               PeerLimits limits)
 {
-    auto server = std::make_unique<PeerServerImpl>(loop, std::move(handler));
+    auto server = std::make_unique<PeerServerImpl>(loop, std::move(handler), limits);
     if (!server->bind(endpoint, reason))
         return nullptr;
     return server;
--- a/src/connection/peerclient.h
+++ b/src/connection/peerclient.h
@@ -10,12 +10,20 @@
 #include "base/verdict.h"
 #include "connection/http.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace cicadagap {
 
+// Longer bodies are refused, as they would have to be held in memory as a whole. That does not
+// affect other calls on the connection.
+struct PeerLimits
+{
+    std::size_t maxBodyBytes = 16UL * 1024 * 1024;
+};
+
 struct PeerRequest
 {
     std::string path;
@@ -38,15 +46,17 @@
 {
 public:
     // `loop` must outlive the client.
-    static std::shared_ptr<PeerClient> create(EventLoop *loop, const Endpoint &endpoint);
+    static std::shared_ptr<PeerClient> create(EventLoop *loop, const Endpoint &endpoint,
+                                              PeerLimits limits = {});
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
     virtual ~PeerClient() = default;
 
     // Sends `request`. `done` runs exactly once, on the event loop. The verdict of a call that
-    // never left this host is NotRun, that of a call without a complete response within `timeout`
-    // is MayHaveRun. While calls are in progress, the server is pinged, so that a server that stops
-    // responding is detected within about a second, however long the calls' timeouts are.
+    // never left this host, or whose body is too long, is NotRun. That of a call without a complete
+    // response within `timeout`, or whose response is too long, is MayHaveRun. While calls are in
+    // progress, the server is pinged, so that a server that stops responding is detected within
+    // about a second, however long the calls' timeouts are.
     virtual void call(PeerRequest request, Millis timeout, std::function<void(PeerReply)> done) = 0;
     // Closes the connection. Calls in progress end with MayHaveRun.
     virtual void close() = 0;
@@ -62,7 +72,8 @@
     // Starts to listen on `endpoint`; port 0 selects a free port. Returns null and sets `reason` if
     // the address can't be bound. `loop` must outlive the server.
     static std::unique_ptr<PeerServer> listen(EventLoop *loop, const Endpoint &endpoint,
-                                              PeerHandler handler, Reason *reason);
+                                              PeerHandler handler, Reason *reason,
+                                              PeerLimits limits = {});
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
     virtual ~PeerServer() = default;
--- /dev/null
+++ b/src/session/tst_relayedstatements.cpp
@@ -0,0 +1,184 @@
+// Tests of a SessionEngine whose statements go through a gateway: what callers are answered when
+// the gateway refuses a batch or its reply does not fit.
+#include "session/hostdirectory.h"
+#include "sessionoutputs.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+namespace {
+
+constexpr SessionId Caller = 1;
+constexpr const char *Database = "db";
+constexpr const char *OwnHost = "h";
+
+class DroppingOutput : public SendingOutput
+{
+public:
+    void relayToGateway(ConnectionId connection, const std::string &host, RelayBatch batch) override
+    {
+        channel = connection;
+        gateway = host;
+        SendingOutput::relayToGateway(connection, host, std::move(batch));
+    }
+    void dropAtGateway(ConnectionId connection, const std::string &) override
+    {
+        dropped.push_back(connection);
+    }
+
+    ConnectionId channel = 0; // Of the last batch.
+    std::string gateway;
+    std::vector<ConnectionId> dropped;
+};
+
+// A host with one caller, whose only instance is reached through gateways.
+class RelayedStatements : public testing::Test
+{
+protected:
+    RelayedStatements()
+    {
+        std::vector<HostRecord> hosts{{.host = OwnHost, .dataCentre = "d"}};
+        for (int i = 0; i < 12; ++i)
+            hosts.push_back({.host = "g" + std::to_string(i), .dataCentre = "d"});
+        RoutingTable routing{.version = 1};
+        routing.groups["g"] = {.name = "g", .maxConnections = 4};
+        routing.databases[Database] = {.database = Database,
+                                       .group = "g",
+                                       .statementTimeout = Millis(1500),
+                                       .latencyObjective = Millis(400)};
+        engine.onHosts(Millis(0), hosts);
+        engine.onConfiguration(Millis(0), routing);
+        engine.onInstances(Millis(0),
+                           {{.id = relayedInstance(hosts),
+                             .group = "g",
+                             .dataCentre = "d",
+                             .slots = 4,
+                             .registeredAsPrimary = true}});
+        EXPECT_EQ(engine.onConnect(Millis(1), Caller, Database), Cause::None);
+    }
+
+    // An instance to which the host has no direct connection.
+    static std::string relayedInstance(const std::vector<HostRecord> &hosts)
+    {
+        HostDirectory directory({.self = OwnHost});
+        directory.setRecords(Millis(0), hosts);
+        std::string id;
+        for (int i = 0; i < 1000; ++i) {
+            id = "i" + std::to_string(i);
+            if (!directory.access({.id = id, .dataCentre = "d"}, 4).direct)
+                break;
+        }
+        return id;
+    }
+
+    void send(Millis now, StatementKind kind, const std::string &id)
+    {
+        engine.onStatement(now, Caller, {.id = id, .kind = kind, .text = id});
+    }
+
+    void reply(Millis now, const RelayReply &reply)
+    {
+        engine.onRelayReply(now, output.channel, output.gateway, reply);
+    }
+
+    // Opens a transaction and runs its first statement.
+    void beginTransaction()
+    {
+        send(Millis(2), StatementKind::Begin, "b");
+        send(Millis(3), StatementKind::Write, "w1");
+        output.answers.clear();
+        reply(Millis(4),
+              {.answers = {{.phase = SessionPhase::Transaction, .position = Position{1, 1}},
+                           {.signature = "s1", .phase = SessionPhase::Transaction}}});
+        ASSERT_EQ(output.answers.size(), 1U);
+        ASSERT_TRUE(output.answers.back().succeeded());
+        output.answers.clear();
+    }
+
+    DroppingOutput output;
+    SessionEngine engine{{.host = OwnHost, .dataCentre = "d"}, &output};
+};
+
+struct Refusal
+{
+    std::string name;
+    Cause cause; // Of the reply.
+    Cause answered;
+};
+
+class RefusedBatch : public RelayedStatements, public testing::WithParamInterface<Refusal>
+{
+};
+
+// Guards against this failure: a batch that no gateway can read was sent five times at once.
+TEST_P(RefusedBatch, IsAnsweredAsNotRunAndNotSentAgain)
+{
+    for (const StatementKind kind : {StatementKind::Read, StatementKind::Write}) {
+        output.relayed.clear();
+        output.answers.clear();
+        send(Millis(2), kind, "q");
+        ASSERT_EQ(output.relayed.size(), 1U);
+        reply(Millis(3), {.ended = true, .cause = GetParam().cause});
+        EXPECT_EQ(output.relayed.size(), 1U);
+        ASSERT_EQ(output.answers.size(), 1U);
+        EXPECT_EQ(output.answers.back().cause, GetParam().answered);
+    }
+}
+
+// Guards against this failure: a transaction stayed open at the gateway until it counted as idle.
+TEST_P(RefusedBatch, EndsItsTransactionAtTheGateway)
+{
+    beginTransaction();
+    send(Millis(5), StatementKind::Write, "w2");
+    reply(Millis(6), {.ended = true, .cause = GetParam().cause});
+    ASSERT_EQ(output.answers.size(), 1U);
+    EXPECT_EQ(output.answers.back().cause, Cause::Aborted);
+    EXPECT_EQ(output.dropped, std::vector<ConnectionId>{output.channel});
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RefusedBatch,
+                         testing::Values(Refusal{"unreadable", Cause::Invalid, Cause::Overloaded},
+                                         Refusal{"tooLong", Cause::TooLong, Cause::TooLong}),
+                         [](const auto &info) { return info.param.name; });
+
+// A reply that is lost or cannot be read: its statement may have run.
+TEST_F(RelayedStatements, WithAnUnreadableReplyAreInDoubtIfTheyWriteAndNotSentAgain)
+{
+    send(Millis(2), StatementKind::Write, "w");
+    reply(Millis(3), {.ended = true, .cause = Cause::Invalid, .sent = true});
+    EXPECT_EQ(output.relayed.size(), 1U);
+    ASSERT_EQ(output.answers.size(), 1U);
+    EXPECT_EQ(output.answers.back().cause, Cause::ConnectionLost);
+    EXPECT_EQ(output.dropped.size(), 1U);
+}
+
+// Guards against this failure: the second of two answers to one statement became the answer to the
+// statement after it, which had not run.
+TEST_F(RelayedStatements, DoNotTakeTheAnswersOfOthers)
+{
+    beginTransaction();
+    send(Millis(5), StatementKind::Write, "w2");
+    send(Millis(5), StatementKind::Write, "w3");
+    reply(Millis(6),
+          {.answers = {{.signature = "s2", .phase = SessionPhase::Transaction},
+                       {.signature = "s2", .phase = SessionPhase::Transaction}}});
+    for (const StatementAnswer &answer : output.answers)
+        EXPECT_FALSE(answer.succeeded());
+    EXPECT_EQ(output.dropped, std::vector<ConnectionId>{output.channel});
+}
+
+TEST_F(RelayedStatements, OutsideATransactionAreInDoubtWithTooManyAnswers)
+{
+    send(Millis(2), StatementKind::Write, "w");
+    reply(Millis(3), {.answers = {{.signature = "s"}, {.signature = "s"}}, .ended = true});
+    ASSERT_EQ(output.answers.size(), 1U);
+    EXPECT_EQ(output.answers.back().cause, Cause::ConnectionLost);
+    EXPECT_EQ(output.relayed.size(), 1U);
+}
+
+} // namespace
+} // namespace cicadagap
