Odd batches and replies run nothing and answer nothing else

A reply with more answers than its batch has statements: the surplus answered the caller's next statement. In a transaction, a write that had not run was answered with success. The pool now closes such a channel, drops it at the gateway, and reports the statement as in doubt.

A batch that a gateway refused as unreadable (Cause::Invalid) was sent five times at once and ended as BUSY; a transaction stayed open at the gateway until it counted as idle. The refusal is now answered at once, as BUSY or, if the batch is too long, as ABORTED: both promise that nothing is kept. Its channel is dropped at the gateway. A write whose reply is lost or cannot be read stays in doubt and is not run again, as before.

A gateway sent to its instance whatever kind, purpose and order a batch had, such as a caller's RESET or a write ahead of the BEGIN that was to enclose it. The decoder refuses statements that no sound host relays. It does not compare text and kind: a broken origin could send any text with a fitting kind.

Rows that make a reply too long are left out (encodeRelayReply with a limit): reads end as TooLong, statements that may write as in doubt.

The simulation stops at a message that it cannot decode; it read an empty optional.

--- a/src/session/relaybatch.h
+++ b/src/session/relaybatch.h
@@ -5,6 +5,7 @@
 #include "base/millis.h"
 #include "session/statement.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -46,6 +47,15 @@
     std::vector<RelayedStatement> statements;
 
     bool operator==(const RelayBatch &) const = default;
+    // Whether none of the statements can write, as far as their kinds tell.
+    bool onlyReads() const
+    {
+        return std::none_of(statements.begin(), statements.end(), [](const auto &entry) {
+            const StatementKind kind = entry.statement.kind;
+            return kind == StatementKind::Write || kind == StatementKind::Execute
+                || kind == StatementKind::Commit;
+        });
+    }
 };
 
 // The answers to the statements of a batch, in order, without those that only restore the session's
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -2,6 +2,8 @@
 
 #include "relaywire/relay.pb.h"
 
+#include <algorithm>
+
 namespace cicadagap {
 
 namespace {
@@ -23,6 +25,55 @@
     return {.term = in.term(), .index = in.index()};
 }
 
+// Whether hosts relay such a statement for that purpose. A gateway sends no other ones to
+// instances, as no caller has sent them.
+bool isRelayable(const RelayedStatement &entry)
+{
+    const Statement &statement = entry.statement;
+    const bool internal = statement.id == InternalStatementId && statement.text.empty();
+    switch (statement.kind) {
+    case StatementKind::Unknown:
+        return false;
+    case StatementKind::SetValue:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+    case StatementKind::Reset:
+        return internal && entry.purpose == SendPurpose::Restore;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        return internal && entry.purpose == SendPurpose::OpenTransaction;
+    case StatementKind::Rollback:
+        return internal && entry.purpose == SendPurpose::CloseTransaction;
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+    case StatementKind::Commit:
+        return statement.id != InternalStatementId && !statement.text.empty()
+            && entry.purpose == SendPurpose::Work;
+    case StatementKind::Status:
+    case StatementKind::Pause:
+    case StatementKind::Resume:
+    case StatementKind::StepDown:
+        return internal && entry.purpose == SendPurpose::Work;
+    }
+    return false;
+}
+
+// Whether the session's state is restored before anything runs, and a transaction is opened before
+// its statements and closed after them, at most once.
+bool isInOrder(const std::vector<RelayedStatement> &statements)
+{
+    const auto isLessOrOnce = [](const RelayedStatement &before, const RelayedStatement &after) {
+        const bool mayRepeat
+            = before.purpose == SendPurpose::Restore || before.purpose == SendPurpose::Work;
+        return before.purpose < after.purpose || (mayRepeat && before.purpose == after.purpose);
+    };
+    return std::adjacent_find(
+               statements.begin(), statements.end(),
+               [&](const auto &before, const auto &after) { return !isLessOrOnce(before, after); })
+        == statements.end();
+}
+
 void write(const RelayedStatement &entry, relaywire::Statement *out)
 {
     const Statement &statement = entry.statement;
@@ -136,6 +187,22 @@
     return out.SerializeAsString();
 }
 
+std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes)
+{
+    std::string encoded = encodeRelayReply(reply);
+    if (encoded.size() <= maxBytes)
+        return encoded;
+    RelayReply shortened = reply;
+    for (StatementAnswer &answer : shortened.answers) {
+        if (answer.succeeded() && !answer.rows.empty()) {
+            answer.cause = onlyReads ? Cause::TooLong : Cause::ConnectionLost;
+            answer.signature.clear();
+        }
+        answer.rows.clear();
+    }
+    return encodeRelayReply(shortened);
+}
+
 std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason)
 {
     relaywire::Batch in;
@@ -158,8 +225,16 @@
             setReason(reason, "the kind or purpose of a statement is unknown");
             return std::nullopt;
         }
+        if (!isRelayable(*entry)) {
+            setReason(reason, "a statement cannot be relayed for its purpose");
+            return std::nullopt;
+        }
         batch.statements.push_back(std::move(*entry));
     }
+    if (!isInOrder(batch.statements)) {
+        setReason(reason, "the statements are not in the order of their purposes");
+        return std::nullopt;
+    }
     return batch;
 }
 
--- a/src/session/relaycodec.h
+++ b/src/session/relaycodec.h
@@ -5,6 +5,7 @@
 #include "base/reason.h"
 #include "session/relaybatch.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 
 std::string encodeRelayBatch(const RelayBatch &batch);
 std::string encodeRelayReply(const RelayReply &reply);
+// The same, without the results if the encoding would be longer than `maxBytes`: statements of a
+// batch that only reads count as TooLong, others as in doubt.
+std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes);
 
 // Return nothing, and a reason, for bytes that are not a batch or a reply.
 std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason);
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -398,7 +398,13 @@
         return;
     if (cause == Cause::NotPrimary)
         m_control.onNotPrimary(now, session->operation->instance, session->operation->startedAt);
-    retry(now, id, session, cause);
+    // Sent again, the statement would be refused again.
+    if (cause == Cause::TooLong)
+        refuse(now, id, session, Cause::TooLong);
+    else if (cause == Cause::Invalid)
+        refuse(now, id, session, Cause::Overloaded);
+    else
+        retry(now, id, session, cause);
 }
 
 void SessionEngine::onWorkAnswer(Millis now, WorkId work, ConnectionId connection,
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -397,6 +397,19 @@
 
 void TargetPool::onRelayReply(Millis now, ConnectionId connection, const RelayReply &reply)
 {
+    const Connection *awaiting = find(connection);
+    if (!awaiting)
+        return;
+    if (reply.answers.size() > awaiting->awaited.size()) {
+        // The surplus would become the answers of statements that have not run.
+        const bool owned = awaiting->state == State::Owned;
+        const bool sent = awaiting->workSent;
+        const WorkId owner = awaiting->owner;
+        closeConnection(now, connection);
+        if (owned)
+            m_listener->onWorkConnectionLost(now, owner, connection, sent);
+        return;
+    }
     for (const StatementAnswer &answer : reply.answers) {
         if (Connection *found = find(connection))
             found->answered = true;
@@ -408,7 +421,9 @@
     const bool owned = found->state == State::Owned;
     const bool refused = !reply.sent && !found->answered;
     const WorkId owner = found->owner;
-    found->endedAtGateway = true;
+    // A gateway knows no channel of a batch that it cannot read or has not received, so that the
+    // channel's transaction may be open there.
+    found->endedAtGateway = reply.cause != Cause::Invalid && reply.cause != Cause::TooLong;
     closeConnection(now, connection);
     if (owned && refused)
         m_listener->onWorkRefused(now, owner, reply.cause);
--- a/src/session/tst_relaycodec.cpp
+++ b/src/session/tst_relaycodec.cpp
@@ -40,24 +40,64 @@
                         [](std::int64_t value) { return Millis(value); });
 }
 
-// A caller's statement is passed on as its text, so it needs its name only to be executed.
-rc::Gen<RelayedStatement> anyRelayedStatement()
+rc::Gen<std::string> anyNonEmptyText()
 {
-    return rc::gen::exec([] {
-        RelayedStatement entry{.purpose = *anyOf(SendPurpose::CloseTransaction)};
+    return rc::gen::suchThat(anyText(), [](const std::string &text) { return !text.empty(); });
+}
+
+// A statement as a sound host sends it for this purpose.
+rc::Gen<RelayedStatement> anyRelayedStatement(SendPurpose purpose)
+{
+    return rc::gen::exec([purpose] {
+        RelayedStatement entry{.purpose = purpose};
         Statement &statement = entry.statement;
-        statement.id = *rc::gen::suchThat(anyText(), [](const auto &id) { return !id.empty(); });
-        statement.kind = *anyOf(StatementKind::StepDown);
-        statement.text = *anyText();
-        if (statement.text.empty() || statement.kind == StatementKind::Execute)
+        switch (purpose) {
+        case SendPurpose::Restore:
+            statement.kind = *rc::gen::element(StatementKind::SetValue, StatementKind::Prepare,
+                                               StatementKind::Deallocate, StatementKind::Reset);
             statement.name = *anyText();
-        statement.argument = *anyText();
-        statement.preparesWrite = *rc::gen::arbitrary<bool>();
+            statement.argument = *anyText();
+            statement.preparesWrite = *rc::gen::arbitrary<bool>();
+            break;
+        case SendPurpose::OpenTransaction:
+            statement.kind = *rc::gen::element(StatementKind::Begin, StatementKind::BeginReadOnly);
+            break;
+        case SendPurpose::Work:
+            statement.id = *rc::gen::suchThat(
+                anyNonEmptyText(), [](const auto &id) { return id != InternalStatementId; });
+            statement.kind = *rc::gen::element(StatementKind::Read, StatementKind::Write,
+                                               StatementKind::Execute, StatementKind::Commit);
+            statement.text = *anyNonEmptyText();
+            if (statement.kind == StatementKind::Execute)
+                statement.name = *anyText();
+            statement.argument = *anyText();
+            break;
+        case SendPurpose::CloseTransaction:
+            statement.kind = StatementKind::Rollback;
+            break;
+        }
         statement.requiredPosition = *sometimes(anyPosition());
         return entry;
     });
 }
 
+rc::Gen<std::vector<RelayedStatement>> anyRelayedStatements()
+{
+    return rc::gen::exec([] {
+        auto statements = *rc::gen::container<std::vector<RelayedStatement>>(
+            anyRelayedStatement(SendPurpose::Restore));
+        const bool inTransaction = *rc::gen::arbitrary<bool>();
+        if (inTransaction)
+            statements.push_back(*anyRelayedStatement(SendPurpose::OpenTransaction));
+        const int works = *rc::gen::inRange(0, 3);
+        for (int i = 0; i < works; ++i)
+            statements.push_back(*anyRelayedStatement(SendPurpose::Work));
+        if (inTransaction)
+            statements.push_back(*anyRelayedStatement(SendPurpose::CloseTransaction));
+        return statements;
+    });
+}
+
 rc::Gen<RelayBatch> anyBatch()
 {
     return rc::gen::exec([] {
@@ -70,8 +110,7 @@
                           .maxWait = *anyDuration(),
                           .maxAge = *sometimes(anyDuration()),
                           .primaryAge = *sometimes(anyDuration()),
-                          .statements = *rc::gen::container<std::vector<RelayedStatement>>(
-                              anyRelayedStatement())};
+                          .statements = *anyRelayedStatements()};
     });
 }
 
@@ -166,6 +205,100 @@
     }));
 }
 
+struct OddStatements
+{
+    std::string name;
+    std::vector<RelayedStatement> statements;
+};
+
+// Statements that no sound host relays, or not for that purpose. A gateway must not send them to
+// an instance: callers have not sent them, or they would run outside of their transaction.
+class OddRelayedStatements : public testing::TestWithParam<OddStatements>
+{
+};
+
+TEST_P(OddRelayedStatements, AreRefusedWithAReason)
+{
+    const std::string bytes = encodeRelayBatch({.statements = GetParam().statements});
+    Reason reason;
+    EXPECT_FALSE(decodeRelayBatch(bytes, &reason));
+    EXPECT_FALSE(reason.text().empty());
+}
+
+RelayedStatement callers(StatementKind kind, const std::string &text)
+{
+    return {.statement = {.id = "q", .kind = kind, .text = text}};
+}
+
+RelayedStatement internal(StatementKind kind, SendPurpose purpose)
+{
+    return {.statement = {.kind = kind}, .purpose = purpose};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, OddRelayedStatements,
+    testing::Values(
+        OddStatements{"unknownKind", {callers(StatementKind::Unknown, "ANALYZE x")}},
+        OddStatements{"textMissing", {callers(StatementKind::Read, "")}},
+        OddStatements{"internalRead", {internal(StatementKind::Read, SendPurpose::Work)}},
+        OddStatements{"callersCommand", {callers(StatementKind::StepDown, "STEPDOWN 9")}},
+        OddStatements{"callersReset", {callers(StatementKind::Reset, "RESET")}},
+        OddStatements{"callersValue", {callers(StatementKind::SetValue, "SET a b")}},
+        OddStatements{"readThatRestores", {internal(StatementKind::Read, SendPurpose::Restore)}},
+        OddStatements{"writeThatOpens",
+                      {internal(StatementKind::Write, SendPurpose::OpenTransaction)}},
+        OddStatements{"commitThatCloses",
+                      {internal(StatementKind::Commit, SendPurpose::CloseTransaction)}},
+        OddStatements{"workBeforeItsTransaction",
+                      {callers(StatementKind::Write, "WRITE a b"),
+                       internal(StatementKind::Begin, SendPurpose::OpenTransaction)}},
+        OddStatements{"workAfterItsTransaction",
+                      {internal(StatementKind::Rollback, SendPurpose::CloseTransaction),
+                       callers(StatementKind::Write, "WRITE a b")}},
+        OddStatements{"stateAfterWork",
+                      {callers(StatementKind::Write, "WRITE a b"),
+                       internal(StatementKind::Reset, SendPurpose::Restore)}},
+        OddStatements{"twoTransactions",
+                      {internal(StatementKind::Begin, SendPurpose::OpenTransaction),
+                       internal(StatementKind::Begin, SendPurpose::OpenTransaction)}}),
+    [](const auto &info) { return info.param.name; });
+
+// The rows of a reply that is too long for its connection are dropped. Its statements have run, so
+// only those that read can be promised to leave nothing.
+class LongReply : public testing::TestWithParam<bool>
+{
+};
+
+TEST_P(LongReply, LosesItsRowsAndNotItsVerdict)
+{
+    constexpr std::size_t MaxBytes = 1000;
+    const bool onlyReads = GetParam();
+    RelayReply reply{.answers = {{.phase = SessionPhase::Transaction},
+                                 {.rows = {std::string(MaxBytes, 'x')},
+                                  .signature = "s",
+                                  .phase = SessionPhase::Transaction},
+                                 {.cause = Cause::Failed, .detail = "why"}}};
+    const std::optional<RelayReply> read
+        = decodeRelayReply(encodeRelayReply(reply, onlyReads, MaxBytes), nullptr);
+    ASSERT_TRUE(read);
+    reply.answers[1].rows.clear();
+    reply.answers[1].signature.clear();
+    reply.answers[1].cause = onlyReads ? Cause::TooLong : Cause::ConnectionLost;
+    EXPECT_EQ(*read, reply);
+}
+
+TEST_P(LongReply, IsKeptUpToTheLimit)
+{
+    const RelayReply reply{.answers = {{.rows = {std::string(1000, 'x')}}}};
+    const std::string encoded = encodeRelayReply(reply);
+    EXPECT_EQ(encodeRelayReply(reply, GetParam(), encoded.size()), encoded);
+    EXPECT_LT(encodeRelayReply(reply, GetParam(), encoded.size() - 1).size(), 100U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, LongReply, testing::Bool(), [](const auto &info) {
+    return std::string(info.param ? "onlyReads" : "writes");
+});
+
 TEST(RelayCodec, DoesNotCrashOnArbitraryBytes)
 {
     EXPECT_TRUE(rc::check("bytes", [](const std::string &bytes) {
--- a/src/session/tst_relayedstatements.cpp
+++ b/src/session/tst_relayedstatements.cpp
@@ -156,6 +156,31 @@
     EXPECT_EQ(output.dropped.size(), 1U);
 }
 
+// The reply did not arrive, or the gateway's process ended.
+TEST_F(RelayedStatements, WithALostReplyAreInDoubtIfTheyWriteAndNotSentAgain)
+{
+    send(Millis(2), StatementKind::Write, "w");
+    reply(Millis(3), {.ended = true, .cause = Cause::Unreachable, .sent = true});
+    EXPECT_EQ(output.relayed.size(), 1U);
+    ASSERT_EQ(output.answers.size(), 1U);
+    EXPECT_EQ(output.answers.back().cause, Cause::ConnectionLost);
+}
+
+// The rows were too long for the reply; they would be again.
+TEST_F(RelayedStatements, ThatReadTooMuchAreNotSentAgain)
+{
+    send(Millis(2), StatementKind::Read, "r");
+    reply(Millis(3),
+          {.answers = {{.phase = SessionPhase::Transaction, .position = Position{1, 1}},
+                       {.cause = Cause::TooLong, .phase = SessionPhase::Transaction},
+                       {}},
+           .ended = true,
+           .sent = true});
+    EXPECT_EQ(output.relayed.size(), 1U);
+    ASSERT_EQ(output.answers.size(), 1U);
+    EXPECT_EQ(output.answers.back().cause, Cause::TooLong);
+}
+
 // Guards against this failure: the second of two answers to one statement became the answer to the
 // statement after it, which had not run.
 TEST_F(RelayedStatements, DoNotTakeTheAnswersOfOthers)
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -360,12 +360,12 @@
         const std::string encoded = encodeRelayReply(reply);
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             requester->engine.onRelayReply(m_now, connection, gateway,
-                                           *decodeRelayReply(encoded, nullptr));
+                                           decodeRelayReply(encoded, nullptr).value());
         });
     };
     const auto answered = std::make_shared<bool>(false);
     atHost(to, m_now + NetworkDelay, [=, this](SimulatedHost *target) {
-        target->engine.onRelayBatch(m_now, *decodeRelayBatch(bytes, nullptr),
+        target->engine.onRelayBatch(m_now, decodeRelayBatch(bytes, nullptr).value(),
                                     [=](const RelayReply &reply) {
                                         *answered = true;
                                         answer(reply);
