Hosts refuse what cannot be relayed, and say so in their logs

A host sent batches of any length to a gateway, and a gateway replies of any length. A reply that could not be read passed for a gateway that does not answer: it got no other work for 1.5 s.

A batch beyond 16 MiB is answered as TooLong (ABORTED) at once, without a call. A reply beyond it loses its rows, so that its statements end as TooLong or in doubt. An unreadable reply puts its statement in doubt and leaves the gateway in use. Each case has a log line: gateway.batch-too-long, gateway.reply-too-long, gateway.reply-unreadable, and gateway.refused-batch if a gateway could not read a batch.

The decisions are tested in tst_relaycodec (LongReply) and tst_relayedstatements; this wiring itself has no test with real processes.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -396,21 +396,42 @@
         return;
     }
     batch.origin = m_origin;
+    std::string body = encodeRelayBatch(batch);
+    if (body.size() > PeerLimits().maxBodyBytes) {
+        logEvent(LogLevel::Warning, "gateway.batch-too-long",
+                 {{"gateway", gateway}, {"bytes", static_cast<std::int64_t>(body.size())}});
+        m_loop->post([this, connection, gateway] {
+            m_engine.onRelayReply(now(), connection, gateway,
+                                  {.ended = true, .cause = Cause::TooLong});
+        });
+        return;
+    }
     m_metrics.add("relays.sent");
-    client->call({.path = RelayPath, .body = encodeRelayBatch(batch)}, batch.maxWait + RelayMargin,
+    client->call({.path = RelayPath, .body = std::move(body)}, batch.maxWait + RelayMargin,
                  [this, connection, gateway, fail](const PeerReply &answer) {
-                     Reason reason;
-                     const std::optional<RelayReply> reply = answer.verdict == Verdict::Ran
-                         ? decodeRelayReply(answer.body, &reason)
-                         : std::nullopt;
-                     if (reply)
-                         m_engine.onRelayReply(now(), connection, gateway, *reply);
+                     if (answer.verdict == Verdict::Ran)
+                         takeRelayReply(connection, gateway, answer.body);
                      else
-                         fail(answer.verdict == Verdict::Ran ? Verdict::MayHaveRun
-                                                             : answer.verdict);
+                         fail(answer.verdict);
                  });
 }
 
+void SessionServer::takeRelayReply(ConnectionId connection, const std::string &gateway,
+                                   const std::string &body)
+{
+    Reason reason;
+    std::optional<RelayReply> reply = decodeRelayReply(body, &reason);
+    if (!reply) {
+        logEvent(LogLevel::Warning, "gateway.reply-unreadable",
+                 {{"gateway", gateway}, {"reason", reason.text()}});
+        // The gateway works, and the batch may have run there.
+        reply = {.ended = true, .cause = Cause::Invalid, .sent = true};
+    } else if (reply->ended && reply->cause == Cause::Invalid) {
+        logEvent(LogLevel::Warning, "gateway.refused-batch", {{"gateway", gateway}});
+    }
+    m_engine.onRelayReply(now(), connection, gateway, *reply);
+}
+
 void SessionServer::dropAtGateway(ConnectionId connection, const std::string &gateway)
 {
     const std::shared_ptr<PeerClient> client = peerClient(gateway);
@@ -443,8 +464,13 @@
         return;
     }
     m_metrics.add("relays.received");
-    m_engine.onRelayBatch(now(), std::move(*batch),
-                          [respond](const RelayReply &reply) { respond(encodeRelayReply(reply)); });
+    const bool onlyReads = batch->onlyReads();
+    m_engine.onRelayBatch(now(), std::move(*batch), [respond, onlyReads](const RelayReply &reply) {
+        Reason reason;
+        respond(encodeRelayReply(reply, onlyReads, PeerLimits().maxBodyBytes, &reason));
+        if (!reason.text().empty())
+            logEvent(LogLevel::Warning, "gateway.reply-too-long", {{"reason", reason.text()}});
+    });
 }
 
 HttpResponse SessionServer::answerReadinessCheck(const HttpRequest &request)
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -85,6 +85,9 @@
     void openEarlySessions();
     void handleMessage(SessionId id, CallerMessage message);
     std::shared_ptr<PeerClient> peerClient(const std::string &host);
+    // Handles the response of a gateway that has answered.
+    void takeRelayReply(ConnectionId connection, const std::string &gateway,
+                        const std::string &body);
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
     HttpResponse answerReadinessCheck(const HttpRequest &request);
     void onTick();
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -187,11 +187,13 @@
     return out.SerializeAsString();
 }
 
-std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes)
+std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes,
+                             Reason *reason)
 {
     std::string encoded = encodeRelayReply(reply);
     if (encoded.size() <= maxBytes)
         return encoded;
+    setReason(reason, "a reply of " + std::to_string(encoded.size()) + " bytes is too long");
     RelayReply shortened = reply;
     for (StatementAnswer &answer : shortened.answers) {
         if (answer.succeeded() && !answer.rows.empty()) {
--- a/src/session/relaycodec.h
+++ b/src/session/relaycodec.h
@@ -14,9 +14,10 @@
 
 std::string encodeRelayBatch(const RelayBatch &batch);
 std::string encodeRelayReply(const RelayReply &reply);
-// The same, without the results if the encoding would be longer than `maxBytes`: statements of a
-// batch that only reads count as TooLong, others as in doubt.
-std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes);
+// The same, without the rows, and with a reason, if the encoding would be longer than `maxBytes`.
+// Statements of a batch that only reads count as TooLong then, others as in doubt.
+std::string encodeRelayReply(const RelayReply &reply, bool onlyReads, std::size_t maxBytes,
+                             Reason *reason);
 
 // Return nothing, and a reason, for bytes that are not a batch or a reply.
 std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason);
--- a/src/session/tst_relaycodec.cpp
+++ b/src/session/tst_relaycodec.cpp
@@ -278,9 +278,11 @@
                                   .signature = "s",
                                   .phase = SessionPhase::Transaction},
                                  {.cause = Cause::Failed, .detail = "why"}}};
+    Reason reason;
     const std::optional<RelayReply> read
-        = decodeRelayReply(encodeRelayReply(reply, onlyReads, MaxBytes), nullptr);
+        = decodeRelayReply(encodeRelayReply(reply, onlyReads, MaxBytes, &reason), nullptr);
     ASSERT_TRUE(read);
+    EXPECT_FALSE(reason.text().empty());
     reply.answers[1].rows.clear();
     reply.answers[1].signature.clear();
     reply.answers[1].cause = onlyReads ? Cause::TooLong : Cause::ConnectionLost;
@@ -291,8 +293,10 @@
 {
     const RelayReply reply{.answers = {{.rows = {std::string(1000, 'x')}}}};
     const std::string encoded = encodeRelayReply(reply);
-    EXPECT_EQ(encodeRelayReply(reply, GetParam(), encoded.size()), encoded);
-    EXPECT_LT(encodeRelayReply(reply, GetParam(), encoded.size() - 1).size(), 100U);
+    Reason reason;
+    EXPECT_EQ(encodeRelayReply(reply, GetParam(), encoded.size(), &reason), encoded);
+    EXPECT_TRUE(reason.text().empty());
+    EXPECT_LT(encodeRelayReply(reply, GetParam(), encoded.size() - 1, &reason).size(), 100U);
 }
 
 INSTANTIATE_TEST_SUITE_P(All, LongReply, testing::Bool(), [](const auto &info) {
