A session keeps at most 2 MiB of names, values and shapes

Callers could do: set values and prepare statements under ever new names, until their host's memory was used up, which ends the sessions of all others.

Cause: nothing bounded what a session keeps; the bound of 100 names and 64 KiB concerns connections only.

Change: SessionState counts the bytes of its names, values and shapes. What would exceed 2 MiB is refused as not run (TooLong, ABORTED) and ends a transaction around it; what the session has stays, and the same name may be set again.

Open: there is no bound for all sessions of a host together.

--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -246,6 +246,7 @@
                      const Statement &statement) override;
     bool onCommandRelayed(Millis now, ConnectionId connection, const RelayReply &reply);
     void startStatement(Millis now, SessionId id, Session *session, Statement statement);
+    void applyToSession(Millis now, SessionId id, Session *session, Statement statement);
     void refuseAtOnce(Millis now, SessionId id, Session *session, const Statement &statement);
     void beginTransaction(Millis now, SessionId id, Session *session, const Statement &statement);
     void rollBack(Millis now, SessionId id, Session *session);
--- a/src/session/sessionstate.cpp
+++ b/src/session/sessionstate.cpp
@@ -7,20 +7,46 @@
 
 Cause SessionState::apply(const Statement &statement)
 {
+    const std::size_t size = statement.name.size() + statement.argument.size();
     switch (statement.kind) {
-    case StatementKind::SetValue:
+    case StatementKind::SetValue: {
+        const auto current = values.find(statement.name);
+        const bool isNew = current == values.end();
+        if (!reserve(size, isNew ? 0 : current->first.size() + current->second.size()))
+            return Cause::TooLong;
         values[statement.name] = statement.argument;
         return Cause::None;
-    case StatementKind::Prepare:
+    }
+    case StatementKind::Prepare: {
+        const auto current = prepared.find(statement.name);
+        const bool isNew = current == prepared.end();
+        if (!reserve(size, isNew ? 0 : current->first.size() + current->second.shape.size()))
+            return Cause::TooLong;
         prepared[statement.name] = {.shape = statement.argument, .writes = statement.preparesWrite};
         return Cause::None;
-    case StatementKind::Deallocate:
-        return prepared.erase(statement.name) > 0 ? Cause::None : Cause::UnknownName;
+    }
+    case StatementKind::Deallocate: {
+        const auto current = prepared.find(statement.name);
+        if (current == prepared.end())
+            return Cause::UnknownName;
+        m_bytes -= current->first.size() + current->second.shape.size();
+        prepared.erase(current);
+        return Cause::None;
+    }
     default:
         return Cause::Invalid;
     }
 }
 
+bool SessionState::reserve(std::size_t added, std::size_t removed)
+{
+    const std::size_t bytes = m_bytes - removed + added;
+    if (bytes > MaxBytes)
+        return false;
+    m_bytes = bytes;
+    return true;
+}
+
 ConnectionSessionState::Restoration
 ConnectionSessionState::restore(const SessionValues &values, const PreparedStatement *prepared)
 {
--- a/src/session/sessionstate.h
+++ b/src/session/sessionstate.h
@@ -22,14 +22,27 @@
 using SessionValues = std::map<std::string, std::string, std::less<>>;
 
 // The state of a caller's session. Lives as long as the caller's connection.
+//
+// Expected load: callers that set values and prepare statements without end. A session keeps as
+// much as MaxBytes; what would exceed it is refused, and what it has stays.
 struct SessionState
 {
+    // Of all names, values and shapes together.
+    static constexpr std::size_t MaxBytes = 2UL * 1024 * 1024;
+
     SessionValues values;
     std::map<std::string, PreparedStatement, std::less<>> prepared;
     Position lastCommit; // The newest commit that was acknowledged to this session.
 
-    // Applies a statement that the system answers itself. Returns None if it was valid.
+    // Applies a statement that the system answers itself. Returns None if it was applied.
     Cause apply(const Statement &statement);
+
+private:
+    // Whether there is room for an entry of `added` bytes in place of one of `removed` bytes; takes
+    // it if so.
+    bool reserve(std::size_t added, std::size_t removed);
+
+    std::size_t m_bytes = 0;
 };
 
 // The session state that a connection to an instance holds. Lives as long as the connection.
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -50,7 +50,19 @@
     else if (isForwarded(kind))
         startForwarded(now, id, session, std::move(statement));
     else
-        answerLocally(now, id, session, session->state.apply(statement));
+        applyToSession(now, id, session, std::move(statement));
+}
+
+// Handles a statement that changes only what the session holds.
+void SessionEngine::applyToSession(Millis now, SessionId id, Session *session, Statement statement)
+{
+    const Cause cause = session->state.apply(statement);
+    if (cause != Cause::TooLong) {
+        answerLocally(now, id, session, cause);
+        return;
+    }
+    statement.refusal = cause;
+    refuseAtOnce(now, id, session, statement);
 }
 
 // Answers a statement that no instance can get. A transaction around it is lost, as it would be if
