Statements wait until the instance has confirmed the state that they rely on

Callers could see: if an instance refused a statement by which a host restores a session's state (SET, RESET), the caller's statement, sent in the same write, ran with the values of another session (PINNED), and was then answered as in doubt.

Cause: the effect of these statements was recorded when they were sent, and what depends on them left in the same write.

Change: the pool sends what follows once the instance has confirmed the state. If it refuses, the connection is closed and the statement, which was not sent, runs on another one. It costs a round trip where a connection has to be changed for a session.

Evidence: RefusedRestore (SET, RESET, PREPARE) failed before, with {tz: a} in place of {tz: b} and of {}, and passes now.

--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -188,6 +188,13 @@
         return;
     Instance &instance = m_instances.at(found->instance);
     RelayedStatement entry{.statement = std::move(statement), .purpose = purpose};
+    // A gateway waits by itself for the confirmation of what it restores.
+    const bool restores = purpose == SendPurpose::Restore && !found->relayed;
+    if (!found->afterRestore.empty() || (found->unconfirmedRestores > 0 && !restores)) {
+        found->afterRestore.push_back(std::move(entry));
+        return;
+    }
+    found->unconfirmedRestores += restores ? 1 : 0;
     // Relayed statements wait for a slot at the gateway.
     const bool waits = !found->relayed && !found->reserved && needsSlot(entry.statement.kind)
         && !slotFree(now, instance);
@@ -200,6 +207,14 @@
     found->held.push_back(std::move(entry));
 }
 
+// Sends what has waited for the confirmation of the session's state.
+void TargetPool::sendAfterRestore(Millis now, ConnectionId connection)
+{
+    Connection *found = find(connection);
+    for (RelayedStatement &entry : std::exchange(found->afterRestore, {}))
+        send(now, connection, entry.purpose, std::move(entry.statement));
+}
+
 void TargetPool::sendNow(Millis now, ConnectionId id, Connection *connection,
                          RelayedStatement entry)
 {
@@ -357,9 +372,13 @@
     if (answer.cause == Cause::Overloaded)
         m_instances.at(name).overloadedUntil = now + OverloadMemory;
     recordAnswer(now, &m_instances.at(name), sent);
-    if (sent.purpose == SendPurpose::Restore && !answer.succeeded()) {
-        onClosed(now, connection);
-        return;
+    if (sent.purpose == SendPurpose::Restore) {
+        if (!answer.succeeded()) {
+            onClosed(now, connection);
+            return;
+        }
+        if (--found->unconfirmedRestores == 0)
+            sendAfterRestore(now, connection);
     }
     if (found->state == State::Owned)
         m_listener->onWorkAnswer(now, found->owner, connection, sent.purpose, sent.kind, sent.at,
@@ -367,7 +386,7 @@
     found = find(connection);
     if (found && found->state == State::Draining) {
         const bool clean = answer.phase == SessionPhase::Idle;
-        if (found->awaited.empty() && found->held.empty() && !clean)
+        if (found->awaited.empty() && found->held.empty() && found->afterRestore.empty() && !clean)
             closeConnection(now, connection);
         else
             makeIdleIfDone(now, connection);
@@ -716,7 +735,7 @@
 void TargetPool::makeIdleIfDone(Millis now, ConnectionId connection)
 {
     Connection *found = find(connection);
-    if (!found || !found->awaited.empty() || !found->held.empty())
+    if (!found || !found->awaited.empty() || !found->held.empty() || !found->afterRestore.empty())
         return;
     found->state = State::Idle;
     found->since = now;
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -182,7 +182,8 @@
     // each connection.
     void flush(Millis now);
     // Sends the statements that make the connection hold the session's state. Has to be called
-    // before the statements that depend on that state are sent. Returns the name that the prepared
+    // before the statements that depend on that state are sent; those leave once the instance has
+    // confirmed the state. Returns the name that the prepared
     // statement has on the connection; empty without one, and if the connection does not exist.
     std::string restore(Millis now, ConnectionId connection, const SessionValues &values,
                         const PreparedStatement *prepared);
@@ -248,11 +249,13 @@
         WorkId owner = 0;
         Millis since; // When it entered its state.
         std::deque<Sent> awaited;
-        std::vector<RelayedStatement> unsent; // Leave with the next flush().
-        std::vector<RelayedStatement> held;   // Wait for a free slot.
-        bool stateUnknown = false;            // What sessionState says is wrong.
-        bool workSent = false;                // The work's own statement may have left.
-        bool reserved = false;                // A slot is reserved for the work's first statement.
+        std::vector<RelayedStatement> unsent;       // Leave with the next flush().
+        std::vector<RelayedStatement> held;         // Wait for a free slot.
+        std::size_t unconfirmedRestores = 0;        // Without an answer.
+        std::vector<RelayedStatement> afterRestore; // Wait until there are none.
+        bool stateUnknown = false;                  // What sessionState says is wrong.
+        bool workSent = false;                      // The work's own statement may have left.
+        bool reserved = false; // A slot is reserved for the work's first statement.
         // Channels at a gateway only.
         std::string gateway;
         std::optional<TargetWork> relayed;
@@ -308,6 +311,7 @@
     void recordAnswer(Millis now, Instance *instance, const Sent &sent);
     void freeReservedSlot(Connection *connection);
     static bool slotFree(Millis now, const Instance &instance);
+    void sendAfterRestore(Millis now, ConnectionId connection);
     void sendNow(Millis now, ConnectionId id, Connection *connection, RelayedStatement entry);
     void sendHeld(Millis now, Instance *instance);
     Connection *find(ConnectionId connection);
