--- a/test/guaranteechecker.cpp
+++ b/test/guaranteechecker.cpp
@@ -91,6 +91,8 @@
     }
     statement->kind = writes ? StatementKind::Write : StatementKind::Read;
     statement->name = item;
+    if (writes)
+        statement->argument = "data";
 }
 
 void GuaranteeChecker::drawSessionStatement(Caller *caller, Statement *statement)
