GuaranteeChecker draws arbitrary texts, and compares what ran with what was sent and prepared

What could be seen: nothing.

Change: CallerTexts has ordinary and odd texts (blanks at the ends and two in a row, tabs, lone CR and LF, NUL, bytes that are not UTF-8, words of the protocol, shapes that continue others, 3,000 and 70,000 bytes, colliding names). Names are prepared again, deallocated, executed though unknown; values are set and names prepared inside transactions. Ids get suffixes. The checker keeps each statement as it was sent, with the values and the prepared statement that its session had then, and judges what runs: PINNED: values, kind and shape of the prepared statement, the right transaction, one connection a transaction, no acknowledged name unknown; UNASKED: id, text, parameters, how often, commits. A run that differs in its text is not judged further, as by the customer's rules. The report counts both. ReplicaGroupEnvironment::onOther tells the checker of commits and of the system's own statements. The soak's callers compose their lines without the product's codec.

The simulation's earlier suites keep plain texts, so that their seeds stand for the same runs; Faults/ArbitraryTexts is new (2 x 7 cases of 8 seeds). In the simulation statements do not pass the line codec, as its library has no platform/; the soak covers that.

--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -167,6 +167,42 @@
                            Millis(20'000)})),
     caseName);
 
+// Callers choose texts that end a field early, continue one another or are not UTF-8, prepare names
+// again and set values inside transactions. Guards against these failures: a statement runs with
+// another text, other parameters, other values or another prepared statement than its caller's.
+class ArbitraryTexts : public testing::TestWithParam<SimulationParameters>
+{
+};
+
+TEST_P(ArbitraryTexts, RunAsTheirCallersSentThem)
+{
+    const auto &[access, faults] = GetParam();
+    SimulationOptions options{
+        .maxConnections = connectionsFor(access), .faults = faults.faults, .arbitraryTexts = true};
+    for (options.seed = 1; options.seed <= 8; ++options.seed) {
+        const SimulationReport report = simulate(options);
+        EXPECT_TRUE(report.violations.empty()) << "seed " << options.seed << "\n" << text(report);
+        EXPECT_TRUE(report.servesAtTheEnd) << "seed " << options.seed;
+        EXPECT_GT(report.answered, 1000) << "seed " << options.seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, ArbitraryTexts,
+    testing::Combine(
+        testing::Values(Access::Direct, Access::Gateways),
+        testing::Values(
+            SimulationCase{"calm", {}},
+            SimulationCase{"crashPrimary", {SimulatedFault::CrashPrimary}},
+            SimulationCase{"cutHosts", {SimulatedFault::CutHost, SimulatedFault::CutHost}},
+            SimulationCase{"loseAnswers",
+                           {SimulatedFault::LoseAnswers, SimulatedFault::LoseAnswers}},
+            SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
+            SimulationCase{"killHosts", {SimulatedFault::KillHost, SimulatedFault::KillHost}},
+            SimulationCase{"freezeHosts",
+                           {SimulatedFault::FreezeHost, SimulatedFault::CrashPrimary}})),
+    caseName);
+
 // The store is away for a moment and comes back from an older copy of itself, around changes of the
 // primary: no fencing token is used by two hosts, and no acknowledged write is lost.
 using RestoredStoreParameters = std::tuple<bool, SimulationCase>;
--- a/src/standin_core/replicagroup.cpp
+++ b/src/standin_core/replicagroup.cpp
@@ -28,6 +28,12 @@
     return prepared != connection.prepared.end() && prepared->second.writes;
 }
 
+bool isReadOrWrite(StatementKind kind)
+{
+    return kind == StatementKind::Read || kind == StatementKind::Write
+        || kind == StatementKind::Execute;
+}
+
 bool isCommand(StatementKind kind)
 {
     return kind == StatementKind::Status || kind == StatementKind::Pause
@@ -91,6 +97,8 @@
 {
     StatementAnswer answer{
         .signature = "-", .phase = connection->phase, .position = instance->end()};
+    if (!isReadOrWrite(statement.kind))
+        m_environment->onOther(*connection, statement);
     switch (statement.kind) {
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -96,6 +96,8 @@
     virtual void onWrite(const GroupInstance &instance, const InstanceConnection &connection,
                          const Statement &statement)
         = 0;
+    // The instance runs a statement that neither reads nor writes, for example a commit.
+    virtual void onOther(const InstanceConnection &, const Statement &) { }
     // The instance has just become primary. Instances that were ahead of it have not been rolled
     // back yet.
     virtual void onPromoted(const GroupInstance &newPrimary) = 0;
--- a/test/guaranteechecker.cpp
+++ b/test/guaranteechecker.cpp
@@ -10,16 +10,60 @@
 
 constexpr std::size_t MaxViolations = 200; // More are not recorded.
 
-bool isRead(const Statement &statement)
+// The text with all bytes but printable ASCII escaped, and not too long.
+std::string printable(const std::string &text)
 {
-    return statement.kind == StatementKind::Read
-        || (statement.kind == StatementKind::Execute && statement.name.starts_with('r'));
+    constexpr std::size_t MaxShownBytes = 60;
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string shown = "'";
+    for (const char c : text.substr(0, MaxShownBytes)) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte >= ' ' && byte <= '~')
+            shown += c;
+        else
+            shown.append("\\x").append({Digits[byte / 16], Digits[byte % 16]});
+    }
+    return shown + (text.size() > MaxShownBytes ? "..'" : "'");
 }
 
-bool isWrite(const Statement &statement)
+std::string printable(const PreparedStatement &prepared)
 {
-    return statement.kind == StatementKind::Write
-        || (statement.kind == StatementKind::Execute && statement.name.starts_with('w'));
+    return (prepared.writes ? "WRITE " : "READ ") + printable(prepared.shape);
+}
+
+// The statement's text in the customer's protocol.
+std::string textOf(const Statement &statement)
+{
+    const std::string &name = statement.name;
+    const std::string &argument = statement.argument;
+    switch (statement.kind) {
+    case StatementKind::Begin:
+        return "BEGIN";
+    case StatementKind::BeginReadOnly:
+        return "BEGIN READ";
+    case StatementKind::Commit:
+        return "COMMIT";
+    case StatementKind::Rollback:
+        return "ROLLBACK";
+    case StatementKind::Read:
+        return "READ " + name;
+    case StatementKind::Write:
+        return "WRITE " + name + " " + argument;
+    case StatementKind::SetValue:
+        return "SET " + name + " " + argument;
+    case StatementKind::Prepare:
+        return "PREPARE " + name + (statement.preparesWrite ? " WRITE " : " READ ") + argument;
+    case StatementKind::Execute:
+        return "EXECUTE " + name + " " + argument;
+    default:
+        return "DEALLOCATE " + name;
+    }
+}
+
+bool isSessionStatement(StatementKind kind)
+{
+    return kind == StatementKind::SetValue || kind == StatementKind::Prepare
+        || kind == StatementKind::Deallocate;
 }
 
 } // namespace
@@ -28,6 +72,7 @@
     : m_options(std::move(options))
     , m_group(group)
     , m_random(m_options.seed)
+    , m_texts(hash64("texts", m_options.seed))
 {
 }
 
@@ -49,16 +94,27 @@
 {
     Caller &caller = m_callers[index];
     Statement statement{.id = m_options.idPrefix + std::to_string(++m_lastId)};
+    if (hasArbitraryTexts())
+        statement.id += m_texts.idSuffix();
     drawStatement(&caller, &statement);
-    statement.text = statement.id;
+    statement.text = textOf(statement);
     if (caller.phase == SessionPhase::Idle) {
         caller.startedAt = now;
         caller.transactionWrites.clear();
+        caller.connection = nullptr;
     }
-    if (isWrite(statement))
+    Sent sent{.statement = statement,
+              .caller = index,
+              .phase = caller.phase,
+              .values = caller.state.values};
+    const auto prepared = caller.state.prepared.find(statement.name);
+    if (statement.kind == StatementKind::Execute && prepared != caller.state.prepared.end())
+        sent.prepared = prepared->second;
+    if (sent.writes())
         caller.transactionWrites.insert(statement.id);
-    m_statementOwner[statement.id] = index;
-    caller.awaited = statement;
+    sent.transactionWrites = caller.transactionWrites;
+    m_sent[statement.id] = sent;
+    caller.awaited = std::move(sent);
     return statement;
 }
 
@@ -76,23 +132,31 @@
         statement->kind = commit ? StatementKind::Commit : StatementKind::Rollback;
         return;
     }
+    constexpr std::uint64_t SessionStatementShare = 4;
+    if (hasArbitraryTexts() && m_texts.oneIn(SessionStatementShare)) {
+        drawArbitrarySessionStatement(statement);
+        return;
+    }
     const std::uint64_t draw = m_random.below(20);
     if (!inTransaction && draw < 5) {
         drawSessionStatement(caller, statement);
         return;
     }
-    const bool writes = draw < 10 && !(inTransaction && caller->readOnly);
-    const std::string shape = writes ? "w1" : "r1";
-    if (caller->prepared.contains(shape) && m_random.below(2) == 0) {
+    const bool mayWrite = !(inTransaction && caller->readOnly);
+    const bool writes = draw < 10 && mayWrite;
+    if (hasArbitraryTexts() && drawExecute(*caller, mayWrite, statement))
+        return;
+    const std::string name = writes ? "w1" : "r1";
+    if (!hasArbitraryTexts() && caller->state.prepared.contains(name) && m_random.below(2) == 0) {
         statement->kind = StatementKind::Execute;
-        statement->name = shape;
+        statement->name = name;
         statement->argument = writes ? item + " data" : item;
         return;
     }
     statement->kind = writes ? StatementKind::Write : StatementKind::Read;
-    statement->name = item;
+    statement->name = hasArbitraryTexts() ? m_texts.item() : item;
     if (writes)
-        statement->argument = "data";
+        statement->argument = hasArbitraryTexts() ? m_texts.text() : "data";
 }
 
 void GuaranteeChecker::drawSessionStatement(Caller *caller, Statement *statement)
@@ -102,8 +166,6 @@
         statement->kind = StatementKind::SetValue;
         statement->name = "v" + std::to_string(m_random.below(2));
         statement->argument = statement->id;
-        caller->requestedValues = caller->values;
-        caller->requestedValues[statement->name] = statement->id;
         return;
     }
     if (draw == 1) {
@@ -118,6 +180,50 @@
     statement->kind = caller->readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
 }
 
+void GuaranteeChecker::drawArbitrarySessionStatement(Statement *statement)
+{
+    constexpr std::uint64_t SetShare = 3;
+    constexpr std::uint64_t DeallocateShare = 5;
+    if (m_texts.oneIn(SetShare)) {
+        statement->kind = StatementKind::SetValue;
+        statement->name = m_texts.valueName();
+        // Values of different callers differ in most cases.
+        statement->argument = m_texts.oneIn(4) ? m_texts.text() : statement->id + m_texts.text();
+        return;
+    }
+    statement->name = m_texts.preparedName();
+    statement->kind = StatementKind::Deallocate;
+    if (m_texts.oneIn(DeallocateShare))
+        return;
+    statement->kind = StatementKind::Prepare;
+    statement->preparesWrite = m_texts.oneIn(2);
+    statement->argument = m_texts.shape();
+}
+
+// Draws the execution of a prepared statement, or of an unknown one; false if none is drawn.
+bool GuaranteeChecker::drawExecute(const Caller &caller, bool mayWrite, Statement *statement)
+{
+    constexpr std::uint64_t UnknownNameShare = 30;
+    if (m_texts.oneIn(3))
+        return false;
+    const std::string name = m_texts.preparedName();
+    const auto &prepared = caller.state.prepared;
+    auto chosen = prepared.lower_bound(name);
+    if (chosen == prepared.end())
+        chosen = prepared.begin();
+    const bool isUnknown = m_texts.oneIn(UnknownNameShare) || prepared.empty();
+    if (!isUnknown && chosen->second.writes && !mayWrite)
+        return false;
+    if (isUnknown && caller.phase != SessionPhase::Idle)
+        return false;
+    statement->kind = StatementKind::Execute;
+    statement->name = isUnknown ? name : chosen->first;
+    statement->argument = m_texts.item();
+    if (m_texts.oneIn(2))
+        statement->argument += " " + m_texts.text();
+    return true;
+}
+
 void GuaranteeChecker::onAnswer(std::size_t index, const StatementAnswer &answer, Millis now)
 {
     Caller &caller = m_callers[index];
@@ -125,17 +231,17 @@
         addViolation(now, "an answer arrived that no statement awaits");
         return;
     }
-    const Statement statement = *std::exchange(caller.awaited, std::nullopt);
-    const bool wasIdle = caller.phase == SessionPhase::Idle;
-    const bool commits = statement.kind == StatementKind::Commit || (isWrite(statement) && wasIdle);
+    const Sent sent = *std::exchange(caller.awaited, std::nullopt);
+    const Statement &statement = sent.statement;
+    const bool commits = statement.kind == StatementKind::Commit
+        || (sent.writes() && caller.phase == SessionPhase::Idle);
     caller.phase = answer.phase;
+    checkUnknownName(now, sent, answer);
     if (answer.succeeded()) {
         ++m_report.answered;
-        checkSuccess(now, statement, answer);
-        if (statement.kind == StatementKind::SetValue)
-            caller.values = caller.requestedValues;
-        if (statement.kind == StatementKind::Prepare)
-            caller.prepared.insert(statement.name);
+        checkSuccess(now, sent, answer);
+        if (isSessionStatement(statement.kind))
+            caller.state.apply(statement);
         if (commits && !caller.transactionWrites.empty())
             addAcknowledgedWrites(caller, now);
         return;
@@ -143,21 +249,36 @@
     const bool uncertain = answer.cause == Cause::ConnectionLost || answer.cause == Cause::Timeout
         || answer.cause == Cause::Failed;
     ++(uncertain ? m_report.uncertain : m_report.refused);
-    if (!uncertain)
+    // A refused SET, PREPARE or DEALLOCATE says nothing about the transaction around it.
+    if (!uncertain && !isSessionStatement(statement.kind))
         m_refusedWrites.insert(caller.transactionWrites.begin(), caller.transactionWrites.end());
 }
 
+// A name is unknown exactly if its session has not prepared it.
+void GuaranteeChecker::checkUnknownName(Millis now, const Sent &sent, const StatementAnswer &answer)
+{
+    if (sent.statement.kind != StatementKind::Execute)
+        return;
+    if (sent.prepared && answer.cause == Cause::UnknownName)
+        addBroken(BrokenRule::Pinned, now,
+                  printable(sent.statement.id) + " found its name unknown, which was prepared");
+    if (!sent.prepared && answer.succeeded())
+        addBroken(BrokenRule::Pinned, now,
+                  printable(sent.statement.id) + " ran a name that was not prepared");
+}
+
 // The answers to reads, writes and commits must carry the signature of the instance that ran them.
-void GuaranteeChecker::checkSuccess(Millis now, const Statement &statement,
-                                    const StatementAnswer &answer)
+void GuaranteeChecker::checkSuccess(Millis now, const Sent &sent, const StatementAnswer &answer)
 {
+    const std::string &id = sent.statement.id;
     const bool signatureExpected
-        = isRead(statement) || isWrite(statement) || statement.kind == StatementKind::Commit;
-    if (signatureExpected && answer.signature != "signed." + statement.id)
-        addViolation(now, statement.id + " succeeded with the signature " + answer.signature);
-    const bool rowFits = answer.rows.size() == 1 && answer.rows[0].starts_with(statement.id + "@");
-    if (isRead(statement) && !rowFits)
-        addViolation(now, statement.id + " succeeded with unexpected rows");
+        = sent.reads() || sent.writes() || sent.statement.kind == StatementKind::Commit;
+    if (signatureExpected && answer.signature != "signed." + id)
+        addViolation(
+            now, printable(id) + " succeeded with the signature " + printable(answer.signature));
+    const bool rowFits = answer.rows.size() == 1 && answer.rows[0].starts_with(id + "@");
+    if (sent.reads() && !rowFits)
+        addViolation(now, printable(id) + " succeeded with unexpected rows");
 }
 
 void GuaranteeChecker::addAcknowledgedWrites(const Caller &caller, Millis now)
@@ -207,48 +328,113 @@
     return !newest || newestOfSession->index > newest->index ? newestOfSession : newest;
 }
 
-const GuaranteeChecker::Caller *GuaranteeChecker::senderOf(const Statement &statement) const
+const GuaranteeChecker::Sent *GuaranteeChecker::checkRun(const InstanceConnection &connection,
+                                                         const Statement &statement, Millis now)
 {
-    const auto owner = m_statementOwner.find(statement.id);
-    return owner == m_statementOwner.end() ? nullptr : &m_callers[owner->second];
+    const auto found = m_sent.find(statement.id);
+    if (found == m_sent.end()) {
+        addBroken(BrokenRule::Unasked, now,
+                  "a statement ran that no caller sent: " + printable(statement.id));
+        return nullptr;
+    }
+    Sent &sent = found->second;
+    ++sent.runs;
+    const bool renamed = statement.kind == StatementKind::Execute;
+    const bool same = statement.kind == sent.statement.kind
+        && (renamed ? statement.argument == sent.statement.argument
+                    : statement.text == sent.statement.text);
+    if (!same) {
+        addBroken(BrokenRule::Unasked, now,
+                  printable(statement.id) + " was sent as " + printable(textOf(sent.statement))
+                      + " and ran as " + printable(textOf(statement)));
+        return nullptr;
+    }
+    if (sent.runs > 1 && (sent.writes() || sent.phase == SessionPhase::Transaction))
+        addBroken(BrokenRule::Unasked, now, printable(statement.id) + " ran again");
+    checkState(connection, statement, sent, now);
+    checkTransaction(connection, sent, now);
+    return &sent;
+}
+
+void GuaranteeChecker::checkState(const InstanceConnection &connection, const Statement &statement,
+                                  const Sent &sent, Millis now)
+{
+    if (connection.values != sent.values)
+        addBroken(BrokenRule::Pinned, now,
+                  printable(statement.id) + " ran with other values than its session's");
+    if (statement.kind != StatementKind::Execute)
+        return;
+    const PreparedStatement &executed = connection.prepared.at(statement.name);
+    if (sent.prepared != executed)
+        addBroken(BrokenRule::Pinned, now,
+                  printable(statement.id) + " ran " + printable(executed) + ", prepared was "
+                      + (sent.prepared ? printable(*sent.prepared) : "nothing"));
+}
+
+// Outside of its caller's transactions, a read may run inside a transaction of the system's own.
+void GuaranteeChecker::checkTransaction(const InstanceConnection &connection, const Sent &sent,
+                                        Millis now)
+{
+    const std::string &id = sent.statement.id;
+    const bool inTransaction = connection.phase == SessionPhase::Transaction;
+    const bool expected = sent.phase == SessionPhase::Transaction;
+    if (inTransaction != expected && !(sent.reads() && !expected))
+        addBroken(BrokenRule::Pinned, now,
+                  printable(id) + " ran outside of its transaction, or inside another one");
+    for (const GroupLogEntry &entry : connection.writes) {
+        if (!sent.transactionWrites.contains(entry.statementId))
+            addBroken(BrokenRule::Pinned, now,
+                      printable(id) + " ran inside the transaction of "
+                          + printable(entry.statementId));
+    }
+    Caller &caller = m_callers[sent.caller];
+    if (!expected || !caller.awaited || caller.awaited->statement.id != id)
+        return;
+    if (caller.connection && caller.connection != &connection)
+        addBroken(BrokenRule::Pinned, now,
+                  printable(id) + " ran on another connection than its transaction's first one");
+    caller.connection = &connection;
 }
 
 void GuaranteeChecker::onRead(const GroupInstance &instance, const InstanceConnection &connection,
                               const Statement &statement, Millis now)
 {
-    const Caller *caller = senderOf(statement);
-    if (!caller) {
-        addViolation(now, "a statement ran that no caller sent: " + statement.id);
+    const Sent *sent = checkRun(connection, statement, now);
+    if (!sent)
         return;
-    }
     m_report.replicaReads += instance.primary ? 0 : 1;
-    if (!caller->awaited || caller->awaited->id != statement.id)
+    const Caller &caller = m_callers[sent->caller];
+    if (!caller.awaited || caller.awaited->statement.id != statement.id)
         return; // The caller's session has ended.
-    checkRead(now, *caller, instance, statement);
-    if (connection.values != caller->values)
-        addViolation(now, statement.id + " ran with another session's values");
+    checkRead(now, caller, instance, statement);
+}
+
+void GuaranteeChecker::onWrite(const InstanceConnection &connection, const Statement &statement,
+                               Millis now)
+{
+    checkRun(connection, statement, now);
 }
 
-void GuaranteeChecker::onWrite(const GroupInstance &instance, const InstanceConnection &connection,
-                               const Statement &statement, Millis now)
+// Statements that neither read nor write are the system's own, or as their callers sent them. The
+// system commits nothing by itself.
+void GuaranteeChecker::onOther(const InstanceConnection &connection, const Statement &statement,
+                               Millis now)
 {
-    static_cast<void>(instance);
-    const Caller *caller = senderOf(statement);
-    if (!caller) {
-        addViolation(now, "a write ran that no caller sent: " + statement.id);
+    const bool commits = statement.kind == StatementKind::Commit;
+    if (statement.id == InternalStatementId) {
+        if (commits && !connection.writes.empty())
+            addBroken(BrokenRule::Unasked, now, "a transaction was committed by the system");
         return;
     }
-    if (!caller->awaited || caller->awaited->id != statement.id)
+    const auto found = m_sent.find(statement.id);
+    if (found == m_sent.end() || found->second.statement.text != statement.text) {
+        addBroken(BrokenRule::Unasked, now,
+                  "a statement ran that no caller sent so: " + printable(statement.id) + " "
+                      + printable(statement.text));
         return;
-    if (connection.values != caller->values)
-        addViolation(now, statement.id + " ran with another session's values");
-    const bool inTransaction = connection.phase == SessionPhase::Transaction;
-    if (inTransaction != (caller->phase == SessionPhase::Transaction))
-        addViolation(now, statement.id + " ran outside of its transaction, or inside another one");
-    for (const GroupLogEntry &entry : connection.writes) {
-        if (!caller->transactionWrites.contains(entry.statementId))
-            addViolation(now, statement.id + " ran inside the transaction of " + entry.statementId);
     }
+    if (commits)
+        checkTransaction(connection, found->second, now);
 }
 
 void GuaranteeChecker::checkRead(Millis now, const Caller &caller, const GroupInstance &instance,
@@ -261,8 +447,9 @@
         || (newest->index < visible
             && instance.log[newest->index].statementId == newest->statementId);
     if (!visibleThere)
-        addViolation(
-            now, "read " + statement.id + " on " + instance.id + " lacks " + newest->statementId);
+        addViolation(now,
+                     "read " + printable(statement.id) + " on " + instance.id + " lacks "
+                         + printable(newest->statementId));
 }
 
 void GuaranteeChecker::onPromoted(const GroupInstance &newPrimary, Millis now)
@@ -273,8 +460,8 @@
     for (const AcknowledgedWrite &row : m_acknowledged) {
         if (!keptWrites.contains(row.statementId))
             addViolation(now,
-                         "acknowledged write " + row.statementId + " was lost by the promotion of "
-                             + newPrimary.id);
+                         "acknowledged write " + printable(row.statementId)
+                             + " was lost by the promotion of " + newPrimary.id);
     }
 }
 
@@ -305,17 +492,24 @@
     for (const AcknowledgedWrite &row : m_acknowledged) {
         if (counts[row.statementId] != 1)
             addViolation(now,
-                         "acknowledged write " + row.statementId + " is in the log "
+                         "acknowledged write " + printable(row.statementId) + " is in the log "
                              + std::to_string(counts[row.statementId]) + " times");
     }
     for (const auto &[write, count] : counts) {
         if (count > 1)
-            addViolation(now, "write " + write + " took effect more than once");
+            addViolation(now, "write " + printable(write) + " took effect more than once");
         if (m_refusedWrites.contains(write))
-            addViolation(now, "write " + write + " is in the log although it was refused");
+            addViolation(now,
+                         "write " + printable(write) + " is in the log although it was refused");
     }
 }
 
+void GuaranteeChecker::addBroken(BrokenRule rule, Millis now, const std::string &text)
+{
+    ++m_report.broken[rule];
+    addViolation(now, std::string(BrokenRuleNames.name(rule)) + ": " + text);
+}
+
 void GuaranteeChecker::addViolation(Millis now, const std::string &text)
 {
     if (m_report.violations.size() < MaxViolations)
--- a/test/guaranteechecker.h
+++ b/test/guaranteechecker.h
@@ -3,8 +3,12 @@
 // the soak test.
 //
 // The guarantees:
-// - every statement that runs was sent by a caller and sees the values of that caller's session;
-// - a transaction contains the statements of one caller only;
+// - every statement that runs was sent by a caller, with the same id, text and parameters, and
+//   writes run once;
+// - it sees exactly the values that its session has set, and a prepared name runs the statement
+//   that its session has prepared last under that name, and is not unknown;
+// - a transaction contains the statements of one caller only, runs on one connection, and is
+//   committed only at its caller's request;
 // - a read sees every commit that its consistency requires;
 // - an acknowledged write is in the log exactly once, also after each promotion;
 // - a write that was refused is not in the log;
@@ -13,9 +17,13 @@
 // Performs no I/O and reads no clock; not thread-safe.
 #pragma once
 
+#include "callertexts.h"
+
 #include "base/hash.h"
 #include "base/millis.h"
+#include "base/names.h"
 #include "session/routing.h"
+#include "session/sessionstate.h"
 #include "standin_core/replicagroup.h"
 
 #include <map>
@@ -26,9 +34,21 @@
 
 namespace cicadagap {
 
+// The guarantees that a statement breaks as it runs, by the customer's names.
+enum class BrokenRule {
+    Pinned,  // Its session's values, prepared statement or transaction are not those of its caller.
+    Unasked, // No caller has sent it, or not so.
+};
+
+inline constexpr NameTable<BrokenRule, 2> BrokenRuleNames{{{
+    {BrokenRule::Pinned, "PINNED"},
+    {BrokenRule::Unasked, "UNASKED"},
+}}};
+
 struct GuaranteeReport
 {
     std::vector<std::string> violations;
+    std::map<BrokenRule, int> broken; // How often, also beyond the violations that are listed.
     int answered = 0;
     int refused = 0;
     int uncertain = 0; // Statements that may have run.
@@ -40,9 +60,16 @@
 class GuaranteeChecker
 {
 public:
+    // The texts that callers choose.
+    enum class Texts {
+        Plain,     // Short words, and one shape for all. The same seeds draw the same as ever.
+        Arbitrary, // Those of CallerTexts, and statements about the session also in transactions.
+    };
+
     struct Options
     {
         std::uint64_t seed = 1;
+        Texts texts = Texts::Plain;
         Millis maxAge = Millis(1500); // Of the data of bounded-staleness reads.
         int items = 20;               // Number of items that callers read and write.
         std::string idPrefix = "q";   // Of statement ids; must differ between groups.
@@ -63,15 +90,15 @@
     bool awaitsAnswer(std::size_t caller) const { return m_callers[caller].awaited.has_value(); }
     bool awaits(std::size_t caller, const std::string &id) const
     {
-        return awaitsAnswer(caller) && m_callers[caller].awaited->id == id;
+        return awaitsAnswer(caller) && m_callers[caller].awaited->statement.id == id;
     }
     SessionPhase phase(std::size_t caller) const { return m_callers[caller].phase; }
 
     // What the instances run; the arguments are those of ReplicaGroupEnvironment.
     void onRead(const GroupInstance &instance, const InstanceConnection &connection,
                 const Statement &statement, Millis now);
-    void onWrite(const GroupInstance &instance, const InstanceConnection &connection,
-                 const Statement &statement, Millis now);
+    void onWrite(const InstanceConnection &connection, const Statement &statement, Millis now);
+    void onOther(const InstanceConnection &connection, const Statement &statement, Millis now);
     void onPromoted(const GroupInstance &newPrimary, Millis now);
     // Checks the primary's log after all statements were answered.
     void checkFinalState(Millis now);
@@ -80,19 +107,42 @@
     const GuaranteeReport &report() const { return m_report; }
 
 private:
+    // A statement and what it depends on, as it was when the caller sent it.
+    struct Sent
+    {
+        Statement statement;
+        std::size_t caller = 0;
+        SessionPhase phase = SessionPhase::Idle;
+        SessionValues values;
+        std::optional<PreparedStatement> prepared; // Under the name that is executed.
+        std::set<std::string> transactionWrites;   // With this one.
+        int runs = 0;
+
+        bool reads() const
+        {
+            return statement.kind == StatementKind::Read
+                || (statement.kind == StatementKind::Execute && prepared && !prepared->writes);
+        }
+        bool writes() const
+        {
+            return statement.kind == StatementKind::Write
+                || (statement.kind == StatementKind::Execute && prepared && prepared->writes);
+        }
+    };
+
     struct Caller
     {
         Consistency consistency = Consistency::Strong;
         std::uint64_t session = 0;
         SessionPhase phase = SessionPhase::Idle;
-        SessionValues values;          // Acknowledged.
-        SessionValues requestedValues; // The values once the statement in progress is acknowledged.
-        std::set<std::string> prepared; // Names of the prepared statements.
-        int statementsLeft = 0;         // Until the end of the transaction.
+        SessionState state;     // Acknowledged.
+        int statementsLeft = 0; // Until the end of the transaction.
         bool readOnly = false;
-        std::optional<Statement> awaited;
+        std::optional<Sent> awaited;
         Millis startedAt; // When the statement, or its transaction, was sent.
         std::set<std::string> transactionWrites;
+        // The connection on which the open transaction runs; null before its first statement.
+        const InstanceConnection *connection = nullptr;
     };
 
     // A write whose commit was acknowledged to a caller.
@@ -106,21 +156,33 @@
 
     void drawStatement(Caller *caller, Statement *statement);
     void drawSessionStatement(Caller *caller, Statement *statement);
+    void drawArbitrarySessionStatement(Statement *statement);
+    bool drawExecute(const Caller &caller, bool mayWrite, Statement *statement);
+    bool hasArbitraryTexts() const { return m_options.texts == Texts::Arbitrary; }
+    // Checks that a read or write that runs is one that a caller has sent, as it was sent, and in
+    // its session's state. Returns what was sent; null if it was not sent so.
+    const Sent *checkRun(const InstanceConnection &connection, const Statement &statement,
+                         Millis now);
+    void checkState(const InstanceConnection &connection, const Statement &statement,
+                    const Sent &sent, Millis now);
+    void checkTransaction(const InstanceConnection &connection, const Sent &sent, Millis now);
     void checkRead(Millis now, const Caller &caller, const GroupInstance &instance,
                    const Statement &statement);
-    void checkSuccess(Millis now, const Statement &statement, const StatementAnswer &answer);
+    void checkSuccess(Millis now, const Sent &sent, const StatementAnswer &answer);
+    void checkUnknownName(Millis now, const Sent &sent, const StatementAnswer &answer);
     void addAcknowledgedWrites(const Caller &caller, Millis now);
     void addAcknowledgedWrite(const AcknowledgedWrite &write);
     const AcknowledgedWrite *newestRequiredWrite(const Caller &caller) const;
-    const Caller *senderOf(const Statement &statement) const;
+    void addBroken(BrokenRule rule, Millis now, const std::string &text);
     std::size_t logIndexOf(const std::string &write) const;
 
     Options m_options;
     ReplicaGroup *m_group;
     Random m_random;
+    CallerTexts m_texts; // Draws from a source of its own.
     GuaranteeReport m_report;
     std::vector<Caller> m_callers;
-    std::map<std::string, std::size_t> m_statementOwner;
+    std::map<std::string, Sent> m_sent;            // By the statement's id.
     std::vector<AcknowledgedWrite> m_acknowledged; // In the order of acknowledgement.
     // For each acknowledged write, which one of it and those before it is highest in the log. Both
     // members hold indexes of m_acknowledged.
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -139,7 +139,11 @@
         , m_end(options.duration)
         , m_random(options.seed)
         , m_group(this, {.replacedPrimaryGoesOn = !options.fencedPromotions})
-        , m_checker({.seed = options.seed, .maxAge = MaxAge}, &m_group)
+        , m_checker({.seed = options.seed,
+                     .texts = options.arbitraryTexts ? GuaranteeChecker::Texts::Arbitrary
+                                                     : GuaranteeChecker::Texts::Plain,
+                     .maxAge = MaxAge},
+                    &m_group)
     {
     }
 
@@ -202,6 +206,7 @@
                 const Statement &statement) override;
     void onWrite(const GroupInstance &instance, const InstanceConnection &connection,
                  const Statement &statement) override;
+    void onOther(const InstanceConnection &connection, const Statement &statement) override;
     void onPromoted(const GroupInstance &newPrimary) override;
     void executePromotion(const std::string &id, std::uint64_t token);
     void leaveTimeForChange();
@@ -507,10 +512,15 @@
     m_checker.onRead(instance, connection, statement, m_now);
 }
 
-void SessionSimulation::onWrite(const GroupInstance &instance, const InstanceConnection &connection,
+void SessionSimulation::onWrite(const GroupInstance &, const InstanceConnection &connection,
                                 const Statement &statement)
 {
-    m_checker.onWrite(instance, connection, statement, m_now);
+    m_checker.onWrite(connection, statement, m_now);
+}
+
+void SessionSimulation::onOther(const InstanceConnection &connection, const Statement &statement)
+{
+    m_checker.onOther(connection, statement, m_now);
 }
 
 void SessionSimulation::acquireLease(std::size_t host, const std::string &group)
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -69,6 +69,8 @@
     // Hosts act as if the platform checked fencing tokens, to show what that breaks.
     bool hostsIgnoreMissingFence = false;
     std::vector<SimulatedFault> faults; // Each is injected once, at a random time.
+    // Callers choose the texts of CallerTexts. If not, the seeds stand for the same runs as ever.
+    bool arbitraryTexts = false;
     // Gets a line for each fault, command, promotion and event of a group; null for none.
     std::ostream *trace = nullptr;
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -24,10 +24,18 @@
     return list;
 }
 
+int times(const SoakReport &report, BrokenRule rule)
+{
+    const auto found = report.broken.find(rule);
+    return found == report.broken.end() ? 0 : found->second;
+}
+
 void print(const SoakOptions &options, const SoakReport &report)
 {
     std::cout << boost::json::serialize(
         boost::json::object{{"seed", options.seed},
+                            {"pinned", times(report, BrokenRule::Pinned)},
+                            {"unasked", times(report, BrokenRule::Unasked)},
                             {"violations", textList(report.violations)},
                             {"answered", report.answered},
                             {"refused", report.refused},
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -77,6 +77,8 @@
         const GuaranteeReport &groupReport = row.second.checker->report();
         for (const std::string &text : groupReport.violations)
             m_report.violations.push_back(row.first + " " + text);
+        for (const auto &[rule, times] : groupReport.broken)
+            m_report.broken[rule] += times;
         m_report.answered += groupReport.answered;
         m_report.refused += groupReport.refused;
         m_report.uncertain += groupReport.uncertain;
@@ -128,7 +130,9 @@
     for (const std::string &group : m_deployment.groups()) {
         GroupCheck &check = m_groupChecks[group];
         check.checker = std::make_unique<GuaranteeChecker>(
-            GuaranteeChecker::Options{.seed = m_random.next(), .idPrefix = group + "q"},
+            GuaranteeChecker::Options{.seed = m_random.next(),
+                                      .texts = GuaranteeChecker::Texts::Arbitrary,
+                                      .idPrefix = group + "q"},
             &m_deployment.group(group));
     }
     return true;
@@ -507,7 +511,14 @@
 void Soak::onWrite(const std::string &group, const GroupInstance &instance,
                    const InstanceConnection &connection, const Statement &statement)
 {
-    m_groupChecks.at(group).checker->onWrite(instance, connection, statement, now());
+    static_cast<void>(instance);
+    m_groupChecks.at(group).checker->onWrite(connection, statement, now());
+}
+
+void Soak::onOther(const std::string &group, const InstanceConnection &connection,
+                   const Statement &statement)
+{
+    m_groupChecks.at(group).checker->onOther(connection, statement, now());
 }
 
 void Soak::onPromoted(const std::string &group, const GroupInstance &newPrimary)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -105,6 +105,7 @@
 struct SoakReport
 {
     std::vector<std::string> violations;
+    std::map<BrokenRule, int> broken;
     std::vector<std::string> faults;
     int answered = 0;
     int refused = 0;
@@ -149,6 +150,8 @@
                 const InstanceConnection &connection, const Statement &statement) override;
     void onWrite(const std::string &group, const GroupInstance &instance,
                  const InstanceConnection &connection, const Statement &statement) override;
+    void onOther(const std::string &group, const InstanceConnection &connection,
+                 const Statement &statement) override;
     void onPromoted(const std::string &group, const GroupInstance &newPrimary) override;
     void onPromotionRequest(const StoreServer::PromotionRequest &promotion) override;
 
--- a/test/soak/soakcaller.cpp
+++ b/test/soak/soakcaller.cpp
@@ -55,14 +55,11 @@
 
     void setHandlers(Handlers handlers) { m_handlers = std::move(handlers); }
 
-    void send(Statement statement)
+    // Composes the line without the session servers' code, which is under test.
+    void send(const Statement &statement)
     {
         m_sentKind = statement.kind;
-        statement.text.clear(); // So that the codec composes the text from the other members.
-        if (!codec.writeStatement(statement, &m_output, nullptr)) {
-            fail();
-            return;
-        }
+        m_output += "QUERY " + statement.id + " " + statement.text + std::string(LineEnd);
         write();
     }
 
