--- a/test/guaranteechecker.cpp
+++ b/test/guaranteechecker.cpp
@@ -177,6 +177,10 @@
     }
     caller->readOnly = m_random.below(3) == 0;
     caller->statementsLeft = 1 + static_cast<int>(m_random.below(3));
+    // Long enough to come back to a prepared statement after others.
+    constexpr int LongTransaction = 8;
+    if (hasArbitraryTexts() && m_texts.oneIn(3))
+        caller->statementsLeft += LongTransaction;
     statement->kind = caller->readOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
 }
 
