A fault of the stand-in: instances refuse statements that restore a session's state

The caller's statement follows in the same write, before the answer arrives.

In the simulation an instance heard of a closed connection at once, so that the statement behind a refused one never ran; while the fault is in effect it hears of it after the network's delay.

--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -200,7 +200,10 @@
             SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}},
             SimulationCase{"killHosts", {SimulatedFault::KillHost, SimulatedFault::KillHost}},
             SimulationCase{"freezeHosts",
-                           {SimulatedFault::FreezeHost, SimulatedFault::CrashPrimary}})),
+                           {SimulatedFault::FreezeHost, SimulatedFault::CrashPrimary}},
+            // The caller's statement follows in the same write as the refused one.
+            SimulationCase{"refuseRestores",
+                           {SimulatedFault::RefuseRestores, SimulatedFault::RefuseRestores}})),
     caseName);
 
 // The store is away for a moment and comes back from an older copy of itself, around changes of the
--- a/src/standin_core/replicagroup.cpp
+++ b/src/standin_core/replicagroup.cpp
@@ -42,6 +42,19 @@
 
 } // namespace
 
+bool restoresState(const Statement &statement)
+{
+    switch (statement.kind) {
+    case StatementKind::SetValue:
+    case StatementKind::Reset:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+        return statement.id == InternalStatementId;
+    default:
+        return false;
+    }
+}
+
 void ReplicaGroup::add(const std::string &id)
 {
     const bool first = m_instances.empty();
@@ -92,6 +105,11 @@
            });
 }
 
+void ReplicaGroup::refuse(const InstanceConnection &connection, const Reply &reply)
+{
+    reply({.cause = Cause::Failed, .signature = "-", .phase = connection.phase});
+}
+
 StatementAnswer ReplicaGroup::run(GroupInstance *instance, InstanceConnection *connection,
                                   const Statement &statement)
 {
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -103,6 +103,9 @@
     virtual void onPromoted(const GroupInstance &newPrimary) = 0;
 };
 
+// Whether the statement is one by which the system restores a session's state on a connection.
+bool restoresState(const Statement &statement);
+
 class ReplicaGroup
 {
 public:
@@ -140,6 +143,8 @@
     // then. The item of a Read or Write is the statement's name.
     void execute(GroupInstance *instance, InstanceConnection *connection,
                  const Statement &statement, const Reply &reply);
+    // Answers the statement as failed, without any effect.
+    static void refuse(const InstanceConnection &connection, const Reply &reply);
     // Carries out one of the commands Status, Pause, Resume and StepDown, possibly after a delay.
     StatementAnswer command(GroupInstance *instance, const Statement &statement);
     // Promotes an instance. Returns false if it is not running or is the primary already.
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -234,6 +234,7 @@
     Millis m_storeDownUntil;
     Millis m_loseAnswersUntil;
     Millis m_delayCommandsUntil;
+    Millis m_refuseRestoresUntil;
     Millis m_delayPromotionsUntil;
     SessionId m_lastSession = 0;
 };
@@ -459,7 +460,15 @@
                     });
                 });
             };
-            m_group.execute(runner, &served->second.state, statement, reply);
+            const bool refused = m_now < m_refuseRestoresUntil && restoresState(statement)
+                && m_random.below(4) == 0;
+            if (refused)
+                trace("restore.refused",
+                      "host" + std::to_string(host) + " " + id + " " + statement.name);
+            if (refused)
+                ReplicaGroup::refuse(served->second.state, reply);
+            else
+                m_group.execute(runner, &served->second.state, statement, reply);
         });
     });
 }
@@ -485,7 +494,16 @@
 void SessionSimulation::closeTarget(std::size_t host, ConnectionId connection,
                                     const std::string &id)
 {
-    m_instanceReach[id].connections.erase({host, connection});
+    if (m_now >= m_refuseRestoresUntil) {
+        m_instanceReach[id].connections.erase({host, connection});
+        return;
+    }
+    // What was sent before runs until the instance hears of the end of the connection. Elsewhere it
+    // hears of it at once, since the seeds of other faults stand for these runs.
+    at(m_now + NetworkDelay, [=, this, incarnation = m_hosts[host]->incarnation] {
+        if (m_hosts[host]->incarnation == incarnation)
+            m_instanceReach[id].connections.erase({host, connection});
+    });
 }
 
 void SessionSimulation::after(Millis delay, std::function<void()> function)
@@ -786,6 +804,9 @@
     case SimulatedFault::LeaveReplica:
         leaveReplica();
         return;
+    case SimulatedFault::RefuseRestores:
+        m_refuseRestoresUntil = m_now + length;
+        return;
     }
 }
 
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -35,9 +35,10 @@
     RestoreStore,    // The store is away for a moment, and comes back from an older copy of itself.
     UnlistReplica,   // A replica's entry is missing from the store, while it goes on receiving.
     LeaveReplica,    // A new replica starts; another one leaves, and its log goes with it.
+    RefuseRestores,  // Some statements that restore a session's state fail without effect.
 };
 
-inline constexpr NameTable<SimulatedFault, 17> FaultNames{{{
+inline constexpr NameTable<SimulatedFault, 18> FaultNames{{{
     {SimulatedFault::CrashPrimary, "crash-primary"},
     {SimulatedFault::SilencePrimary, "silence-primary"},
     {SimulatedFault::RestartReplica, "restart-replica"},
@@ -55,6 +56,7 @@
     {SimulatedFault::RestoreStore, "restore-store"},
     {SimulatedFault::UnlistReplica, "unlist-replica"},
     {SimulatedFault::LeaveReplica, "leave-replica"},
+    {SimulatedFault::RefuseRestores, "refuse-restores"},
 }}};
 
 struct SimulationOptions
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -56,6 +56,7 @@
                         .connections = arguments["connections"].as<int>(),
                         .fencedPromotions = arguments["fencing"].as<std::string>() != "off",
                         .restores = arguments["restores"].as<std::string>() == "on",
+                        .refusals = arguments["refusals"].as<std::string>() == "on",
                         .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
@@ -98,6 +99,9 @@
             cxxopts::value<std::string>()->default_value("on"));
         add("restores", "Whether the store also comes back from older copies of itself: on or off",
             cxxopts::value<std::string>()->default_value("off"));
+        add("refusals",
+            "Whether instances refuse statements that restore sessions' state: on or off",
+            cxxopts::value<std::string>()->default_value("off"));
         add("program", "Path of the session server",
             cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
         add("address", "Loopback address of all listeners",
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -113,6 +113,8 @@
     scheduleFaults();
     if (m_options.restores)
         scheduleRestores();
+    if (m_options.refusals)
+        refuseRestores();
     m_loop.every(CheckInterval, [this] { restartHosts(); });
     m_loop.every(ProbeInterval, [this] { probeConfiguration(); });
     return true;
@@ -213,6 +215,15 @@
     m_loop.every(StoreCopyInterval, [this] { m_deployment.storeServer().keepCopy(); });
 }
 
+void Soak::refuseRestores()
+{
+    constexpr int RefusedShare = 5; // One in so many.
+    m_report.faults.push_back("0 " + std::string(SoakFaultNames.name(SoakFault::RefusedRestores))
+                              + " " + std::to_string(m_options.duration.count()));
+    for (const std::string &id : m_deployment.instances())
+        m_deployment.server(id).faults().refuseRestoresEvery = RefusedShare;
+}
+
 void Soak::restoreStore(Millis age)
 {
     m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -49,10 +49,11 @@
     StoreDropsHistory,
     ConfigurationChange,
     AllHostsKilled,
-    StoreRestored, // Only with SoakOptions::restores.
+    StoreRestored,   // Only with SoakOptions::restores.
+    RefusedRestores, // Only with SoakOptions::refusals.
 };
 
-inline constexpr NameTable<SoakFault, 29> SoakFaultNames{{{
+inline constexpr NameTable<SoakFault, 30> SoakFaultNames{{{
     {SoakFault::KillHost, "kill-host"},
     {SoakFault::FreezeHost, "freeze-host"},
     {SoakFault::StopHost, "stop-host"},
@@ -82,6 +83,7 @@
     {SoakFault::ConfigurationChange, "configuration-change"},
     {SoakFault::AllHostsKilled, "all-hosts-killed"},
     {SoakFault::StoreRestored, "store-restored"},
+    {SoakFault::RefusedRestores, "refused-restores"},
 }}};
 
 struct SoakOptions
@@ -95,6 +97,9 @@
     // Besides the other faults, the store comes back from an older copy of itself, once to three
     // times.
     bool restores = false;
+    // Besides the other faults, all instances refuse some of the statements that restore a
+    // session's state, from the start until the faults end.
+    bool refusals = false;
     // Faults begin 1.5 s after the start at the earliest, spread over two thirds of this time.
     Millis duration = Millis(15'000);
     std::string address = "127.0.0.1"; // Of all listeners; simultaneous runs need different ones.
@@ -161,6 +166,7 @@
     void startCallers();
     void scheduleFaults();
     void scheduleRestores();
+    void refuseRestores();
     void restoreStore(Millis age);
     void apply(SoakFault fault, Millis length);
     void applyToHost(SoakFault fault, Millis length);
