Log lines lead from a request to the connection, name and shape that the instance was sent

What operators saw: a statement ran another shape than its caller had prepared, and no log said what the instance had been sent. The line of a request named the instance only, and nothing was logged when a connection got a name for a prepared statement.

Cause: the events of SessionEngine carried neither the connection nor the name on it, and TargetPool told nobody of new names.

Now request events name the connection and the name on it, or the gateway and the channel there; `statement.prepared` gives the kind, digest (XXH64) and length of the shape behind a connection's name; and a gateway logs `statement.relayed` with origin and channel, connection and name. The name on a channel is not logged: for gateways of earlier versions it may contain the shape's text. `request.retried` is logged before the attempt's connection is forgotten. Metrics: statements.prepared, statements.deallocated, statements.relayed.

The lines stay within the 100 a second for requests. New names may use 75 of them, so that answers (50) do not leave names without a line; failures may use all. Composing and counting moved from SessionServer to RequestLog, which is tested without sockets.

The whole tst_session and real processes were not run.

--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -119,15 +119,25 @@
     root.setLogLevel(log4cplusLevel(options.level));
 }
 
+std::string logLine(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    boost::json::object line = lineOf(level, event);
+    for (const LogField &field : fields)
+        line[field.name] = field.value;
+    return boost::json::serialize(line);
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    logEvent(level, event, std::span(fields.begin(), fields.size()));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     static const log4cplus::Logger root = log4cplus::Logger::getRoot();
     if (!root.isEnabledFor(log4cplusLevel(level)))
         return;
-    boost::json::object line = lineOf(level, event);
-    for (const LogField &field : fields)
-        line[field.name] = field.value;
-    root.log(log4cplusLevel(level), boost::json::serialize(line));
+    root.log(log4cplusLevel(level), logLine(level, event, fields));
 }
 
 } // namespace cicadagap
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -67,8 +68,12 @@
 // ignores SIGPIPE from then on.
 void startLog(const LogOptions &options);
 
+// The JSON object of a line, without a line break.
+std::string logLine(LogLevel level, std::string_view event, std::span<const LogField> fields);
+
 // Writes one line if `level` is enabled. `event` is a dotted name that stays the same across
 // versions; docs/OPERATIONS.md lists all events. Thread-safe.
+void logEvent(LogLevel level, std::string_view event, std::span<const LogField> fields);
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
 } // namespace cicadagap
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -22,9 +22,6 @@
 constexpr const char *RelayPath = "/relay";
 constexpr const char *DropPath = "/drop";
 constexpr const char *PlatformUpdatePath = "/bulletin";
-// Request log lines per second. Refusals and failures may use all of them, successful answers only
-// half.
-constexpr int LogLinesPerSecond = 100;
 // Callers that connect before the configuration is known wait for it this long; then they are
 // refused.
 constexpr Millis MaxEarlyWait(1200);
@@ -44,6 +41,10 @@
     , m_options(std::move(options))
     , m_codec(codec)
     , m_platform(platform)
+    , m_requestLog(&m_metrics,
+                   [](LogLevel level, std::string_view event, std::span<const LogField> fields) {
+                       logEvent(level, event, fields);
+                   })
     , m_engine({.host = m_options.host,
                 .dataCentre = m_options.dataCentre,
                 .instances = {.drainTime = m_options.instanceDrainTime},
@@ -272,48 +273,6 @@
         caller->refuse(cause);
 }
 
-void SessionServer::logRequest(const RequestEvent &requestEvent)
-{
-    m_metrics.add(std::string(requestEvent.event) + "."
-                  + std::string(CauseNames.name(requestEvent.cause)));
-    if (requestEvent.event == "request.answered")
-        m_metrics.observe("latency", requestEvent.waited);
-    if (!takeLogLine(requestEvent))
-        return;
-    logEvent(requestEvent.cause == Cause::None ? LogLevel::Info : LogLevel::Warning,
-             requestEvent.event,
-             {{"session", static_cast<std::int64_t>(requestEvent.session)},
-              {"request", requestEvent.request},
-              {"database", requestEvent.database},
-              {"instance", requestEvent.instance},
-              {"cause", CauseNames.name(requestEvent.cause)},
-              {"attempts", requestEvent.attempts},
-              {"waitedMs", requestEvent.waited.count()},
-              {"configuration", static_cast<std::int64_t>(requestEvent.configuration)}});
-}
-
-// Whether a request log line may be written now, which limits the volume of the log; counts the
-// lines that are dropped.
-bool SessionServer::takeLogLine(const RequestEvent &requestEvent)
-{
-    const Millis at = now();
-    if (at - m_logSecondStart >= Millis(1000)) {
-        if (m_logLinesDropped > 0)
-            logEvent(LogLevel::Info, "log.dropped", {{"lines", m_logLinesDropped}});
-        m_logLinesDropped = 0;
-        m_logLinesLeft = LogLinesPerSecond;
-        m_logSecondStart = at;
-    }
-    const int reserved = requestEvent.cause == Cause::None ? LogLinesPerSecond / 2 : 0;
-    if (m_logLinesLeft <= reserved) {
-        ++m_logLinesDropped;
-        m_metrics.add("log.dropped");
-        return false;
-    }
-    --m_logLinesLeft;
-    return true;
-}
-
 void SessionServer::logGroupEvent(const std::string &group, std::string_view event,
                                   const std::string &instance, std::uint64_t term,
                                   const std::string &detail)
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -10,6 +10,7 @@
 #include "process/metrics.h"
 #include "session/leaseclient.h"
 #include "session/platformclient.h"
+#include "session/requestlog.h"
 #include "session/sessionengine.h"
 #include "targetsocket.h"
 
@@ -67,7 +68,15 @@
     void dropAtGateway(ConnectionId connection, const std::string &gateway) override;
     void answerCaller(SessionId session, const StatementAnswer &answer) override;
     void closeCaller(SessionId session, Cause cause) override;
-    void logRequest(const RequestEvent &requestEvent) override;
+    void logRequest(const RequestEvent &event) override { m_requestLog.onRequest(now(), event); }
+    void logNewName(const NewPreparedName &prepared) override
+    {
+        m_requestLog.onNewName(now(), prepared);
+    }
+    void logRelayedStatement(const RelayedStatementEvent &event) override
+    {
+        m_requestLog.onRelayedStatement(now(), event);
+    }
     void acquireLease(const std::string &group) override;
     void requestPromotion(const std::string &group, const std::string &instance,
                           std::uint64_t fencingToken) override;
@@ -91,7 +100,6 @@
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
     HttpResponse answerReadinessCheck(const HttpRequest &request);
     void onTick();
-    bool takeLogLine(const RequestEvent &requestEvent);
     Millis now() const { return m_clock.now(); }
 
     struct Peer
@@ -114,6 +122,7 @@
     PlatformClient *m_platform;
     BootClock m_clock;
     Metrics m_metrics;
+    RequestLog m_requestLog;
     SessionEngine m_engine;
     LeaseClient m_leases;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -128,9 +137,6 @@
     std::map<ConnectionId, std::shared_ptr<TargetSocket>> m_targets;
     SessionId m_lastSession = 0;
     std::optional<Millis> m_stoppingSince;
-    int m_logLinesLeft = 0; // Request log lines that may be written in the present second.
-    Millis m_logSecondStart;
-    std::int64_t m_logLinesDropped = 0;
 };
 
 } // namespace cicadagap
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -48,6 +48,15 @@
     return found == prepared.end() ? nullptr : &found->second;
 }
 
+// Whether the statement is a caller's, not a command or one that the origin itself added.
+bool isCallers(const RelayedStatement &entry)
+{
+    const StatementKind kind = entry.statement.kind;
+    return entry.purpose == SendPurpose::Work
+        && (kind == StatementKind::Read || kind == StatementKind::Write
+            || kind == StatementKind::Execute || kind == StatementKind::Commit);
+}
+
 bool isWrite(const Statement &statement, const RelayedNames &prepared)
 {
     const PreparedStatement *executed = executedBy(statement, prepared);
@@ -96,10 +105,11 @@
 } // namespace
 
 RelayGateway::RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork,
-                           GroupKnowledge *groups)
+                           GroupKnowledge *groups, LogStatement logStatement)
     : m_pool(pool)
     , m_nextWork(std::move(nextWork))
     , m_groups(groups)
+    , m_logStatement(std::move(logStatement))
 {
 }
 
@@ -271,10 +281,26 @@
         // The origin's name is valid on its channel only, not on this host's connection.
         if (const PreparedStatement *executed = executedBy(statement, channel->prepared))
             statement.name = m_pool->restore(now, channel->connection, channel->values, executed);
+        if (isCallers(entry))
+            log(*channel, entry);
         m_pool->send(now, channel->connection, entry.purpose, std::move(statement));
     }
 }
 
+void RelayGateway::log(const Channel &channel, const RelayedStatement &entry) const
+{
+    const Statement &statement = entry.statement;
+    const auto &[origin, channelId] = m_channelByWork.at(channel.work);
+    RelayedStatementEvent event{.request = statement.id,
+                                .origin = origin,
+                                .channel = channelId,
+                                .instance = channel.instance,
+                                .connection = channel.connection};
+    if (statement.kind == StatementKind::Execute)
+        event.preparedName = statement.name;
+    m_logStatement(event);
+}
+
 std::map<std::string, Millis> RelayGateway::oldestWrites() const
 {
     std::map<std::string, Millis> oldest;
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,18 @@
 // Prepared statements by the names that the origin of a channel gave them there.
 using RelayedNames = std::map<std::string, PreparedStatement>;
 
+// A caller's statement that another host relayed is being sent on a connection of this host. The
+// texts are valid during the call only.
+struct RelayedStatementEvent
+{
+    std::string_view request; // The statement's id.
+    std::string_view origin;
+    std::uint64_t channel = 0;
+    std::string_view instance;
+    ConnectionId connection = 0;
+    std::string_view preparedName; // On the connection; empty unless it is an Execute.
+};
+
 // The channels of other hosts on this host.
 //
 //     gateway.onBatch(now, batch, [](RelayReply reply) { send(reply); });
@@ -37,8 +50,11 @@
     // Called exactly once for each batch, possibly from within onBatch().
     using Reply = std::function<void(RelayReply)>;
 
+    using LogStatement = std::function<void(const RelayedStatementEvent &)>;
+
     // `groups` must outlive this object.
-    RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork, GroupKnowledge *groups);
+    RelayGateway(TargetPool *pool, std::function<WorkId()> nextWork, GroupKnowledge *groups,
+                 LogStatement logStatement);
 
     // Another host sent a batch.
     void onBatch(Millis now, RelayBatch batch, Reply reply);
@@ -108,12 +124,14 @@
     void startProvenBatches(Millis now);
     void sendBatch(Millis now, Channel *channel);
     void sendStatements(Millis now, Channel *channel);
+    void log(const Channel &channel, const RelayedStatement &entry) const;
     void endChannel(const ChannelKey &key, Cause cause, bool sent);
     Channel *find(WorkId work, ChannelKey *key);
 
     TargetPool *m_pool;
     std::function<WorkId()> m_nextWork;
     GroupKnowledge *m_groups;
+    LogStatement m_logStatement;
     std::vector<UnprovenBatch> m_unproven;
     std::map<ChannelKey, Channel> m_channels;
     std::map<WorkId, ChannelKey> m_channelByWork;
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -29,7 +29,8 @@
           m_options.pool, output, this,
           [this](Millis now, const std::string &instance) { return chooseGateway(now, instance); })
     , m_relayGateway(
-          &m_pool, [this] { return nextWork(); }, &m_control)
+          &m_pool, [this] { return nextWork(); }, &m_control,
+          [output](const RelayedStatementEvent &event) { output->logRelayedStatement(event); })
     , m_instances(m_options.instances)
 {
     m_control.setPool(&m_pool);
@@ -490,6 +491,9 @@
     if (session.operation) {
         record.request = session.operation->statement.id;
         record.instance = session.operation->instance;
+        record.connection = session.operation->connection;
+        record.gateway = session.operation->gateway;
+        record.preparedName = session.operation->preparedName;
         record.attempts = session.operation->attempts;
         record.waited = now - session.operation->arrivedAt;
     }
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -46,6 +46,12 @@
     std::string_view request; // The statement's id; empty if the event concerns no statement.
     std::string_view database;
     std::string_view instance;
+    // What the statement was sent on; 0 if it was not sent. Behind a gateway, the channel there.
+    ConnectionId connection = 0;
+    std::string_view gateway; // Empty if this host sent it to the instance itself.
+    // On the connection; empty if no prepared statement was executed, and behind a gateway, which
+    // gives it a name of its own.
+    std::string_view preparedName;
     Cause cause = Cause::None;
     int attempts = 0;
     Millis waited;                   // Since the statement arrived.
@@ -61,6 +67,8 @@
     // Ends the session. If the cause is not None, it is reported to the caller first.
     virtual void closeCaller(SessionId session, Cause cause) = 0;
     virtual void logRequest(const RequestEvent &event) = 0;
+    virtual void logNewName(const NewPreparedName &prepared) = 0;
+    virtual void logRelayedStatement(const RelayedStatementEvent &event) = 0;
 };
 
 // The sessions of one host.
@@ -192,6 +200,8 @@
         std::string instance;
         WorkId work = 0;
         ConnectionId connection = 0;
+        std::string gateway;      // Of the connection; empty if it is this host's own.
+        std::string preparedName; // On the connection; empty behind a gateway.
         Stage stage = Stage::Waiting;
         bool transactionOpened = false; // The transaction around it is open.
         // It was sent together with the opening; the gateway runs it once that has succeeded.
@@ -241,6 +251,7 @@
     void onTargetOpening(Millis now, const std::string &instance) override;
     void onTargetReceived(Millis now, const std::string &instance) override;
     void onTargetConnectionFailed(Millis now, const std::string &instance) override;
+    void onNamePrepared(const NewPreparedName &prepared) override;
 
     int relayCommand(Millis now, const RegisteredInstance &instance,
                      const Statement &statement) override;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -242,8 +242,12 @@
     const PreparedStatement *prepared = operation.prepared ? &*operation.prepared : nullptr;
     const std::string name
         = m_pool.restore(now, operation.connection, session->state.values, prepared);
-    if (prepared)
-        operation.statement.name = name;
+    operation.gateway = m_pool.gatewayOf(operation.connection);
+    if (!prepared)
+        return;
+    operation.statement.name = name;
+    if (operation.gateway.empty())
+        operation.preparedName = name;
 }
 
 // The instance that is expected to answer soonest among those that may serve the operation; empty
@@ -553,13 +557,15 @@
 // no time or attempt left, answers the caller that it has not run.
 void SessionEngine::retry(Millis now, SessionId id, Session *session, Cause cause)
 {
+    logEvent(now, "request.retried", id, *session, cause);
     Operation &operation = *session->operation;
     operation.connection = 0;
+    operation.gateway.clear();
+    operation.preparedName.clear();
     operation.work = 0;
     if (cause == Cause::Behind || cause == Cause::TooOld || cause == Cause::Failed
         || cause == Cause::ConnectionLost || cause == Cause::Leaving)
         operation.excludedInstances.insert(operation.instance);
-    logEvent(now, "request.retried", id, *session, cause);
     const bool overloaded = cause == Cause::Overloaded;
     if ((!overloaded && operation.attempts >= m_options.maxAttempts) || now >= operation.deadline) {
         refuse(now, id, session, Cause::Overloaded);
@@ -668,6 +674,11 @@
     m_control.onConnectionFailed(now, instance);
 }
 
+void SessionEngine::onNamePrepared(const NewPreparedName &prepared)
+{
+    m_output->logNewName(prepared);
+}
+
 void SessionEngine::answerOperation(Millis now, SessionId id, Session *session,
                                     StatementAnswer answer)
 {
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -176,8 +176,18 @@
     if (!found)
         return {};
     ConnectionSessionState::Restoration restoration = found->sessionState.restore(values, prepared);
-    for (Statement &step : restoration.statements)
+    std::size_t removedNames = 0;
+    for (Statement &step : restoration.statements) {
+        removedNames += step.kind == StatementKind::Deallocate ? 1 : 0;
         send(now, connection, SendPurpose::Restore, std::move(step));
+    }
+    if (restoration.isNewName && !found->relayed)
+        m_listener->onNamePrepared({.connection = connection,
+                                    .instance = found->instance,
+                                    .name = restoration.preparedName,
+                                    .shape = prepared->shape,
+                                    .writes = prepared->writes,
+                                    .removedNames = removedNames});
     return std::move(restoration.preparedName);
 }
 
@@ -557,6 +567,13 @@
     return found == m_connections.end() ? none : found->second.instance;
 }
 
+const std::string &TargetPool::gatewayOf(ConnectionId connection) const
+{
+    static const std::string none;
+    const auto found = m_connections.find(connection);
+    return found == m_connections.end() ? none : found->second.gateway;
+}
+
 void TargetPool::openNewConnection(Millis now, const std::string &instance)
 {
     const auto found = m_instances.find(instance);
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -32,6 +32,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cicadagap {
@@ -41,6 +42,18 @@
 // Chosen by whoever submits the work; unique in a pool.
 using WorkId = std::uint64_t;
 
+// A connection to an instance, not a channel through a gateway, got a new name for a prepared
+// statement, and the instance was sent it. The texts are valid during the call only.
+struct NewPreparedName
+{
+    ConnectionId connection = 0;
+    std::string_view instance;
+    std::string_view name;
+    std::string_view shape;
+    bool writes = false;
+    std::size_t removedNames = 0; // Names that were removed to make room for it.
+};
+
 // Carries out the actions of a TargetPool. Must not call back into the pool.
 class TargetOutput
 {
@@ -94,6 +107,8 @@
     virtual void onTargetReceived(Millis now, const std::string &instance) = 0;
     // The instance refused a connection, closed one, or did not accept it in time.
     virtual void onTargetConnectionFailed(Millis now, const std::string &instance) = 0;
+    // No work may be submitted from within this call.
+    virtual void onNamePrepared(const NewPreparedName &prepared) = 0;
 };
 
 // A statement or transaction that needs a connection to an instance.
@@ -221,6 +236,8 @@
     std::size_t connections() const { return m_connections.size(); }
     // Empty if the connection does not exist.
     const std::string &instanceOf(ConnectionId connection) const;
+    // The gateway of a channel; empty for a connection of this host, and if it does not exist.
+    const std::string &gatewayOf(ConnectionId connection) const;
     // Opens an additional connection to an instance that this host connects to directly, unless one
     // is being opened already or the backoff after a failed one lasts.
     void openNewConnection(Millis now, const std::string &instance);
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -55,6 +55,7 @@
     void onTargetOpening(Millis, const std::string &) override { }
     void onTargetReceived(Millis, const std::string &) override { }
     void onTargetConnectionFailed(Millis, const std::string &) override { }
+    void onNamePrepared(const NewPreparedName &) override { }
 
     TargetPool *pool = nullptr;
     std::vector<ConnectionId> started;
@@ -195,6 +196,7 @@
     void onTargetOpening(Millis, const std::string &) override { }
     void onTargetReceived(Millis, const std::string &) override { }
     void onTargetConnectionFailed(Millis, const std::string &) override { }
+    void onNamePrepared(const NewPreparedName &) override { }
 
     RelayGateway *relay = nullptr;
 };
@@ -269,7 +271,8 @@
     WorkId lastWork = 0;
     TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
     SettableGroups groups;
-    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
+    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups,
+                       [](const RelayedStatementEvent &) {}};
 };
 
 // A read inside an internal transaction, which another host relays as one batch.
@@ -415,7 +418,8 @@
     WorkId lastWork = 0;
     TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
     SettableGroups groups;
-    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups};
+    RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups,
+                       [](const RelayedStatementEvent &) {}};
 };
 
 TEST_F(UnprovenBatch, IsRefusedAsNotRunOnceAnotherInstanceIsPrimary)
--- a/test/sessionoutputs.h
+++ b/test/sessionoutputs.h
@@ -33,6 +33,8 @@
     void answerCaller(SessionId, const StatementAnswer &) override { }
     void closeCaller(SessionId, Cause cause) override { closed = cause; }
     void logRequest(const RequestEvent &) override { }
+    void logNewName(const NewPreparedName &) override { }
+    void logRelayedStatement(const RelayedStatementEvent &) override { }
 
     Cause closed = Cause::None;
 };
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -98,6 +98,8 @@
     void answerCaller(SessionId session, const StatementAnswer &answer) override;
     void closeCaller(SessionId, Cause) override { }
     void logRequest(const RequestEvent &) override { }
+    void logNewName(const NewPreparedName &) override { }
+    void logRelayedStatement(const RelayedStatementEvent &) override { }
     void acquireLease(const std::string &group) override;
     void requestPromotion(const std::string &group, const std::string &instance,
                           std::uint64_t fencingToken) override;
