Log lines are valid UTF-8 JSON of a limited size, whatever texts their fields hold

What operators saw or could see: a request id, database name or reason with bytes that are not UTF-8 gave a line that no JSON reader takes; a text of 1 MiB gave a line of 1 to 6 MiB, or none, as LineWriter keeps 64 KiB. Callers choose these texts, and so do instances, the operator and the store.

Cause: logEvent() copied each text into a boost::json object, which writes bytes as they are and has no bound.

Now JsonLine composes every line (also log.unread): a byte that is not part of a UTF-8 character becomes U+FFFD, a text has at most 512 bytes as written, a line 8,192, and the member "cut" names what was cut or left out, with its length. Up to 12 texts of 512 bytes are whole beside others that are cut. Texts are no longer copied into fields, so a long one costs nothing.

--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,10 +1,9 @@
 #include "process/log.h"
 
 #include "base/millis.h"
+#include "process/jsonline.h"
 #include "process/linewriter.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -12,6 +11,7 @@
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <utility>
@@ -22,6 +22,9 @@
 
 namespace {
 
+// Of the program's name, the host's name and the event.
+constexpr std::size_t MaxCommonTextBytes = 128;
+
 std::string programName;
 std::string hostName;
 
@@ -36,17 +39,6 @@
     }
 };
 
-boost::json::object lineOf(LogLevel level, std::string_view event)
-{
-    boost::json::object line;
-    line["at"] = timeOfDay().count();
-    line["level"] = LogLevelNames.name(level);
-    line["program"] = programName;
-    line["host"] = hostName;
-    line["event"] = event;
-    return line;
-}
-
 // Writes to a file descriptor without waiting for its reader, and says how many lines were dropped
 // once the reader has gone on. The library calls append() for one event at a time.
 class DescriptorAppender : public log4cplus::Appender
@@ -68,10 +60,9 @@
     void append(const log4cplus::spi::InternalLoggingEvent &event) override
     {
         if (m_dropped > 0 && m_writer.flush()) {
-            boost::json::object line = lineOf(LogLevel::Warning, "log.unread");
-            line["lines"] = m_dropped;
+            const LogField lines("lines", static_cast<std::int64_t>(m_dropped));
             m_dropped = 0;
-            m_writer.write(boost::json::serialize(line) + '\n');
+            m_writer.write(logLine(LogLevel::Warning, "log.unread", {&lines, 1}) + '\n');
         }
         log4cplus::tostringstream text;
         layout->formatAndAppend(text, event);
@@ -121,10 +112,19 @@
 
 std::string logLine(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
-    boost::json::object line = lineOf(level, event);
+    JsonLine line(MaxLogLineBytes);
+    line.add({"at", timeOfDay().count()});
+    line.add({"level", LogLevelNames.name(level)});
+    line.add({"program", programName}, MaxCommonTextBytes);
+    // Events about another host name it in this field.
+    const bool namesHost = std::any_of(fields.begin(), fields.end(),
+                                       [](const LogField &field) { return field.name == "host"; });
+    if (!namesHost)
+        line.add({"host", hostName}, MaxCommonTextBytes);
+    line.add({"event", event}, MaxCommonTextBytes);
     for (const LogField &field : fields)
-        line[field.name] = field.value;
-    return boost::json::serialize(line);
+        line.add(field);
+    return line.finish();
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -8,17 +8,21 @@
 //     {"at":1764825731000,"level":"info","program":"cicadagapd","host":"a1","event":...}
 //
 // where "at" is the time of day in milliseconds since 1970.
+//
+// Callers, instances, operators and the store choose the texts of some fields. Whatever they are,
+// each line is one JSON object in UTF-8 of a limited size: a byte that is not part of a UTF-8
+// character becomes U+FFFD, and a text that is too long is cut.
 #pragma once
 
 #include "base/names.h"
 
-#include <boost/json/value.hpp>
-
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace cicadagap {
 
@@ -45,12 +49,19 @@
     bool toStandardOutput = false;   // False: to standard error.
 };
 
-// One member of the JSON object of a log line. `name` must outlive the field.
+// The longest line, without its line break, and the longest text in it as it is written, in bytes.
+// A line has room for at least MaxWholeFields texts of that length.
+inline constexpr std::size_t MaxLogLineBytes = 8192;
+inline constexpr std::size_t MaxLogFieldBytes = 512;
+inline constexpr std::size_t MaxWholeFields = 12;
+
+// One member of the JSON object of a log line. `name`, which has no more than 32 bytes, and the
+// text must outlive the field.
 struct LogField
 {
     LogField(std::string_view fieldName, std::string_view text)
         : name(fieldName)
-        , value(boost::json::string_view(text.data(), text.size()))
+        , value(text)
     {
     }
     LogField(std::string_view fieldName, std::int64_t number)
@@ -60,7 +71,7 @@
     }
 
     std::string_view name;
-    boost::json::value value;
+    std::variant<std::int64_t, std::string_view> value;
 };
 
 // Starts logging. Call it once, before any thread logs. Nothing waits for the reader of the log:
@@ -68,7 +79,9 @@
 // ignores SIGPIPE from then on.
 void startLog(const LogOptions &options);
 
-// The JSON object of a line, without a line break.
+// The JSON object of a line, without a line break. If texts were cut, or fields left out since the
+// line has no room for them, the member "cut" has the name of each with the length of its text in
+// bytes, as far as there is room for that.
 std::string logLine(LogLevel level, std::string_view event, std::span<const LogField> fields);
 
 // Writes one line if `level` is enabled. `event` is a dotted name that stays the same across
