Metrics stay readable and limited in number, whatever names come from outside

What operators could see: the name of a metric may contain a name from the settings (latency.TEAM.CLASS). With a blank, line break or quote in it a scraper cannot read the text report; with bytes that are not UTF-8 the JSON report is invalid; a.b and a-b were one series twice; and each new name took memory for good.

Cause: Metrics took any name as a key, and replaced only dots and dashes for the text report.

Now a name that is longer than 200 bytes or not printable ASCII is kept in another form with its XXH64 digest; each series gets its name in the text report once, when it is created, and a digest if that name is taken; 2,000 series are kept apart, and later ones are added up in "other". Names of plain letters, digits, dots, dashes and underscores look as before. The digest moved to base/hash.h (hash64Digits), which RequestLog uses too.

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace cicadagap {
 
@@ -22,6 +23,16 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+std::string hash64Digits(std::string_view text, std::uint64_t seed)
+{
+    constexpr std::size_t Length = 16;
+    std::array<char, Length> digits;
+    const auto result
+        = std::to_chars(digits.data(), digits.data() + Length, hash64(text, seed), /*base=*/16);
+    const std::string hex(digits.data(), result.ptr);
+    return std::string(Length - hex.size(), '0') + hex;
+}
+
 std::string signature(std::string_view key, std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -11,6 +11,9 @@
 // The 64-bit xxHash of `text`. The result is the same on every host.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+// The hash64() of `text` as 16 hexadecimal digits.
+std::string hash64Digits(std::string_view text, std::uint64_t seed = 0);
+
 // The HMAC-SHA-256 of `text` under `key` in hexadecimal, truncated to 32 characters (128 bits).
 std::string signature(std::string_view key, std::string_view text);
 
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -13,8 +13,12 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
+#include <set>
+#include <utility>
 
 namespace cicadagap {
 
@@ -33,25 +37,64 @@
                                          acc::stats<acc::tag::count, acc::tag::sum, acc::tag::mean,
                                                     acc::tag::max, acc::tag::extended_p_square>>;
 
+struct Counter
+{
+    std::string textName; // In the text format.
+    std::int64_t value = 0;
+};
+
 struct Distribution
 {
+    std::string textName;
     Accumulator values = Accumulator(acc::extended_p_square_probabilities = Quantiles);
     // For each bound, the number of values at or below it.
     std::array<std::int64_t, BucketBounds.size()> cumulativeCounts{};
 };
 
-// The name of a metric in the Prometheus text format, which permits neither dots nor dashes.
-std::string prometheusName(std::string_view name)
+// Takes what comes after MaxSeries.
+constexpr std::string_view OtherName = "other";
+constexpr std::string_view CounterEnding = "_total";
+constexpr std::string_view DistributionEnding = "_ms";
+constexpr std::size_t MaxNameBytes = 200;
+// Of a name that cannot be reported as it is.
+constexpr std::size_t KeptNameBytes = 64;
+
+// Whether the text format permits the character in a name.
+bool isNameCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '_'
+        || c == ':';
+}
+
+std::string replaceOthers(std::string_view name)
 {
-    std::string text = "cicadagap_";
-    for (const char c : name)
-        text += c == '.' || c == '-' ? '_' : c;
+    std::string text(name);
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return !isNameCharacter(c); }, '_');
     return text;
 }
 
+bool isReportable(std::string_view name)
+{
+    const auto isPrintable = [](char c) { return c >= ' ' && c <= '~'; };
+    return name.size() <= MaxNameBytes && std::all_of(name.begin(), name.end(), isPrintable);
+}
+
+// The name under which a metric is kept and reported. A digest tells names that cannot be reported
+// as they are from each other.
+// `storage` holds it if it is another one than `name`.
+std::string_view reportedName(std::string_view name, std::string *storage)
+{
+    if (isReportable(name))
+        return name;
+    *storage = replaceOthers(name.substr(0, KeptNameBytes)) + "_" + hash64Digits(name);
+    return *storage;
+}
+
 // Appends the histogram and the quantiles of a distribution to `text`.
-void appendHistogram(const std::string &name, const Distribution &distribution, std::string *text)
+void appendHistogram(const Distribution &distribution, std::string *text)
 {
+    const std::string &name = distribution.textName;
     const std::string count = std::to_string(acc::count(distribution.values));
     *text += "# TYPE " + name + " histogram\n";
     for (std::size_t i = 0; i < BucketBounds.size(); ++i)
@@ -71,42 +114,92 @@
 
 } // namespace
 
+// Gives each series a name of its own in the Prometheus text format, which permits fewer characters
+// than the names of metrics have.
+class Metrics::TextNames
+{
+public:
+    // Returns nothing if there are MaxSeries names. Names of OtherName do not count.
+    std::optional<std::string> allot(std::string_view name, std::string_view ending)
+    {
+        const std::string start = "cicadagap_" + replaceOthers(name);
+        std::string text = start + std::string(ending);
+        MutexLock lock(&m_mutex);
+        if (name != OtherName && m_names.size() >= MaxSeries)
+            return std::nullopt;
+        for (std::uint64_t seed = 0; !m_names.insert(text).second; ++seed)
+            text = start + "_" + hash64Digits(name, seed) + std::string(ending);
+        return text;
+    }
+
+private:
+    Mutex m_mutex;
+    std::set<std::string> m_names CICADAGAP_GUARDED_BY(m_mutex);
+};
+
 struct Metrics::Shard
 {
     mutable Mutex mutex;
-    std::map<std::string, std::int64_t, std::less<>> counters CICADAGAP_GUARDED_BY(mutex);
+    std::map<std::string, Counter, std::less<>> counters CICADAGAP_GUARDED_BY(mutex);
     std::map<std::string, Distribution, std::less<>> distributions CICADAGAP_GUARDED_BY(mutex);
 };
 
 Metrics::Metrics()
     : m_shards(std::make_unique<Shard[]>(ShardCount))
+    , m_textNames(std::make_unique<TextNames>())
 {
 }
 
 Metrics::~Metrics() = default;
 
 void Metrics::add(std::string_view name, std::int64_t count)
+{
+    std::string storage;
+    if (!tryAdd(reportedName(name, &storage), count))
+        tryAdd(OtherName, count);
+}
+
+void Metrics::observe(std::string_view name, Millis value)
+{
+    std::string storage;
+    if (!tryObserve(reportedName(name, &storage), value))
+        tryObserve(OtherName, value);
+}
+
+// Returns false if the counter is new and there is no room for it.
+bool Metrics::tryAdd(std::string_view name, std::int64_t count)
 {
     Shard &shard = shardFor(name);
     MutexLock lock(&shard.mutex);
-    const auto found = shard.counters.find(name);
-    if (found != shard.counters.end())
-        found->second += count;
-    else
-        shard.counters.emplace(name, count);
+    auto found = shard.counters.find(name);
+    if (found == shard.counters.end()) {
+        std::optional<std::string> textName = m_textNames->allot(name, CounterEnding);
+        if (!textName)
+            return false;
+        found = shard.counters.emplace(name, Counter{.textName = std::move(*textName)}).first;
+    }
+    found->second.value += count;
+    return true;
 }
 
-void Metrics::observe(std::string_view name, Millis value)
+// Returns false if the distribution is new and there is no room for it.
+bool Metrics::tryObserve(std::string_view name, Millis value)
 {
     Shard &shard = shardFor(name);
     MutexLock lock(&shard.mutex);
     auto found = shard.distributions.find(name);
-    if (found == shard.distributions.end())
-        found = shard.distributions.emplace(name, Distribution()).first;
+    if (found == shard.distributions.end()) {
+        std::optional<std::string> textName = m_textNames->allot(name, DistributionEnding);
+        if (!textName)
+            return false;
+        found = shard.distributions.emplace(name, Distribution{.textName = std::move(*textName)})
+                    .first;
+    }
     Distribution &distribution = found->second;
     distribution.values(static_cast<double>(value.count()));
     for (std::size_t i = 0; i < BucketBounds.size(); ++i)
         distribution.cumulativeCounts[i] += value.count() <= BucketBounds[i] ? 1 : 0;
+    return true;
 }
 
 std::string Metrics::json() const
@@ -117,7 +210,7 @@
         const Shard &shard = m_shards[i];
         MutexLock lock(&shard.mutex);
         for (const auto &counter : shard.counters)
-            counters[counter.first] = counter.second;
+            counters[counter.first] = counter.second.value;
         for (const auto &entry : shard.distributions) {
             const Accumulator &values = entry.second.values;
             const auto quantiles = acc::extended_p_square(values);
@@ -138,12 +231,12 @@
         const Shard &shard = m_shards[i];
         MutexLock lock(&shard.mutex);
         for (const auto &counter : shard.counters) {
-            const std::string name = prometheusName(counter.first) + "_total";
+            const std::string &name = counter.second.textName;
             text += "# TYPE " + name + " counter\n";
-            text += name + " " + std::to_string(counter.second) + "\n";
+            text += name + " " + std::to_string(counter.second.value) + "\n";
         }
         for (const auto &entry : shard.distributions)
-            appendHistogram(prometheusName(entry.first) + "_ms", entry.second, &text);
+            appendHistogram(entry.second, &text);
     }
     return text;
 }
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -3,6 +3,7 @@
 
 #include "base/millis.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -17,10 +18,17 @@
 //     metrics.observe("latency.entry", Millis(7));
 //     std::string json = metrics.json();
 //
+// A name may have any bytes; one that is too long, or not of printable ASCII, is reported in
+// another form, which a 64-bit hash tells from others. Any other two names are two series.
+//
 // Thread-safe: the state is split by metric name into shards, each with its own lock.
 class Metrics
 {
 public:
+    // Counters and distributions that are kept apart. Those that come later share one of each,
+    // which has the name "other".
+    static constexpr std::size_t MaxSeries = 2000;
+
     Metrics();
     ~Metrics();
     Metrics(const Metrics &) = delete;
@@ -39,9 +47,13 @@
 
 private:
     struct Shard;
+    class TextNames;
+    bool tryAdd(std::string_view name, std::int64_t count);
+    bool tryObserve(std::string_view name, Millis value);
     Shard &shardFor(std::string_view name) const;
 
     std::unique_ptr<Shard[]> m_shards;
+    std::unique_ptr<TextNames> m_textNames;
 };
 
 } // namespace cicadagap
--- a/src/session/requestlog.cpp
+++ b/src/session/requestlog.cpp
@@ -3,7 +3,6 @@
 #include "base/hash.h"
 
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace cicadagap {
@@ -17,16 +16,6 @@
 
 } // namespace
 
-std::string shapeDigest(std::string_view shape)
-{
-    constexpr std::size_t Digits = 16;
-    std::array<char, Digits> digits;
-    const auto result
-        = std::to_chars(digits.data(), digits.data() + Digits, hash64(shape), /*base=*/16);
-    const std::string text(digits.data(), result.ptr);
-    return std::string(Digits - text.size(), '0') + text;
-}
-
 RequestLog::RequestLog(Metrics *metrics, Write write)
     : m_metrics(metrics)
     , m_write(std::move(write))
@@ -64,7 +53,7 @@
         m_metrics->add("statements.deallocated", toNumber(prepared.removedNames));
     if (!takeLine(now, NameLinesPerSecond))
         return;
-    const std::string digest = shapeDigest(prepared.shape);
+    const std::string digest = hash64Digits(prepared.shape);
     const std::array fields{LogField("connection", toNumber(prepared.connection)),
                             LogField("instance", prepared.instance),
                             LogField("name", prepared.name),
--- a/src/session/requestlog.h
+++ b/src/session/requestlog.h
@@ -3,7 +3,8 @@
 // From the id of a caller's statement they lead to what the instance was sent for it:
 //
 //     request.answered     request -> connection, name
-//     statement.prepared   connection, name -> kind, digest and length of the shape
+//     statement.prepared   connection, name -> kind, digest (hash64Digits()) and length of the
+//     shape
 //
 // or, if another host sent it to the instance,
 //
@@ -29,9 +30,6 @@
 
 namespace cicadagap {
 
-// The digest of a shape in statement.prepared: its hash64() as 16 hexadecimal digits.
-std::string shapeDigest(std::string_view shape);
-
 // Composes the lines, counts the events, and drops lines beyond the limit. Not thread-safe.
 class RequestLog
 {
--- a/src/session/tst_requestlog.cpp
+++ b/src/session/tst_requestlog.cpp
@@ -2,6 +2,7 @@
 // sent, hold no text of callers' statements, and are limited in number.
 #include "session/requestlog.h"
 
+#include "base/hash.h"
 #include "sessionoutputs.h"
 
 #include <boost/json/object.hpp>
@@ -290,7 +291,7 @@
             execute(session, id, "item");
             const std::optional<Found> found = follow(id);
             ASSERT_TRUE(found) << id;
-            EXPECT_EQ(found->shapeDigest, shapeDigest(shapes[session]));
+            EXPECT_EQ(found->shapeDigest, hash64Digits(shapes[session]));
             EXPECT_EQ(found->shapeBytes, static_cast<std::int64_t>(shapes[session].size()));
             EXPECT_EQ(found->kind, GetParam().writes ? "write" : "read");
             const auto executed = std::find_if(
@@ -429,8 +430,8 @@
 // programs or other versions compute for the same shape.
 TEST(RequestLog, HasTheDigestThatOtherProgramsCompute)
 {
-    EXPECT_EQ(shapeDigest(""), "ef46db3751d8e999");
-    EXPECT_EQ(shapeDigest("abc"), "44bc2cf5ad770999");
+    EXPECT_EQ(hash64Digits(""), "ef46db3751d8e999");
+    EXPECT_EQ(hash64Digits("abc"), "44bc2cf5ad770999");
 }
 
 // Guards against this failure: under load, answers named connections and names that no other line
