HTTP messages are sent only if their receiver reads the same fields

What could be seen: a text with a line end in a header (Duty-Holder from the host's name in the boot file, X-From, the session token in an answer) became another header or a second request; a header of 70,000 bytes ended the process (std::length_error out of Beast, which checks neither names nor values); a blank at the end of Duty-Holder was cut off by the receiver, so that two hosts had one name. In a query the invalid escapes "%zz" and "%4z" were read as the bytes 0 and 4, so that different texts stood for one key.

Cause: HttpConnection::call() and ServerSession::write() gave any text to Beast, which writes it as it is; queryValue() ignored the result of from_chars.

Why the fix works: method, target and headers are checked in the one place through which all requests and responses go, by the grammar of RFC 9110. A request that would be read as another one fails without a byte sent (NotRun); a response becomes status 500 with a log line (http.response-invalid).

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -1,5 +1,7 @@
 #include "connection/http.h"
 
+#include "process/log.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +11,9 @@
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -26,6 +30,8 @@
 constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 // The kernel closes a connection whose data stays unacknowledged by the other host for this long.
 constexpr int UserTimeoutMs = 10'000;
+constexpr int StatusInternalError = 500;
+constexpr int HexBase = 16;
 // During a graceful shutdown an idle connection stays open for this long, because a request may be
 // on its way. The response to that request tells the client to close the connection.
 constexpr Millis IdleGracePeriod(5000);
@@ -54,6 +60,69 @@
     return headers;
 }
 
+// The longest header value that Beast stores.
+constexpr std::size_t MaxHeaderBytes = 65'533;
+
+// Whether the byte can be part of a method or of a header's name (RFC 9110, section 5.6.2).
+bool isTokenByte(char byte)
+{
+    constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+    return std::isalnum(static_cast<unsigned char>(byte))
+        || Punctuation.find(byte) != std::string_view::npos;
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxHeaderBytes
+        && std::all_of(text.begin(), text.end(), isTokenByte);
+}
+
+// Whether a receiver reads the same value: it removes blanks at either end, and no control
+// character is allowed.
+bool isHeaderValue(std::string_view text)
+{
+    constexpr unsigned char Delete = 0x7F;
+    const auto isBlank = [](char byte) { return byte == ' ' || byte == '\t'; };
+    if (text.size() > MaxHeaderBytes)
+        return false;
+    if (!text.empty() && (isBlank(text.front()) || isBlank(text.back())))
+        return false;
+    return std::all_of(text.begin(), text.end(), [](char byte) {
+        const auto code = static_cast<unsigned char>(byte);
+        return byte == '\t' || (code >= ' ' && code != Delete);
+    });
+}
+
+// Whether the text is a path and a query in visible ASCII characters.
+bool isRequestTarget(std::string_view text)
+{
+    return text.starts_with('/') && std::all_of(text.begin(), text.end(), [](char byte) {
+               return byte > ' ' && byte <= '~';
+           });
+}
+
+// Why the headers would be read as others than these; empty if they can be sent.
+std::string headerProblem(const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers) {
+        if (!isToken(name))
+            return "a header's name is not a token";
+        if (!isHeaderValue(value))
+            return "the value of the header " + name + " cannot be sent";
+    }
+    return {};
+}
+
+// Why the request would be read as another one; empty if it can be sent.
+std::string requestProblem(const HttpRequest &request)
+{
+    if (!isToken(request.method))
+        return "the method is not a token";
+    if (!isRequestTarget(request.target))
+        return "the target is not a path and a query in visible ASCII characters";
+    return headerProblem(request.headers);
+}
+
 class HttpServerImpl;
 
 // The server's side of one connection. Everything runs on the connection's strand.
@@ -275,6 +344,11 @@
 
 void ServerSession::write(HttpResponse response)
 {
+    const std::string problem = headerProblem(response.headers);
+    if (!problem.empty()) {
+        logEvent(LogLevel::Error, "http.response-invalid", {{"reason", problem}});
+        response = {.status = StatusInternalError, .close = response.close};
+    }
     m_closing = m_closing || response.close;
     auto message = std::make_shared<http::response<http::string_body>>();
     message->version(11);
@@ -340,6 +414,11 @@
 
     void call(const HttpRequest &request, Millis timeout, CallDone done) override
     {
+        const std::string problem = requestProblem(request);
+        if (!problem.empty()) {
+            refuse(problem, std::move(done));
+            return;
+        }
         auto message = std::make_shared<http::request<http::string_body>>();
         message->version(11);
         message->method_string(request.method);
@@ -369,6 +448,17 @@
 private:
     using Message = std::shared_ptr<http::request<http::string_body>>;
 
+    // Reports that nothing was sent. Posted, so that `done` never runs inside call().
+    void refuse(const std::string &problem, CallDone done)
+    {
+        asio::post(m_stream.get_executor(),
+                   [self = shared_from_this(), problem, done = std::move(done)] {
+                       error_code ignored;
+                       self->m_stream.socket().close(ignored);
+                       done(std::nullopt, {.sent = false, .text = problem});
+                   });
+    }
+
     void write(const Message &message, Millis timeout, CallDone done)
     {
         if (!m_stream.socket().is_open()) {
@@ -435,6 +525,30 @@
     return target.substr(0, target.find('?'));
 }
 
+std::optional<std::string> percentDecode(std::string_view text)
+{
+    constexpr std::size_t EscapeLength = 3;
+    std::string decoded;
+    while (!text.empty()) {
+        if (text.front() != '%') {
+            decoded.push_back(text.front());
+            text.remove_prefix(1);
+            continue;
+        }
+        const std::string_view digits = text.substr(1, EscapeLength - 1);
+        unsigned char byte = 0;
+        const auto parsed
+            = std::from_chars(digits.data(), digits.data() + digits.size(), byte, HexBase);
+        const bool isEscape = digits.size() == EscapeLength - 1 && parsed.ec == std::errc()
+            && parsed.ptr == digits.data() + digits.size();
+        if (!isEscape)
+            return std::nullopt;
+        decoded.push_back(static_cast<char>(byte));
+        text.remove_prefix(EscapeLength);
+    }
+    return decoded;
+}
+
 std::optional<std::string> queryValue(std::string_view target, std::string_view name)
 {
     std::size_t start = target.find('?');
@@ -443,18 +557,7 @@
         const std::string_view pair = target.substr(start + 1, end - start - 1);
         const std::size_t equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-            std::string value;
-            for (std::size_t i = equals + 1; i < pair.size(); ++i) {
-                int code = 0;
-                if (pair[i] == '%' && i + 2 < pair.size()) {
-                    std::from_chars(pair.data() + i + 1, pair.data() + i + 3, code, 16);
-                    value.push_back(static_cast<char>(code));
-                    i += 2;
-                } else {
-                    value.push_back(pair[i]);
-                }
-            }
-            return value;
+            return percentDecode(pair.substr(equals + 1));
         }
         start = end;
     }
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -45,12 +45,16 @@
 
 // Returns the path of a request target, without the query.
 std::string_view targetPath(std::string_view target);
-// Returns the percent-decoded value of a query parameter, or nothing if there is none.
+// Returns the percent-decoded value of a query parameter, or nothing if there is none or it has an
+// invalid escape.
 std::optional<std::string> queryValue(std::string_view target, std::string_view name);
 // Percent-encodes all characters except the unreserved ones.
 std::string percentEncode(std::string_view text);
+// Returns the text of which percentEncode() made `text`, or nothing if an escape is invalid.
+std::optional<std::string> percentDecode(std::string_view text);
 
-// Sends the response to a request. Must be called exactly once, from any thread.
+// Sends the response to a request. Must be called exactly once, from any thread. In place of a
+// response whose headers its receiver would read as others, status 500 is sent.
 using Respond = std::function<void(HttpResponse)>;
 using HttpHandler = std::function<void(const HttpRequest &, Respond)>;
 
@@ -110,7 +114,9 @@
     virtual ~HttpConnection() = default;
 
     // Sends `request` and receives the whole response within `timeout`; a partial response is a
-    // failure. `done` runs exactly once, on the event loop, never inside call().
+    // failure. A request that its receiver would read as another one, because of a line end in a
+    // header for example, is not sent: the call fails. `done` runs exactly once, on the event loop,
+    // never inside call().
     virtual void call(const HttpRequest &request, Millis timeout, CallDone done) = 0;
     // Closes the connection. A call in progress fails.
     virtual void close() = 0;
