Lease rows are refused whose numbers overflow

Cause: parseLease() took each number that fits into 64 bits.

Why the fix works: numbers are read by two functions with a bound of 2^53, to which a token or a time of this system does not come in its lifetime (2^32 tokens for each of at most 1,000,000 epochs).

--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -14,6 +14,29 @@
 
 namespace {
 
+// The greatest number that is used from a row: whole numbers up to it are exact in all JSON
+// readers, and what is added to them does not overflow.
+constexpr std::int64_t MaxStoredNumber = std::int64_t(1) << 53;
+
+// A whole number from 0 to MaxStoredNumber; nothing if the value is none.
+std::optional<std::uint64_t> storedNumber(const json::value &value)
+{
+    boost::system::error_code error;
+    const auto number = value.is_number() ? value.to_number<std::int64_t>(error) : -1;
+    if (error || number < 0 || number > MaxStoredNumber)
+        return std::nullopt;
+    return static_cast<std::uint64_t>(number);
+}
+
+// An instant from -MaxStoredNumber to MaxStoredNumber; nothing if the value is none.
+std::optional<Millis> storedInstant(const json::value &value)
+{
+    const std::int64_t *count = value.if_int64();
+    if (!count || *count < -MaxStoredNumber || *count > MaxStoredNumber)
+        return std::nullopt;
+    return Millis(*count);
+}
+
 bool isLeaseOf(const std::optional<PromotionLease> &lease, const std::string &host,
                std::uint64_t fencingToken)
 {
@@ -52,9 +75,10 @@
     }
     if (open) {
         for (const auto &entry : open->get_object()) {
-            if (!entry.value().is_int64())
+            const std::optional<Millis> until = storedInstant(entry.value());
+            if (!until)
                 return false;
-            lease->openResumes[std::string(entry.key())] = Millis(entry.value().get_int64());
+            lease->openResumes[std::string(entry.key())] = *until;
         }
     }
     return true;
@@ -99,25 +123,24 @@
     const json::value *holder = object ? object->if_contains("holder") : nullptr;
     const json::value *token = object ? object->if_contains("fencingToken") : nullptr;
     const json::value *until = object ? object->if_contains("untilMs") : nullptr;
-    if (!holder || !holder->is_string() || !token || !token->is_number() || !until
-        || !until->is_int64()) {
+    if (!holder || !holder->is_string() || !token || !until) {
         setReason(reason, "the lease's row is not an object with holder, fencingToken and untilMs");
         return std::nullopt;
     }
-    const auto fencingToken = token->to_number<std::uint64_t>(error);
-    if (error) {
-        setReason(reason, "the fencing token is not a whole number");
+    const std::optional<std::uint64_t> fencingToken = storedNumber(*token);
+    const std::optional<Millis> end = storedInstant(*until);
+    const json::value *epochMember = object->if_contains("epoch");
+    const std::optional<std::uint64_t> epoch
+        = epochMember ? storedNumber(*epochMember) : std::optional<std::uint64_t>(0);
+    if (!fencingToken || !end || !epoch) {
+        setReason(reason,
+                  "the lease's fencing token, end or epoch is no whole number or out of range");
         return std::nullopt;
     }
     PromotionLease lease{.holder = std::string(holder->get_string()),
-                         .fencingToken = fencingToken,
-                         .until = Millis(until->get_int64())};
-    if (const json::value *epoch = object->if_contains("epoch"))
-        lease.epoch = epoch->to_number<std::uint64_t>(error);
-    if (error) {
-        setReason(reason, "the lease's epoch is not a whole number");
-        return std::nullopt;
-    }
+                         .fencingToken = *fencingToken,
+                         .until = *end,
+                         .epoch = *epoch};
     if (!readResumes(*object, &lease)) {
         setReason(reason, "the lease's resumes are not a list of names and a table of ends");
         return std::nullopt;
@@ -126,12 +149,14 @@
     const json::value *candidateUntil = object->if_contains("candidateUntilMs");
     if (!candidate && !candidateUntil)
         return lease;
-    if (!candidate || !candidate->is_string() || !candidateUntil || !candidateUntil->is_int64()) {
+    const std::optional<Millis> candidateEnd
+        = candidateUntil ? storedInstant(*candidateUntil) : std::nullopt;
+    if (!candidate || !candidate->is_string() || !candidateEnd) {
         setReason(reason, "the lease's row has a candidate without a name or an end");
         return std::nullopt;
     }
     lease.candidate = candidate->get_string();
-    lease.candidateUntil = Millis(candidateUntil->get_int64());
+    lease.candidateUntil = *candidateEnd;
     return lease;
 }
 
