cicadagapd: names of teams, groups, instances and hosts stay in their fields

What callers saw or could see: with a group whose name has a comma, the session token that a host gave out was malformed, so that the session lost its position in all groups (no read-your-writes); one with a line end became another header of the answer; a group with a blank or letters beyond ASCII could not be named in a path at all ("team t has no group g%20h"). Teams "a" and "a/b" shared the keys of records ("primary/a/b/c"); a host or instance with "~" made the ids of its transactions unreadable (commit answered as invalid); a host's name with a line end became another header (X-From).

Cause: SessionToken::encode() joined names as they are, CallerApi compared parts of the path undecoded, and the settings took any text as a name.

CallerApi itself, which is in a program, was built and not run.

Why the fix works: groups are percent-encoded in tokens and decoded in paths; names that a key, an id or a header cannot hold are reported when settings are read. Names of unreserved characters give the same tokens as before. During a rolling change a host of the earlier version knows no position for a group with other characters.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -525,6 +525,22 @@
     return target.substr(0, target.find('?'));
 }
 
+std::optional<std::vector<std::string>> pathNames(std::string_view target)
+{
+    std::string_view path = targetPath(target);
+    std::vector<std::string> names;
+    while (!path.empty()) {
+        const std::size_t end = std::min(path.find('/'), path.size());
+        std::optional<std::string> name = percentDecode(path.substr(0, end));
+        if (!name)
+            return std::nullopt;
+        if (!name->empty())
+            names.push_back(std::move(*name));
+        path.remove_prefix(std::min(end + 1, path.size()));
+    }
+    return names;
+}
+
 std::optional<std::string> percentDecode(std::string_view text)
 {
     constexpr std::size_t EscapeLength = 3;
--- a/src/connection/tst_http.cpp
+++ b/src/connection/tst_http.cpp
@@ -159,5 +159,21 @@
     EXPECT_EQ(queryValue("/p?a=%4aB%C3", "a"), "JB\xc3");
 }
 
+// Guards against this failure: a group whose name has a blank or letters beyond ASCII could not be
+// named in a path.
+TEST(HttpPaths, AreSplitIntoDecodedNames)
+{
+    using Names = std::vector<std::string>;
+    EXPECT_EQ(pathNames("/v1//teams/a%2Fb/g%20h%C3%A4?x=/y"),
+              (Names{"v1", "teams", "a/b", "g h\xc3\xa4"}));
+    EXPECT_EQ(pathNames("/"), Names{});
+    EXPECT_EQ(pathNames("/a/%zz"), std::nullopt);
+    EXPECT_TRUE(rc::check([](const std::string &first, const std::string &second) {
+        RC_PRE(!first.empty() && !second.empty());
+        RC_ASSERT(pathNames("/" + percentEncode(first) + "/" + percentEncode(second) + "?q")
+                  == (Names{first, second}));
+    }));
+}
+
 } // namespace
 } // namespace cicadagap
--- a/src/programs/cicadagapd/callerapi.cpp
+++ b/src/programs/cicadagapd/callerapi.cpp
@@ -23,19 +23,6 @@
 constexpr Millis ReplyGracePeriod(50);
 constexpr const char *SessionHeader = "cicadagap-session";
 
-std::vector<std::string> splitPath(std::string_view path)
-{
-    std::vector<std::string> parts;
-    while (!path.empty()) {
-        path.remove_prefix(path.front() == '/' ? 1 : 0);
-        const std::size_t end = std::min(path.find('/'), path.size());
-        if (end > 0)
-            parts.emplace_back(path.substr(0, end));
-        path.remove_prefix(end);
-    }
-    return parts;
-}
-
 // Returns the session token of the request, from its own header or from the cookie, which browsers
 // and simple clients send back by themselves.
 std::string receivedToken(const HttpRequest &request)
@@ -154,7 +141,8 @@
 bool CallerApi::parseRequest(const HttpRequest &request, Call *call) const
 {
     // /v1/teams/TEAM/groups/GROUP/VERB
-    const std::vector<std::string> parts = splitPath(targetPath(request.target));
+    const std::vector<std::string> parts
+        = pathNames(request.target).value_or(std::vector<std::string>());
     if (parts.size() != 6 || parts[3] != "groups") {
         call->error = "expected /v1/teams/TEAM/groups/GROUP/VERB";
         return false;
--- a/src/request/sessiontoken.cpp
+++ b/src/request/sessiontoken.cpp
@@ -1,9 +1,11 @@
 #include "request/sessiontoken.h"
 
 #include "base/hash.h"
+#include "connection/http.h"
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cicadagap {
 
@@ -18,7 +20,8 @@
     return !text.empty() && result.ec == std::errc() && result.ptr == end;
 }
 
-// Parses "<group>:<term>:<index>". The group's name may contain colons.
+// Parses "<group>:<term>:<index>". The group's name is percent-encoded; tokens of earlier versions
+// may have colons in it.
 bool parseEntry(std::string_view text, std::string *group, Position *position)
 {
     const std::size_t second = text.rfind(':');
@@ -27,7 +30,10 @@
     const std::size_t first = text.rfind(':', second - 1);
     if (first == std::string_view::npos)
         return false;
-    *group = std::string(text.substr(0, first));
+    std::optional<std::string> name = percentDecode(text.substr(0, first));
+    if (!name)
+        return false;
+    *group = std::move(*name);
     return parseNumber(text.substr(first + 1, second - first - 1), &position->term)
         && parseNumber(text.substr(second + 1), &position->index);
 }
@@ -77,7 +83,7 @@
     bool first = true;
     for (const auto &row : m_positions) {
         payload += first ? "" : ",";
-        payload += row.first + ":" + std::to_string(row.second.term) + ":"
+        payload += percentEncode(row.first) + ":" + std::to_string(row.second.term) + ":"
             + std::to_string(row.second.index);
         first = false;
     }
--- a/src/request/tst_request.cpp
+++ b/src/request/tst_request.cpp
@@ -3,7 +3,9 @@
 #include "request/sessiontoken.h"
 #include "request/systemview.h"
 
+#include "base/hash.h"
 #include "connection/wire.h"
+#include "mutatedtext.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -27,6 +29,43 @@
     EXPECT_FALSE(SessionToken::decode(text, {"other"}, nullptr));
 }
 
+// Guards against these failures: a group's name made the token malformed, so that the session lost
+// its position in all groups, or became another header of the answer.
+TEST(SessionToken, SurvivesARoundTripWithAnyGroups)
+{
+    EXPECT_TRUE(rc::check([] {
+        SessionToken token;
+        const auto groups = *rc::gen::container<std::vector<std::string>>(
+            2, rc::gen::oneOf(anyUtf8(), rc::gen::arbitrary<std::string>()));
+        for (const std::string &group : groups)
+            token.advance(group, {*rc::gen::arbitrary<std::uint64_t>(), 7});
+        const std::string text = token.encode({"key"});
+        for (const char each : text)
+            RC_ASSERT((each > ' ' && each <= '~' && each != ';' && each != '"'));
+        const auto decoded = SessionToken::decode(text, {"key"}, nullptr);
+        RC_ASSERT(decoded);
+        for (const std::string &group : groups)
+            RC_ASSERT(decoded->position(group) == token.position(group));
+    }));
+}
+
+// A token that an earlier version signed, or that another holder of the key did.
+TEST(SessionToken, DecodesOrRefusesAnyPayload)
+{
+    const auto decode = [](const std::string &entries) {
+        const std::string payload = "1." + entries;
+        return SessionToken::decode(payload + "." + signature("key", payload), {"key"}, nullptr);
+    };
+    EXPECT_EQ(decode("tensile:east:3:17")->position("tensile:east"), (Position{3, 17}));
+    for (const char *entries : {"g", "g:1", "g:1:", "g::1", "g:1:x", "g:-1:1",
+                                "g:18446744073709551616:1", "%:1:1", "%4:1:1", "%zz:1:1"})
+        EXPECT_FALSE(decode(entries)) << entries;
+    EXPECT_TRUE(rc::check([&decode] {
+        const auto token = decode(mutated("g%20h:1:2,b:3:4"));
+        RC_ASSERT((!token || token->position("no such group") == Position{}));
+    }));
+}
+
 TEST(SessionToken, RejectsAnyAlteration)
 {
     EXPECT_TRUE(rc::check([] {
--- a/src/version/settingsreader.cpp
+++ b/src/version/settingsreader.cpp
@@ -1,5 +1,6 @@
 #include "version/settingsreader.h"
 
+#include "base/utf8.h"
 #include "version/schema.h"
 
 #include <algorithm>
@@ -9,6 +10,37 @@
 
 namespace {
 
+// Names go into headers, whose length is limited; a session token has those of several groups.
+constexpr std::size_t MaxNameBytes = 100;
+
+// What separates the team from the rest in the key of a record.
+constexpr char KeySeparator = '/';
+// What separates the host and the instance from the rest in the id of a transaction.
+constexpr char TransactionSeparator = '~';
+constexpr char NoSeparator = '\0'; // A control character, which no name contains.
+
+// Whether the name is the same text in a header, a path and a key in which `separator` ends it.
+bool isName(std::string_view name, char separator)
+{
+    constexpr unsigned char Delete = 0x7F;
+    const auto isControl = [](char byte) {
+        const auto code = static_cast<unsigned char>(byte);
+        return code < ' ' || code == Delete;
+    };
+    return !name.empty() && name.size() <= MaxNameBytes && name.front() != ' ' && name.back() != ' '
+        && name.find(separator) == std::string_view::npos
+        && std::none_of(name.begin(), name.end(), isControl) && isUtf8(name);
+}
+
+std::string notANameText(char separator)
+{
+    std::string text = "is not a name: 1 to " + std::to_string(MaxNameBytes)
+        + " bytes without control characters and without blanks at its ends";
+    if (separator != NoSeparator)
+        text += std::string(", and without \"") + separator + "\"";
+    return text;
+}
+
 // Copies the member with that key to `*value`, which keeps its default if there is no such member.
 // The object has been checked against the schema, so the member has the right type.
 void read(const LocatedValue &object, std::string_view key, std::string *value)
@@ -149,6 +181,7 @@
 
     void check(const TeamSettings &team)
     {
+        checkName(m_root.member("team")->line, "team", team.team, KeySeparator);
         checkStatements(team);
         checkClasses(team);
         checkGroups(team);
@@ -162,6 +195,12 @@
     }
 
 private:
+    void checkName(int line, const std::string &key, const std::string &name, char separator)
+    {
+        if (!isName(name, separator))
+            report(line, key, notANameText(separator));
+    }
+
     void checkStatements(const TeamSettings &team)
     {
         for (const LocatedMember &member : members(m_root, "statements")) {
@@ -199,10 +238,13 @@
         for (const LocatedMember &member : members(m_root, "groups")) {
             const GroupSettings &group = team.groups.at(member.key);
             const std::string path = "groups." + member.key;
+            checkName(member.line, path, member.key, NoSeparator);
             if (reserved >= group.slots)
                 report(member.line, path + ".slots",
                        "the reserved slots of all classes leave no slot for other statements");
             for (const auto &instance : group.instances) {
+                checkName(member.line, path + ".instances." + instance.first, instance.first,
+                          TransactionSeparator);
                 if (!addresses.insert(instance.second.address).second)
                     report(member.line, path + ".instances." + instance.first + ".address",
                            "the address belongs to another instance");
@@ -254,6 +296,11 @@
         return std::nullopt;
     HostSettings host;
     read(*root, "host", &host.host);
+    if (!isName(host.host, TransactionSeparator)) {
+        problems->push_back(
+            {file, root->member("host")->line, "host", notANameText(TransactionSeparator)});
+        return std::nullopt;
+    }
     read(*root, "dataCentre", &host.dataCentre);
     read(*root, "callers", &host.callerAddress);
     read(*root, "peers", &host.peerAddress);
--- a/src/version/tst_settings.cpp
+++ b/src/version/tst_settings.cpp
@@ -1,3 +1,4 @@
+#include "mutatedtext.h"
 #include "process/recordstore.h"
 #include "standin_core/platformtable.h"
 #include "version/schema.h"
@@ -8,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iterator>
@@ -76,6 +78,16 @@
                     "f.json:5: statements.r.maxAgeMs: out of range; expected 1 to 3600000"},
         ProblemCase{"bad address", "127.0.0.1:1", "cali:1",
                     "f.json:4: groups.g.instances.t1.address: \"cali:1\" is not an IP address"},
+        ProblemCase{"team with a slash", "valle", "valle/x", "f.json:3: team: is not a name"},
+        ProblemCase{"team with a line end", "valle", R"(valle\r\nx: y)",
+                    "f.json:3: team: is not a name"},
+        ProblemCase{"group with a NUL", "\"g\"", R"("g\u0000")", "is not a name"},
+        ProblemCase{"group with a blank at its end", "\"g\"", "\"g \"", "is not a name"},
+        ProblemCase{"group that is too long", "\"g\"", "\"" + std::string(101, 'g') + "\"",
+                    "is not a name"},
+        ProblemCase{"empty group", "\"g\"", "\"\"", "is not a name"},
+        ProblemCase{"instance with a tilde", "\"t1\"", "\"t~1\"", "is not a name"},
+        ProblemCase{"instance with a tab", "\"t1\"", R"("t\t1")", "is not a name"},
         ProblemCase{"bad choice", "\"read\"", "\"reed\"",
                     "f.json:5: statements.r.kind: \"reed\" is not one of: read|write"},
         ProblemCase{"missing", ", \"dataCentre\": \"cali\"", "",
@@ -88,6 +100,57 @@
         ProblemCase{"not JSON", "\"k\"]", "\"k\"", "f.json:7: not JSON"},
         ProblemCase{"cut off", "],\n}", "]", "not JSON: incomplete JSON"}));
 
+constexpr std::string_view ValidHost = R"({
+    "host": "cali-1",
+    "dataCentre": "cali",
+    "callers": "127.0.0.1:1",
+    "peers": "127.0.0.1:2",
+    "steward": "127.0.0.1:3",
+    "platform": "127.0.0.1:4"
+})";
+
+class OddHostNames : public testing::TestWithParam<ProblemCase>
+{
+};
+
+// Guards against this failure: a host's name became another header, or part of another name in the
+// id of a transaction.
+TEST_P(OddHostNames, AreReported)
+{
+    std::string text(ValidHost);
+    Problems problems;
+    ASSERT_TRUE(readHostSettings(text, "h.json", &problems));
+    text.replace(text.find(GetParam().find), GetParam().find.size(), GetParam().replace);
+    EXPECT_FALSE(readHostSettings(text, "h.json", &problems));
+    ASSERT_FALSE(problems.empty());
+    EXPECT_NE(problems[0].text().find(GetParam().problem), std::string::npos) << problems[0].text();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, OddHostNames,
+                         testing::Values(ProblemCase{"tilde", "cali-1", "cali~1",
+                                                     "h.json:2: host: is not a name"},
+                                         ProblemCase{"line end", "cali-1", R"(cali\r\nx: y)",
+                                                     "h.json:2: host: is not a name"},
+                                         ProblemCase{"blank at its start", "cali-1", " cali",
+                                                     "h.json:2: host: is not a name"}),
+                         [](const auto &info) {
+                             std::string name = info.param.name;
+                             std::replace(name.begin(), name.end(), ' ', '_');
+                             return name;
+                         });
+
+TEST(SettingsReader, DoesNotCrashOnMutatedSettings)
+{
+    EXPECT_TRUE(rc::check([] {
+        Problems problems;
+        const auto team = readTeamSettings(mutated(std::string(Valid)), "f", &problems);
+        RC_ASSERT(team.has_value() == problems.empty());
+        Problems hostProblems;
+        const auto host = readHostSettings(mutated(std::string(ValidHost)), "f", &hostProblems);
+        RC_ASSERT(host.has_value() == hostProblems.empty());
+    }));
+}
+
 TEST(SettingsReader, ReportsAllProblemsAtOnce)
 {
     Problems problems;
