Negative numbers and names with a NUL from peers and the platform

Cause: unsignedMember() and decodeRow() cast signed numbers; hosts() took names as C strings.

Why the fix works: one function reads numbers that are not negative, for both files.

--- a/src/connection/tablestore.cpp
+++ b/src/connection/tablestore.cpp
@@ -18,10 +18,10 @@
 {
     TableRow row;
     row.key = textMember(object, "key");
-    row.version = static_cast<std::uint64_t>(numberMember(object, "version"));
+    row.version = unsignedMember(object, "version");
     row.value = textMember(object, "value");
-    row.epoch = static_cast<std::uint64_t>(numberMember(object, "epoch"));
-    row.tableEpoch = static_cast<std::uint64_t>(numberMember(object, "tableEpoch"));
+    row.epoch = unsignedMember(object, "epoch");
+    row.tableEpoch = unsignedMember(object, "tableEpoch");
     return row;
 }
 
@@ -65,8 +65,7 @@
                 if (!value.is_object())
                     continue;
                 result.push_back(decodeRow(value.get_object()));
-                result.back().tableEpoch
-                    = static_cast<std::uint64_t>(numberMember(*object, "tableEpoch"));
+                result.back().tableEpoch = unsignedMember(*object, "tableEpoch");
             }
             done(std::move(result));
         });
@@ -117,7 +116,7 @@
                   if (const json::array *targets = findArray(*object, "leavingTargets")) {
                       for (const json::value &value : *targets) {
                           if (const json::string *name = value.if_string())
-                              result.leavingTargets.emplace_back(name->c_str());
+                              result.leavingTargets.emplace_back(name->data(), name->size());
                       }
                   }
                   done(std::move(result));
--- a/src/connection/tst_http.cpp
+++ b/src/connection/tst_http.cpp
@@ -74,9 +74,9 @@
     HttpRequest request;
 };
 
-void PrintTo(const OddRequest &odd, std::ostream *output)
+std::ostream &operator<<(std::ostream &output, const OddRequest &odd)
 {
-    *output << odd.name;
+    return output << odd.name;
 }
 
 class OddHttpRequests : public HttpFields, public testing::WithParamInterface<OddRequest>
--- a/src/connection/tst_wire.cpp
+++ b/src/connection/tst_wire.cpp
@@ -1,6 +1,13 @@
 #include "connection/http.h"
 #include "connection/wire.h"
 
+#include "mutatedtext.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -97,6 +104,110 @@
     }
 }
 
+// Guards against this failure: a record with a negative version replaced all later ones.
+TEST(Wire, CountsNoNegativeNumberAsAGreatOne)
+{
+    for (const char *number : {"-1", "-9223372036854775808", "1.5", "\"7\"", "null", "1e30"}) {
+        const std::string text = std::string(R"({"records":[{"key":"a","version":)") + number
+            + R"(,"epoch":)" + number + R"(,"body":"x"}]})";
+        const auto view = decodeViewUpdate(text, nullptr);
+        ASSERT_TRUE(view);
+        ASSERT_EQ(view->records.size(), 1U);
+        EXPECT_EQ(view->records[0].version, 0U) << number;
+        EXPECT_EQ(view->records[0].epoch, 0U) << number;
+    }
+}
+
+TEST(Wire, RecordsOfAnyTextsSurviveARoundTrip)
+{
+    EXPECT_TRUE(rc::check([] {
+        const Record record{.key = "k" + *anyUtf8(),
+                            .version = *rc::gen::arbitrary<std::uint64_t>(),
+                            .body = *anyUtf8(),
+                            .epoch = *rc::gen::arbitrary<std::uint64_t>()};
+        const ViewUpdate sent{.hash = *rc::gen::arbitrary<std::uint64_t>(), .records = {record}};
+        const auto update = decodeViewUpdate(encodeViewUpdate(sent), nullptr);
+        RC_ASSERT(update);
+        RC_ASSERT(update->hash == sent.hash);
+        RC_ASSERT(update->records == sent.records);
+        std::string from;
+        const std::string sender = "h" + *anyUtf8();
+        const GossipMessage message{.kind = GossipKind::Request, .records = {record}};
+        const auto gossip = decodeGossip(encodeGossip(sender, message), &from, nullptr);
+        RC_ASSERT(gossip);
+        RC_ASSERT(from == sender);
+        RC_ASSERT(gossip->records == message.records);
+        RC_ASSERT(decodePrimary(encodePrimary(record.body)) == record.body);
+    }));
+}
+
+TEST(Wire, HostsOfAnyNamesSurviveARoundTrip)
+{
+    EXPECT_TRUE(rc::check([] {
+        const HostInfo host{.name = "h" + *anyUtf8(),
+                            .dataCentre = *anyUtf8(),
+                            .callerAddress = *anyUtf8(),
+                            .incarnation = *rc::gen::arbitrary<std::uint64_t>()};
+        const auto decoded = decodeHost(encodeHost(host), nullptr);
+        RC_ASSERT(decoded);
+        RC_ASSERT(decoded->name == host.name);
+        RC_ASSERT(decoded->dataCentre == host.dataCentre);
+        RC_ASSERT(decoded->callerAddress == host.callerAddress);
+        RC_ASSERT(decoded->incarnation == host.incarnation);
+    }));
+}
+
+// The check parses the message by itself: the ledger's operation has the caller's request id as its
+// key, and the caller's operations follow unchanged.
+TEST(Wire, RequestIdsStayInTheirOperation)
+{
+    EXPECT_TRUE(rc::check([] {
+        boost::json::array operations;
+        for (const std::string &text : *rc::gen::container<std::vector<std::string>>(anyUtf8()))
+            operations.push_back(boost::json::object{{"op", text}});
+        const TargetCall call{.term = 4,
+                              .operations = boost::json::serialize(operations),
+                              .requestId = *anyUtf8(),
+                              .ledgerValue = "ran"};
+        const auto message = boost::json::parse(encodeTargetCall(call, Millis(77)));
+        const boost::json::array &sent = message.at("ops").as_array();
+        RC_ASSERT(sent.size() == operations.size() + 1);
+        RC_ASSERT(sent[0].at("key").as_string() == boost::json::string(call.requestId));
+        for (std::size_t index = 0; index < operations.size(); ++index)
+            RC_ASSERT(sent[index + 1] == operations[index]);
+    }));
+}
+
+TEST(Wire, DoesNotCrashOnMutatedMessages)
+{
+    const std::string gossip = encodeGossip(
+        "h", {.kind = GossipKind::Request, .ids = {{"a", 1, 2}}, .records = {{"a", 1, "b", 2}}});
+    const std::string request = encodeForwardedRequest({.team = "t", .group = "g"});
+    const std::string reply = encodeReply({.verdict = Verdict::Ran, .results = "[1]"});
+    const std::string report
+        = encodeReport({.name = "i", .replicas = {{"j", 1, {1, 2}, Millis(3)}}});
+    const std::string host = encodeHost({.name = "h"});
+    const std::string update = encodeViewUpdate({.records = {{"a", 1, "b", 2}}});
+    const std::string answer
+        = R"({"last":{"term":4,"index":2},"results":[{"values":["1 ran"]}],"operation":0})";
+    EXPECT_TRUE(rc::check([&] {
+        std::string from;
+        if (const auto decoded = decodeGossip(mutated(gossip), &from, nullptr))
+            RC_ASSERT(!from.empty());
+        decodeForwardedRequest(mutated(request), nullptr);
+        decodeReply(mutated(reply), nullptr);
+        if (const auto decoded = decodeReport(mutated(report), nullptr))
+            RC_ASSERT(!decoded->name.empty());
+        if (const auto decoded = decodeHost(mutated(host), nullptr))
+            RC_ASSERT(!decoded->name.empty());
+        decodeViewUpdate(mutated(update), nullptr);
+        decodeTargetAnswer({.kind = TargetCallKind::ReadLedger}, mutated(answer), nullptr);
+        decodeTargetAnswer({.ledgerValue = "ran"}, mutated(answer), nullptr);
+        decodeHash(mutated(R"({"hash":"ff"})"));
+        decodeLeaving(mutated(R"({"leaving":true})"));
+    }));
+}
+
 // One odd record of a peer's message does not keep the others from being used.
 TEST(Wire, KeepsTheOthersBesideOddRecords)
 {
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -28,16 +28,6 @@
     return inner ? *inner : none;
 }
 
-std::uint64_t unsignedMember(const json::object &object, std::string_view key)
-{
-    const json::value *member = object.if_contains(key);
-    if (!member)
-        return 0;
-    if (member->is_uint64())
-        return member->get_uint64();
-    return member->is_int64() ? static_cast<std::uint64_t>(member->get_int64()) : 0;
-}
-
 // 64-bit hashes are sent as hexadecimal text, because other JSON implementations lose bits of large
 // numbers.
 std::string toHexadecimal(std::uint64_t value)
@@ -116,6 +106,17 @@
     return member && member->is_int64() ? member->get_int64() : fallback;
 }
 
+std::uint64_t unsignedMember(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    if (!member)
+        return 0;
+    if (member->is_uint64())
+        return member->get_uint64();
+    const std::int64_t *number = member->if_int64();
+    return number && *number > 0 ? static_cast<std::uint64_t>(*number) : 0;
+}
+
 bool flagMember(const json::object &object, std::string_view key)
 {
     const json::value *member = object.if_contains(key);
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -28,6 +28,8 @@
 std::int64_t numberMember(const boost::json::object &object, std::string_view key,
                           std::int64_t fallback = 0);
 bool flagMember(const boost::json::object &object, std::string_view key);
+// A number that is not negative; 0 if it is missing or another value.
+std::uint64_t unsignedMember(const boost::json::object &object, std::string_view key);
 
 boost::json::object encodePosition(Position position);
 Position decodePosition(const boost::json::object &object, std::string_view key);
--- a/src/session/tst_storerecords.cpp
+++ b/src/session/tst_storerecords.cpp
@@ -102,9 +102,9 @@
     std::string text;
 };
 
-void PrintTo(const OddRow &odd, std::ostream *output)
+std::ostream &operator<<(std::ostream &output, const OddRow &odd)
 {
-    *output << odd.name;
+    return output << odd.name;
 }
 
 class OddLeaseRows : public testing::TestWithParam<OddRow>
