--- a/src/session/preparednames.h
+++ b/src/session/preparednames.h
@@ -50,7 +50,7 @@
         Form form = Form::Numbered;
         std::size_t maxNames = 100;
         // Of all shapes together. A single longer one is kept alone.
-        std::size_t maxShapeBytes = 64 * 1024;
+        std::size_t maxShapeBytes = 64UL * 1024;
     };
 
     PreparedNames() = default;
--- a/src/session/tst_relaygateway.cpp
+++ b/src/session/tst_relaygateway.cpp
@@ -126,6 +126,7 @@
     {
         gateway->onWorkConnectionLost(work, workSent);
     }
+    void onNamePrepared(const NewPreparedName &) override { }
     void onTargetOpening(Millis, const std::string &) override { }
     void onTargetReceived(Millis, const std::string &) override { }
     void onTargetConnectionFailed(Millis, const std::string &) override { }
@@ -263,7 +264,8 @@
     Millis now = Millis(1);
     WorkId lastWork = 0;
     TargetPool pool{{}, &instance, &listener, [](Millis, const std::string &) { return ""; }};
-    RelayGateway gateway{&pool, [this] { return ++lastWork; }, &groups};
+    RelayGateway gateway{&pool, [this] { return ++lastWork; }, &groups,
+                         [](const RelayedStatementEvent &) {}};
 };
 
 using Shapes = std::vector<std::string>;
