Tests of logs and metrics: a size without a multiplication, for the linter

scripts/lint src/process/tst_log.cpp src/process/tst_metrics.cpp: before, bugprone-implicit-widening-of-multiplication-result in both; tst_process: 82 pass

--- a/src/process/tst_log.cpp
+++ b/src/process/tst_log.cpp
@@ -20,7 +20,7 @@
 
 using namespace std::string_literals;
 
-constexpr std::size_t MebiByte = 1024 * 1024;
+constexpr std::size_t MebiByte = 1'048'576;
 
 // Parses a line strictly; nothing if it is not a single JSON object in UTF-8.
 std::optional<boost::json::object> parseLine(const std::string &line)
--- a/src/process/tst_metrics.cpp
+++ b/src/process/tst_metrics.cpp
@@ -36,7 +36,7 @@
     EXPECT_NE(text.find("cicadagap_latency_ms_quantile{quantile=\"0.99\"} "), std::string::npos);
 }
 
-constexpr std::size_t MebiByte = 1024 * 1024;
+constexpr std::size_t MebiByte = 1'048'576;
 
 // Whether the text is well-formed and no series stands in it twice.
 testing::AssertionResult isWellFormed(const std::string &text)
