--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -1,5 +1,6 @@
 #include "connection/http.h"
 
+#include "base/utf8.h"
 #include "process/log.h"
 
 #include <boost/asio/connect.hpp>
@@ -532,7 +533,7 @@
     while (!path.empty()) {
         const std::size_t end = std::min(path.find('/'), path.size());
         std::optional<std::string> name = percentDecode(path.substr(0, end));
-        if (!name)
+        if (!name || !isUtf8(*name))
             return std::nullopt;
         if (!name->empty())
             names.push_back(std::move(*name));
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -47,7 +47,7 @@
 // Returns the path of a request target, without the query.
 std::string_view targetPath(std::string_view target);
 // Returns the percent-decoded names between the slashes of the path, without the empty ones, or
-// nothing if one of them has an invalid escape.
+// nothing if one of them is not UTF-8 in valid escapes.
 std::optional<std::vector<std::string>> pathNames(std::string_view target);
 // Returns the percent-decoded value of a query parameter, or nothing if there is none or it has an
 // invalid escape.
