--- a/review/harness/case_late_resume.cpp
+++ b/review/harness/case_late_resume.cpp
@@ -160,7 +160,7 @@
             if (link == m_links.end())
                 continue;
             const json::string &text = row["value"].as_string();
-            json::value entry = json::parse(decodeBase64({text.data(), text.size()}).value_or(""));
+            json::value entry = json::parse(decodeBase64({text.data(), text.size()}));
             entry.as_object()["address"] = link->second.text();
             row["value"] = encodeBase64(json::serialize(entry));
         }
