--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -121,10 +121,12 @@
     }
     const Millis primaryAsOf = now - *batch.primaryAge;
     const Millis deadline = now + batch.maxWait;
+    const bool writes = onlyWrites(batch.statements);
     m_unproven.push_back({.batch = std::move(batch),
                           .reply = std::move(reply),
                           .primaryAsOf = primaryAsOf,
-                          .deadline = deadline});
+                          .deadline = deadline,
+                          .onlyWrites = writes});
     startProvenBatches(now);
 }
 
@@ -152,7 +154,7 @@
 RelayGateway::Admission RelayGateway::admit(Millis now, const UnprovenBatch &waiting)
 {
     const RelayBatch &batch = waiting.batch;
-    if (m_groups->mayServe(now, batch.instance, waiting.primaryAsOf, onlyWrites(batch.statements)))
+    if (m_groups->mayServe(now, batch.instance, waiting.primaryAsOf, waiting.onlyWrites))
         return Admission::Start;
     return m_groups->anotherIsPrimary(batch.instance) ? Admission::Refuse : Admission::Wait;
 }
@@ -175,7 +177,8 @@
     }
     const auto [found, isNew] = m_channels.try_emplace(key);
     Channel &channel = found->second;
-    if (channel.respond) {
+    // A batch that begins a channel must not join another one's transaction.
+    if (channel.respond || (!isNew && !batch.continues)) {
         reply({.ended = true, .cause = Cause::Busy});
         return;
     }
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -109,6 +109,7 @@
         Reply reply;
         Millis primaryAsOf;
         Millis deadline;
+        bool onlyWrites = false;
     };
 
     // Whether a batch may start that needs its instance to be primary.
--- a/src/session/sessioncodec.cpp
+++ b/src/session/sessioncodec.cpp
@@ -22,8 +22,9 @@
     case TargetMessage::Kind::Ready:
         break;
     }
-    // The answer ended without a result.
-    if (!m_hasResult)
+    // The answer ended without a result, or without the proof that the instance ran the statement.
+    const bool needsProof = needsSlot(kind) && kind != StatementKind::Status;
+    if (!m_hasResult || (needsProof && m_answer.succeeded() && m_answer.signature.empty()))
         m_answer.cause = Cause::ConnectionLost;
     m_hasResult = false;
     m_answer.phase = message.phase;
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -200,7 +200,10 @@
     RelayedStatement entry{.statement = std::move(statement), .purpose = purpose};
     // A gateway waits by itself for the confirmation of what it restores.
     const bool restores = purpose == SendPurpose::Restore && !found->relayed;
-    if (!found->afterRestore.empty() || (found->unconfirmedRestores > 0 && !restores)) {
+    // A transaction's opening relies on nothing of the session's state.
+    const bool waitsForRestores
+        = found->unconfirmedRestores > 0 && !restores && purpose != SendPurpose::OpenTransaction;
+    if (!found->afterRestore.empty() || waitsForRestores) {
         found->afterRestore.push_back(std::move(entry));
         return;
     }
@@ -218,9 +221,20 @@
 }
 
 // Sends what has waited for the confirmation of the session's state.
+// The instance's time for new work may have ended meanwhile.
 void TargetPool::sendAfterRestore(Millis now, ConnectionId connection)
 {
     Connection *found = find(connection);
+    const bool startsWork
+        = found->state == State::Owned && !found->workSent && found->phase == SessionPhase::Idle;
+    if (startsWork && !found->afterRestore.empty()
+        && !takesNewWork(now, m_instances.at(found->instance))) {
+        found->afterRestore.clear();
+        const WorkId owner = found->owner;
+        release(now, connection);
+        m_listener->onWorkRefused(now, owner, Cause::Leaving);
+        return;
+    }
     for (RelayedStatement &entry : std::exchange(found->afterRestore, {}))
         send(now, connection, entry.purpose, std::move(entry.statement));
 }
@@ -389,8 +403,9 @@
         }
         if (--found->unconfirmedRestores == 0)
             sendAfterRestore(now, connection);
+        found = find(connection);
     }
-    if (found->state == State::Owned)
+    if (found && found->state == State::Owned)
         m_listener->onWorkAnswer(now, found->owner, connection, sent.purpose, sent.kind, sent.at,
                                  answer);
     found = find(connection);
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -275,6 +275,41 @@
                        [](const RelayedStatementEvent &) {}};
 };
 
+// Guards against this failure: a statement waited for the confirmation of its session's state, and
+// reached an instance that takes no new work any more.
+TEST_F(RelayTest, DoesNotStartWorkWhoseStateIsConfirmedTooLate)
+{
+    pool.setNewWorkUntil(Millis(0), "i", Millis(5));
+    send(Millis(1),
+         {{.statement = {.kind = StatementKind::SetValue, .name = "a", .argument = "1"},
+           .purpose = SendPurpose::Restore},
+          {.statement = {.id = "w", .kind = StatementKind::Write, .text = "WRITE 1 x"}}});
+    EXPECT_EQ(output.sent, 1U);
+    answer(Millis(700), {});
+    EXPECT_EQ(output.sent, 1U);
+    ASSERT_TRUE(reply);
+    EXPECT_TRUE(reply->ended);
+    EXPECT_FALSE(reply->sent);
+    EXPECT_TRUE(pool.hasIdle("i"));
+}
+
+TEST_F(RelayTest, DoesNotLetAnotherChannelsBatchJoinATransaction)
+{
+    const RelayedStatement write{.statement
+                                 = {.id = "w", .kind = StatementKind::Write, .text = "WRITE 1 x"}};
+    send(Millis(1),
+         {{.statement = {.kind = StatementKind::Begin}, .purpose = SendPurpose::OpenTransaction}});
+    answer(Millis(2), {.phase = SessionPhase::Transaction});
+    reply.reset();
+    send(Millis(3), {write}, /*continues=*/false);
+    EXPECT_EQ(output.sent, 1U);
+    ASSERT_TRUE(reply);
+    EXPECT_TRUE(reply->ended);
+    EXPECT_FALSE(reply->sent);
+    send(Millis(4), {write}, /*continues=*/true);
+    EXPECT_EQ(output.sent, 2U);
+}
+
 // A read inside an internal transaction, which another host relays as one batch.
 class RelayedRead : public RelayTest
 {
