--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -41,9 +41,7 @@
 constexpr Millis MaxStoreAbsence(2000);
 constexpr Millis MaxStoreCopyAge(9000);
 constexpr Millis StoreCopyInterval(500);
-constexpr Millis ChangeLimit(6000); // For a change of primary.
-// After a suspension a host is held to what it should have learned only once this has passed.
-constexpr Millis StableWindow(5000);
+constexpr Millis ChangeLimit(6000);     // For a change of primary.
 constexpr Millis StoreRefillTime(2000); // Until the instances have registered again.
 
 // The databases, one for each consistency.
@@ -857,10 +855,8 @@
         = std::exchange(connection->awaitsFirst, false) || !connection->inTransaction;
     const std::optional<Millis> since = m_instanceReach.at(id).leavingSince;
     // A host that was suspended, and then found the store down, cannot know of the notice. Nor can
-    // one that started when the store had lost it and the instance had not repeated it yet. One
-    // that was suspended lately may not have seen for long enough that the entry is gone.
-    const bool known = since && m_hosts[host]->lastListAt >= *since
-        && m_now - m_hosts[host]->frozenUntil > StableWindow;
+    // one that started when the store had lost it and the instance had not repeated it yet.
+    const bool known = since && m_hosts[host]->lastListAt >= *since;
     if (isNewWork && known && m_now - *since > DrainTime)
         m_checker.addViolation(m_now,
                                "new work reached " + id + " "
