--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -96,8 +96,7 @@
         return false;
     // Hosts reach each other through proxies, so their records are rewritten to name these.
     m_deployment.storeServer().setRowRewrite([this](TableRow *row) {
-        std::optional<HostRecord> record
-            = parseHostRecord(decodeBase64(row->value).value_or(""), nullptr);
+        std::optional<HostRecord> record = parseHostRecord(decodeBase64(row->value), nullptr);
         if (row->table != "hosts" || !record)
             return;
         const auto index = static_cast<std::size_t>(std::stoi(record->host.substr(1)));
