Tests of HTTP messages use names of their own

Cause: names of the customer's platform stand in platform/ only.

Change: tst_http.cpp; the cases are the same.

Result: tst_connection '*Http*' 20 passed.

--- a/src/connection/tst_http.cpp
+++ b/src/connection/tst_http.cpp
@@ -98,31 +98,31 @@
 
 INSTANTIATE_TEST_SUITE_P(
     All, OddHttpRequests,
-    testing::Values(
-        OddRequest{"headerWithALineEnd", {.headers = {{"duty-holder", "h0\r\nFencing-Token: 9"}}}},
-        OddRequest{"headerWithALineFeed", {.headers = {{"duty-holder", "h0\nFencing-Token: 9"}}}},
-        OddRequest{"headerWithACarriageReturn", {.headers = {{"duty-holder", "h0\r"}}}},
-        OddRequest{"headerWithANul", {.headers = {{"duty-holder", std::string("h\0x", 3)}}}},
-        OddRequest{"headerWithABlankAtItsEnd", {.headers = {{"duty-holder", "h0 "}}}},
-        OddRequest{"headerWithABlankAtItsStart", {.headers = {{"duty-holder", " h0"}}}},
-        OddRequest{"headerThatIsTooLong", {.headers = {{"duty-holder", std::string(70'000, 'h')}}}},
-        OddRequest{"headerNameWithAColon", {.headers = {{"duty: x", "h0"}}}},
-        OddRequest{"emptyHeaderName", {.headers = {{"", "h0"}}}},
-        OddRequest{"targetWithABlank", {.target = "/rows-get?from=a b"}},
-        OddRequest{"targetWithALineEnd", {.target = "/a HTTP/1.1\r\nx: y\r\n\r\n"}},
-        OddRequest{"targetWithANul", {.target = std::string("/a\0b", 4)}},
-        OddRequest{"emptyTarget", {.target = ""}},
-        OddRequest{"methodWithABlank", {.method = "GET /other"}}),
+    testing::Values(OddRequest{"headerWithALineEnd", {.headers = {{"x-name", "h0\r\nX-Other: 9"}}}},
+                    OddRequest{"headerWithALineFeed", {.headers = {{"x-name", "h0\nX-Other: 9"}}}},
+                    OddRequest{"headerWithACarriageReturn", {.headers = {{"x-name", "h0\r"}}}},
+                    OddRequest{"headerWithANul", {.headers = {{"x-name", std::string("h\0x", 3)}}}},
+                    OddRequest{"headerWithABlankAtItsEnd", {.headers = {{"x-name", "h0 "}}}},
+                    OddRequest{"headerWithABlankAtItsStart", {.headers = {{"x-name", " h0"}}}},
+                    OddRequest{"headerThatIsTooLong",
+                               {.headers = {{"x-name", std::string(70'000, 'h')}}}},
+                    OddRequest{"headerNameWithAColon", {.headers = {{"duty: x", "h0"}}}},
+                    OddRequest{"emptyHeaderName", {.headers = {{"", "h0"}}}},
+                    OddRequest{"targetWithABlank", {.target = "/rows-get?from=a b"}},
+                    OddRequest{"targetWithALineEnd", {.target = "/a HTTP/1.1\r\nx: y\r\n\r\n"}},
+                    OddRequest{"targetWithANul", {.target = std::string("/a\0b", 4)}},
+                    OddRequest{"emptyTarget", {.target = ""}},
+                    OddRequest{"methodWithABlank", {.method = "GET /other"}}),
     [](const auto &info) { return info.param.name; });
 
 TEST_F(HttpFields, ArriveAsTheyWereSent)
 {
     const CallResult result
         = call({.target = "/a?b=" + percentEncode("\r\n\0 &%/=+\xff\xc3\xa4"sv),
-                .headers = {{"duty-holder", "host \"a\"; b, c: \xc3\xa4"}, {"x-empty", ""}}});
+                .headers = {{"x-name", "host \"a\"; b, c: \xc3\xa4"}, {"x-empty", ""}}});
     ASSERT_TRUE(result.response);
     ASSERT_EQ(received.size(), 1U);
-    EXPECT_EQ(received[0].headers.at("duty-holder"), "host \"a\"; b, c: \xc3\xa4");
+    EXPECT_EQ(received[0].headers.at("x-name"), "host \"a\"; b, c: \xc3\xa4");
     EXPECT_EQ(received[0].headers.at("x-empty"), "");
 }
 
