Tenants, API keys and limits are part of the routing table

The configuration's tenants were not read, so that any key was served. Change: RoutingTable holds tenants by name and keys by digest; the documents, the messages between hosts and two causes (unknown-key, quota-exceeded) know them. Nothing uses them yet. Ruled out: keys in clear between hosts, since a key never leaves the host that a caller showed it to.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -45,9 +45,11 @@
     UnknownDatabase, // No route exists for the database.
     UnknownName,     // No statement was prepared under that name.
     TooLong,         // It, or what it needs, exceeds a limit on lengths; it has not run.
+    UnknownKey,      // No tenant holds the caller's API key.
+    QuotaExceeded,   // The tenant has used up its quota; it has not run.
 };
 
-inline constexpr NameTable<Cause, 24> CauseNames{{{
+inline constexpr NameTable<Cause, 26> CauseNames{{{
     {Cause::None, "none"},
     {Cause::Invalid, "invalid"},
     {Cause::UnknownTeam, "unknown-team"},
@@ -72,6 +74,8 @@
     {Cause::UnknownDatabase, "unknown-database"},
     {Cause::UnknownName, "unknown-name"},
     {Cause::TooLong, "too-long"},
+    {Cause::UnknownKey, "unknown-key"},
+    {Cause::QuotaExceeded, "quota-exceeded"},
 }}};
 
 } // namespace cicadagap
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -19,6 +19,31 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, Longest));
 }
 
+void write(const Tenant &tenant, relaywire::Tenant *out)
+{
+    out->set_name(tenant.name);
+    for (const ApiKey &key : tenant.keys)
+        out->add_keys(key.digest());
+    if (!tenant.limits)
+        return;
+    out->set_per_second(tenant.limits->perSecond);
+    out->set_burst(tenant.limits->burst);
+}
+
+std::optional<Tenant> read(const relaywire::Tenant &in)
+{
+    Tenant tenant{.name = in.name()};
+    for (const std::string &digest : in.keys()) {
+        const std::optional<ApiKey> key = ApiKey::fromDigest(digest);
+        if (!key)
+            return std::nullopt;
+        tenant.keys.push_back(*key);
+    }
+    if (in.has_per_second())
+        tenant.limits = TenantLimits{.perSecond = in.per_second(), .burst = in.burst()};
+    return tenant;
+}
+
 void write(const RoutingTable &routing, relaywire::Routing *out)
 {
     out->set_version(routing.version);
@@ -32,6 +57,7 @@
         entry->set_statement_timeout_ms(milliseconds(route.statementTimeout));
         entry->set_objective_ms(milliseconds(route.latencyObjective));
         entry->set_priority(static_cast<std::uint32_t>(route.priority));
+        entry->set_public_(route.isPublic);
     }
     for (const auto &[name, group] : routing.groups) {
         relaywire::Group *entry = out->add_groups();
@@ -39,12 +65,16 @@
         entry->set_max_connections(static_cast<std::uint32_t>(group.maxConnections));
         entry->set_sync_replicas(static_cast<std::uint32_t>(group.syncReplicas));
     }
+    out->set_requires_keys(routing.requiresKeys);
+    for (const auto &row : routing.tenants)
+        write(row.second, out->add_tenants());
 }
 
 std::optional<RoutingTable> read(const relaywire::Routing &in)
 {
     RoutingTable routing{.version = in.version(),
-                         .transactionIdle = Millis(in.transaction_idle_ms())};
+                         .transactionIdle = Millis(in.transaction_idle_ms()),
+                         .requiresKeys = in.requires_keys()};
     for (const relaywire::Route &entry : in.routes()) {
         if (entry.consistency() > LastConsistency)
             return std::nullopt;
@@ -55,12 +85,18 @@
                .maxAge = Millis(entry.max_age_ms()),
                .statementTimeout = Millis(entry.statement_timeout_ms()),
                .latencyObjective = Millis(entry.objective_ms()),
-               .priority = static_cast<int>(entry.priority())};
+               .priority = static_cast<int>(entry.priority()),
+               .isPublic = entry.public_()};
     }
     for (const relaywire::Group &entry : in.groups())
         routing.groups[entry.name()] = {.name = entry.name(),
                                         .maxConnections = static_cast<int>(entry.max_connections()),
                                         .syncReplicas = static_cast<int>(entry.sync_replicas())};
+    for (const relaywire::Tenant &entry : in.tenants()) {
+        std::optional<Tenant> tenant = read(entry);
+        if (!tenant || !routing.addTenant(std::move(*tenant), nullptr))
+            return std::nullopt;
+    }
     return routing;
 }
 
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -12,7 +12,7 @@
 constexpr auto LastKind = static_cast<std::uint32_t>(StatementKind::StepDown);
 constexpr auto LastPurpose = static_cast<std::uint32_t>(SendPurpose::CloseTransaction);
 constexpr auto LastPhase = static_cast<std::uint32_t>(SessionPhase::FailedTransaction);
-constexpr auto LastCause = static_cast<std::uint32_t>(Cause::TooLong);
+constexpr auto LastCause = static_cast<std::uint32_t>(Cause::QuotaExceeded);
 
 void write(const Position &position, relaywire::Position *out)
 {
