Connections to instances belong to a tenant, and callers need the key of one

Change: CONNECT's key is looked up at each operation, so that a withdrawn one is refused at the next statement and an open transaction of it is rolled back. A connection belongs to the tenant that the instance was told; relayed batches name theirs. WorkQueue orders work by priority and lets tenants take turns; with one tenant it is the former queue. Where all connections are taken, the one that has been idle for longest makes room. Ruled out: one connection for all tenants (an instance is told one name for each), gateways by (instance, tenant) (71 tenants x 24 instances would give each host 88 roles).

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -159,11 +159,12 @@
     const std::shared_ptr<CallerSocket> caller = found->second;
     const bool isOpen = m_openSessions.contains(id);
     if (message.kind == CallerMessage::Kind::Connect && !isOpen) {
+        const ApiKey key = message.key.empty() ? ApiKey() : ApiKey::fromText(message.key);
         if (m_engine.configurationVersion() > 0)
-            openSession(id, message.database);
+            openSession(id, message.database, key);
         else
             m_earlyConnects.push_back(
-                {.session = id, .database = message.database, .since = now()});
+                {.session = id, .database = message.database, .key = key, .since = now()});
         return;
     }
     if (message.kind == CallerMessage::Kind::Statement && isOpen) {
@@ -179,13 +180,14 @@
         caller->refuse(Cause::Invalid);
 }
 
-void SessionServer::openSession(SessionId id, const std::string &database)
+void SessionServer::openSession(SessionId id, const std::string &database, const ApiKey &key)
 {
     const auto found = m_callers.find(id);
     if (found == m_callers.end())
         return;
     const bool configured = m_engine.configurationVersion() > 0;
-    const Cause cause = configured ? m_engine.onConnect(now(), id, database) : Cause::Overloaded;
+    const Cause cause
+        = configured ? m_engine.onConnect(now(), id, database, key) : Cause::Overloaded;
     if (cause == Cause::None) {
         m_openSessions[id] = true;
         found->second->welcome();
@@ -194,6 +196,8 @@
     logRequest({.event = "session.refused",
                 .session = id,
                 .database = database,
+                .keyDigest
+                = cause == Cause::UnknownKey ? std::string_view(key.digest()) : std::string_view(),
                 .cause = cause,
                 .configuration = m_engine.configurationVersion()});
     const std::shared_ptr<CallerSocket> caller = found->second;
@@ -210,11 +214,12 @@
            && (configured || now() - m_earlyConnects.front().since > MaxEarlyWait)) {
         const EarlyConnect caller = std::move(m_earlyConnects.front());
         m_earlyConnects.pop_front();
-        openSession(caller.session, caller.database);
+        openSession(caller.session, caller.database, caller.key);
     }
 }
 
-void SessionServer::openTarget(ConnectionId connection, const RegisteredInstance &instance)
+void SessionServer::openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                               const std::string &tenant)
 {
     m_metrics.add("targets.opened");
     auto target = std::make_shared<TargetSocket>(
@@ -232,7 +237,7 @@
                 },
             .closed = [this, connection] { m_engine.onTargetClosed(now(), connection); }});
     m_targets[connection] = target;
-    target->open(instance);
+    target->open(instance, tenant);
 }
 
 void SessionServer::sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -60,7 +60,8 @@
     void stop();
 
 private:
-    void openTarget(ConnectionId connection, const RegisteredInstance &instance) override;
+    void openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                    const std::string &tenant) override;
     void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements) override;
     void closeTarget(ConnectionId connection) override;
     void relayToGateway(ConnectionId connection, const std::string &gateway,
@@ -90,7 +91,7 @@
 
     void accept();
     void addCaller(boost::asio::ip::tcp::socket socket);
-    void openSession(SessionId id, const std::string &database);
+    void openSession(SessionId id, const std::string &database, const ApiKey &key);
     void openEarlySessions();
     void handleMessage(SessionId id, CallerMessage message);
     std::shared_ptr<PeerClient> peerClient(const std::string &host);
@@ -113,6 +114,7 @@
     {
         SessionId session = 0;
         std::string database;
+        ApiKey key;
         Millis since;
     };
 
--- a/src/programs/cicadagap-sessiond/targetsocket.cpp
+++ b/src/programs/cicadagap-sessiond/targetsocket.cpp
@@ -29,7 +29,7 @@
 {
 }
 
-void TargetSocket::open(const RegisteredInstance &instance)
+void TargetSocket::open(const RegisteredInstance &instance, const std::string &tenant)
 {
     error_code error;
     const auto address = asio::ip::make_address(instance.endpoint.address, error);
@@ -40,7 +40,7 @@
         return;
     }
     Reason reason;
-    if (!m_codec->writeHello(instance, &m_output, &reason)) {
+    if (!m_codec->writeHello(instance, tenant, &m_output, &reason)) {
         logEvent(LogLevel::Warning, "instance.hello-impossible",
                  {{"instance", instance.id}, {"group", instance.group}, {"reason", reason.text()}});
         failLater();
--- a/src/programs/cicadagap-sessiond/targetsocket.h
+++ b/src/programs/cicadagap-sessiond/targetsocket.h
@@ -32,7 +32,8 @@
 
     TargetSocket(boost::asio::io_context *context, const SessionCodec *codec, Handlers handlers);
 
-    void open(const RegisteredInstance &instance);
+    // The instance is told the tenant's name, or that of the system if `tenant` is empty.
+    void open(const RegisteredInstance &instance, const std::string &tenant);
     void send(const std::vector<Statement> &statements);
     void close();
 
--- a/src/session/relaybatch.h
+++ b/src/session/relaybatch.h
@@ -36,11 +36,12 @@
     std::string origin; // The process that sends the batch: the host and the time of its start.
     // Identifies the statement or transaction that the batch belongs to; unique for the origin.
     std::uint64_t channel = 0;
-    std::string instance;         // The instance to run the statements on.
-    bool continues = false;       // The channel's transaction is open; the gateway must know it.
-    int priority = 0;             // 0 goes first.
-    bool needsSlot = true;        // Work that needs none goes ahead of all work that does.
-    Millis maxWait;               // How long it may wait for a connection and a slot.
+    std::string instance;   // The instance to run the statements on.
+    bool continues = false; // The channel's transaction is open; the gateway must know it.
+    int priority = 0;       // 0 goes first.
+    std::string tenant;     // In whose name the statements run; empty for callers without a key.
+    bool needsSlot = true;  // Work that needs none goes ahead of all work that does.
+    Millis maxWait;         // How long it may wait for a connection and a slot.
     std::optional<Millis> maxAge; // For reads: the age that the data may have.
     // For work at the primary: the instance must have been primary this long ago.
     std::optional<Millis> primaryAge;
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -164,6 +164,7 @@
     out.set_instance(batch.instance);
     out.set_priority(static_cast<std::uint32_t>(batch.priority));
     out.set_urgent(!batch.needsSlot);
+    out.set_tenant(batch.tenant);
     out.set_continues(batch.continues);
     out.set_patience_ms(static_cast<std::uint32_t>(batch.maxWait.count()));
     if (batch.maxAge)
@@ -215,6 +216,7 @@
                      .instance = in.instance(),
                      .continues = in.continues(),
                      .priority = static_cast<int>(in.priority()),
+                     .tenant = in.tenant(),
                      .needsSlot = !in.urgent(),
                      .maxWait = Millis(in.patience_ms())};
     if (in.has_max_age_ms())
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -177,6 +177,10 @@
     }
     const auto [found, isNew] = m_channels.try_emplace(key);
     Channel &channel = found->second;
+    if (!isNew && channel.tenant != batch.tenant) {
+        reply({.ended = true, .cause = Cause::NoTransaction});
+        return;
+    }
     // A batch that begins a channel must not join another one's transaction.
     if (channel.respond || (!isNew && !batch.continues)) {
         reply({.ended = true, .cause = Cause::Busy});
@@ -202,13 +206,18 @@
         return;
     }
     channel.instance = batch.instance;
+    channel.tenant = batch.tenant;
     channel.work = m_nextWork();
     m_channelByWork[channel.work] = key;
     channel.onlyReads = batch.maxAge.has_value();
+    // Only commands may run on the connections of any tenant.
+    const bool callers
+        = std::any_of(channel.statements.begin(), channel.statements.end(), isCallers);
     TargetWork work{.id = channel.work,
                     .priority = batch.priority,
                     .deadline = now + batch.maxWait,
-                    .needsSlot = batch.needsSlot,
+                    .needsSlot = batch.needsSlot || callers,
+                    .tenant = batch.tenant,
                     .values = &channel.values};
     if (const PreparedStatement *executed = executedByBatch(channel.statements, channel.prepared))
         work.prepared = *executed;
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -87,6 +87,7 @@
     struct Channel
     {
         std::string instance;
+        std::string tenant;
         WorkId work = 0;
         ConnectionId connection = 0;
         SessionValues values;
--- a/src/session/requestlog.cpp
+++ b/src/session/requestlog.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace cicadagap {
 
@@ -32,17 +33,21 @@
     if (!takeLine(now, failed ? LinesPerSecond : AnswerLinesPerSecond))
         return;
     const std::string_view connectionField = event.gateway.empty() ? "connection" : "channel";
-    const std::array fields{LogField("session", toNumber(event.session)),
-                            LogField("request", event.request),
-                            LogField("database", event.database),
-                            LogField("instance", event.instance),
-                            LogField("gateway", event.gateway),
-                            LogField(connectionField, toNumber(event.connection)),
-                            LogField("name", event.preparedName),
-                            LogField("cause", cause),
-                            LogField("attempts", event.attempts),
-                            LogField("waitedMs", event.waited.count()),
-                            LogField("configuration", toNumber(event.configuration))};
+    std::vector<LogField> fields{LogField("session", toNumber(event.session)),
+                                 LogField("request", event.request),
+                                 LogField("database", event.database),
+                                 LogField("instance", event.instance),
+                                 LogField("gateway", event.gateway),
+                                 LogField(connectionField, toNumber(event.connection)),
+                                 LogField("name", event.preparedName),
+                                 LogField("cause", cause),
+                                 LogField("attempts", event.attempts),
+                                 LogField("waitedMs", event.waited.count()),
+                                 LogField("configuration", toNumber(event.configuration))};
+    if (!event.tenant.empty())
+        fields.emplace_back("tenant", event.tenant);
+    if (!event.keyDigest.empty())
+        fields.emplace_back("keyDigest", event.keyDigest);
     m_write(failed ? LogLevel::Warning : LogLevel::Info, event.event, fields);
 }
 
--- a/src/session/sessioncodec.h
+++ b/src/session/sessioncodec.h
@@ -25,6 +25,7 @@
 
     Kind kind = Kind::Statement;
     std::string database; // Connect only.
+    std::string key;      // Connect only: the API key; empty if the caller showed none.
     Statement statement;  // Statement only; of kind Unknown if its text cannot be parsed.
 };
 
@@ -76,8 +77,9 @@
     // The following return false, set a reason and append nothing if the protocol has no line that
     // an instance would parse back to the same fields.
     // Opens the conversation with an instance, which refuses if it is not the expected one.
-    virtual bool writeHello(const RegisteredInstance &instance, std::string *output,
-                            Reason *reason) const = 0;
+    // It is told the tenant's name, or that of the system if `tenant` is empty.
+    virtual bool writeHello(const RegisteredInstance &instance, const std::string &tenant,
+                            std::string *output, Reason *reason) const = 0;
     virtual bool writeStatement(const Statement &statement, std::string *output,
                                 Reason *reason) const = 0;
 };
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -211,12 +211,18 @@
     finishEvent(now);
 }
 
-Cause SessionEngine::onConnect(Millis now, SessionId session, const std::string &database)
+Cause SessionEngine::onConnect(Millis now, SessionId session, const std::string &database,
+                               const ApiKey &key)
 {
     static_cast<void>(now);
-    if (!route(database))
+    const DatabaseRoute *found = route(database);
+    if (!found)
         return Cause::UnknownDatabase;
-    m_sessions[session].database = database;
+    if (!tenantFor(key, *found))
+        return Cause::UnknownKey;
+    Session &opened = m_sessions[session];
+    opened.database = database;
+    opened.key = key;
     return Cause::None;
 }
 
@@ -490,6 +496,7 @@
                         .configuration = m_routing.version};
     if (session.operation) {
         record.request = session.operation->statement.id;
+        record.tenant = session.operation->tenant;
         record.instance = session.operation->instance;
         record.connection = session.operation->connection;
         record.gateway = session.operation->gateway;
@@ -512,4 +519,29 @@
     return found == m_routing.databases.end() ? nullptr : &found->second;
 }
 
+// The tenant in whose name the holder of the key uses the database: empty if that takes no key,
+// nothing if no tenant holds the key.
+std::optional<std::string> SessionEngine::tenantFor(const ApiKey &key,
+                                                    const DatabaseRoute &route) const
+{
+    if (!m_routing.requiresKeys)
+        return std::string();
+    if (const Tenant *tenant = m_routing.tenantOf(key))
+        return tenant->name;
+    return route.isPublic ? std::optional(std::string()) : std::nullopt;
+}
+
+// Looks up again in whose name the session's operation runs, as its key may have been withdrawn or
+// given to another tenant. Returns false if the operation must not run: a transaction stays that of
+// the tenant that began it.
+bool SessionEngine::updateTenant(Session *session) const
+{
+    Operation &operation = *session->operation;
+    const std::optional<std::string> tenant = tenantFor(session->key, operation.route);
+    if (!tenant || (session->transaction && *tenant != session->transaction->tenant))
+        return false;
+    operation.tenant = *tenant;
+    return true;
+}
+
 } // namespace cicadagap
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -45,6 +45,8 @@
     SessionId session = 0;
     std::string_view request; // The statement's id; empty if the event concerns no statement.
     std::string_view database;
+    std::string_view tenant;    // Empty where callers need no key, and if theirs is unknown.
+    std::string_view keyDigest; // Of an unknown API key; otherwise empty.
     std::string_view instance;
     // What the statement was sent on; 0 if it was not sent. Behind a gateway, the channel there.
     ConnectionId connection = 0;
@@ -76,7 +78,7 @@
 //     SessionEngine engine({.host = "host-1", .dataCentre = "cali"}, &output);
 //     engine.onConfiguration(now, routingTable);
 //     engine.onInstances(now, registeredInstances);
-//     if (engine.onConnect(now, 1, "orders") == Cause::None)
+//     if (engine.onConnect(now, 1, "orders", ApiKey::fromText(key)) == Cause::None)
 //         engine.onStatement(now, 1, statement); // output.answerCaller(1, answer) follows.
 //
 // A deterministic state machine: performs no I/O and reads no clock; events and time go in, actions
@@ -123,7 +125,8 @@
     void onHosts(Millis now, const std::vector<HostRecord> &hosts);
 
     // A caller connected. Returns None if the session is open now, otherwise why it is not.
-    Cause onConnect(Millis now, SessionId session, const std::string &database);
+    Cause onConnect(Millis now, SessionId session, const std::string &database,
+                    const ApiKey &key = {});
     void onStatement(Millis now, SessionId session, Statement statement);
     void onCallerClosed(Millis now, SessionId session);
 
@@ -183,6 +186,7 @@
     {
         Statement statement;
         DatabaseRoute route;
+        std::string tenant; // In whose name it runs; empty where callers need no key.
         bool writes = false;
         bool needsPrimary = false;
         bool inInternalTransaction = false;
@@ -213,6 +217,7 @@
     struct Transaction
     {
         DatabaseRoute route;
+        std::string tenant; // See Operation.
         bool readOnly = false;
         bool wrote = false;
         bool lost = false;           // Its connection is lost; nothing of it is kept.
@@ -227,6 +232,7 @@
     struct Session
     {
         std::string database;
+        ApiKey key;
         SessionState state;
         SessionPhase phase = SessionPhase::Idle;
         std::optional<Transaction> transaction;
@@ -301,6 +307,8 @@
                   Cause cause, std::string_view request = {});
     Session *find(SessionId id);
     const DatabaseRoute *route(const std::string &database) const;
+    std::optional<std::string> tenantFor(const ApiKey &key, const DatabaseRoute &route) const;
+    bool updateTenant(Session *session) const;
     WorkId nextWork() { return ++m_lastWork; }
 
     Options m_options;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -90,7 +90,14 @@
         answerLocally(now, id, session, Cause::UnknownDatabase);
         return;
     }
+    std::optional<std::string> tenant = tenantFor(session->key, *found);
+    if (!tenant) {
+        logEvent(now, "request.refused", id, *session, Cause::UnknownKey, statement.id);
+        answerLocally(now, id, session, Cause::UnknownKey);
+        return;
+    }
     session->transaction = Transaction{.route = *found,
+                                       .tenant = std::move(*tenant),
                                        .readOnly = statement.kind == StatementKind::BeginReadOnly,
                                        .beganAt = now,
                                        .lastUsed = now};
@@ -163,6 +170,11 @@
         refuse(now, id, session, Cause::Aborted);
         return;
     }
+    if (!updateTenant(session)) {
+        // A transaction's caller is told that nothing of it is kept.
+        refuse(now, id, session, session->transaction ? Cause::Aborted : Cause::UnknownKey);
+        return;
+    }
     if (session->transaction && session->transaction->connection != 0) {
         if (mayUseTransaction(now, *session->transaction)) {
             runInTransaction(now, session);
@@ -175,7 +187,8 @@
         operation.stage = Stage::Waiting;
         return;
     }
-    const Millis wait = m_pool.expectedWait(operation.instance, operation.route.priority);
+    const Millis wait
+        = m_pool.expectedWait(operation.instance, operation.route.priority, operation.tenant);
     if (now + wait > operation.deadline) {
         refuse(now, id, session, Cause::Overloaded);
         return;
@@ -187,6 +200,7 @@
                     .priority = operation.route.priority,
                     .deadline = operation.deadline,
                     .freshAsOf = operation.freshAsOf,
+                    .tenant = operation.tenant,
                     .values = &session->state.values,
                     .prepared = operation.prepared};
     const bool onReplica
@@ -282,7 +296,8 @@
             const bool sameDataCentre = member.dataCentre == m_options.dataCentre;
             if (networkTime == Millis(0))
                 networkTime = sameDataCentre ? LocalRoundTrip : RemoteRoundTrip;
-            Millis cost = networkTime + m_pool.expectedWait(member.id, operation->route.priority);
+            Millis cost = networkTime
+                + m_pool.expectedWait(member.id, operation->route.priority, operation->tenant);
             if (m_pool.noConnectionAvailable(now, member.id))
                 cost = cost + NoConnectionCost;
             if (best.empty() || cost < lowest) {
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -19,19 +19,6 @@
 // An instance that had no connection left is assumed to have none for this long.
 constexpr Millis NoConnectionMemory(300);
 
-AdmissionQueue::Options queueOptions(std::size_t capacity)
-{
-    AdmissionQueue::Options options{.classes = {}, .capacity = capacity};
-    for (int i = 0; i < TargetPool::Priorities; ++i)
-        options.classes.push_back({.name = std::to_string(i), .top = true});
-    return options;
-}
-
-std::size_t classOf(int priority)
-{
-    return static_cast<std::size_t>(std::clamp(priority, 0, TargetPool::Priorities - 1));
-}
-
 } // namespace
 
 TargetPool::TargetPool(Options options, TargetOutput *output, TargetListener *listener,
@@ -46,9 +33,10 @@
 void TargetPool::setInstance(Millis now, const RegisteredInstance &instance,
                              const InstanceAccess &access, bool keepOpen)
 {
-    Instance &entry = m_instances[instance.id];
-    if (!entry.queue)
-        entry.queue = std::make_unique<AdmissionQueue>(queueOptions(m_options.queueCapacity));
+    const auto [found, isNew] = m_instances.try_emplace(instance.id);
+    Instance &entry = found->second;
+    if (isNew)
+        entry.queue = WorkQueue({.capacity = m_options.queueCapacity});
     const bool wasDirect = entry.direct;
     entry.registered = instance;
     entry.removed = false;
@@ -110,7 +98,7 @@
 void TargetPool::refuseNewWork(Millis now, Instance *instance, Cause cause)
 {
     std::vector<WorkId> refused;
-    for (const QueueEntry &waiting : instance->queue->takeAll())
+    for (const QueuedEntry &waiting : instance->queue.takeAll())
         refused.push_back(waiting.id);
     refuseAll(now, refused, cause);
 }
@@ -155,10 +143,15 @@
         startWork(now, instance);
         return true;
     }
-    const QueueEntry entry{.id = id, .queuedAt = now, .deadline = work.deadline};
-    if (!found->second.queue->push(classOf(work.priority), entry))
+    WorkQueue &queue = found->second.queue;
+    if (!queue.push({.id = id,
+                     .priority = work.priority,
+                     .tenant = work.tenant,
+                     .deadline = work.deadline}))
         return false;
     m_queued[id] = {.work = std::move(work), .instance = instance};
+    for (const QueuedEntry &displaced : queue.takeDisplaced())
+        refuseAll(now, {displaced.id}, Cause::Overloaded);
     startWork(now, instance);
     return true;
 }
@@ -296,6 +289,7 @@
                      .instance = connection.instance,
                      .continues = connection.answered,
                      .priority = work.priority,
+                     .tenant = work.tenant,
                      .needsSlot = work.needsSlot,
                      .maxWait = std::max(Millis(1), work.deadline - now),
                      .statements = std::move(statements)};
@@ -484,7 +478,7 @@
         const bool spare
             = instance.connections.size() > 1 || !instance.keepOpen || instance.removed;
         if (connection.state == State::Idle && spare
-            && now - connection.since > m_options.idleClose)
+            && now - connection.since > idleLimit(connection))
             stale.push_back(id);
         if (connection.state == State::Opening && now - connection.since > m_options.openTimeout)
             stale.push_back(id);
@@ -502,7 +496,7 @@
     for (const std::string &name : names) {
         Instance &instance = m_instances.at(name);
         std::vector<WorkId> expired = takeExpiredUrgent(now, &instance);
-        for (const QueueEntry &entry : instance.queue->takeExpired(now))
+        for (const QueuedEntry &entry : instance.queue.takeExpired(now))
             expired.push_back(entry.id);
         for (const WorkId id : expired) {
             if (m_queued.erase(id) > 0)
@@ -528,14 +522,15 @@
     return expired;
 }
 
-Millis TargetPool::expectedWait(const std::string &instance, int priority) const
+Millis TargetPool::expectedWait(const std::string &instance, int priority,
+                                const std::string &tenant) const
 {
     const auto found = m_instances.find(instance);
     if (found == m_instances.end())
         return Millis(0);
     const Instance &entry = found->second;
     const auto slots = static_cast<double>(std::max(1, entry.registered.slots));
-    const double ahead = static_cast<double>(entry.queue->entriesAhead(classOf(priority)))
+    const double ahead = static_cast<double>(entry.queue.entriesAhead(priority, tenant))
         + static_cast<double>(entry.slotsInUse + entry.slotWaiters.size());
     return Millis(static_cast<std::int64_t>(entry.serviceMs * (ahead / slots)));
 }
@@ -595,7 +590,7 @@
     if (found == m_instances.end() || found->second.removed || !found->second.direct
         || found->second.opening > 0 || now < found->second.openAfter)
         return;
-    open(now, &found->second);
+    open(now, &found->second, /*tenant=*/{});
 }
 
 // Starts queued work as far as connections and slots allow, and opens a connection if one is
@@ -683,12 +678,47 @@
         instance->urgent.pop_front();
         return id;
     }
+    return nextQueued(now, instance);
+}
+
+// Takes the next work that needs a slot. A slot is left free for each tenant whose turn comes
+// before and that needs a connection first.
+std::optional<WorkId> TargetPool::nextQueued(Millis now, Instance *instance)
+{
     if (!slotFree(now, *instance))
         return std::nullopt;
-    const std::optional<QueueEntry> entry = instance->queue->pop(now, /*topOnly=*/false);
-    if (!entry)
-        return std::nullopt;
-    return entry->id;
+    const auto slots = static_cast<std::size_t>(std::max(1, instance->registered.slots));
+    const std::size_t free = slots - std::min(slots, instance->slotsInUse);
+    std::set<std::string> needConnection;
+    const auto mayStart = [&](const std::string &tenant) {
+        if (!hasIdleOf(*instance, tenant)) {
+            if (now >= instance->openAfter)
+                needConnection.insert(tenant);
+            return false;
+        }
+        return needConnection.size() < free;
+    };
+    const std::optional<QueuedEntry> entry = instance->queue.pop(mayStart);
+    return entry ? std::optional(entry->id) : std::nullopt;
+}
+
+bool TargetPool::hasIdleOf(const Instance &instance, const std::string &tenant) const
+{
+    return std::any_of(instance.connections.begin(), instance.connections.end(),
+                       [&](ConnectionId id) {
+                           const Connection &connection = m_connections.at(id);
+                           return connection.state == State::Idle && connection.tenant == tenant;
+                       });
+}
+
+// How many connections to the instance are being opened for the tenant.
+std::size_t TargetPool::openingFor(const Instance &instance, const std::string &tenant) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        instance.connections.begin(), instance.connections.end(), [&](ConnectionId id) {
+            const Connection &connection = m_connections.at(id);
+            return connection.state == State::Opening && connection.tenant == tenant;
+        }));
 }
 
 // The idle connection that needs the fewest statements to fit the work's session state.
@@ -699,7 +729,8 @@
     std::size_t lowest = 0;
     for (const ConnectionId id : instance.connections) {
         const Connection &connection = m_connections.at(id);
-        if (connection.state != State::Idle)
+        const bool serves = !work.needsSlot || connection.tenant == work.tenant;
+        if (connection.state != State::Idle || !serves)
             continue;
         const PreparedStatement *prepared = work.prepared ? &*work.prepared : nullptr;
         const std::size_t cost
@@ -715,25 +746,65 @@
 // Opens a connection if work waits for one, or if the instance has none and is to be kept open.
 void TargetPool::openIfNeeded(Millis now, Instance *instance)
 {
-    const bool neededByQueue = instance->queue->size() > instance->opening
-        && instance->slotsInUse + instance->opening
-            < static_cast<std::size_t>(std::max(1, instance->registered.slots));
-    const bool needed = neededByQueue || instance->urgent.size() > instance->opening;
+    if (now < instance->openAfter)
+        return;
+    const bool slotFree = instance->slotsInUse + instance->opening
+        < static_cast<std::size_t>(std::max(1, instance->registered.slots));
+    std::optional<std::string> tenant;
+    if (slotFree)
+        tenant = tenantToOpenFor(*instance);
     const bool none = instance->connections.empty() && instance->keepOpen;
-    const bool room
-        = instance->connections.size() < static_cast<std::size_t>(instance->maxConnections);
-    if ((needed || none) && room && now >= instance->openAfter)
-        open(now, instance);
+    if (!tenant && (none || instance->urgent.size() > instance->opening))
+        tenant = std::string();
+    if (!tenant)
+        return;
+    const auto limit = static_cast<std::size_t>(instance->maxConnections);
+    if (instance->connections.size() >= limit) {
+        const std::optional<ConnectionId> idle = longestIdle(*instance);
+        if (!idle)
+            return;
+        closeConnection(now, *idle);
+    }
+    open(now, instance, *tenant);
+}
+
+// The tenant whose turn it is and that lacks a connection for its queued work; nothing if there is
+// none.
+std::optional<std::string> TargetPool::tenantToOpenFor(const Instance &instance) const
+{
+    for (const WorkQueue::Turn &turn : instance.queue.turns()) {
+        if (!hasIdleOf(instance, turn.tenant) && turn.entries > openingFor(instance, turn.tenant))
+            return turn.tenant;
+    }
+    return std::nullopt;
+}
+
+// The connection to the instance that has been idle for longest; nothing if none is idle.
+std::optional<ConnectionId> TargetPool::longestIdle(const Instance &instance) const
+{
+    std::optional<ConnectionId> longest;
+    for (const ConnectionId id : instance.connections) {
+        const Connection &connection = m_connections.at(id);
+        if (connection.state == State::Idle
+            && (!longest || connection.since < m_connections.at(*longest).since))
+            longest = id;
+    }
+    return longest;
+}
+
+Millis TargetPool::idleLimit(const Connection &connection) const
+{
+    return connection.tenant.empty() ? m_options.idleClose : m_options.tenantIdleClose;
 }
 
-void TargetPool::open(Millis now, Instance *instance)
+void TargetPool::open(Millis now, Instance *instance, const std::string &tenant)
 {
     const ConnectionId id = ++m_lastConnection;
-    m_connections[id] = {.instance = instance->registered.id, .since = now};
+    m_connections[id] = {.instance = instance->registered.id, .tenant = tenant, .since = now};
     instance->connections.insert(id);
     ++instance->opening;
     m_listener->onTargetOpening(now, instance->registered.id);
-    m_output->openTarget(id, instance->registered);
+    m_output->openTarget(id, instance->registered, tenant);
 }
 
 // Closes the connection or channel, removes it, and frees its slots.
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -2,14 +2,18 @@
 //
 // An instance has a number of slots: the statements that it runs at a time. Work is a statement or
 // a transaction that needs a connection to a certain instance. Each instance has a queue of work,
-// ordered by priority. Work starts when a connection is idle and a slot is free as far as this host
-// knows; the slot is reserved until the work's first statement takes it, however long it takes to
-// open a transaction before. Later statements of an open transaction wait for a slot too, and go
-// ahead of all new work.
+// ordered by priority and shared fairly by tenants. Work starts when a connection is idle and a
+// slot is free as far as this host knows; the slot is reserved until the work's first statement
+// takes it, however long it takes to open a transaction before. Later statements of an open
+// transaction wait for a slot too, and go ahead of all new work.
 //
-// Connections are opened on demand, reused, and closed when they stay idle. If an instance refuses
-// a connection because other hosts hold all of them, this host tries again later. Meanwhile the
-// work waits here, where it can still be ordered by priority, moved to another instance or refused.
+// Connections are opened on demand, reused, and closed when they stay idle. A connection belongs to
+// one tenant. If all that this host may hold are open, the one that has been idle for longest makes
+// room for a tenant that has none. Opening a connection takes a slot of the instance for a while,
+// so other tenants' work leaves one free for it when it is that tenant's turn. If an instance
+// refuses a connection because other hosts hold all of them, this host tries again later. Meanwhile
+// the work waits here, where it can still be ordered by priority, moved to another instance or
+// refused.
 //
 // Expected load: several times more statements than slots, from all hosts at once. Queueing here
 // and not in the instance keeps the order by priority, and a refusal really means that nothing has
@@ -17,18 +21,17 @@
 #pragma once
 
 #include "base/millis.h"
-#include "connection/admissionqueue.h"
 #include "session/hostdirectory.h"
 #include "session/registry.h"
 #include "session/relaybatch.h"
 #include "session/sessionstate.h"
 #include "session/statement.h"
+#include "session/workqueue.h"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -64,7 +67,10 @@
     virtual ~TargetOutput() = default;
 
     // Opens a connection; answered by onOpened() or onOpenFailed().
-    virtual void openTarget(ConnectionId connection, const RegisteredInstance &instance) = 0;
+    // The instance is told the tenant's name; without one, that of the system.
+    virtual void openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                            const std::string &tenant)
+        = 0;
     // Sends statements in one write; each is answered by onAnswer(), in order.
     virtual void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
         = 0;
@@ -121,7 +127,9 @@
     std::optional<Millis> freshAsOf;
     // Relayed work at the primary only: it must have been primary at this instant.
     std::optional<Millis> primaryAsOf;
-    bool needsSlot = true; // Work that needs none goes ahead of all work that does.
+    // Work that needs none goes ahead of all work that does. It may use connections of all tenants.
+    bool needsSlot = true;
+    std::string tenant; // Whose connections may serve it. Empty for callers that need no key.
     // The session's values, which must stay valid until the work starts. Null if the connection's
     // values don't matter.
     const SessionValues *values = nullptr;
@@ -145,9 +153,6 @@
 class TargetPool
 {
 public:
-    // Priorities are 0 to Priorities - 1; higher ones count as the last.
-    static constexpr int Priorities = 8;
-
     struct Options
     {
         // Work that may be queued for each priority of each instance.
@@ -161,6 +166,9 @@
         // Connections are closed after being idle for longer, except the last one to an instance
         // that is kept open.
         Millis idleClose = Millis(1500);
+        // The same for connections of a tenant, which serve nobody else: they are needed again
+        // later, and are closed when another tenant needs the room.
+        Millis tenantIdleClose = Millis(8000);
     };
 
     // Returns the host that is the gateway to an instance; empty if none can be used now.
@@ -220,9 +228,9 @@
     void onRelayReply(Millis now, ConnectionId connection, const RelayReply &reply);
     void onTick(Millis now);
 
-    // The expected time until work that is submitted now would be answered, without the network's
-    // share.
-    Millis expectedWait(const std::string &instance, int priority) const;
+    // The expected time until work of the tenant that is submitted now would be answered, without
+    // the network's share.
+    Millis expectedWait(const std::string &instance, int priority, const std::string &tenant) const;
     // The network's share: the shortest recent time in which the instance answered; 0 if it has not
     // answered yet.
     Millis roundTrip(const std::string &instance) const;
@@ -261,6 +269,7 @@
     struct Connection
     {
         std::string instance;
+        std::string tenant;
         State state = State::Opening;
         ConnectionSessionState sessionState;
         WorkId owner = 0;
@@ -289,7 +298,7 @@
         bool keepOpen = false;
         bool removed = false;
         std::optional<Millis> newWorkUntil;
-        std::unique_ptr<AdmissionQueue> queue;
+        WorkQueue queue{{}};
         std::deque<WorkId> urgent;            // Queued work that needs no slot.
         std::deque<ConnectionId> slotWaiters; // Connections with held statements.
         std::set<ConnectionId> connections;
@@ -318,11 +327,17 @@
     void startWork(Millis now, const std::string &instance);
     bool startNext(Millis now, Instance *instance);
     std::optional<WorkId> nextWork(Millis now, Instance *instance);
+    std::optional<WorkId> nextQueued(Millis now, Instance *instance);
     std::vector<WorkId> takeExpiredUrgent(Millis now, Instance *instance) const;
     std::optional<ConnectionId> cheapestIdle(const Instance &instance,
                                              const TargetWork &work) const;
+    bool hasIdleOf(const Instance &instance, const std::string &tenant) const;
+    std::size_t openingFor(const Instance &instance, const std::string &tenant) const;
+    std::optional<std::string> tenantToOpenFor(const Instance &instance) const;
+    std::optional<ConnectionId> longestIdle(const Instance &instance) const;
+    Millis idleLimit(const Connection &connection) const;
     void openIfNeeded(Millis now, Instance *instance);
-    void open(Millis now, Instance *instance);
+    void open(Millis now, Instance *instance, const std::string &tenant);
     void closeConnection(Millis now, ConnectionId connection);
     void makeIdleIfDone(Millis now, ConnectionId connection);
     void recordAnswer(Millis now, Instance *instance, const Sent &sent);
--- a/src/session/tenant.h
+++ b/src/session/tenant.h
@@ -15,6 +15,8 @@
 class ApiKey
 {
 public:
+    // That of a caller who showed no key; no tenant holds it.
+    ApiKey() = default;
     // The key that a caller showed or the operators configured. It may hold any bytes.
     static ApiKey fromText(std::string_view key);
     // The key whose digest another host sent; nothing if the text is not a digest.
--- a/src/session/tst_relaygateway.cpp
+++ b/src/session/tst_relaygateway.cpp
@@ -27,7 +27,8 @@
         bool operator==(const Execution &) const = default;
     };
 
-    void openTarget(ConnectionId connection, const RegisteredInstance &) override
+    void openTarget(ConnectionId connection, const RegisteredInstance &,
+                    const std::string &) override
     {
         opened.push_back(connection);
     }
--- a/src/session/tst_requestlog.cpp
+++ b/src/session/tst_requestlog.cpp
@@ -90,7 +90,8 @@
                              .registeredAsPrimary = true}});
     }
 
-    void openTarget(ConnectionId connection, const RegisteredInstance &) override
+    void openTarget(ConnectionId connection, const RegisteredInstance &,
+                    const std::string &) override
     {
         opening.push_back(connection);
     }
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -15,7 +15,8 @@
 class RecordingOutput : public TargetOutput
 {
 public:
-    void openTarget(ConnectionId connection, const RegisteredInstance &) override
+    void openTarget(ConnectionId connection, const RegisteredInstance &,
+                    const std::string &) override
     {
         opening.push_back(connection);
     }
--- a/test/sessionoutputs.h
+++ b/test/sessionoutputs.h
@@ -15,7 +15,7 @@
 class NullOutput : public SessionOutput
 {
 public:
-    void openTarget(ConnectionId, const RegisteredInstance &) override { }
+    void openTarget(ConnectionId, const RegisteredInstance &, const std::string &) override { }
     void sendToTarget(ConnectionId, const std::vector<Statement> &) override { }
     void closeTarget(ConnectionId) override { }
     void relayToGateway(ConnectionId, const std::string &, RelayBatch) override { }
@@ -43,7 +43,8 @@
 class SendingOutput : public NullOutput
 {
 public:
-    void openTarget(ConnectionId connection, const RegisteredInstance &instance) override
+    void openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                    const std::string &) override
     {
         opened.push_back(connection);
         connections[instance.id] = connection;
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -87,7 +87,8 @@
     {
     }
 
-    void openTarget(ConnectionId connection, const RegisteredInstance &instance) override;
+    void openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                    const std::string &tenant) override;
     void sendToTarget(ConnectionId connection, const std::vector<Statement> &statements) override;
     void closeTarget(ConnectionId connection) override;
     void relayToGateway(ConnectionId connection, const std::string &gateway,
@@ -239,8 +240,10 @@
     SessionId m_lastSession = 0;
 };
 
-void SimulatedHost::openTarget(ConnectionId connection, const RegisteredInstance &instance)
+void SimulatedHost::openTarget(ConnectionId connection, const RegisteredInstance &instance,
+                               const std::string &tenant)
 {
+    static_cast<void>(tenant);
     targets[connection] = instance.id;
     m_simulation->openTarget(m_index, connection, instance.id);
 }
