Hosts relay a tenant's statements to an instance through one gateway

Cause: each host chose its own gateway, so that each tenant's connections were opened at all gateways of an instance; a connection serves one tenant, takes a slot while it opens and room after. Ruled out: gateways by (instance, tenant) among all hosts (88 roles a host at 71 tenants and 24 instances). Deployments without tenants choose as before.

--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -200,14 +200,18 @@
     return access;
 }
 
-std::string HostDirectory::chooseGateway(Millis now, const InstanceAccess &access) const
+std::string HostDirectory::chooseGateway(Millis now, const InstanceAccess &access,
+                                         const std::string &tenant) const
 {
+    std::vector<std::string> usable;
     for (const std::string &host : access.gateways) {
         const auto found = m_hosts.find(host);
         if (found != m_hosts.end() && now >= found->second.gatewayBackoffUntil)
-            return host;
+            usable.push_back(host);
     }
-    return {};
+    if (usable.empty())
+        return {};
+    return tenant.empty() ? usable.front() : rendezvousTop(tenant, usable, 1).front();
 }
 
 const HostRecord *HostDirectory::find(const std::string &host) const
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -63,7 +63,7 @@
 //     directory.setRecords(now, records);
 //     InstanceAccess access = directory.access(instance, maxConnections);
 //     if (!access.direct)
-//         relayTo(directory.chooseGateway(now, access));
+//         relayTo(directory.chooseGateway(now, access, tenant));
 //
 // Performs no I/O and reads no clock. Not thread-safe.
 class HostDirectory
@@ -103,8 +103,10 @@
     // The other hosts that may hold connections to the instance; see access().
     std::vector<std::string> othersThatReach(const RegisteredInstance &instance,
                                              int maxConnections) const;
-    // The gateway to use now; empty if all of them failed recently.
-    std::string chooseGateway(Millis now, const InstanceAccess &access) const;
+    // The gateway to use now; empty if all of them failed recently. All hosts choose the same one
+    // for a tenant, so that its connections to the instance are in one place.
+    std::string chooseGateway(Millis now, const InstanceAccess &access,
+                              const std::string &tenant = {}) const;
     // The platform reader: the host that reads the platform for all hosts of this host's data
     // centre. Empty while this host itself is not in the list.
     std::string platformReader(Millis now) const;
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -25,9 +25,10 @@
     , m_hosts({.self = m_options.host})
     , m_control(
           output, [this] { return nextWork(); }, m_options.fencedPromotions)
-    , m_pool(
-          m_options.pool, output, this,
-          [this](Millis now, const std::string &instance) { return chooseGateway(now, instance); })
+    , m_pool(m_options.pool, output, this,
+             [this](Millis now, const std::string &instance, const std::string &tenant) {
+                 return chooseGateway(now, instance, tenant);
+             })
     , m_relayGateway(
           &m_pool, [this] { return nextWork(); }, &m_control,
           [output](const RelayedStatementEvent &event) { output->logRelayedStatement(event); })
@@ -120,10 +121,12 @@
     });
 }
 
-std::string SessionEngine::chooseGateway(Millis now, const std::string &instance) const
+std::string SessionEngine::chooseGateway(Millis now, const std::string &instance,
+                                         const std::string &tenant) const
 {
     const auto access = m_access.find(instance);
-    return access == m_access.end() ? std::string() : m_hosts.chooseGateway(now, access->second);
+    return access == m_access.end() ? std::string()
+                                    : m_hosts.chooseGateway(now, access->second, tenant);
 }
 
 std::optional<Endpoint> SessionEngine::peerEndpoint(const std::string &host) const
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -277,7 +277,8 @@
     std::string usablePrimary(Millis now, const Session &session, const Operation &operation);
     void recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose, Millis sentAt,
                         const StatementAnswer &answer);
-    std::string chooseGateway(Millis now, const std::string &instance) const;
+    std::string chooseGateway(Millis now, const std::string &instance,
+                              const std::string &tenant) const;
     std::optional<Position> requiredPosition(const Session &session,
                                              const Operation &operation) const;
     void setExpiry(Millis now, Operation *operation) const;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -287,8 +287,8 @@
             const bool direct = m_pool.isDirect(member.id);
             const bool silent = direct
                 && tracker->silentFor(now, member.id, operation->route.latencyObjective / 2);
-            const bool usable
-                = direct ? required.has_value() : !chooseGateway(now, member.id).empty();
+            const bool usable = direct ? required.has_value()
+                                       : !chooseGateway(now, member.id, operation->tenant).empty();
             if (member.leaving || silent || !usable
                 || operation->excludedInstances.contains(member.id))
                 continue;
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -611,7 +611,7 @@
 // waits in is the gateway's.
 bool TargetPool::startRelayed(Millis now, Instance *instance, TargetWork work)
 {
-    std::string gateway = m_chooseGateway(now, instance->registered.id);
+    std::string gateway = m_chooseGateway(now, instance->registered.id, work.tenant);
     if (gateway.empty())
         return false;
     const ConnectionId id = ++m_lastConnection;
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -171,8 +171,10 @@
         Millis tenantIdleClose = Millis(8000);
     };
 
-    // Returns the host that is the gateway to an instance; empty if none can be used now.
-    using ChooseGateway = std::function<std::string(Millis now, const std::string &instance)>;
+    // Returns the host that is the gateway to an instance for a tenant; empty if none can be used
+    // now.
+    using ChooseGateway = std::function<std::string(Millis now, const std::string &instance,
+                                                    const std::string &tenant)>;
 
     TargetPool(Options options, TargetOutput *output, TargetListener *listener,
                ChooseGateway chooseGateway);
--- a/src/session/tst_relaygateway.cpp
+++ b/src/session/tst_relaygateway.cpp
@@ -264,7 +264,9 @@
     std::optional<RelayReply> reply;
     Millis now = Millis(1);
     WorkId lastWork = 0;
-    TargetPool pool{{}, &instance, &listener, [](Millis, const std::string &) { return ""; }};
+    TargetPool pool{{}, &instance, &listener, [](Millis, const std::string &, const std::string &) {
+                        return "";
+                    }};
     RelayGateway gateway{&pool, [this] { return ++lastWork; }, &groups,
                          [](const RelayedStatementEvent &) {}};
 };
--- a/src/session/tst_session.cpp
+++ b/src/session/tst_session.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -166,6 +167,34 @@
     EXPECT_EQ(directory.chooseGateway(Millis(5000), access), first);
 }
 
+// All hosts relay a tenant's statements through the same gateway, and through another one once that
+// has failed; the tenants are spread over all gateways.
+TEST(HostDirectory, ChoosesTheSameGatewayForATenantOnAllHosts)
+{
+    const RegisteredInstance instance{.id = "i2", .dataCentre = "d1"};
+    std::map<std::string, std::set<std::string>> gatewaysOf;
+    std::set<std::string> used;
+    for (int host = 0; host < 60; ++host) {
+        HostDirectory directory({.self = "h" + std::to_string(host)});
+        directory.setRecords(Millis(0), hostsOf(60, 3));
+        const InstanceAccess access = directory.access(instance, 20);
+        if (access.direct)
+            continue;
+        for (int tenant = 0; tenant < 20; ++tenant) {
+            const std::string name = "t" + std::to_string(tenant);
+            const std::string gateway = directory.chooseGateway(Millis(0), access, name);
+            gatewaysOf[name].insert(gateway);
+            used.insert(gateway);
+        }
+        const std::string first = directory.chooseGateway(Millis(0), access, "t0");
+        directory.onGatewayFailed(Millis(0), first);
+        EXPECT_NE(directory.chooseGateway(Millis(10), access, "t0"), first);
+    }
+    for (const auto &[tenant, gateways] : gatewaysOf)
+        EXPECT_EQ(gateways.size(), 1U) << tenant;
+    EXPECT_EQ(used.size(), 3U);
+}
+
 // A command for an instance that this host cannot reach goes to hosts that may be connected to it.
 TEST(HostDirectory, NamesTheOtherHostsThatReachAnInstance)
 {
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -87,7 +87,9 @@
 
     RecordingOutput output;
     TransactionOpener listener;
-    TargetPool pool{{}, &output, &listener, [](Millis, const std::string &) { return ""; }};
+    TargetPool pool{{}, &output, &listener, [](Millis, const std::string &, const std::string &) {
+                        return "";
+                    }};
 };
 
 TEST_F(PooledWork, ReservesASlotWhileTheTransactionOpens)
@@ -153,7 +155,8 @@
 {
     RecordingOutput output;
     TransactionOpener listener;
-    TargetPool pool({}, &output, &listener, [](Millis, const std::string &) { return ""; });
+    TargetPool pool({}, &output, &listener,
+                    [](Millis, const std::string &, const std::string &) { return ""; });
     listener.pool = &pool;
     pool.setInstance(Millis(0), {.id = "i", .slots = 1}, {.connections = 1}, true);
     pool.flush(Millis(0));
@@ -270,7 +273,10 @@
     GatewayListener gatewayListener;
     std::optional<RelayReply> reply;
     WorkId lastWork = 0;
-    TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
+    TargetPool pool{{},
+                    &output,
+                    &gatewayListener,
+                    [](Millis, const std::string &, const std::string &) { return ""; }};
     SettableGroups groups;
     RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups,
                        [](const RelayedStatementEvent &) {}};
@@ -452,7 +458,10 @@
     std::optional<RelayReply> reply;
     std::optional<RelayReply> writeReply;
     WorkId lastWork = 0;
-    TargetPool pool{{}, &output, &gatewayListener, [](Millis, const std::string &) { return ""; }};
+    TargetPool pool{{},
+                    &output,
+                    &gatewayListener,
+                    [](Millis, const std::string &, const std::string &) { return ""; }};
     SettableGroups groups;
     RelayGateway relay{&pool, [this] { return ++lastWork; }, &groups,
                        [](const RelayedStatementEvent &) {}};
