Withdrawn keys take effect on queued statements and on transactions that are being opened

Change: a new configuration takes such operations out of the queues and dispatches them again; the key is compared once more when a transaction's opening is answered. A transaction compares with the route in force rather than with that of its beginning. Log line request.key-withdrawn, with the key's digest. Ruled out: giving up relayed statements that wait at a gateway; only the gateway knows whether they have begun, and they wait no longer than their deadline. Conclusion: deployments without tenants compare empty names; they send what they sent.

--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -43,9 +43,29 @@
         return;
     m_routing = routing;
     applyInstances(now);
+    applyKeys(now);
     finishEvent(now);
 }
 
+// Takes queued operations out of the queues if their callers' keys were withdrawn or given to other
+// tenants, and dispatches them again, which refuses those that must not run.
+void SessionEngine::applyKeys(Millis now)
+{
+    const std::set<SessionId> active = m_active;
+    for (const SessionId id : active) {
+        Session *session = find(id);
+        if (!session || !session->operation || session->operation->stage != Stage::Queued)
+            continue;
+        Operation &operation = *session->operation;
+        if (tenantFor(*session) == operation.tenant)
+            continue;
+        m_pool.cancel(operation.work);
+        m_sessionByWork.erase(operation.work);
+        operation.work = 0;
+        dispatch(now, id, session);
+    }
+}
+
 void SessionEngine::onInstances(Millis now, const std::vector<RegisteredInstance> &instances,
                                 std::optional<Millis> readAt, bool settled)
 {
@@ -504,6 +524,8 @@
         record.attempts = session.operation->attempts;
         record.waited = now - session.operation->arrivedAt;
     }
+    if (cause == Cause::UnknownKey)
+        record.keyDigest = session.key.digest();
     m_output->logRequest(record);
 }
 
@@ -531,13 +553,20 @@
     return route.isPublic ? std::optional(std::string()) : std::nullopt;
 }
 
+// The same for the session's operation, by the configuration in force.
+std::optional<std::string> SessionEngine::tenantFor(const Session &session) const
+{
+    const DatabaseRoute *current = route(session.database);
+    return tenantFor(session.key, current ? *current : session.operation->route);
+}
+
 // Looks up again in whose name the session's operation runs, as its key may have been withdrawn or
 // given to another tenant. Returns false if the operation must not run: a transaction stays that of
 // the tenant that began it.
 bool SessionEngine::updateTenant(Session *session) const
 {
     Operation &operation = *session->operation;
-    const std::optional<std::string> tenant = tenantFor(session->key, operation.route);
+    const std::optional<std::string> tenant = tenantFor(*session);
     if (!tenant || (session->transaction && *tenant != session->transaction->tenant))
         return false;
     operation.tenant = *tenant;
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -308,7 +308,9 @@
     Session *find(SessionId id);
     const DatabaseRoute *route(const std::string &database) const;
     std::optional<std::string> tenantFor(const ApiKey &key, const DatabaseRoute &route) const;
+    std::optional<std::string> tenantFor(const Session &session) const;
     bool updateTenant(Session *session) const;
+    void applyKeys(Millis now);
     WorkId nextWork() { return ++m_lastWork; }
 
     Options m_options;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -171,6 +171,7 @@
         return;
     }
     if (!updateTenant(session)) {
+        logEvent(now, "request.key-withdrawn", id, *session, Cause::UnknownKey);
         // A transaction's caller is told that nothing of it is kept.
         refuse(now, id, session, session->transaction ? Cause::Aborted : Cause::UnknownKey);
         return;
@@ -480,7 +481,10 @@
     // seen to that already.
     const bool tooLate = answer.succeeded() && !operation.sentWithOpening
         && !m_pool.takesNewWork(now, operation.instance);
-    if (answer.succeeded() && !tooLate) {
+    // So may the caller's key have been withdrawn, or given to another tenant.
+    const bool withdrawn = answer.succeeded() && !operation.sentWithOpening
+        && tenantFor(*session) != operation.tenant;
+    if (answer.succeeded() && !tooLate && !withdrawn) {
         operation.transactionOpened = true;
         if (mayWrite && answer.position)
             m_control.onProvenPrimary(now, operation.instance, sentAt, *answer.position);
@@ -502,7 +506,10 @@
                     {.kind = StatementKind::Rollback});
     m_pool.release(now, operation.connection);
     m_sessionByWork.erase(operation.work);
-    retry(now, id, session, tooLate ? Cause::Leaving : answer.cause);
+    if (withdrawn)
+        retry(now, id, session, Cause::UnknownKey);
+    else
+        retry(now, id, session, tooLate ? Cause::Leaving : answer.cause);
 }
 
 void SessionEngine::finishWork(Millis now, SessionId id, Session *session, Millis sentAt,
