Tenants get a turn at connections, and keep one for a while

Cause: where all connections of a host to an instance are taken, a tenant without any got none: the tenants with work took each one again as soon as it was idle, before one could be closed. With many tenants and slots to spare, connections were replaced after single statements instead. Change: after 40 ms a connection makes room for a tenant that has none, and isn't used again before; until then its tenant's queued work runs. Slots are left free only for connections that can be opened now. Cancelled work leaves the queue, where it opened connections and took places before. Ruled out: closing the connection at each turn (a new one costs a slot as long as a statement). The rest of tst_session was not run. Conclusion: no tenant is left behind; work of a higher priority may wait 40 ms for a connection.

--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -158,8 +158,16 @@
 
 void TargetPool::cancel(WorkId work)
 {
-    // Its entry in the queue stays, and is skipped when its turn comes.
-    m_queued.erase(work);
+    const auto found = m_queued.find(work);
+    if (found == m_queued.end())
+        return;
+    const TargetWork &queued = found->second.work;
+    if (const auto instance = m_instances.find(found->second.instance);
+        instance != m_instances.end()) {
+        instance->second.queue.remove(work, queued.priority, queued.tenant);
+        std::erase(instance->second.urgent, work);
+    }
+    m_queued.erase(found);
 }
 
 std::string TargetPool::restore(Millis now, ConnectionId connection, const SessionValues &values,
@@ -348,6 +356,7 @@
     Instance &instance = m_instances.at(name);
     --instance.opening;
     found->state = State::Idle;
+    found->openedAt = now;
     found->since = now;
     m_listener->onTargetReceived(now, name);
     startWork(now, name);
@@ -605,6 +614,8 @@
         refuseNewWork(now, &found->second, Cause::Leaving);
     while (startNext(now, &found->second)) { }
     openIfNeeded(now, &found->second);
+    // What left a connection for the one that is being opened now.
+    while (startNext(now, &found->second)) { }
 }
 
 // Starts work that goes through a gateway: at once, on a channel of its own. The queue that it
@@ -682,26 +693,78 @@
 }
 
 // Takes the next work that needs a slot. A slot is left free for each tenant whose turn comes
-// before and that needs a connection first.
+// before and that can get the connection that it lacks; so is a connection to be replaced by it.
 std::optional<WorkId> TargetPool::nextQueued(Millis now, Instance *instance)
 {
-    if (!slotFree(now, *instance))
+    if (instance->queue.size() == 0 || !slotFree(now, *instance))
         return std::nullopt;
     const auto slots = static_cast<std::size_t>(std::max(1, instance->registered.slots));
     const std::size_t free = slots - std::min(slots, instance->slotsInUse);
-    std::set<std::string> needConnection;
+    std::vector<std::string> needConnection; // In the order of their turns.
+    bool oneHasNone = false;
+    std::size_t obtainable = 0; // Connections for them.
     const auto mayStart = [&](const std::string &tenant) {
         if (!hasIdleOf(*instance, tenant)) {
-            if (now >= instance->openAfter)
-                needConnection.insert(tenant);
+            if (now < instance->openAfter
+                || std::find(needConnection.begin(), needConnection.end(), tenant)
+                    != needConnection.end())
+                return false;
+            needConnection.push_back(tenant);
+            oneHasNone = oneHasNone || !hasConnectionOf(*instance, tenant);
+            obtainable = std::max(obtainable, obtainableFor(now, *instance, tenant));
             return false;
         }
-        return needConnection.size() < free;
+        if (std::min(needConnection.size(), obtainable) >= free)
+            return false;
+        if (!oneHasNone || roomIn(*instance) > 0)
+            return true;
+        // Otherwise the tenants with work would take each connection again as soon as it is idle.
+        const auto &ids = instance->connections;
+        return std::none_of(ids.begin(), ids.end(), [&](ConnectionId id) {
+            const Connection &connection = m_connections.at(id);
+            return connection.tenant == tenant && connection.state == State::Idle
+                && now - connection.openedAt >= m_options.tenantTurn;
+        });
     };
     const std::optional<QueuedEntry> entry = instance->queue.pop(mayStart);
     return entry ? std::optional(entry->id) : std::nullopt;
 }
 
+// How many connections to the instance may be opened besides those that exist.
+std::size_t TargetPool::roomIn(const Instance &instance)
+{
+    const auto limit = static_cast<std::size_t>(instance.maxConnections);
+    return limit - std::min(limit, instance.connections.size());
+}
+
+// How many connections the tenant could get now: those being opened for it, and new ones.
+std::size_t TargetPool::obtainableFor(Millis now, const Instance &instance,
+                                      const std::string &tenant) const
+{
+    const auto replaceable = std::count_if(
+        instance.connections.begin(), instance.connections.end(),
+        [&](ConnectionId id) { return makesRoom(now, instance, m_connections.at(id), tenant); });
+    return openingFor(instance, tenant) + roomIn(instance) + static_cast<std::size_t>(replaceable);
+}
+
+bool TargetPool::hasConnectionOf(const Instance &instance, const std::string &tenant) const
+{
+    return std::any_of(instance.connections.begin(), instance.connections.end(),
+                       [&](ConnectionId id) { return m_connections.at(id).tenant == tenant; });
+}
+
+// Whether the connection may be closed so that one of the given tenant can be opened: it is idle,
+// and its tenant has no work for it or has had its time, while the other tenant has no connection.
+bool TargetPool::makesRoom(Millis now, const Instance &instance, const Connection &connection,
+                           const std::string &tenant) const
+{
+    if (connection.state != State::Idle || connection.tenant == tenant)
+        return false;
+    if (!instance.queue.hasWorkOf(connection.tenant))
+        return true;
+    return now - connection.openedAt >= m_options.tenantTurn && !hasConnectionOf(instance, tenant);
+}
+
 bool TargetPool::hasIdleOf(const Instance &instance, const std::string &tenant) const
 {
     return std::any_of(instance.connections.begin(), instance.connections.end(),
@@ -750,42 +813,44 @@
         return;
     const bool slotFree = instance->slotsInUse + instance->opening
         < static_cast<std::size_t>(std::max(1, instance->registered.slots));
-    std::optional<std::string> tenant;
+    std::optional<Opening> opening;
     if (slotFree)
-        tenant = tenantToOpenFor(*instance);
+        opening = nextOpening(now, *instance);
     const bool none = instance->connections.empty() && instance->keepOpen;
-    if (!tenant && (none || instance->urgent.size() > instance->opening))
-        tenant = std::string();
-    if (!tenant)
+    if (!opening && (none || instance->urgent.size() > instance->opening) && roomIn(*instance) > 0)
+        opening = Opening{};
+    if (!opening)
         return;
-    const auto limit = static_cast<std::size_t>(instance->maxConnections);
-    if (instance->connections.size() >= limit) {
-        const std::optional<ConnectionId> idle = longestIdle(*instance);
-        if (!idle)
-            return;
-        closeConnection(now, *idle);
-    }
-    open(now, instance, *tenant);
+    if (opening->replaced)
+        closeConnection(now, *opening->replaced);
+    open(now, instance, opening->tenant);
 }
 
-// The tenant whose turn it is and that lacks a connection for its queued work; nothing if there is
-// none.
-std::optional<std::string> TargetPool::tenantToOpenFor(const Instance &instance) const
+// The connection to open for the first tenant, in the order of their turns, that lacks one for its
+// queued work and for which there is or can be made room; nothing if there is none.
+std::optional<TargetPool::Opening> TargetPool::nextOpening(Millis now,
+                                                           const Instance &instance) const
 {
     for (const WorkQueue::Turn &turn : instance.queue.turns()) {
-        if (!hasIdleOf(instance, turn.tenant) && turn.entries > openingFor(instance, turn.tenant))
-            return turn.tenant;
+        if (hasIdleOf(instance, turn.tenant) || turn.entries <= openingFor(instance, turn.tenant))
+            continue;
+        if (roomIn(instance) > 0)
+            return Opening{.tenant = turn.tenant, .replaced = {}};
+        if (const std::optional<ConnectionId> idle = longestIdle(now, instance, turn.tenant))
+            return Opening{.tenant = turn.tenant, .replaced = idle};
     }
     return std::nullopt;
 }
 
-// The connection to the instance that has been idle for longest; nothing if none is idle.
-std::optional<ConnectionId> TargetPool::longestIdle(const Instance &instance) const
+// The connection to the instance that has been idle for longest among those that may make room for
+// one of the tenant; nothing if there is none.
+std::optional<ConnectionId> TargetPool::longestIdle(Millis now, const Instance &instance,
+                                                    const std::string &tenant) const
 {
     std::optional<ConnectionId> longest;
     for (const ConnectionId id : instance.connections) {
         const Connection &connection = m_connections.at(id);
-        if (connection.state == State::Idle
+        if (makesRoom(now, instance, connection, tenant)
             && (!longest || connection.since < m_connections.at(*longest).since))
             longest = id;
     }
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -169,6 +169,10 @@
         // The same for connections of a tenant, which serve nobody else: they are needed again
         // later, and are closed when another tenant needs the room.
         Millis tenantIdleClose = Millis(8000);
+        // Where all connections are taken, a tenant with queued work keeps one for at least this
+        // long before it makes room for a tenant without any. Several times what an instance spends
+        // on a new connection.
+        Millis tenantTurn = Millis(40);
     };
 
     // Returns the host that is the gateway to an instance; empty if none can be used now.
@@ -271,6 +275,7 @@
         std::string instance;
         std::string tenant;
         State state = State::Opening;
+        Millis openedAt;
         ConnectionSessionState sessionState;
         WorkId owner = 0;
         Millis since; // When it entered its state.
@@ -317,6 +322,13 @@
         std::string instance;
     };
 
+    // A connection to open.
+    struct Opening
+    {
+        std::string tenant;
+        std::optional<ConnectionId> replaced; // Closed before, to make room.
+    };
+
     static RelayBatch makeBatch(Millis now, ConnectionId id, const Connection &connection,
                                 std::vector<RelayedStatement> statements);
     static bool takesNewWork(Millis now, const Instance &instance);
@@ -333,8 +345,15 @@
                                              const TargetWork &work) const;
     bool hasIdleOf(const Instance &instance, const std::string &tenant) const;
     std::size_t openingFor(const Instance &instance, const std::string &tenant) const;
-    std::optional<std::string> tenantToOpenFor(const Instance &instance) const;
-    std::optional<ConnectionId> longestIdle(const Instance &instance) const;
+    bool hasConnectionOf(const Instance &instance, const std::string &tenant) const;
+    std::size_t obtainableFor(Millis now, const Instance &instance,
+                              const std::string &tenant) const;
+    static std::size_t roomIn(const Instance &instance);
+    bool makesRoom(Millis now, const Instance &instance, const Connection &connection,
+                   const std::string &tenant) const;
+    std::optional<Opening> nextOpening(Millis now, const Instance &instance) const;
+    std::optional<ConnectionId> longestIdle(Millis now, const Instance &instance,
+                                            const std::string &tenant) const;
     Millis idleLimit(const Connection &connection) const;
     void openIfNeeded(Millis now, Instance *instance);
     void open(Millis now, Instance *instance, const std::string &tenant);
--- a/src/session/workqueue.cpp
+++ b/src/session/workqueue.cpp
@@ -87,6 +87,19 @@
     return std::nullopt;
 }
 
+void WorkQueue::remove(std::uint64_t id, int priority, const std::string &tenant)
+{
+    Level &level = levelOf(priority);
+    const auto turn = std::find_if(level.turns.begin(), level.turns.end(),
+                                   [&](const TenantWork &work) { return work.tenant == tenant; });
+    if (turn == level.turns.end())
+        return;
+    level.size
+        -= std::erase_if(turn->entries, [id](const QueuedEntry &entry) { return entry.id == id; });
+    if (turn->entries.empty())
+        level.turns.erase(turn);
+}
+
 std::vector<QueuedEntry> WorkQueue::takeDisplaced()
 {
     return std::exchange(m_displaced, {});
@@ -138,6 +151,14 @@
     return ahead;
 }
 
+bool WorkQueue::hasWorkOf(const std::string &tenant) const
+{
+    return std::any_of(m_levels.begin(), m_levels.end(), [&](const Level &level) {
+        return std::any_of(level.turns.begin(), level.turns.end(),
+                           [&](const TenantWork &work) { return work.tenant == tenant; });
+    });
+}
+
 std::size_t WorkQueue::size() const
 {
     std::size_t total = 0;
--- a/src/session/workqueue.h
+++ b/src/session/workqueue.h
@@ -65,6 +65,8 @@
     // Removes and returns the next entry whose tenant may start. `mayStart` is asked in the order
     // in which the tenants' turns come, at most once for each priority and tenant.
     std::optional<QueuedEntry> pop(const MayStart &mayStart);
+    // Removes an entry that was pushed with this priority and tenant, if it is still queued.
+    void remove(std::uint64_t id, int priority, const std::string &tenant);
     // Removes and returns the entries that gave way to those of other tenants in a full queue.
     std::vector<QueuedEntry> takeDisplaced();
     // Removes and returns the entries whose deadline has passed.
@@ -74,6 +76,8 @@
     // How many entries would be served before a new one.
     std::size_t entriesAhead(int priority, const std::string &tenant) const;
     std::size_t size() const;
+    // Whether the tenant has entries, of any priority.
+    bool hasWorkOf(const std::string &tenant) const;
 
 private:
     struct TenantWork
