--- a/src/session/tst_tenants.cpp
+++ b/src/session/tst_tenants.cpp
@@ -368,7 +368,8 @@
     void onTargetConnectionFailed(Millis, const std::string &) override { }
     void onNamePrepared(const NewPreparedName &) override { }
 
-    TargetPool pool{{}, this, this, [](Millis, const std::string &) { return ""; }};
+    TargetPool pool{
+        {}, this, this, [](Millis, const std::string &, const std::string &) { return ""; }};
     std::map<ConnectionId, std::string> tenants;
     std::map<std::string, int> served;
     std::map<std::string, int> refused;
