--- /dev/null
+++ b/src/session/tenantquota.h
@@ -0,0 +1,139 @@
+// The quotas of tenants on one host: admits or refuses their operations, and asks the owners of the
+// tenants for what its own share does not cover. See docs/design/tenant-quotas.md.
+//
+// Expected load: some 70 tenants, most of them far below their limits, with callers that are spread
+// unevenly over 60 to 120 hosts.
+//
+//     TenantQuota quota({.host = "host-1", .start = 17});
+//     quota.setLimits(now, limits);
+//     quota.setHosts(now, hosts, quotaOwners(hosts));
+//     Admission admission = quota.admit(now, "t1", std::nullopt);
+//     for (const OutgoingQuotaRequest &due : quota.takeRequests(now))
+//         send(due); // quota.onReply() follows.
+#pragma once
+
+#include "session/quotashares.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadagap {
+
+// The result of TenantQuota::admit().
+struct Admission
+{
+    enum class Outcome {
+        Admitted,
+        Waiting, // For a grant. The operation is to be admitted again, soon.
+        Refused,
+    };
+
+    Outcome outcome = Outcome::Admitted;
+    Millis comeBackAfter; // If refused: when it makes sense to try again.
+};
+
+struct OutgoingQuotaRequest
+{
+    std::string owner;
+    QuotaRequest request;
+};
+
+// A tenant's operations were first refused, or are admitted again.
+struct QuotaChange
+{
+    std::string tenant;
+    bool refusing = false;
+    double ownLevel = 0;         // Operations in this host's own share.
+    std::uint32_t held = 0;      // Granted and not used.
+    std::size_t hosts = 0;       // That share the limits.
+    Millis grantAge;             // Since the owner's last answer.
+    std::uint32_t refused = 0;   // Since the last change.
+    std::int64_t perSecond = 0;  // The limit.
+};
+
+// Performs no I/O and reads no clock. Not thread-safe. Instants are of a clock that also counts the
+// time of a suspension.
+class TenantQuota
+{
+public:
+    struct Options
+    {
+        std::string host;        // This host.
+        std::uint64_t start = 0; // Grows with each process of the host.
+        Millis patience = Millis(400); // An operation waits so long for a grant.
+        // After an operation waited in vain, others are refused at once for this long.
+        Millis refusalTime = Millis(300);
+        Millis askInterval = Millis(250);       // Between two requests to an owner,
+        Millis urgentAskInterval = Millis(100); // if operations wait.
+        Millis replyTimeout = Millis(400); // Then the request counts as lost.
+        // The own share is one of N, the greatest number of hosts in this time.
+        Millis hostMemory = Millis(15'000);
+        // Only hosts that were listed for this long use an own share: then others count them.
+        Millis listedTime = Millis(10'000);
+    };
+
+    explicit TenantQuota(Options options);
+
+    // The limits in force. Tenants without limits are left out.
+    void setLimits(Millis now, const std::map<std::string, TenantLimits> &limits);
+    // A list of hosts is known. Has to be called again from time to time.
+    void setHosts(Millis now, const std::vector<std::string> &hosts, const QuotaOwners &owners);
+
+    bool hasLimits(const std::string &tenant) const { return m_tenants.contains(tenant); }
+    // Asks to run an operation of the tenant, which has waited since `waitingSince` if it was not
+    // admitted at once. Tenants without limits are always admitted.
+    Admission admit(Millis now, const std::string &tenant, std::optional<Millis> waitingSince);
+    // The requests to send now, at most one to each owner. To be called after the waiting
+    // operations were admitted again.
+    std::vector<OutgoingQuotaRequest> takeRequests(Millis now);
+    void onReply(Millis now, const std::string &owner, std::uint64_t number,
+                 const QuotaReply &reply);
+    // Returns and forgets the changes since the last call.
+    std::vector<QuotaChange> takeChanges(Millis now);
+
+private:
+    struct TenantState
+    {
+        TenantLimits limits;
+        QuotaBucket own;
+        std::uint32_t held = 0;
+        Millis heldUntil;
+        std::uint32_t reported = 0;  // Of what it held, in the newest request.
+        std::uint32_t uncovered = 0; // Operations beyond the own share since the last request.
+        std::uint32_t waiting = 0;   // That were admitted again since the last call.
+        double demand = 0;           // Uncovered operations in an interval, smoothed.
+        Millis countedAt;            // When `uncovered` was last taken into `demand`.
+        Millis answeredAt;           // By the owner.
+        Millis refuseUntil;
+        std::uint32_t refused = 0;
+        Millis refusedAt;
+        bool refusing = false;
+    };
+
+    struct OwnerState
+    {
+        std::uint64_t number = 0; // Of the request without a reply; 0 if there is none.
+        Millis sentAt;
+    };
+
+    std::size_t sharingHosts(Millis now) const;
+    void growOwn(Millis now, TenantState *state) const;
+    Admission refuse(Millis now, const std::string &tenant, TenantState *state, Millis comeBack);
+    bool isDue(Millis now, const std::string &owner, bool urgent) const;
+    QuotaChange change(Millis now, const std::string &tenant, const TenantState &state) const;
+
+    Options m_options;
+    std::map<std::string, TenantState> m_tenants;
+    QuotaOwners m_owners;
+    std::optional<Millis> m_listedSince;
+    std::deque<std::pair<Millis, std::size_t>> m_hostCounts; // Greatest first, by time.
+    std::map<std::string, OwnerState> m_ownerStates;
+    std::uint64_t m_lastNumber = 0;
+    std::vector<QuotaChange> m_changes;
+};
+
+} // namespace cicadagap
