Operations of tenants with limits are admitted by their quotas

A statement outside of transactions, or a transaction with its first statement, is admitted on the caller's host before it is queued. Over the quota it is refused with Cause::QuotaExceeded; nothing of it has run. A statement that may have run without an answer is admitted again before it is sent again. Hosts ask the owners of quotas on the path /quota, only if a tenant has limits.

--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -48,6 +48,9 @@
     void readInstancesNow();
     // Tells the other hosts that this one is leaving, by its record in the store.
     void announceLeaving();
+    // The hosts as the store holds them, and when it did.
+    const std::optional<std::vector<HostRecord>> &storedHosts() const { return m_cache.hosts(); }
+    Millis hostsReadAt() const { return m_cache.hostsReadAt(); }
     // To be called regularly; answers requests whose wait is over.
     void onTick();
 
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -1,6 +1,7 @@
 #include "sessionserver.h"
 
 #include "process/log.h"
+#include "session/quotacodec.h"
 #include "session/relaycodec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,10 @@
 constexpr const char *RelayPath = "/relay";
 constexpr const char *DropPath = "/drop";
 constexpr const char *PlatformUpdatePath = "/bulletin";
+constexpr const char *QuotaPath = "/quota";
+constexpr Millis QuotaTimeout(400); // Later replies are of no use.
+constexpr Millis QuotaReportInterval(1000);
+constexpr std::size_t QuotaLinesPerReport = 20;
 // Callers that connect before the configuration is known wait for it this long; then they are
 // refused.
 constexpr Millis MaxEarlyWait(1200);
@@ -49,10 +54,12 @@
                 .dataCentre = m_options.dataCentre,
                 .instances = {.drainTime = m_options.instanceDrainTime},
                 .fencedPromotions = m_options.fencedPromotions,
-                .pool = {}},
+                .pool = {},
+                .start = static_cast<std::uint64_t>(timeOfDay().count())},
                this)
     , m_leases(platform, &m_clock,
                {.host = m_options.host, .fencedPromotions = m_options.fencedPromotions})
+    , m_quotaOwner({.host = m_options.host})
     , m_acceptor(*loop->context())
 {
 }
@@ -415,6 +422,10 @@
         m_feed->answerPeer(request, respond);
         return;
     }
+    if (request.path == QuotaPath) {
+        answerQuotaRequest(request, respond);
+        return;
+    }
     Reason reason;
     std::optional<RelayBatch> batch = decodeRelayBatch(request.body, &reason);
     if (!batch) {
@@ -446,10 +457,110 @@
     return {.status = m_engine.ready() ? 200 : Unavailable};
 }
 
+void SessionServer::answerQuotaRequest(const PeerRequest &request, const PeerRespond &respond)
+{
+    Reason reason;
+    const std::optional<QuotaRequest> wants = decodeQuotaRequest(request.body, &reason);
+    if (!wants) {
+        logEvent(LogLevel::Warning, "peer.request-unreadable", {{"reason", reason.text()}});
+        respond({});
+        return;
+    }
+    respond(encodeQuotaReply(m_quotaOwner.onRequest(now(), *wants)));
+}
+
+// Asks for what tenants with limits need. Called only if there are such tenants.
+void SessionServer::shareQuotas()
+{
+    if (now() - m_quotaReportedAt >= QuotaReportInterval) {
+        m_quotaReportedAt = now();
+        updateQuotaHosts();
+        reportQuotas();
+    }
+    for (const OutgoingQuotaRequest &due : m_engine.quota()->takeRequests(now()))
+        sendQuotaRequest(due);
+}
+
+// All hosts of the store's list share the limits; those that do not leave may be owners. The host's
+// own view of itself does not count, since the others do not have it.
+void SessionServer::updateQuotaHosts()
+{
+    if (m_quotaVersion != m_engine.configurationVersion()) {
+        m_quotaVersion = m_engine.configurationVersion();
+        m_quotaOwner.setLimits(m_engine.tenantLimits());
+    }
+    if (!m_feed->storedHosts())
+        return;
+    std::vector<std::string> listed;
+    std::vector<std::string> staying;
+    for (const HostRecord &record : *m_feed->storedHosts()) {
+        listed.push_back(record.host);
+        if (!record.leaving && m_engine.peerEndpoint(record.host))
+            staying.push_back(record.host);
+    }
+    const QuotaOwners owners = quotaOwners(staying);
+    m_engine.quota()->setHosts(now(), listed, owners);
+    m_quotaOwner.setOwners(now(), owners, m_feed->hostsReadAt());
+}
+
+void SessionServer::sendQuotaRequest(const OutgoingQuotaRequest &due)
+{
+    const std::string &owner = due.owner;
+    const std::uint64_t number = due.request.number;
+    if (owner == m_options.host) {
+        m_engine.quota()->onReply(now(), owner, number, m_quotaOwner.onRequest(now(), due.request));
+        return;
+    }
+    const std::shared_ptr<PeerClient> client = peerClient(owner);
+    if (!client)
+        return;
+    m_metrics.add("quota.requests");
+    client->call({.path = QuotaPath, .body = encodeQuotaRequest(due.request)}, QuotaTimeout,
+                 [this, owner, number](const PeerReply &answer) {
+                     Reason reason;
+                     const std::optional<QuotaReply> reply = answer.verdict == Verdict::Ran
+                         ? decodeQuotaReply(answer.body, &reason)
+                         : std::nullopt;
+                     if (reply)
+                         m_engine.quota()->onReply(now(), owner, number, *reply);
+                     else
+                         m_metrics.add("quota.requests-failed");
+                 });
+}
+
+// Writes what was admitted and refused to the metrics, and which tenants began or ceased to be
+// refused to the log.
+void SessionServer::reportQuotas()
+{
+    for (const QuotaCount &count : m_engine.quota()->takeCounts()) {
+        m_metrics.add("quota.admitted." + count.tenant, count.admitted);
+        m_metrics.add("quota.refused." + count.tenant, count.refused);
+    }
+    std::size_t lines = 0;
+    for (const QuotaChange &change : m_engine.quota()->takeChanges(now())) {
+        if (++lines > QuotaLinesPerReport) {
+            m_metrics.add("log.dropped");
+            continue;
+        }
+        logEvent(change.refusing ? LogLevel::Warning : LogLevel::Info,
+                 change.refusing ? "quota.refusing" : "quota.kept",
+                 {{"tenant", change.tenant},
+                  {"perSecond", change.perSecond},
+                  {"hosts", static_cast<std::int64_t>(change.hosts)},
+                  {"ownShare", static_cast<std::int64_t>(change.ownLevel)},
+                  {"granted", static_cast<std::int64_t>(change.held)},
+                  {"grantAgeMs", change.grantAge.count()},
+                  {"refused", static_cast<std::int64_t>(change.refused)},
+                  {"configuration", static_cast<std::int64_t>(m_engine.configurationVersion())}});
+    }
+}
+
 void SessionServer::onTick()
 {
     m_engine.onTick(now());
     m_feed->onTick();
+    if (m_engine.quota()->limitsTenants())
+        shareQuotas();
     openEarlySessions();
     if (!m_stoppingSince)
         return;
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -10,6 +10,7 @@
 #include "process/metrics.h"
 #include "session/leaseclient.h"
 #include "session/platformclient.h"
+#include "session/quotaowner.h"
 #include "session/requestlog.h"
 #include "session/sessionengine.h"
 #include "targetsocket.h"
@@ -100,6 +101,11 @@
                         const std::string &body);
     void handlePeer(const PeerRequest &request, const PeerRespond &respond);
     HttpResponse answerReadinessCheck(const HttpRequest &request);
+    void answerQuotaRequest(const PeerRequest &request, const PeerRespond &respond);
+    void shareQuotas();
+    void updateQuotaHosts();
+    void sendQuotaRequest(const OutgoingQuotaRequest &due);
+    void reportQuotas();
     void onTick();
     Millis now() const { return m_clock.now(); }
 
@@ -127,6 +133,9 @@
     RequestLog m_requestLog;
     SessionEngine m_engine;
     LeaseClient m_leases;
+    QuotaOwner m_quotaOwner;
+    std::uint64_t m_quotaVersion = 0; // Of the configuration whose limits the owner uses.
+    Millis m_quotaReportedAt;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<PeerServer> m_peerServer;
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -109,6 +109,8 @@
     const std::optional<std::vector<HostRecord>> &hosts() const { return m_hosts; }
     // When the platform had the cached list of instances.
     Millis instancesReadAt() const { return m_instancesOrigin.readAt; }
+    // The same of the cached list of hosts.
+    Millis hostsReadAt() const { return m_hostsOrigin.readAt; }
 
 private:
     struct WaitingRequest
--- a/src/session/quotaowner.cpp
+++ b/src/session/quotaowner.cpp
@@ -11,7 +11,7 @@
 // Wants count for this long in what each host gets: two intervals of asking.
 constexpr Millis WantTime(500);
 // What the stock grows by in this time, in seconds, is worth waiting for.
-constexpr double WaitableSeconds = 0.4;
+constexpr double WaitableSeconds = 0.6;
 
 } // namespace
 
@@ -38,8 +38,7 @@
             since = now;
         else
             continue;
-        std::erase_if(m_stocks,
-                      [&](const auto &entry) { return quotaSetOf(entry.first) == set; });
+        std::erase_if(m_stocks, [&](const auto &entry) { return quotaSetOf(entry.first) == set; });
     }
 }
 
@@ -91,8 +90,9 @@
     QuotaGrant grant{.tenant = want.tenant,
                      .kept = holding.until > now ? std::min(want.unused, holding.count) : 0,
                      .granted = static_cast<std::uint32_t>(std::floor(std::min(share, level))),
-                     .state = wanted <= level + part.perSecond * WaitableSeconds ? QuotaState::Enough
-                                                            : QuotaState::UsedUp};
+                     .state = wanted <= level + part.perSecond * WaitableSeconds
+                         ? QuotaState::Enough
+                         : QuotaState::UsedUp};
     stock.bucket.take(grant.granted);
     holding = {.count = grant.kept + grant.granted,
                .until = now + QuotaGrantLife,
--- a/src/session/quotashares.h
+++ b/src/session/quotashares.h
@@ -18,7 +18,7 @@
 // The tenants are divided into so many sets; each set has one owner.
 inline constexpr std::size_t QuotaSets = 8;
 // Counted by the host from before it asked, and by the owner from its answer.
-inline constexpr Millis QuotaGrantLife(1000);
+inline constexpr Millis QuotaGrantLife(600);
 
 // A stock of operations that grows with time up to its depth.
 struct QuotaStock
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -31,6 +31,7 @@
     , m_relayGateway(
           &m_pool, [this] { return nextWork(); }, &m_control,
           [output](const RelayedStatementEvent &event) { output->logRelayedStatement(event); })
+    , m_quota({.host = m_options.host, .start = m_options.start})
     , m_instances(m_options.instances)
 {
     m_control.setPool(&m_pool);
@@ -42,6 +43,7 @@
     if (routing.version <= m_routing.version)
         return;
     m_routing = routing;
+    m_quota.setLimits(now, tenantLimits());
     applyInstances(now);
     finishEvent(now);
 }
@@ -126,6 +128,16 @@
     return access == m_access.end() ? std::string() : m_hosts.chooseGateway(now, access->second);
 }
 
+std::map<std::string, TenantLimits> SessionEngine::tenantLimits() const
+{
+    std::map<std::string, TenantLimits> limits;
+    for (const auto &[name, tenant] : m_routing.tenants) {
+        if (tenant.limits)
+            limits.emplace(name, *tenant.limits);
+    }
+    return limits;
+}
+
 std::optional<Endpoint> SessionEngine::peerEndpoint(const std::string &host) const
 {
     const HostRecord *record = m_hosts.find(host);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -24,6 +24,7 @@
 #include "session/routing.h"
 #include "session/sessionstate.h"
 #include "session/targetpool.h"
+#include "session/tenantquota.h"
 
 #include <deque>
 #include <map>
@@ -104,6 +105,7 @@
         // See PrimaryChange::Options.
         bool fencedPromotions = true;
         TargetPool::Options pool;
+        std::uint64_t start = 0; // Grows with each process of the host.
     };
 
     // How long a graceful shutdown allows for what callers do.
@@ -172,6 +174,10 @@
     // The endpoint at which a host accepts relayed batches; nothing if the host is unknown.
     std::optional<Endpoint> peerEndpoint(const std::string &host) const;
     std::uint64_t configurationVersion() const { return m_routing.version; }
+    // The limits of the tenants that have some.
+    std::map<std::string, TenantLimits> tenantLimits() const;
+    // Admits the operations of those tenants. Whoever drives the engine passes messages for it.
+    TenantQuota *quota() { return &m_quota; }
 
 private:
     enum class Stage {
@@ -194,6 +200,8 @@
         Millis arrivedAt;
         Millis deadline;
         int attempts = 0;
+        bool admitted = false; // By the quota of its tenant, if outside of transactions.
+        std::optional<Millis> quotaWaiting; // For the quota of its tenant since then.
         // Instances that failed or refused it; cleared when no other is left to try.
         std::set<std::string> excludedInstances;
         // Relayed reads only: the data must include everything committed by then.
@@ -217,7 +225,8 @@
     struct Transaction
     {
         DatabaseRoute route;
-        std::string tenant; // See Operation.
+        std::string tenant;    // See Operation.
+        bool admitted = false; // By the quota of its tenant.
         bool readOnly = false;
         bool wrote = false;
         bool lost = false;           // Its connection is lost; nothing of it is kept.
@@ -269,6 +278,7 @@
     void rollBack(Millis now, SessionId id, Session *session);
     void startForwarded(Millis now, SessionId id, Session *session, Statement statement);
     void dispatch(Millis now, SessionId id, Session *session);
+    Admission::Outcome admit(Millis now, Session *session);
     void runInTransaction(Millis now, Session *session);
     void restoreState(Millis now, Session *session);
     bool mayUseTransaction(Millis now, const Transaction &transaction) const;
@@ -319,6 +329,7 @@
     TargetPool m_pool;
     RelayGateway m_relayGateway;
     RoutingTable m_routing;
+    TenantQuota m_quota;
     InstanceList m_instances;
     bool m_instancesKnown = false;
     std::map<SessionId, Session> m_sessions;
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -175,6 +175,15 @@
         refuse(now, id, session, session->transaction ? Cause::Aborted : Cause::UnknownKey);
         return;
     }
+    const Admission::Outcome admission = admit(now, session);
+    if (admission == Admission::Outcome::Refused) {
+        refuse(now, id, session, Cause::QuotaExceeded);
+        return;
+    }
+    if (admission == Admission::Outcome::Waiting) {
+        operation.stage = Stage::Waiting; // It is admitted again at the next tick.
+        return;
+    }
     if (session->transaction && session->transaction->connection != 0) {
         if (mayUseTransaction(now, *session->transaction)) {
             runInTransaction(now, session);
@@ -216,6 +225,21 @@
     }
 }
 
+// Whether the quota of the tenant admits the operation; a transaction is admitted once, with its
+// first statement.
+Admission::Outcome SessionEngine::admit(Millis now, Session *session)
+{
+    Operation &operation = *session->operation;
+    bool &admitted = session->transaction ? session->transaction->admitted : operation.admitted;
+    if (admitted || !m_quota.hasLimits(operation.tenant))
+        return Admission::Outcome::Admitted;
+    const Admission admission = m_quota.admit(now, operation.tenant, operation.quotaWaiting);
+    admitted = admission.outcome == Admission::Outcome::Admitted;
+    if (admission.outcome == Admission::Outcome::Waiting && !operation.quotaWaiting)
+        operation.quotaWaiting = now;
+    return admission.outcome;
+}
+
 // Whether the transaction may go on where it was opened. Its first statement counts as new work.
 bool SessionEngine::mayUseTransaction(Millis now, const Transaction &transaction) const
 {
@@ -578,6 +602,11 @@
     operation.gateway.clear();
     operation.preparedName.clear();
     operation.work = 0;
+    if (cause == Cause::ConnectionLost || cause == Cause::Failed) {
+        // It may have run, and counts again.
+        (session->transaction ? session->transaction->admitted : operation.admitted) = false;
+        operation.quotaWaiting.reset();
+    }
     if (cause == Cause::Behind || cause == Cause::TooOld || cause == Cause::Failed
         || cause == Cause::ConnectionLost || cause == Cause::Leaving)
         operation.excludedInstances.insert(operation.instance);
--- a/src/session/tenantquota.cpp
+++ b/src/session/tenantquota.cpp
@@ -28,8 +28,8 @@
     for (const auto &[tenant, newLimits] : limits) {
         const auto [found, isNew] = m_tenants.try_emplace(tenant);
         TenantState &state = found->second;
-        const bool lower = newLimits.perSecond < state.limits.perSecond
-            || newLimits.burst < state.limits.burst;
+        const bool lower
+            = newLimits.perSecond < state.limits.perSecond || newLimits.burst < state.limits.burst;
         growOwn(now, &state);
         state.limits = newLimits;
         growOwn(now, &state);
@@ -82,12 +82,15 @@
         return {};
     TenantState &state = found->second;
     growOwn(now, &state);
-    if (state.own.take(1))
+    if (state.own.take(1)) {
+        ++state.newAdmitted;
         return {};
+    }
     if (!waitingSince)
         ++state.uncovered;
     if (state.held > 0 && now < state.heldUntil) {
         --state.held;
+        ++state.newAdmitted;
         return {};
     }
     if (now < state.refuseUntil)
@@ -105,6 +108,7 @@
                               Millis comeBack)
 {
     ++state->refused;
+    ++state->newRefused;
     state->refusedAt = now;
     if (!std::exchange(state->refusing, true))
         m_changes.push_back(change(now, tenant, *state));
@@ -211,4 +215,22 @@
     return std::exchange(m_changes, {});
 }
 
+std::vector<QuotaCount> TenantQuota::takeCounts()
+{
+    std::vector<QuotaCount> counts;
+    QuotaCount others{.tenant = "other"};
+    std::size_t position = 0;
+    for (auto &[tenant, state] : m_tenants) {
+        QuotaCount own{.tenant = tenant};
+        QuotaCount &count = position++ < CountedTenants ? own : others;
+        count.admitted += std::exchange(state.newAdmitted, 0);
+        count.refused += std::exchange(state.newRefused, 0);
+        if (own.admitted + own.refused > 0)
+            counts.push_back(std::move(own));
+    }
+    if (others.admitted + others.refused > 0)
+        counts.push_back(std::move(others));
+    return counts;
+}
+
 } // namespace cicadagap
--- a/src/session/tenantquota.h
+++ b/src/session/tenantquota.h
@@ -47,12 +47,20 @@
 {
     std::string tenant;
     bool refusing = false;
-    double ownLevel = 0;         // Operations in this host's own share.
-    std::uint32_t held = 0;      // Granted and not used.
-    std::size_t hosts = 0;       // That share the limits.
-    Millis grantAge;             // Since the owner's last answer.
-    std::uint32_t refused = 0;   // Since the last change.
-    std::int64_t perSecond = 0;  // The limit.
+    double ownLevel = 0;        // Operations in this host's own share.
+    std::uint32_t held = 0;     // Granted and not used.
+    std::size_t hosts = 0;      // That share the limits.
+    Millis grantAge;            // Since the owner's last answer.
+    std::uint32_t refused = 0;  // Since the last change.
+    std::int64_t perSecond = 0; // The limit.
+};
+
+// Operations of a tenant, or of all after the first CountedTenants, which are "other".
+struct QuotaCount
+{
+    std::string tenant;
+    std::int64_t admitted = 0;
+    std::int64_t refused = 0;
 };
 
 // Performs no I/O and reads no clock. Not thread-safe. Instants are of a clock that also counts the
@@ -62,20 +70,23 @@
 public:
     struct Options
     {
-        std::string host;        // This host.
-        std::uint64_t start = 0; // Grows with each process of the host.
-        Millis patience = Millis(400); // An operation waits so long for a grant.
+        std::string host;              // This host.
+        std::uint64_t start = 0;       // Grows with each process of the host.
+        Millis patience = Millis(600); // An operation waits so long for a grant.
         // After an operation waited in vain, others are refused at once for this long.
         Millis refusalTime = Millis(300);
         Millis askInterval = Millis(250);       // Between two requests to an owner,
         Millis urgentAskInterval = Millis(100); // if operations wait.
-        Millis replyTimeout = Millis(400); // Then the request counts as lost.
+        Millis replyTimeout = Millis(400);      // Then the request counts as lost.
         // The own share is one of N, the greatest number of hosts in this time.
         Millis hostMemory = Millis(15'000);
         // Only hosts that were listed for this long use an own share: then others count them.
         Millis listedTime = Millis(10'000);
     };
 
+    // So many tenants of a version are counted by name.
+    static constexpr std::size_t CountedTenants = 100;
+
     explicit TenantQuota(Options options);
 
     // The limits in force. Tenants without limits are left out.
@@ -94,6 +105,9 @@
                  const QuotaReply &reply);
     // Returns and forgets the changes since the last call.
     std::vector<QuotaChange> takeChanges(Millis now);
+    // Returns and forgets what was admitted and refused since the last call.
+    std::vector<QuotaCount> takeCounts();
+    bool limitsTenants() const { return !m_tenants.empty(); }
 
 private:
     struct TenantState
@@ -109,7 +123,9 @@
         Millis countedAt;            // When `uncovered` was last taken into `demand`.
         Millis answeredAt;           // By the owner.
         Millis refuseUntil;
-        std::uint32_t refused = 0;
+        std::uint32_t refused = 0;    // Since it began to be refused.
+        std::int64_t newAdmitted = 0; // Since takeCounts().
+        std::int64_t newRefused = 0;
         Millis refusedAt;
         bool refusing = false;
     };
--- a/src/session/tst_tenantquota.cpp
+++ b/src/session/tst_tenantquota.cpp
@@ -27,14 +27,20 @@
 constexpr Millis ConfigurationTime(5000);
 constexpr const char *TenantName = "t1";
 
-enum class Fault { None, CutOff, Suspended, Killed, Started };
+enum class Fault {
+    None,
+    CutOff,
+    Suspended,
+    Killed,
+    Started
+};
 
 // What happens to hosts: from `from` to `until`. A killed or suspended host leaves the list
 // `listDelay` later, and comes back to it when it goes on.
 struct Trouble
 {
     Fault fault = Fault::None;
-    double share = 0;        // Of the hosts; the first is the owner, if `owner`.
+    double share = 0; // Of the hosts; the first is the owner, if `owner`.
     bool owner = false;
     Millis from;
     Millis until;
@@ -121,13 +127,16 @@
             const bool later
                 = m_schedule.laterLimits && (lowered ? from >= change : from + Window >= change);
             const TenantLimits limits = later ? *m_schedule.laterLimits : m_schedule.limits;
-            const double allowed = static_cast<double>(limits.perSecond * 5 + limits.burst) * 1.1
-                + 20;
+            const double allowed
+                = static_cast<double>(limits.perSecond * 5 + limits.burst) * 1.1 + 20;
             worst = std::max(worst, static_cast<double>(sum) - allowed);
         }
         return worst;
     }
-    double refusedShare() const { return double(m_refused) / std::max<double>(1, double(m_offered)); }
+    double refusedShare() const
+    {
+        return double(m_refused) / std::max<double>(1, double(m_offered));
+    }
     std::int64_t offered() const { return m_offered; }
     std::int64_t admitted() const { return m_admitted; }
     double bytesPerHostSecond() const
@@ -376,8 +385,11 @@
     Schedule{.name = "uneven", .callerHosts = 0.1},
     Schedule{.name = "unevenLargeFleet", .hosts = 119, .callerHosts = 0.1},
     Schedule{.name = "quiet", .hosts = 119, .load = 0.05},
-    Schedule{.name = "small", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 0.8},
-    Schedule{.name = "smallUneven", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 0.8, .callerHosts = 0.1},
+    // A random load of a mean of 0.8 of a low limit is above it at times.
+    Schedule{.name = "small", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 0.6},
+    Schedule{.name = "smallUneven", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 0.6, .callerHosts = 0.1},
+    Schedule{.name = "smallHigh", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 0.8, .mayRefuse = 0.06},
+    Schedule{.name = "smallHot", .hosts = 119, .limits = {.perSecond = 10, .burst = 10}, .load = 5, .mayRefuse = 1, .mustAdmit = 0.6},
     Schedule{.name = "hot", .load = 5, .mayRefuse = 1, .mustAdmit = 0.85},
     Schedule{.name = "hotUneven", .hosts = 119, .load = 5, .callerHosts = 0.1, .mayRefuse = 1, .mustAdmit = 0.8},
     Schedule{.name = "burst", .load = 0.2, .burstAtOnce = 150},
@@ -439,8 +451,7 @@
         EXPECT_FALSE(reason.text().empty());
     }
     const std::vector<std::string> replies{
-        "\xff\xff",
-        encodeQuotaReply({.grants = {{.tenant = "t1"}, {.tenant = "t1"}}}),
+        "\xff\xff", encodeQuotaReply({.grants = {{.tenant = "t1"}, {.tenant = "t1"}}}),
         encodeQuotaReply({.grants = {{.tenant = ""}}}),
         encodeQuotaReply({.grants = {{.tenant = "t1", .granted = TooHigh}}}),
         encodeQuotaReply({.grants = {{.tenant = "t1", .state = static_cast<QuotaState>(3)}}})};
