Judge transfers by their progress

Cause: a call to the store had 900 ms in all. A version of the configuration that takes longer on a host's link was given up halfway and begun anew, by every host of the data centre, and filled the links with what was dropped.

Ruled out: a longer time for the whole call. One that suits the largest version keeps a dead connection for as long.

Change: TransferProgress judges what arrives: the time without a byte, the bytes of each window of time, and a limit on memory. The store's client reads its tables under these limits, and PeerClient offers them for long answers. Leases, registrations and promotions keep one time for the whole call.

Measured: ReadsAConfigurationThatOutgrowsTheLink fails after 905 ms with the store's client as it was, and passes now.

--- a/src/connection/http.cpp
+++ b/src/connection/http.cpp
@@ -413,7 +413,7 @@
             });
     }
 
-    void call(const HttpRequest &request, Millis timeout, CallDone done) override
+    void callWithin(const HttpRequest &request, CallLimits limits, CallDone done) override
     {
         const std::string problem = requestProblem(request);
         if (!problem.empty()) {
@@ -433,8 +433,9 @@
         message->prepare_payload();
         // Posted, so that `done` never runs inside this function.
         asio::post(m_stream.get_executor(),
-                   [self = shared_from_this(), message, timeout, done = std::move(done)]() mutable {
-                       self->write(message, timeout, std::move(done));
+                   [self = shared_from_this(), message, limits = std::move(limits),
+                    done = std::move(done)]() mutable {
+                       self->write(message, std::move(limits), std::move(done));
                    });
     }
 
@@ -448,6 +449,23 @@
 
 private:
     using Message = std::shared_ptr<http::request<http::string_body>>;
+    using Parser = http::response_parser<http::string_body>;
+
+    // A response that is received piece by piece.
+    struct Transfer
+    {
+        Transfer(CallLimits callLimits, Millis startedAt, CallDone callDone)
+            : limits(std::move(callLimits))
+            , progress(*limits.transfer, startedAt, limits.timeout)
+            , done(std::move(callDone))
+        {
+        }
+
+        CallLimits limits;
+        TransferProgress progress;
+        Parser parser;
+        CallDone done;
+    };
 
     // Reports that nothing was sent. Posted, so that `done` never runs inside call().
     void refuse(const std::string &problem, CallDone done)
@@ -460,26 +478,61 @@
                    });
     }
 
-    void write(const Message &message, Millis timeout, CallDone done)
+    void write(const Message &message, CallLimits limits, CallDone done)
     {
         if (!m_stream.socket().is_open()) {
             done(std::nullopt, {.sent = false, .text = "the connection is closed"});
             return;
         }
-        m_stream.expires_after(std::chrono::milliseconds(timeout.count()));
-        http::async_write(m_stream, *message,
-                          [self = shared_from_this(), message,
-                           done = std::move(done)](const error_code &error, std::size_t) mutable {
-                              if (error)
-                                  self->fail(error, done);
-                              else
-                                  self->read(std::move(done));
-                          });
+        const Millis startedAt = m_clock.now();
+        m_stream.expires_after(std::chrono::milliseconds(limits.timeout.count()));
+        http::async_write(
+            m_stream, *message,
+            [self = shared_from_this(), message, limits = std::move(limits), startedAt,
+             done = std::move(done)](const error_code &error, std::size_t) mutable {
+                if (error)
+                    self->fail(error, done);
+                else if (limits.transfer)
+                    self->startTransfer(std::move(limits), startedAt, std::move(done));
+                else
+                    self->read(std::move(done));
+            });
+    }
+
+    void startTransfer(CallLimits limits, Millis startedAt, CallDone done)
+    {
+        auto transfer = std::make_shared<Transfer>(std::move(limits), startedAt, std::move(done));
+        transfer->parser.body_limit(transfer->limits.transfer->maxBytes);
+        transfer->parser.eager(true);
+        readSome(transfer);
+    }
+
+    void readSome(const std::shared_ptr<Transfer> &transfer)
+    {
+        const Millis left = std::max(Millis(1), transfer->progress.deadline() - m_clock.now());
+        m_stream.expires_after(std::chrono::milliseconds(left.count()));
+        http::async_read_some(
+            m_stream, m_buffer, transfer->parser,
+            [self = shared_from_this(), transfer](const error_code &error, std::size_t count) {
+                if (error) {
+                    self->fail(error, transfer->done);
+                    return;
+                }
+                transfer->progress.onBytes(self->m_clock.now(), count);
+                if (transfer->limits.onBytes)
+                    transfer->limits.onBytes(transfer->progress.bytes());
+                if (transfer->progress.hasFailed())
+                    self->fail(beast::error::timeout, transfer->done);
+                else if (transfer->parser.is_done())
+                    self->finish(&transfer->parser.get(), transfer->done);
+                else
+                    self->readSome(transfer);
+            });
     }
 
     void read(CallDone done)
     {
-        auto parser = std::make_shared<http::response_parser<http::string_body>>();
+        auto parser = std::make_shared<Parser>();
         parser->body_limit(MaxBodyBytes);
         http::async_read(m_stream, m_buffer, *parser,
                          [self = shared_from_this(), parser,
@@ -517,6 +570,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     Endpoint m_endpoint;
+    SteadyClock m_clock;
 };
 
 } // namespace
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -12,8 +12,10 @@
 #include "base/endpoint.h"
 #include "base/millis.h"
 #include "base/reason.h"
+#include "connection/transferprogress.h"
 #include "process/eventloop.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cicadagap {
@@ -100,6 +103,16 @@
     std::string text;     // The error, for a person.
 };
 
+// How long a call may take.
+struct CallLimits
+{
+    Millis timeout; // For the whole call; with `transfer`, up to the first byte of the response.
+    // For a response whose length is not bounded otherwise. Its bytes include the headers.
+    std::optional<TransferLimits> transfer;
+    // With `transfer`: called with the number of bytes that were received so far.
+    std::function<void(std::size_t)> onBytes;
+};
+
 // Receives the response, or nothing and the failure.
 using CallDone = std::function<void(std::optional<HttpResponse>, const CallFailure &)>;
 
@@ -121,7 +134,12 @@
     // failure. A request that its receiver would read as another one, because of a line end in a
     // header for example, is not sent: the call fails. `done` runs exactly once, on the event loop,
     // never inside call().
-    virtual void call(const HttpRequest &request, Millis timeout, CallDone done) = 0;
+    void call(const HttpRequest &request, Millis timeout, CallDone done)
+    {
+        callWithin(request, {.timeout = timeout}, std::move(done));
+    }
+    // As call(), within other limits than a time for the whole.
+    virtual void callWithin(const HttpRequest &request, CallLimits limits, CallDone done) = 0;
     // Closes the connection. A call in progress fails.
     virtual void close() = 0;
 
--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -18,7 +18,13 @@
 
 void HttpChannel::call(HttpRequest request, Millis timeout, CallDone done)
 {
-    m_calls.push_back({.request = std::move(request), .timeout = timeout, .done = std::move(done)});
+    callWithin(std::move(request), {.timeout = timeout}, std::move(done));
+}
+
+void HttpChannel::callWithin(HttpRequest request, CallLimits limits, CallDone done)
+{
+    m_calls.push_back(
+        {.request = std::move(request), .limits = std::move(limits), .done = std::move(done)});
     startNext();
 }
 
@@ -35,7 +41,7 @@
         send();
         return;
     }
-    HttpConnection::open(m_loop, m_endpoint, m_calls.front().timeout,
+    HttpConnection::open(m_loop, m_endpoint, m_calls.front().limits.timeout,
                          [this](std::shared_ptr<HttpConnection> connection, const Reason &reason) {
                              if (!connection) {
                                  finish(std::nullopt, {.sent = false, .text = reason.text()});
@@ -49,10 +55,11 @@
 void HttpChannel::send()
 {
     const Call &call = m_calls.front();
-    m_connection->call(call.request, call.timeout,
-                       [this](std::optional<HttpResponse> response, const CallFailure &failure) {
-                           finish(std::move(response), failure);
-                       });
+    m_connection->callWithin(
+        call.request, call.limits,
+        [this](std::optional<HttpResponse> response, const CallFailure &failure) {
+            finish(std::move(response), failure);
+        });
 }
 
 void HttpChannel::finish(std::optional<HttpResponse> response, const CallFailure &failure)
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -23,12 +23,14 @@
     void setEndpoint(const Endpoint &endpoint);
     // Queues a call. It waits for the calls before it; `timeout` starts when it is sent.
     void call(HttpRequest request, Millis timeout, CallDone done);
+    // As call(), within other limits than a time for the whole.
+    void callWithin(HttpRequest request, CallLimits limits, CallDone done);
 
 private:
     struct Call
     {
         HttpRequest request;
-        Millis timeout;
+        CallLimits limits;
         CallDone done;
     };
 
--- a/src/connection/peerclient.cpp
+++ b/src/connection/peerclient.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <atomic>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -53,6 +54,8 @@
     bool failed = false;  // Whether the response's status is not 200. Client side only.
     std::function<void(PeerReply)> done;       // Client side only.
     std::shared_ptr<asio::steady_timer> timer; // Client side only.
+    std::optional<TransferProgress> progress;  // Client side only, of a long response.
+    std::optional<Millis> firstByteAt;         // Client side only.
 };
 
 // The part that client and server have in common: an nghttp2 session on a socket. Everything runs
@@ -79,6 +82,8 @@
     virtual void onStreamClosed(std::int32_t id, Stream *stream, std::uint32_t errorCode) = 0;
     // The connection was closed.
     virtual void onClosed() = 0;
+    // Some bytes of the stream's message were received.
+    virtual void onStreamBytes(std::int32_t, Stream *, std::size_t) { }
     // Some bytes were received.
     virtual void onBytesReceived() { }
 
@@ -207,6 +212,7 @@
         Stream *stream = self->stream(id);
         if (!stream || stream->tooLong)
             return 0;
+        self->onStreamBytes(id, stream, length);
         if (length <= self->m_limits.maxBodyBytes - stream->received.size()) {
             stream->received.append(reinterpret_cast<const char *>(data), length);
             return 0;
@@ -393,7 +399,8 @@
 struct PendingCall
 {
     PeerRequest request;
-    Millis deadline;
+    Millis deadline; // For the response, or for its first byte if it has limits of its own.
+    std::optional<TransferLimits> transfer;
     std::function<void(PeerReply)> done;
 };
 
@@ -415,6 +422,8 @@
         auto stream = std::make_unique<Stream>();
         stream->outgoing = std::move(call.request.body);
         stream->done = std::move(call.done);
+        if (call.transfer)
+            stream->progress.emplace(*call.transfer, now, call.deadline - now);
         const std::array<nghttp2_nv, 4> headers{
             {headerField(":method", "POST"), headerField(":scheme", "http"),
              headerField(":authority", "peer"), headerField(":path", call.request.path)}};
@@ -441,7 +450,20 @@
     void onMessage(std::int32_t, Stream *stream) override
     {
         if (!stream->failed)
-            finish(stream, {Verdict::Ran, std::move(stream->received)});
+            finish(stream,
+                   {Verdict::Ran, std::move(stream->received),
+                    m_clock.now() - stream->firstByteAt.value_or(m_clock.now())});
+    }
+    void onStreamBytes(std::int32_t id, Stream *stream, std::size_t count) override
+    {
+        const Millis now = m_clock.now();
+        if (!stream->firstByteAt)
+            stream->firstByteAt = now;
+        if (!stream->progress)
+            return;
+        stream->progress->onBytes(now, count);
+        if (stream->progress->hasFailed())
+            giveUp(id, stream);
     }
     std::uint32_t onTooLong(Stream *stream) override
     {
@@ -506,12 +528,22 @@
             const auto found = streams().find(id);
             if (found == streams().end())
                 return;
-            finish(found->second.get(), {Verdict::MayHaveRun, {}});
-            nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+            Stream *stream = found->second.get();
+            const Millis now = m_clock.now();
+            if (stream->progress && now < stream->progress->deadline())
+                startTimer(id, stream, stream->progress->deadline() - now);
+            else
+                giveUp(id, stream);
             flush();
         });
     }
 
+    void giveUp(std::int32_t id, Stream *stream)
+    {
+        finish(stream, {Verdict::MayHaveRun, {}});
+        nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    }
+
     SteadyClock m_clock;
     asio::steady_timer m_pingTimer;
     Millis m_lastReceivedAt;
@@ -530,10 +562,13 @@
 
     void call(PeerRequest request, Millis timeout, std::function<void(PeerReply)> done) override
     {
-        PendingCall pending{std::move(request), m_clock.now() + timeout, std::move(done)};
-        asio::post(m_strand, [self = shared_from_this(), pending = std::move(pending)]() mutable {
-            self->send(std::move(pending));
-        });
+        start({std::move(request), m_clock.now() + timeout, std::nullopt, std::move(done)});
+    }
+
+    void callForTransfer(PeerRequest request, Millis firstByte, const TransferLimits &limits,
+                         std::function<void(PeerReply)> done) override
+    {
+        start({std::move(request), m_clock.now() + firstByte, limits, std::move(done)});
     }
 
     void close() override
@@ -545,6 +580,13 @@
     }
 
 private:
+    void start(PendingCall pending)
+    {
+        asio::post(m_strand, [self = shared_from_this(), pending = std::move(pending)]() mutable {
+            self->send(std::move(pending));
+        });
+    }
+
     void send(PendingCall pending)
     {
         if (pending.request.body.size() > m_limits.maxBodyBytes) {
--- a/src/connection/peerclient.h
+++ b/src/connection/peerclient.h
@@ -35,6 +35,7 @@
 {
     Verdict verdict = Verdict::NotRun;
     std::string body;
+    Millis transferTime; // From the first byte of the body to the last one.
 };
 
 // Sends the response to a call. Must be called exactly once, from any thread.
@@ -58,6 +59,12 @@
     // progress, the server is pinged, so that a server that stops responding is detected within
     // about a second, however long the calls' timeouts are.
     virtual void call(PeerRequest request, Millis timeout, std::function<void(PeerReply)> done) = 0;
+    // As call(), for a response that can be long: `firstByte` is the time up to its first byte, and
+    // after that it is judged by its progress. The check of the progress may be late by
+    // `firstByte`.
+    virtual void callForTransfer(PeerRequest request, Millis firstByte,
+                                 const TransferLimits &limits, std::function<void(PeerReply)> done)
+        = 0;
     // Closes the connection. Calls in progress end with MayHaveRun.
     virtual void close() = 0;
 
--- a/src/session/platformclient.h
+++ b/src/session/platformclient.h
@@ -56,6 +56,9 @@
     virtual void configuration(Millis wait,
                                std::function<void(std::optional<ConfigurationReading>)> done)
         = 0;
+    // For how long an answer to configuration() has been arriving; nothing if none is. It makes
+    // progress: otherwise the call is given up.
+    virtual std::optional<Millis> configurationTransferTime() const { return std::nullopt; }
     // Lists the registered instances.
     virtual void instances(std::function<void(std::optional<InstanceReading>)> done) = 0;
     // Lists the records of the system's hosts, this host's own among them.
