Followers wait for a platform reader that receives a newer version

Cause: while the platform reader received a long version, its data grew old, so that all hosts of the data centre took it to be cut off, and read the same version from the store themselves. What failed together was repeated together.

Change: the reader's update says for how long an answer with the configuration has been arriving. Its configuration does not count as outdated then, up to the time in which a change has to be in force; the age is bounded too, for a reader that begins again and again. Old lists no longer make a host read the configuration, nor the reverse. Ages are judged as of when the reader began to send, and the lists' ages include the time of the transfer. Retries of followers are drawn from the upper half of the delay, and doubled once more. The decisions are in session/readingpolicy.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -23,12 +23,10 @@
     FirstFollowTime(400); // A starting host waits so long for the reader's first update.
 constexpr Millis StoppedHostCheckInterval(2000); // Between two checks of the platform reader.
 constexpr Millis HostRetryDelay(300);            // After a failed call.
-// A host that is not the platform reader doubles the delays after failed calls so many times.
-constexpr int MaxRetryDoublings = 3;
-constexpr Millis RoleCheckInterval(200); // Between checks whether this host must read.
-constexpr Millis UpdateWait(1500);       // How long the platform reader may wait for a change.
-constexpr Millis UpdateMargin(1000);     // Added to the wait for the call's timeout.
-constexpr Millis UpdateRetryDelay(100);  // After a failed call to the platform reader.
+constexpr Millis RoleCheckInterval(200);         // Between checks whether this host must read.
+constexpr Millis UpdateWait(1500);      // How long the platform reader may wait for a change.
+constexpr Millis UpdateMargin(1000);    // Added to the wait for the first byte of the answer.
+constexpr Millis UpdateRetryDelay(100); // After a failed call to the platform reader.
 // A platform reader whose data is older than this is taken to be cut off from the platform. Its
 // configuration may be this much older than the wait for a change.
 constexpr Millis ConfigurationAgeMargin(800);
@@ -45,6 +43,10 @@
     , m_self(std::move(options.self))
     , m_configurationWait(
           std::clamp(options.configurationBound / 3, MinConfigurationWait, MaxConfigurationWait))
+    , m_ageLimits({.configuration = m_configurationWait + ConfigurationAgeMargin,
+                   .instances = MaxInstancesAge,
+                   .configurationBound = options.configurationBound})
+    , m_random(hash64(m_self.host))
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
     , m_epoch({})
@@ -99,13 +101,27 @@
     m_cache.requestUpdate(now(), *updateRequest, [this, respond](PlatformUpdate update) {
         update.storeEpoch = m_epoch.number();
         update.storeEpochAge = now() - m_epoch.beganBy();
+        update.readingTime = m_platform->configurationTransferTime();
         respond(encodePlatformUpdate(update));
     });
 }
 
-// Updates the role of this host, and returns whether it has to read the platform: it is the
-// platform reader, or the platform reader's data is too old.
-bool PlatformFeed::updateRole()
+// Whether this host has to read the platform: it is the platform reader, or the platform reader's
+// data is too old.
+bool PlatformFeed::mustRead(Reading what)
+{
+    updateRole();
+    const bool isRecent = what == Reading::Configuration ? m_configurationRecent : m_listsRecent;
+    return m_followedReader.empty() || (!isRecent && now() >= m_followUntil);
+}
+
+void PlatformFeed::loseReader()
+{
+    m_configurationRecent = false;
+    m_listsRecent = false;
+}
+
+void PlatformFeed::updateRole()
 {
     const std::string platformReader = m_engine->platformReader(now());
     const bool isReader = platformReader.empty() || platformReader == m_self.host;
@@ -114,14 +130,13 @@
         logEvent(LogLevel::Info, isReader ? "platform.reading" : "platform.following",
                  {{"reader", isReader ? m_self.host : platformReader}});
         m_followedReader = following;
-        m_readerUpToDate = false;
+        loseReader();
     }
-    return isReader || (!m_readerUpToDate && now() >= m_followUntil);
 }
 
 void PlatformFeed::readConfiguration()
 {
-    if (!updateRole()) {
+    if (!mustRead(Reading::Configuration)) {
         m_loop->after(RoleCheckInterval, [this] { readConfiguration(); });
         return;
     }
@@ -144,7 +159,7 @@
 
 void PlatformFeed::readInstances()
 {
-    if (!updateRole()) {
+    if (!mustRead(Reading::Lists)) {
         m_loop->after(RoleCheckInterval, [this] { readInstances(); });
         return;
     }
@@ -181,7 +196,7 @@
 
 void PlatformFeed::readHosts()
 {
-    if (!updateRole() && m_reading) {
+    if (!mustRead(Reading::Lists) && m_reading) {
         m_loop->after(RoleCheckInterval, [this] { readHosts(); });
         return;
     }
@@ -202,13 +217,9 @@
     });
 }
 
-// The time until a failed call is repeated. The platform reader repeats it soon, and passes on what
-// it gets, so the others need not burden a store that refuses all of them.
-Millis PlatformFeed::retryDelay(Millis first, int failures) const
+Millis PlatformFeed::retryDelay(Millis first, int failures)
 {
-    if (m_followedReader.empty() || failures == 0)
-        return first;
-    return first * (std::int64_t(1) << std::min(failures - 1, MaxRetryDoublings));
+    return readingRetryDelay(first, failures, m_followedReader.empty(), &m_random);
 }
 
 // Passes the list to the engine. This host's own record is always part of it, also while the stored
@@ -243,32 +254,35 @@
     }
     // The first request does not wait for a change: its reply shows whether the reader's data is
     // recent enough.
-    const Millis wait = m_readerUpToDate ? UpdateWait : Millis(0);
+    const auto isRecent = [this] { return m_configurationRecent && m_listsRecent; };
+    const Millis wait = isRecent() ? UpdateWait : Millis(0);
     PlatformUpdateRequest request = m_cache.request(wait);
     request.host = m_self.host;
-    peer->call({.path = "/bulletin", .body = encodePlatformUpdateRequest(request)},
-               wait + UpdateMargin,
-               [this, platformReader, requestedAt = now()](const PeerReply &reply) {
-                   Reason reason;
-                   std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
-                       ? decodePlatformUpdate(reply.body, &reason)
-                       : std::nullopt;
-                   if (update)
-                       logRefusedEntry(reason.text());
-                   if (update && platformReader == m_followedReader) {
-                       update->addAge(m_arrivalDelay.bound(now(), requestedAt));
-                       applyUpdate(*update);
-                       m_loop->after(m_readerUpToDate ? Millis(0) : RoleCheckInterval,
-                                     [this] { followReader(); });
-                       return;
-                   }
-                   logEvent(LogLevel::Warning, "platform.reader-failed",
-                            {{"reader", platformReader}, {"reason", reason.text()}});
-                   m_readerUpToDate = false;
-                   m_followUntil = now();
-                   m_engine->onPlatformReaderFailed(now(), platformReader);
-                   m_loop->after(UpdateRetryDelay, [this] { followReader(); });
-               });
+    peer->callForTransfer(
+        {.path = "/bulletin", .body = encodePlatformUpdateRequest(request)}, wait + UpdateMargin,
+        {}, [this, platformReader, isRecent, requestedAt = now()](const PeerReply &reply) {
+            Reason reason;
+            std::optional<PlatformUpdate> update = reply.verdict == Verdict::Ran
+                ? decodePlatformUpdate(reply.body, &reason)
+                : std::nullopt;
+            if (update)
+                logRefusedEntry(reason.text());
+            if (update && platformReader == m_followedReader) {
+                update->addAge(m_arrivalDelay.bound(now(), requestedAt));
+                judgeAges(*update);
+                update->addAge(reply.transferTime);
+                applyUpdate(*update);
+                m_loop->after(isRecent() ? Millis(0) : RoleCheckInterval,
+                              [this] { followReader(); });
+                return;
+            }
+            logEvent(LogLevel::Warning, "platform.reader-failed",
+                     {{"reader", platformReader}, {"reason", reason.text()}});
+            loseReader();
+            m_followUntil = now();
+            m_engine->onPlatformReaderFailed(now(), platformReader);
+            m_loop->after(UpdateRetryDelay, [this] { followReader(); });
+        });
 }
 
 // Logs why an entry of the reader's lists was left out, once for each reason.
@@ -280,22 +294,31 @@
              {{"reader", m_followedReader}, {"reason", reason}});
 }
 
-void PlatformFeed::applyUpdate(const PlatformUpdate &update)
+// Judges the ages when the reader began to send: its data does not become useless because the
+// transfer took long.
+void PlatformFeed::judgeAges(const PlatformUpdate &update)
 {
-    const bool upToDate = update.routingAge < m_configurationWait + ConfigurationAgeMargin
-        && update.instancesAge < MaxInstancesAge;
-    if (upToDate != m_readerUpToDate)
-        logEvent(LogLevel::Info, upToDate ? "platform.reader-fresh" : "platform.reader-outdated",
+    const bool configurationRecent = hasRecentConfiguration(update, m_ageLimits);
+    const bool listsRecent = hasRecentLists(update, m_ageLimits);
+    const bool recent = configurationRecent && listsRecent;
+    if (recent != (m_configurationRecent && m_listsRecent))
+        logEvent(LogLevel::Info, recent ? "platform.reader-fresh" : "platform.reader-outdated",
                  {{"reader", m_followedReader},
                   {"configurationAgeMs", update.routingAge.count()},
-                  {"instancesAgeMs", update.instancesAge.count()}});
-    m_readerUpToDate = upToDate;
+                  {"instancesAgeMs", update.instancesAge.count()},
+                  {"readingMs", update.readingTime.value_or(Millis(0)).count()}});
+    m_configurationRecent = configurationRecent;
+    m_listsRecent = listsRecent;
+}
+
+void PlatformFeed::applyUpdate(const PlatformUpdate &update)
+{
     m_epoch.onAge(now(), update.storeEpoch, update.storeEpochAge);
     noteEpoch();
     m_cache.refresh(now(), update);
     if (update.routing)
         applyRouting(*update.routing);
-    if (upToDate)
+    if (m_listsRecent)
         applyInstances();
     if (update.hosts)
         applyHosts(*update.hosts);
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -13,6 +13,7 @@
 #include "session/hostregistration.h"
 #include "session/platformcache.h"
 #include "session/platformclient.h"
+#include "session/readingpolicy.h"
 #include "session/sessionengine.h"
 #include "session/storeepoch.h"
 
@@ -59,6 +60,7 @@
     void readHosts();
     void followReader();
     void logRefusedEntry(const std::string &reason);
+    void judgeAges(const PlatformUpdate &update);
     void applyUpdate(const PlatformUpdate &update);
     void applyInstances();
     void findEpochStart();
@@ -68,8 +70,15 @@
     void registerIfDue();
     void registerSelf();
     void withdrawStoppedHosts();
-    Millis retryDelay(Millis first, int failures) const;
-    bool updateRole();
+    Millis retryDelay(Millis first, int failures);
+    // What a host reads from the platform: the lists are those of instances and of hosts.
+    enum class Reading {
+        Configuration,
+        Lists
+    };
+    bool mustRead(Reading what);
+    void updateRole();
+    void loseReader();
     void recordReading(std::string_view what, int *failures, bool succeeded);
     template <typename Value>
     bool isUsable(std::string_view what, const std::optional<StoreReading<Value>> &reading);
@@ -81,6 +90,8 @@
     PlatformClient *m_platform;
     HostRecord m_self;
     Millis m_configurationWait; // How long the store may wait for a change.
+    ReaderAgeLimits m_ageLimits;
+    Random m_random; // For the times of retries.
     FindPeer m_findPeer;
     std::function<void()> m_onConfiguration;
     BootClock m_clock;
@@ -90,12 +101,14 @@
     std::uint64_t m_epochSought = 0; // For which the start was asked for.
     ArrivalDelay m_arrivalDelay;
     HostRegistration m_registration;
-    HostLiveness m_liveness;       // Of the hosts that follow this one.
-    bool m_reading = false;        // The first list of hosts was read, or could not be.
-    Millis m_followUntil;          // Until then only the platform reader is asked, unless it fails.
-    std::string m_followedReader;  // Empty while this host is the platform reader.
-    std::string m_refusedEntry;    // Why the last one was left out; empty if none was.
-    bool m_readerUpToDate = false; // The followed reader's last update was recent enough.
+    HostLiveness m_liveness;      // Of the hosts that follow this one.
+    bool m_reading = false;       // The first list of hosts was read, or could not be.
+    Millis m_followUntil;         // Until then only the platform reader is asked, unless it fails.
+    std::string m_followedReader; // Empty while this host is the platform reader.
+    std::string m_refusedEntry;   // Why the last one was left out; empty if none was.
+    // Which data of the followed reader's last update was recent enough.
+    bool m_configurationRecent = false;
+    bool m_listsRecent = false;
     // How many readings of each kind have failed since the last one that succeeded.
     int m_configurationFailures = 0;
     int m_instancesFailures = 0;
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -220,6 +220,8 @@
     out.set_routing_age_ms(milliseconds(update.routingAge));
     out.set_instances_age_ms(milliseconds(update.instancesAge));
     out.set_hosts_age_ms(milliseconds(update.hostsAge));
+    if (update.readingTime)
+        out.set_reading_ms(milliseconds(*update.readingTime));
     out.set_reaches_platform(update.reachesPlatform);
     return out.SerializeAsString();
 }
@@ -241,6 +243,8 @@
                           .instancesAge = Millis(in.instances_age_ms()),
                           .hostsAge = Millis(in.hosts_age_ms()),
                           .reachesPlatform = in.reaches_platform()};
+    if (in.has_reading_ms())
+        update.readingTime = Millis(in.reading_ms());
     if (in.has_routing()) {
         update.routing = read(in.routing());
         if (!update.routing) {
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -53,6 +53,9 @@
     Millis routingAge;
     Millis instancesAge;
     Millis hostsAge;
+    // For how long a newer answer with the configuration has been arriving at the answering host;
+    // nothing if none is.
+    std::optional<Millis> readingTime;
     bool reachesPlatform = false; // The answering host's last reading of each kind succeeded.
 
     // The update may have been on its way for so long. storeEpochAge, a lower bound, stays true.
@@ -61,6 +64,8 @@
         routingAge = routingAge + delay;
         instancesAge = instancesAge + delay;
         hostsAge = hostsAge + delay;
+        if (readingTime)
+            readingTime = *readingTime + delay;
     }
 };
 
--- /dev/null
+++ b/src/session/readingpolicy.cpp
@@ -0,0 +1,37 @@
+#include "session/readingpolicy.h"
+
+#include <algorithm>
+
+namespace cicadagap {
+
+namespace {
+
+constexpr int MaxRetryDoublings = 4;
+
+} // namespace
+
+bool hasRecentConfiguration(const PlatformUpdate &update, const ReaderAgeLimits &limits)
+{
+    if (update.routingAge < limits.configuration)
+        return true;
+    // The age is bounded too, as a reader may begin again and again.
+    return update.readingTime && *update.readingTime < limits.configurationBound
+        && update.routingAge < limits.configuration + limits.configurationBound;
+}
+
+bool hasRecentLists(const PlatformUpdate &update, const ReaderAgeLimits &limits)
+{
+    return update.instancesAge < limits.instances;
+}
+
+Millis readingRetryDelay(Millis first, int failures, bool isReader, Random *random)
+{
+    if (isReader || failures == 0)
+        return first;
+    const Millis longest = first * (std::int64_t(1) << std::min(failures - 1, MaxRetryDoublings));
+    const Millis half = longest / 2;
+    const auto choices = static_cast<std::uint64_t>(half.count() + 1);
+    return half + Millis(static_cast<std::int64_t>(random->below(choices)));
+}
+
+} // namespace cicadagap
--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -221,6 +221,8 @@
                               .instancesAge = *anyAge(),
                               .hostsAge = *anyAge(),
                               .reachesPlatform = *rc::gen::arbitrary<bool>()};
+        if (*rc::gen::arbitrary<bool>())
+            update.readingTime = *anyAge();
         if (*rc::gen::arbitrary<bool>())
             update.routing = *anyRouting();
         if (*rc::gen::arbitrary<bool>())
@@ -244,6 +246,7 @@
         RC_ASSERT(reason.text().empty());
         RC_ASSERT(read->instances == update.instances);
         RC_ASSERT(read->hosts == update.hosts);
+        RC_ASSERT(read->readingTime == update.readingTime);
         RC_ASSERT(read->routing.has_value() == update.routing.has_value());
         if (update.routing) {
             RC_ASSERT(read->routing->databases.size() == update.routing->databases.size());
--- /dev/null
+++ b/src/session/tst_readingpolicy.cpp
@@ -0,0 +1,93 @@
+// Tests of which hosts read the platform's store themselves, and when they repeat a reading.
+#include "session/readingpolicy.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <string>
+
+namespace cicadagap {
+namespace {
+
+constexpr ReaderAgeLimits Limits{
+    .configuration = Millis(2400), .instances = Millis(3500), .configurationBound = Millis(5000)};
+
+struct ReaderState
+{
+    std::string name;
+    Millis age; // Of its configuration.
+    std::optional<Millis> readingTime;
+    bool isRecent = false;
+};
+
+std::ostream &operator<<(std::ostream &output, const ReaderState &state)
+{
+    return output << state.name;
+}
+
+class ReaderStates : public testing::TestWithParam<ReaderState>
+{
+};
+
+TEST_P(ReaderStates, DecideWhoReads)
+{
+    const ReaderState &state = GetParam();
+    const PlatformUpdate update{.routingAge = state.age, .readingTime = state.readingTime};
+    EXPECT_EQ(hasRecentConfiguration(update, Limits), state.isRecent);
+}
+
+// A reader that begins to read again and again is not waited for any longer than one that began
+// once.
+INSTANTIATE_TEST_SUITE_P(
+    Cases, ReaderStates,
+    testing::Values(ReaderState{"quiet", Millis(2399), std::nullopt, true},
+                    ReaderState{"cutOff", Millis(2400), std::nullopt, false},
+                    ReaderState{"busy", Millis(6000), Millis(4400), true},
+                    ReaderState{"busyForTooLong", Millis(6000), Millis(5000), false},
+                    ReaderState{"beginsAgain", Millis(7400), Millis(10), false}),
+    testing::PrintToStringParamName());
+
+TEST(ReadingPolicy, CountsTheTimeOnTheWay)
+{
+    PlatformUpdate update{.routingAge = Millis(3000), .readingTime = Millis(4000)};
+    update.addAge(Millis(1000));
+    EXPECT_FALSE(hasRecentConfiguration(update, Limits));
+}
+
+TEST(ReadingPolicy, ListsAreNotExcusedByABusyReader)
+{
+    const PlatformUpdate update{.instancesAge = Millis(3500), .readingTime = Millis(100)};
+    EXPECT_FALSE(hasRecentLists(update, Limits));
+}
+
+// Hosts that failed together: how many repeat within the same tenth of the longest delay.
+TEST(ReadingPolicy, HostsThatFailedTogetherDoNotRepeatTogether)
+{
+    constexpr int Hosts = 100;
+    constexpr int Failures = 10;
+    constexpr Millis First(250);
+    constexpr Millis Longest(4000);
+    std::multiset<std::int64_t> tenths;
+    for (int host = 0; host < Hosts; ++host) {
+        Random random(hash64(std::to_string(host)));
+        const Millis delay = readingRetryDelay(First, Failures, false, &random);
+        EXPECT_GE(delay, Longest / 2);
+        EXPECT_LE(delay, Longest);
+        tenths.insert(delay.count() * 10 / Longest.count());
+    }
+    for (const std::int64_t tenth : tenths)
+        EXPECT_LE(tenths.count(tenth), std::size_t(Hosts) * 2 / 5);
+}
+
+TEST(ReadingPolicy, TheReaderRepeatsSoon)
+{
+    Random random(1);
+    EXPECT_EQ(readingRetryDelay(Millis(250), 10, true, &random), Millis(250));
+    EXPECT_EQ(readingRetryDelay(Millis(250), 0, false, &random), Millis(250));
+}
+
+} // namespace
+} // namespace cicadagap
