Tests: tenants, keys and public routes survive the messages between hosts

Change: the generators draw tenants and public routes, a message holds no key in clear, and a host that knows a version takes no older one; one that has just started takes any. Ruled out: refusing an old version at a start, as the peer that offers it serves it too.

--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -170,12 +170,24 @@
                 .maxAge = *anyAge(),
                 .statementTimeout = *anyAge(),
                 .latencyObjective = *anyAge(),
-                .priority = *rc::gen::inRange(0, 8)};
+                .priority = *rc::gen::inRange(0, 8),
+                .isPublic = *rc::gen::arbitrary<bool>()};
             const std::string group = *anyText();
             routing.groups[group] = {.name = group,
                                      .maxConnections = *rc::gen::inRange(0, 1000),
                                      .syncReplicas = *rc::gen::inRange(0, 3)};
         }
+        routing.requiresKeys = *rc::gen::arbitrary<bool>();
+        const int tenants = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < tenants; ++i) {
+            Tenant tenant{.name = *anyText()};
+            for (int key = *rc::gen::inRange(0, 3); key > 0; --key)
+                tenant.keys.push_back(ApiKey::fromText(*anyText()));
+            if (*rc::gen::arbitrary<bool>())
+                tenant.limits = TenantLimits{.perSecond = *rc::gen::arbitrary<std::uint32_t>(),
+                                             .burst = *rc::gen::arbitrary<std::uint32_t>()};
+            routing.addTenant(std::move(tenant), nullptr); // Some names and keys are taken.
+        }
         return routing;
     });
 }
@@ -250,12 +262,73 @@
             for (const auto &[name, route] : update.routing->databases) {
                 RC_ASSERT(read->routing->databases.contains(name));
                 RC_ASSERT(read->routing->databases.at(name).group == route.group);
+                RC_ASSERT(read->routing->databases.at(name).isPublic == route.isPublic);
+            }
+            RC_ASSERT(read->routing->requiresKeys == update.routing->requiresKeys);
+            RC_ASSERT(read->routing->keyHolders == update.routing->keyHolders);
+            RC_ASSERT(read->routing->tenants.size() == update.routing->tenants.size());
+            for (const auto &[name, tenant] : update.routing->tenants) {
+                RC_ASSERT(read->routing->tenants.contains(name));
+                RC_ASSERT(read->routing->tenants.at(name).keys == tenant.keys);
+                RC_ASSERT(read->routing->tenants.at(name).limits == tenant.limits);
             }
         }
         RC_ASSERT(encodePlatformUpdate(*read) == bytes);
     }));
 }
 
+RoutingTable routingWithKey(std::uint64_t version, const std::string &key)
+{
+    RoutingTable routing{.version = version, .requiresKeys = true};
+    EXPECT_TRUE(routing.addTenant({.name = "t", .keys = {ApiKey::fromText(key)}}, nullptr));
+    return routing;
+}
+
+// A key in clear is in no message.
+TEST(PlatformUpdate, HoldsDigestsOfKeysOnly)
+{
+    PlatformUpdate update;
+    update.routing = routingWithKey(7, "not to be told");
+    EXPECT_EQ(encodePlatformUpdate(update).find("not to be told"), std::string::npos);
+}
+
+struct OfferedVersion
+{
+    std::string name;
+    std::uint64_t known = 0; // 0 for a host that has just started.
+    std::uint64_t offered = 0;
+    std::uint64_t kept = 0;
+};
+
+class OfferedRouting : public testing::TestWithParam<OfferedVersion>
+{
+};
+
+// A host never goes back to an older version, with the keys that were withdrawn since. One that has
+// just started knows none, and takes what the reader has.
+TEST_P(OfferedRouting, IsTakenIfItIsNewer)
+{
+    PlatformCache cache;
+    if (GetParam().known > 0)
+        cache.setRouting(Millis(0), routingWithKey(GetParam().known, "known"));
+    PlatformUpdate update{.routingAge = Millis(60'000)};
+    update.routing = routingWithKey(GetParam().offered, "offered");
+    cache.refresh(Millis(1), update);
+    std::optional<PlatformUpdate> passedOn;
+    cache.requestUpdate(Millis(2), {}, [&](const PlatformUpdate &answer) { passedOn = answer; });
+    ASSERT_TRUE(passedOn && passedOn->routing);
+    EXPECT_EQ(passedOn->routing->version, GetParam().kept);
+    const bool taken = GetParam().kept != GetParam().known;
+    EXPECT_EQ(passedOn->routing->tenantOf(ApiKey::fromText("offered")) != nullptr, taken);
+}
+
+INSTANTIATE_TEST_SUITE_P(Versions, OfferedRouting,
+                         testing::Values(OfferedVersion{"older", 5, 4, 5},
+                                         OfferedVersion{"same", 5, 5, 5},
+                                         OfferedVersion{"newer", 5, 6, 6},
+                                         OfferedVersion{"afterARestart", 0, 4, 4}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(PlatformUpdateRequest, PreservesAnyBytes)
 {
     EXPECT_TRUE(rc::check("request", [] {
@@ -294,6 +367,10 @@
         if (read->routing) {
             for (const auto &[name, route] : read->routing->databases)
                 RC_ASSERT(route.consistency <= Consistency::ReadYourWrites);
+            for (const auto &[key, name] : read->routing->keyHolders) {
+                RC_ASSERT(ApiKey::fromDigest(key.digest()) == key);
+                RC_ASSERT(read->routing->tenants.contains(name));
+            }
         }
         RC_ASSERT(decodePlatformUpdate(encodePlatformUpdate(*read), nullptr).has_value());
     }));
