Simulation, checker and stand-in instances know tenants

Change: an instance keeps the tenant that it was told; the checker compares it with the holder of the caller's key when the statement was sent, and reports UNASKED, or CONFIG for one that held it until more than 1 s before, or for a refusal of a key that is held. In a simulation with tenants keys are withdrawn, moved and given back at fixed times. Two options break hosts: one swaps tenants, one forgets changes.

--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -333,6 +333,45 @@
     EXPECT_GT(violations, 0U);
 }
 
+class SimulatedTenants : public testing::TestWithParam<SimulationParameters>
+{
+};
+
+TEST_P(SimulatedTenants, KeepTheGuarantees)
+{
+    expectGuarantees(GetParam(), /*seeds=*/3, {.tenants = true});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, SimulatedTenants,
+    testing::Combine(
+        testing::Values(Access::Direct, Access::Gateways),
+        testing::Values(SimulationCase{"calm", {}, Millis(500)},
+                        SimulationCase{"crashPrimary", {SimulatedFault::CrashPrimary}},
+                        SimulationCase{"frozenAndKilledHosts",
+                                       {SimulatedFault::FreezeHost, SimulatedFault::KillHost,
+                                        SimulatedFault::KillHost}},
+                        SimulationCase{"loseAnswers",
+                                       {SimulatedFault::LoseAnswers, SimulatedFault::CutHost}},
+                        SimulationCase{"leavePrimary", {SimulatedFault::LeavePrimary}})),
+    caseName);
+
+// Show that the simulation notices connections of another tenant and keys that stay in use.
+TEST_P(SimulatedTenants, AreNoticedWhenSwappedOrKeptTooLong)
+{
+    SimulationOptions options{.maxConnections = connectionsFor(std::get<0>(GetParam())),
+                              .duration = Millis(9000),
+                              .tenants = true,
+                              .faults = std::get<1>(GetParam()).faults};
+    options.hostsSwapTenants = true;
+    const std::string swapped = text(runSimulation(options));
+    EXPECT_NE(swapped.find("in the name of"), std::string::npos);
+    options.hostsSwapTenants = false;
+    options.hostsForgetKeyChanges = true;
+    const std::string kept = text(runSimulation(options));
+    EXPECT_NE(kept.find("in the name of"), std::string::npos);
+}
+
 // After an outage of the store its list of instances is empty at first. Until each group has a
 // primary, the next list is read soon.
 TEST(SessionEngine, NeedsInstancesUntilEveryGroupHasAPrimary)
--- a/src/standin_core/replicagroup.h
+++ b/src/standin_core/replicagroup.h
@@ -43,6 +43,7 @@
     std::vector<GroupLogEntry> writes; // Of the open transaction.
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared; // By name.
+    std::string tenant;                                // In whose name it was opened.
 };
 
 // One instance of the group.
--- a/test/guaranteechecker.cpp
+++ b/test/guaranteechecker.cpp
@@ -82,6 +82,16 @@
     return m_callers.size() - 1;
 }
 
+void GuaranteeChecker::setTenant(std::size_t caller, const std::optional<std::string> &tenant,
+                                 Millis now)
+{
+    std::vector<Holding> &holdings = m_holdings[caller];
+    if (!holdings.empty() && !holdings.back().until)
+        holdings.back().until = now;
+    if (tenant)
+        holdings.push_back({.tenant = *tenant, .since = now, .until = {}});
+}
+
 void GuaranteeChecker::startSession(std::size_t caller)
 {
     const Consistency consistency = m_callers[caller].consistency;
@@ -105,6 +115,7 @@
     }
     Sent sent{.statement = statement,
               .caller = index,
+              .at = now,
               .phase = caller.phase,
               .values = caller.state.values};
     const auto prepared = caller.state.prepared.find(statement.name);
@@ -241,6 +252,7 @@
         || (sent.writes() && caller.phase == SessionPhase::Idle);
     caller.phase = answer.phase;
     checkUnknownName(now, sent, answer);
+    checkUnknownKey(sent, answer, now);
     if (answer.succeeded()) {
         ++m_report.answered;
         checkSuccess(now, sent, answer);
@@ -357,9 +369,42 @@
         addBroken(BrokenRule::Unasked, now, printable(statement.id) + " ran again");
     checkState(connection, statement, sent, now);
     checkTransaction(connection, sent, now);
+    checkTenant(connection, sent, now);
     return &sent;
 }
 
+void GuaranteeChecker::checkTenant(const InstanceConnection &connection, const Sent &sent,
+                                   Millis now)
+{
+    const auto holdings = m_holdings.find(sent.caller);
+    if (holdings == m_holdings.end())
+        return;
+    bool everHeld = false;
+    for (const Holding &holding : holdings->second) {
+        if (holding.tenant != connection.tenant)
+            continue;
+        everHeld = true;
+        if (!holding.until || sent.at <= *holding.until + m_options.keyBound)
+            return;
+    }
+    addBroken(everHeld ? BrokenRule::Config : BrokenRule::Unasked, now,
+              printable(sent.statement.id) + " ran in the name of " + printable(connection.tenant)
+                  + ", which does not hold its caller's key");
+}
+
+// A key that a tenant has held since before the bound is known.
+void GuaranteeChecker::checkUnknownKey(const Sent &sent, const StatementAnswer &answer, Millis now)
+{
+    const auto holdings = m_holdings.find(sent.caller);
+    if (answer.cause != Cause::UnknownKey || holdings == m_holdings.end()
+        || holdings->second.empty())
+        return;
+    const Holding &last = holdings->second.back();
+    if (!last.until && sent.at > last.since + m_options.keyBound)
+        addBroken(BrokenRule::Config, now,
+                  printable(sent.statement.id) + " was refused, though its caller's key is held");
+}
+
 void GuaranteeChecker::checkState(const InstanceConnection &connection, const Statement &statement,
                                   const Sent &sent, Millis now)
 {
@@ -437,8 +482,10 @@
                       + printable(statement.text));
         return;
     }
-    if (commits)
+    if (commits) {
         checkTransaction(connection, found->second, now);
+        checkTenant(connection, found->second, now);
+    }
 }
 
 void GuaranteeChecker::checkRead(Millis now, const Caller &caller, const GroupInstance &instance,
--- a/test/guaranteechecker.h
+++ b/test/guaranteechecker.h
@@ -12,6 +12,8 @@
 // - a read sees every commit that its consistency requires;
 // - an acknowledged write is in the log exactly once, also after each promotion;
 // - a write that was refused is not in the log;
+// - what runs for a caller whose key a tenant holds runs on that tenant's connections; from a bound
+//   after a change on, not on those of the tenant that held it before, and is not refused;
 // - a successful answer carries the instance's signature, and a read's answer its rows.
 //
 // Performs no I/O and reads no clock; not thread-safe.
@@ -37,12 +39,14 @@
 // The guarantees that a statement breaks as it runs, by the customer's names.
 enum class BrokenRule {
     Pinned,  // Its session's values, prepared statement or transaction are not those of its caller.
-    Unasked, // No caller has sent it, or not so.
+    Unasked, // No caller has sent it, or not so, or not in the name of this tenant.
+    Config,  // Its caller's key has not been the tenant's for longer than the bound.
 };
 
-inline constexpr NameTable<BrokenRule, 2> BrokenRuleNames{{{
+inline constexpr NameTable<BrokenRule, 3> BrokenRuleNames{{{
     {BrokenRule::Pinned, "PINNED"},
     {BrokenRule::Unasked, "UNASKED"},
+    {BrokenRule::Config, "CONFIG"},
 }}};
 
 struct GuaranteeReport
@@ -70,9 +74,10 @@
     {
         std::uint64_t seed = 1;
         Texts texts = Texts::Plain;
-        Millis maxAge = Millis(1500); // Of the data of bounded-staleness reads.
-        int items = 20;               // Number of items that callers read and write.
-        std::string idPrefix = "q";   // Of statement ids; must differ between groups.
+        Millis maxAge = Millis(1500);   // Of the data of bounded-staleness reads.
+        int items = 20;                 // Number of items that callers read and write.
+        std::string idPrefix = "q";     // Of statement ids; must differ between groups.
+        Millis keyBound = Millis(1000); // From a change of a key's holder until it is in force.
     };
 
     // The group must outlive the checker.
@@ -80,6 +85,9 @@
 
     // Adds a caller with a session and returns its number.
     std::size_t addCaller(Consistency consistency);
+    // From now on the tenant holds the caller's key, or none does. What runs for callers without
+    // such a call is not compared with tenants.
+    void setTenant(std::size_t caller, const std::optional<std::string> &tenant, Millis now);
     // The caller's session has ended and a new one starts. A statement without an answer is
     // uncertain.
     void startSession(std::size_t caller);
@@ -112,6 +120,7 @@
     {
         Statement statement;
         std::size_t caller = 0;
+        Millis at;
         SessionPhase phase = SessionPhase::Idle;
         SessionValues values;
         std::optional<PreparedStatement> prepared; // Under the name that is executed.
@@ -145,6 +154,14 @@
         const InstanceConnection *connection = nullptr;
     };
 
+    // A time in which a tenant holds a caller's key.
+    struct Holding
+    {
+        std::string tenant;
+        Millis since;
+        std::optional<Millis> until;
+    };
+
     // A write whose commit was acknowledged to a caller.
     struct AcknowledgedWrite
     {
@@ -166,6 +183,8 @@
     void checkState(const InstanceConnection &connection, const Statement &statement,
                     const Sent &sent, Millis now);
     void checkTransaction(const InstanceConnection &connection, const Sent &sent, Millis now);
+    void checkTenant(const InstanceConnection &connection, const Sent &sent, Millis now);
+    void checkUnknownKey(const Sent &sent, const StatementAnswer &answer, Millis now);
     void checkRead(Millis now, const Caller &caller, const GroupInstance &instance,
                    const Statement &statement);
     void checkSuccess(Millis now, const Sent &sent, const StatementAnswer &answer);
@@ -182,8 +201,9 @@
     CallerTexts m_texts; // Draws from a source of its own.
     GuaranteeReport m_report;
     std::vector<Caller> m_callers;
-    std::map<std::string, Sent> m_sent;            // By the statement's id.
-    std::vector<AcknowledgedWrite> m_acknowledged; // In the order of acknowledgement.
+    std::map<std::size_t, std::vector<Holding>> m_holdings; // By caller, in their order.
+    std::map<std::string, Sent> m_sent;                     // By the statement's id.
+    std::vector<AcknowledgedWrite> m_acknowledged;          // In the order of acknowledgement.
     // For each acknowledged write, which one of it and those before it is highest in the log. Both
     // members hold indexes of m_acknowledged.
     std::vector<std::size_t> m_highestUpTo;
--- a/test/sessionsimulation.cpp
+++ b/test/sessionsimulation.cpp
@@ -51,6 +51,22 @@
     {"own", Consistency::ReadYourWrites},
 }};
 
+// The tenants hold the callers' keys by turns.
+std::string tenantOf(std::size_t caller)
+{
+    return "t" + std::to_string(caller % 3);
+}
+
+std::string otherTenant(const std::string &tenant)
+{
+    return tenantOf(std::stoul(tenant.substr(1)) + 1);
+}
+
+ApiKey keyOf(std::size_t caller)
+{
+    return ApiKey::fromText("key of caller " + std::to_string(caller));
+}
+
 // A connection to an instance, and until when its statements occupy it.
 struct ServedConnection
 {
@@ -159,7 +175,8 @@
     void traceCommand(std::string_view what, std::size_t host, const std::string &instance,
                       const Statement &statement) const;
     bool reaches(std::size_t host, const std::string &instance) const;
-    void openTarget(std::size_t host, ConnectionId connection, const std::string &id);
+    void openTarget(std::size_t host, ConnectionId connection, const std::string &id,
+                    const std::string &tenant);
     void runStatement(std::size_t host, ConnectionId connection, const std::string &id,
                       const Statement &statement);
     void closeTarget(std::size_t host, ConnectionId connection, const std::string &id);
@@ -184,6 +201,9 @@
     }
     void start();
     void startHost(std::size_t index);
+    RoutingTable routing() const;
+    void startTenants(std::size_t callers);
+    void changeKeys(const std::map<std::size_t, std::optional<std::string>> &holders);
     void tickHost(std::size_t index, std::uint64_t incarnation);
     void updateInstances(std::size_t index, std::uint64_t incarnation);
     std::vector<RegisteredInstance> registered() const;
@@ -225,6 +245,8 @@
     std::map<std::string, InstanceReach> m_instanceReach;
     GuaranteeChecker m_checker;
     std::vector<Caller> m_callers;
+    std::uint64_t m_configurationVersion = 1;
+    std::map<std::size_t, std::string> m_keyHolders; // The tenants by caller.
     std::map<std::pair<std::size_t, SessionId>, std::size_t> m_sessionOwner;
     std::set<std::pair<std::size_t, std::string>> m_cutLinks;
     SimulatedStore m_store;
@@ -243,9 +265,8 @@
 void SimulatedHost::openTarget(ConnectionId connection, const RegisteredInstance &instance,
                                const std::string &tenant)
 {
-    static_cast<void>(tenant);
     targets[connection] = instance.id;
-    m_simulation->openTarget(m_index, connection, instance.id);
+    m_simulation->openTarget(m_index, connection, instance.id, tenant);
 }
 
 void SimulatedHost::sendToTarget(ConnectionId connection, const std::vector<Statement> &statements)
@@ -336,8 +357,11 @@
         && !m_cutLinks.contains({host, instance});
 }
 
-void SessionSimulation::openTarget(std::size_t host, ConnectionId connection, const std::string &id)
+void SessionSimulation::openTarget(std::size_t host, ConnectionId connection, const std::string &id,
+                                   const std::string &tenant)
 {
+    const std::string told
+        = m_options.hostsSwapTenants && !tenant.empty() ? otherTenant(tenant) : tenant;
     const std::uint64_t incarnation = m_hosts[host]->incarnation;
     at(m_now + NetworkDelay, [=, this] {
         const GroupInstance *target = m_group.find(id);
@@ -345,7 +369,7 @@
             return;
         const bool accepts = target->running && !target->removed;
         if (accepts)
-            m_instanceReach[id].connections[{host, connection}] = {};
+            m_instanceReach[id].connections[{host, connection}] = {.state = {.tenant = told}};
         atHost(host, m_now + NetworkDelay, [=, this](SimulatedHost *requester) {
             if (accepts)
                 requester->engine.onTargetOpened(m_now, connection);
@@ -974,9 +998,10 @@
     }
 }
 
-void SessionSimulation::startHost(std::size_t index)
+// The configuration in force.
+RoutingTable SessionSimulation::routing() const
 {
-    RoutingTable routing{.version = 1};
+    RoutingTable routing{.version = m_configurationVersion};
     for (const auto &[name, consistency] : Databases)
         routing.databases[name] = {.database = name,
                                    .group = "group",
@@ -987,7 +1012,65 @@
                                    .priority = 1};
     routing.groups["group"]
         = {.name = "group", .maxConnections = m_options.maxConnections, .syncReplicas = 1};
-    m_hosts[index]->engine.onConfiguration(m_now, routing);
+    if (!m_options.tenants)
+        return routing;
+    routing.requiresKeys = true;
+    std::map<std::string, Tenant> tenants;
+    for (const auto &[caller, name] : m_keyHolders) {
+        tenants[name].name = name;
+        tenants[name].keys.push_back(keyOf(caller));
+    }
+    for (const auto &row : tenants)
+        routing.addTenant(row.second, nullptr);
+    return routing;
+}
+
+// Gives the callers their keys, and plans the changes.
+void SessionSimulation::startTenants(std::size_t callers)
+{
+    constexpr Millis ChangeTime(5000);
+    constexpr Millis ComeBackTime(9000);
+    std::map<std::size_t, std::optional<std::string>> changed;
+    std::map<std::size_t, std::optional<std::string>> former;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+        const std::string tenant = tenantOf(caller);
+        m_keyHolders[caller] = tenant;
+        const bool withdrawn = caller % 4 == 1;
+        const bool moved = caller % 4 == 2;
+        if (!withdrawn && !moved)
+            continue;
+        changed[caller] = withdrawn ? std::nullopt : std::optional(otherTenant(tenant));
+        former[caller] = tenant;
+    }
+    at(ChangeTime, [this, changed] { changeKeys(changed); });
+    at(ComeBackTime, [this, former] { changeKeys(former); });
+}
+
+// Changes the holders of keys. Each host gets the new version a little later.
+void SessionSimulation::changeKeys(const std::map<std::size_t, std::optional<std::string>> &holders)
+{
+    constexpr Millis Spread(200); // From one host to the next.
+    for (const auto &[caller, tenant] : holders) {
+        m_checker.setTenant(caller, tenant, m_now);
+        if (m_options.hostsForgetKeyChanges)
+            continue;
+        if (tenant)
+            m_keyHolders[caller] = *tenant;
+        else
+            m_keyHolders.erase(caller);
+    }
+    ++m_configurationVersion;
+    trace("keys.changed", "version " + std::to_string(m_configurationVersion));
+    for (std::size_t host = 0; host < m_hosts.size(); ++host)
+        atHost(host, m_now + Spread * static_cast<std::int64_t>(host),
+               [this, table = routing()](SimulatedHost *target) {
+                   target->engine.onConfiguration(m_now, table);
+               });
+}
+
+void SessionSimulation::startHost(std::size_t index)
+{
+    m_hosts[index]->engine.onConfiguration(m_now, routing());
     std::vector<HostRecord> hosts;
     hosts.reserve(m_hosts.size());
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
@@ -1035,7 +1118,13 @@
     caller.session = ++m_lastSession;
     m_checker.startSession(caller.number);
     m_sessionOwner[{caller.host, caller.session}] = index;
-    engine.onConnect(m_now, caller.session, Databases[caller.database].first);
+    const Cause cause = engine.onConnect(m_now, caller.session, Databases[caller.database].first,
+                                         m_options.tenants ? keyOf(caller.number) : ApiKey());
+    if (cause == Cause::UnknownKey) {
+        constexpr Millis ReconnectTime(200);
+        at(m_now + ReconnectTime, [this, index] { startCaller(index); });
+        return;
+    }
     nextStatement(index);
 }
 
@@ -1076,6 +1165,8 @@
     for (int i = 0; i < m_options.hosts; ++i)
         m_hosts.push_back(std::make_unique<SimulatedHost>(this, static_cast<std::size_t>(i),
                                                           hostsAssumeFencing()));
+    if (m_options.tenants)
+        startTenants(m_hosts.size() * static_cast<std::size_t>(m_options.sessionsPerHost));
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
         startHost(i);
     for (std::size_t host = 0; host < m_hosts.size(); ++host) {
@@ -1085,6 +1176,8 @@
                                  .number = m_checker.addCaller(Databases[database].second),
                                  .database = database});
             const std::size_t index = m_callers.size() - 1;
+            if (m_options.tenants)
+                m_checker.setTenant(m_callers[index].number, tenantOf(index), m_now);
             at(Millis(500 + 10 * i), [this, index] { startCaller(index); });
         }
     }
--- a/test/sessionsimulation.h
+++ b/test/sessionsimulation.h
@@ -70,6 +70,13 @@
     bool fencedPromotions = true;
     // Hosts act as if the platform checked fencing tokens, to show what that breaks.
     bool hostsIgnoreMissingFence = false;
+    // Callers show keys of three tenants. At times that no seed changes some keys are withdrawn and
+    // some moved to another tenant, and later the former ones come back.
+    bool tenants = false;
+    // Hosts open connections in the name of another tenant, to show that it is noticed.
+    bool hostsSwapTenants = false;
+    // Hosts go on with the first keys, to show that it is noticed.
+    bool hostsForgetKeyChanges = false;
     std::vector<SimulatedFault> faults; // Each is injected once, at a random time.
     // Callers choose the texts of CallerTexts. If not, the seeds stand for the same runs as ever.
     bool arbitraryTexts = false;
