Replies to relayed batches can carry the load of instances

Cause: a host that relays through a gateway knows nothing of the queue there. Ruled out: more status statements, health checks or messages. Implausible values are ignored and leave the answers as they are; a reply that is too long loses its loads first; hosts of earlier versions skip the field and send none.

--- a/src/session/relaybatch.h
+++ b/src/session/relaybatch.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/millis.h"
+#include "session/loadreports.h"
 #include "session/statement.h"
 
 #include <algorithm>
@@ -69,6 +70,8 @@
     bool sent = false; // The caller's statement may have reached the instance.
     std::string
         primary; // The group's primary as the gateway knows it, if not the batch's instance.
+    // The load of instances as the gateway sees it. Empty from hosts of earlier versions.
+    std::vector<InstanceLoad> loads;
 
     bool operator==(const RelayReply &) const = default;
 };
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -146,6 +146,24 @@
     return answer;
 }
 
+void write(const InstanceLoad &load, relaywire::Load *out)
+{
+    out->set_instance(load.instance);
+    out->set_wait_ms(static_cast<std::uint32_t>(load.wait.count()));
+    out->set_queued(load.queued);
+    out->set_running(load.running);
+    out->set_service_ms(static_cast<std::uint32_t>(load.serviceTime.count()));
+}
+
+InstanceLoad read(const relaywire::Load &in)
+{
+    return {.instance = in.instance(),
+            .wait = Millis(in.wait_ms()),
+            .queued = in.queued(),
+            .running = in.running(),
+            .serviceTime = Millis(in.service_ms())};
+}
+
 template <typename Message> bool parse(std::string_view bytes, Message *message, Reason *reason)
 {
     if (message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
@@ -185,6 +203,10 @@
     out.set_cause(static_cast<std::uint32_t>(reply.cause));
     out.set_sent(reply.sent);
     out.set_leader(reply.primary);
+    for (const InstanceLoad &load : reply.loads) {
+        if (load.isPlausible())
+            write(load, out.add_loads());
+    }
     return out.SerializeAsString();
 }
 
@@ -192,10 +214,13 @@
                              Reason *reason)
 {
     std::string encoded = encodeRelayReply(reply);
+    RelayReply shortened = reply;
+    shortened.loads.clear();
+    if (encoded.size() > maxBytes && !reply.loads.empty())
+        encoded = encodeRelayReply(shortened);
     if (encoded.size() <= maxBytes)
         return encoded;
     setReason(reason, "a reply of " + std::to_string(encoded.size()) + " bytes is too long");
-    RelayReply shortened = reply;
     for (StatementAnswer &answer : shortened.answers) {
         if (answer.succeeded() && !answer.rows.empty()) {
             answer.cause = onlyReads ? Cause::TooLong : Cause::ConnectionLost;
@@ -263,6 +288,12 @@
         }
         reply.answers.push_back(std::move(*answer));
     }
+    // The answers matter more than a load, so an implausible load does not refuse them.
+    for (const relaywire::Load &encoded : in.loads()) {
+        InstanceLoad load = read(encoded);
+        if (load.isPlausible() && reply.loads.size() < MaxReportedLoads)
+            reply.loads.push_back(std::move(load));
+    }
     return reply;
 }
 
--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -543,6 +543,35 @@
     return Millis(static_cast<std::int64_t>(found->second.shortestMs));
 }
 
+std::optional<InstanceLoad> TargetPool::load(const std::string &instance, int priority,
+                                             const std::string &tenant) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end() || found->second.removed || !found->second.direct)
+        return std::nullopt;
+    const Instance &entry = found->second;
+    const std::size_t queued = entry.queue.size() + entry.slotWaiters.size();
+    return InstanceLoad{.instance = instance,
+                        .wait = expectedWait(instance, priority, tenant),
+                        .queued = static_cast<std::uint32_t>(queued),
+                        .running = static_cast<std::uint32_t>(entry.slotsInUse),
+                        .serviceTime = Millis(static_cast<std::int64_t>(entry.serviceMs))};
+}
+
+Millis TargetPool::waitForSentSince(const std::string &instance, Millis since,
+                                    Millis serviceTime) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return Millis(0);
+    std::int64_t statements = 0;
+    for (const ConnectionId id : found->second.connections) {
+        for (const Sent &sent : m_connections.at(id).awaited)
+            statements += needsSlot(sent.kind) && sent.at > since ? 1 : 0;
+    }
+    return serviceTime * statements / std::max(1, found->second.registered.slots);
+}
+
 bool TargetPool::noConnectionAvailable(Millis now, const std::string &instance) const
 {
     const auto found = m_instances.find(instance);
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -22,6 +22,7 @@
 
 #include "base/millis.h"
 #include "session/hostdirectory.h"
+#include "session/loadreports.h"
 #include "session/registry.h"
 #include "session/relaybatch.h"
 #include "session/sessionstate.h"
@@ -234,6 +235,13 @@
     // The network's share: the shortest recent time in which the instance answered; 0 if it has not
     // answered yet.
     Millis roundTrip(const std::string &instance) const;
+    // The load of an instance that this host connects to directly, as work of the tenant sees it;
+    // nothing for others.
+    std::optional<InstanceLoad> load(const std::string &instance, int priority,
+                                     const std::string &tenant) const;
+    // The expected wait that statements cause which this host sent after `since` and which are not
+    // answered, if each takes `serviceTime`.
+    Millis waitForSentSince(const std::string &instance, Millis since, Millis serviceTime) const;
     // Whether the instance recently had no connection left for this host, which holds none.
     bool noConnectionAvailable(Millis now, const std::string &instance) const;
     // Whether work could start at once as far as connections go: one is idle, or the instance is
--- a/src/session/tst_relaycodec.cpp
+++ b/src/session/tst_relaycodec.cpp
@@ -1,5 +1,6 @@
 // Tests of the codec of relayed batches and replies.
 #include "messagegenerators.h"
+#include "relaywire/relay.pb.h"
 #include "session/relaycodec.h"
 
 #include <gtest/gtest.h>
@@ -132,14 +133,28 @@
     });
 }
 
+rc::Gen<InstanceLoad> anyLoad()
+{
+    return rc::gen::exec([] {
+        const auto anyTime = rc::gen::inRange<std::int64_t>(0, 600'001);
+        return InstanceLoad{.instance = *anyNonEmptyText(),
+                            .wait = Millis(*anyTime),
+                            .queued = *rc::gen::inRange<std::uint32_t>(0, 1'000'001),
+                            .running = *rc::gen::inRange<std::uint32_t>(0, 1'000'001),
+                            .serviceTime = Millis(*anyTime)};
+    });
+}
+
 rc::Gen<RelayReply> anyReply()
 {
     return rc::gen::exec([] {
-        return RelayReply{.answers = *rc::gen::container<std::vector<StatementAnswer>>(anyAnswer()),
-                          .ended = *rc::gen::arbitrary<bool>(),
-                          .cause = *anyOf(Cause::TooLong),
-                          .sent = *rc::gen::arbitrary<bool>(),
-                          .primary = *anyText()};
+        return RelayReply{
+            .answers = *rc::gen::container<std::vector<StatementAnswer>>(anyAnswer()),
+            .ended = *rc::gen::arbitrary<bool>(),
+            .cause = *anyOf(Cause::TooLong),
+            .sent = *rc::gen::arbitrary<bool>(),
+            .primary = *anyText(),
+            .loads = *rc::gen::resize(8, rc::gen::container<std::vector<InstanceLoad>>(anyLoad()))};
     });
 }
 
@@ -289,6 +304,15 @@
     EXPECT_EQ(*read, reply);
 }
 
+TEST_P(LongReply, LosesItsLoadsFirst)
+{
+    RelayReply reply{.answers = {{.rows = {"x"}}}, .loads = {{.instance = "i1"}}};
+    const std::size_t length = encodeRelayReply(reply).size();
+    const std::string encoded = encodeRelayReply(reply, GetParam(), length - 1, nullptr);
+    reply.loads.clear();
+    EXPECT_EQ(decodeRelayReply(encoded, nullptr), reply);
+}
+
 TEST_P(LongReply, IsKeptUpToTheLimit)
 {
     const RelayReply reply{.answers = {{.rows = {std::string(1000, 'x')}}}};
@@ -303,6 +327,28 @@
     return std::string(info.param ? "onlyReads" : "writes");
 });
 
+// A load that no sound gateway reports is ignored; the answers beside it are kept.
+TEST(RelayCodec, IgnoresImplausibleLoads)
+{
+    const InstanceLoad sound{.instance = "i1", .wait = Millis(7), .queued = 2, .running = 4};
+    relaywire::Reply reply;
+    reply.add_answers()->set_signature("s");
+    for (int row = 0; row < 5 + int(MaxReportedLoads); ++row) {
+        relaywire::Load *load = reply.add_loads();
+        load->set_instance(row == 0 ? "" : "i1");
+        load->set_wait_ms(row == 1 ? 0xFFFFFFFF : 7);
+        load->set_queued(row == 2 ? 0xFFFFFFFF : 2);
+        load->set_running(row == 3 ? 0xFFFFFFFF : 4);
+        load->set_service_ms(row == 4 ? 600'001 : 0);
+    }
+    reply.add_loads()->set_instance("one too many");
+    const std::optional<RelayReply> read = decodeRelayReply(reply.SerializeAsString(), nullptr);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->answers.size(), 1U);
+    EXPECT_EQ(read->loads, std::vector<InstanceLoad>(MaxReportedLoads, sound));
+    EXPECT_TRUE(decodeRelayReply(encodeRelayReply({.loads = {{}}}), nullptr)->loads.empty());
+}
+
 TEST(RelayCodec, DoesNotCrashOnArbitraryBytes)
 {
     EXPECT_TRUE(rc::check("bytes", [](const std::string &bytes) {
--- a/src/session/tst_targetpool.cpp
+++ b/src/session/tst_targetpool.cpp
@@ -100,6 +100,18 @@
     EXPECT_EQ(listener.started.size(), std::size_t(SlotCount) + 1);
 }
 
+TEST_F(PooledWork, IsCountedInTheReportedLoad)
+{
+    const std::optional<InstanceLoad> load = pool.load("i", 0, "");
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->running, std::size_t(SlotCount));
+    EXPECT_EQ(load->queued, std::size_t(WorkCount - SlotCount));
+    EXPECT_EQ(load->wait, load->serviceTime * WorkCount / SlotCount);
+    EXPECT_FALSE(pool.load("unknown", 0, ""));
+    // Each transaction's opening is unanswered; what was sent before a report is in the report.
+    EXPECT_EQ(pool.waitForSentSince("i", Millis(1), Millis(10)), Millis(0));
+}
+
 // Statements of open transactions wait for a slot in the pool too, before all new work. Otherwise
 // the instance would refuse them while its queue is full, and they would be retried again and
 // again.
