Reads go where gateways report room, and leave instances that answer badly

Cause: all hosts of a data centre took the same instance at the same moment; relaying hosts did not know the queue at the gateways; an instance that fails, refuses or is slow was left only when it was silent. Ruled out: asking more often; reads away from the primary by its service time, since its mix of statements differs. Gateways add their loads to replies: of the batch's instance always, of their others at most once per 200 ms and origin, since a host of a large site sends each instance too little for reports of its own. SessionEngine::chooseInstance() collects candidates and lets the module choose; answers and times feed the detector; its decisions are logged as instance.set-aside and instance.returned. Only connections of this host count as failed by the instance: behind a gateway, the gateway may be what failed.

--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -32,6 +32,7 @@
           &m_pool, [this] { return nextWork(); }, &m_control,
           [output](const RelayedStatementEvent &event) { output->logRelayedStatement(event); })
     , m_instances(m_options.instances)
+    , m_choice(m_options.host)
 {
     m_control.setPool(&m_pool);
     m_control.setRelay(this);
@@ -102,6 +103,13 @@
         if (!ids.contains(id))
             m_pool.removeInstance(now, id);
     }
+    m_loadReports.keepOnly(ids);
+    std::map<std::string, std::set<std::string>> groups;
+    for (const RegisteredInstance &instance : usable.instances) {
+        if (!instance.leaving)
+            groups[instance.group].insert(instance.id);
+    }
+    m_outliers.setGroups(groups);
 }
 
 void SessionEngine::onHosts(Millis now, const std::vector<HostRecord> &hosts)
@@ -141,6 +149,13 @@
         = reply.ended && (reply.cause == Cause::Unreachable || reply.cause == Cause::Leaving);
     if (gatewayFailed)
         m_hosts.onGatewayFailed(now, gateway);
+    for (const InstanceLoad &load : reply.loads) {
+        if (!m_instances.find(load.instance))
+            continue;
+        m_loadReports.onReport(now, load);
+        if (!m_pool.isDirect(load.instance))
+            m_outliers.onServiceTime(now, load.instance, load.serviceTime);
+    }
     m_pool.onRelayReply(now, connection, reply);
     if (!reply.primary.empty())
         m_control.onReportedPrimary(now, reply.primary);
@@ -194,17 +209,41 @@
     }
     const RegisteredInstance *found = m_instances.find(batch.instance);
     const std::string group = found ? found->group : std::string();
+    const bool all = m_loadReports.takeFullReport(now, batch.origin);
     const auto replyWithPrimary
-        = [this, group, requested = batch.instance, reply = std::move(reply)](RelayReply answer) {
+        = [this, group, requested = batch.instance, priority = batch.priority,
+           tenant = batch.tenant, all, reply = std::move(reply)](RelayReply answer) {
               const std::string primary = m_control.primary(group);
               if (primary != requested)
                   answer.primary = primary;
+              answer.loads = loadsToReport(requested, all, priority, tenant);
               reply(std::move(answer));
           };
     m_relayGateway.onBatch(now, std::move(batch), replyWithPrimary);
     finishEvent(now);
 }
 
+// The loads that a reply carries: of the batch's instance, and with `all` of the other ones that
+// this host is a gateway to.
+std::vector<InstanceLoad> SessionEngine::loadsToReport(const std::string &instance, bool all,
+                                                       int priority,
+                                                       const std::string &tenant) const
+{
+    std::vector<InstanceLoad> loads;
+    const auto add = [&](const std::string &id) {
+        if (std::optional<InstanceLoad> load = m_pool.load(id, priority, tenant))
+            loads.push_back(std::move(*load));
+    };
+    add(instance);
+    if (!all)
+        return loads;
+    for (const std::string &other : m_pool.instances()) {
+        if (other != instance && loads.size() < MaxReportedLoads)
+            add(other);
+    }
+    return loads;
+}
+
 void SessionEngine::onRelayDropped(Millis now, const std::string &origin, std::uint64_t channel)
 {
     m_relayGateway.onDropped(now, origin, channel);
@@ -352,6 +391,8 @@
     m_control.setOldestWrites(oldestWrites);
     m_control.onTick(now);
     moveReadsFromSilentInstances(now);
+    for (const OutlierEvent &event : m_outliers.takeEvents(now))
+        m_output->logGroupEvent(event.group, event.event, event.instance, 0, event.detail);
     if (m_drainingSince)
         endIdleSessions(now);
     finishEvent(now);
@@ -412,6 +453,9 @@
     case Stage::Running:
         if (now <= operation.expiresAt)
             return;
+        // Behind a gateway, the gateway may be what does not answer.
+        if (m_pool.isDirect(operation.instance))
+            m_outliers.onAnswer(now, operation.instance, AnswerQuality::Failed);
         m_pool.discard(now, operation.connection);
         if (operation.stage == Stage::Opening
             || (operation.sentWithOpening && !operation.transactionOpened)) {
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -19,7 +19,10 @@
 
 #include "session/groupcontrol.h"
 #include "session/hostdirectory.h"
+#include "session/instancechoice.h"
 #include "session/instancelist.h"
+#include "session/loadreports.h"
+#include "session/outlierdetector.h"
 #include "session/relaygateway.h"
 #include "session/routing.h"
 #include "session/sessionstate.h"
@@ -274,7 +277,13 @@
     bool mayUseTransaction(Millis now, const Transaction &transaction) const;
     void giveUpOpening(Millis now, Session *session);
     std::string chooseInstance(Millis now, const Session &session, Operation *operation);
+    InstanceCandidate candidate(Millis now, const RegisteredInstance &member,
+                                const Operation &operation) const;
+    std::vector<InstanceLoad> loadsToReport(const std::string &instance, bool all, int priority,
+                                            const std::string &tenant) const;
     std::string usablePrimary(Millis now, const Session &session, const Operation &operation);
+    void recordQuality(Millis now, const std::string &instance, SendPurpose purpose,
+                       StatementKind kind, Millis sentAt, Cause cause);
     void recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose, Millis sentAt,
                         const StatementAnswer &answer);
     std::string chooseGateway(Millis now, const std::string &instance) const;
@@ -320,6 +329,9 @@
     RelayGateway m_relayGateway;
     RoutingTable m_routing;
     InstanceList m_instances;
+    LoadReports m_loadReports;
+    InstanceChoice m_choice;
+    OutlierDetector m_outliers;
     bool m_instancesKnown = false;
     std::map<SessionId, Session> m_sessions;
     std::map<ConnectionId, RelayedCommand> m_relayedCommands; // By the channel of each.
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -9,15 +9,9 @@
 
 namespace {
 
-// Assumed round trip to an instance that has not answered yet, in the same data centre and in
-// another one.
-constexpr Millis LocalRoundTrip(2);
-constexpr Millis RemoteRoundTrip(25);
 // The position sample that a read requires is younger than the database's maximum age by a margin
 // of at most this.
 constexpr Millis MaxSampleMargin(20);
-// Expected wait, in the choice of an instance, for one that has no connection left for this host.
-constexpr Millis NoConnectionCost(400);
 
 // Whether the statement runs on an instance; the system answers the other kinds itself.
 bool isForwarded(StatementKind kind)
@@ -279,8 +273,8 @@
         return usablePrimary(now, session, *operation);
     }
     const std::optional<Position> required = requiredPosition(session, *operation);
-    std::string best;
-    Millis lowest;
+    std::vector<std::string> names;
+    std::vector<InstanceCandidate> candidates;
     const PrimaryTracker *tracker = m_control.tracker(operation->route.group);
     if (tracker) {
         for (const RegisteredInstance &member : m_control.members(operation->route.group)) {
@@ -292,21 +286,12 @@
             if (member.leaving || silent || !usable
                 || operation->excludedInstances.contains(member.id))
                 continue;
-            Millis networkTime = m_pool.roundTrip(member.id);
-            const bool sameDataCentre = member.dataCentre == m_options.dataCentre;
-            if (networkTime == Millis(0))
-                networkTime = sameDataCentre ? LocalRoundTrip : RemoteRoundTrip;
-            Millis cost = networkTime
-                + m_pool.expectedWait(member.id, operation->route.priority, operation->tenant);
-            if (m_pool.noConnectionAvailable(now, member.id))
-                cost = cost + NoConnectionCost;
-            if (best.empty() || cost < lowest) {
-                best = member.id;
-                lowest = cost;
-            }
+            names.push_back(member.id);
+            candidates.push_back(candidate(now, member, *operation));
         }
     }
-    if (!best.empty()) {
+    if (const std::optional<std::size_t> chosen = m_choice.choose(candidates)) {
+        const std::string &best = names[*chosen];
         operation->inInternalTransaction = false;
         if (m_pool.isDirect(best)) {
             operation->statement.requiredPosition = required;
@@ -323,6 +308,25 @@
     return usablePrimary(now, session, *operation);
 }
 
+// What is known of an instance for the choice.
+InstanceCandidate SessionEngine::candidate(Millis now, const RegisteredInstance &member,
+                                           const Operation &operation) const
+{
+    InstanceCandidate candidate{
+        .sameDataCentre = member.dataCentre == m_options.dataCentre,
+        .roundTrip = m_pool.roundTrip(member.id),
+        .ownWait = m_pool.expectedWait(member.id, operation.route.priority, operation.tenant),
+        .noConnection = m_pool.noConnectionAvailable(now, member.id),
+        .share = m_outliers.share(now, member.id)};
+    const std::optional<LoadReports::Received> report = m_loadReports.newest(member.id);
+    if (report && !m_pool.isDirect(member.id)) {
+        candidate.report = {.wait = report->load.wait, .age = now - report->at};
+        candidate.sentSince
+            = m_pool.waitForSentSince(member.id, report->at, report->load.serviceTime);
+    }
+    return candidate;
+}
+
 // The primary, if it holds all that the operation has to see; empty while that is not known. Behind
 // a gateway, the gateway makes sure of it.
 std::string SessionEngine::usablePrimary(Millis now, const Session &session,
@@ -429,6 +433,9 @@
         return;
     if (cause == Cause::NotPrimary)
         m_control.onNotPrimary(now, session->operation->instance, session->operation->startedAt);
+    // The gateway had no room for it, or the instance refused it there.
+    if (cause == Cause::Overloaded && !m_pool.isDirect(session->operation->instance))
+        m_outliers.onAnswer(now, session->operation->instance, AnswerQuality::Refused);
     // Sent again, the statement would be refused again.
     if (cause == Cause::TooLong)
         refuse(now, id, session, Cause::TooLong);
@@ -443,6 +450,7 @@
                                  const StatementAnswer &answer)
 {
     recordEvidence(now, connection, purpose, sentAt, answer);
+    recordQuality(now, m_pool.instanceOf(connection), purpose, kind, sentAt, answer.cause);
     if (m_relayGateway.onWorkAnswer(now, work, purpose, kind, sentAt, answer))
         return;
     if (purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work) {
@@ -462,6 +470,25 @@
     }
 }
 
+// What an answer to callers' work tells about the instance. Answers to the system's own commands
+// don't count, nor do those that depend on the caller's session or on the group's primary.
+void SessionEngine::recordQuality(Millis now, const std::string &instance, SendPurpose purpose,
+                                  StatementKind kind, Millis sentAt, Cause cause)
+{
+    const bool opens = purpose == SendPurpose::OpenTransaction;
+    if (!opens && (purpose != SendPurpose::Work || !isForwarded(kind)))
+        return;
+    if (cause == Cause::None)
+        m_outliers.onAnswer(now, instance, AnswerQuality::Good);
+    else if (cause == Cause::Overloaded)
+        m_outliers.onAnswer(now, instance, AnswerQuality::Refused);
+    else if (cause == Cause::Failed || cause == Cause::Timeout)
+        m_outliers.onAnswer(now, instance, AnswerQuality::Failed);
+    // Behind a gateway, the gateway reports the time: this host's contains the wait there.
+    if (kind == StatementKind::Read && cause == Cause::None && m_pool.isDirect(instance))
+        m_outliers.onServiceTime(now, instance, now - sentAt);
+}
+
 // Every answer shows where the instance's log ended, which matters only without fenced promotions.
 void SessionEngine::recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose,
                                    Millis sentAt, const StatementAnswer &answer)
@@ -687,6 +714,7 @@
 void SessionEngine::onTargetConnectionFailed(Millis now, const std::string &instance)
 {
     m_control.onConnectionFailed(now, instance);
+    m_outliers.onAnswer(now, instance, AnswerQuality::Failed);
 }
 
 void SessionEngine::onNamePrepared(const NewPreparedName &prepared)
--- a/src/session/tst_relayedstatements.cpp
+++ b/src/session/tst_relayedstatements.cpp
@@ -205,5 +205,31 @@
     EXPECT_EQ(output.relayed.size(), 1U);
 }
 
+// A gateway's replies tell how loaded the batch's instance is, and now and then its other
+// instances.
+TEST(GatewayReplies, CarryTheLoadOfInstances)
+{
+    SendingOutput output;
+    SessionEngine engine({.host = OwnHost}, &output);
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 40};
+    engine.onHosts(Millis(0), {{.host = OwnHost, .dataCentre = "d"}});
+    engine.onConfiguration(Millis(0), routing);
+    engine.onInstances(
+        Millis(0),
+        {{.id = "i1", .group = "g", .slots = 4}, {.id = "i2", .group = "g", .slots = 4}});
+    std::vector<std::size_t> reported;
+    for (const int at : {1, 100, 300}) {
+        // It is answered at once, as it has no statement.
+        engine.onRelayBatch(Millis(at), {.origin = "o", .instance = "i2", .maxWait = Millis(100)},
+                            [&](const RelayReply &reply) {
+                                ASSERT_FALSE(reply.loads.empty());
+                                EXPECT_EQ(reply.loads.front().instance, "i2");
+                                reported.push_back(reply.loads.size());
+                            });
+    }
+    EXPECT_EQ(reported, (std::vector<std::size_t>{2, 1, 2}));
+}
+
 } // namespace
 } // namespace cicadagap
