--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -55,11 +55,12 @@
                 .instances = {.drainTime = m_options.instanceDrainTime},
                 .fencedPromotions = m_options.fencedPromotions,
                 .pool = {},
-                .start = static_cast<std::uint64_t>(timeOfDay().count())},
+                .start = static_cast<std::uint64_t>(timeOfDay().count()),
+                .startedAt = m_clock.now()},
                this)
     , m_leases(platform, &m_clock,
                {.host = m_options.host, .fencedPromotions = m_options.fencedPromotions})
-    , m_quotaOwner({.host = m_options.host})
+    , m_quotaOwner({.host = m_options.host, .startedAt = m_clock.now()})
     , m_acceptor(*loop->context())
 {
 }
@@ -500,7 +501,7 @@
     }
     const QuotaOwners owners = quotaOwners(staying);
     m_engine.quota()->setHosts(now(), listed, owners);
-    m_quotaOwner.setOwners(now(), owners, m_feed->hostsReadAt());
+    m_quotaOwner.setOwners(now(), owners, listed.size(), m_feed->hostsReadAt());
 }
 
 void SessionServer::sendQuotaRequest(const OutgoingQuotaRequest &due)
--- a/src/session/quotacodec.cpp
+++ b/src/session/quotacodec.cpp
@@ -2,6 +2,7 @@
 
 #include "relaywire/relay.pb.h"
 
+#include <algorithm>
 #include <set>
 
 namespace cicadagap {
@@ -45,6 +46,8 @@
     out.set_host(request.host);
     out.set_start(request.start);
     out.set_number(request.number);
+    out.set_age_ms(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(request.age.count(), 0, MaxCount)));
     for (const QuotaWant &want : request.wants) {
         relaywire::QuotaWant *entry = out.add_wants();
         entry->set_tenant(want.tenant);
@@ -76,8 +79,11 @@
         setReason(reason, "the host has no name");
         return std::nullopt;
     }
-    QuotaRequest request{
-        .host = in.host(), .start = in.start(), .number = in.number(), .wants = {}};
+    QuotaRequest request{.host = in.host(),
+                         .start = in.start(),
+                         .number = in.number(),
+                         .age = Millis(in.age_ms()),
+                         .wants = {}};
     std::set<std::string> seen;
     for (const relaywire::QuotaWant &entry : in.wants()) {
         if (!isNewTenant(entry.tenant(), &seen, reason)
--- a/src/session/quotaowner.cpp
+++ b/src/session/quotaowner.cpp
@@ -25,8 +25,21 @@
     return m_listReadAt && now - *m_listReadAt <= m_options.listValidity;
 }
 
-void QuotaOwner::setOwners(Millis now, const QuotaOwners &owners, Millis readAt)
+// Whether no other process can have been an owner before this one.
+bool QuotaOwner::allStartedTogether(Millis now) const
 {
+    if (now - m_options.startedAt > m_options.jointStart
+        || now - m_listChangedAt < m_options.settleTime || m_senders.size() * 10 < m_hosts * 9)
+        return false;
+    return std::all_of(m_senders.begin(), m_senders.end(), [this](const auto &entry) {
+        return entry.second.startedAt >= m_options.startedAt - m_options.jointStart;
+    });
+}
+
+void QuotaOwner::setOwners(Millis now, const QuotaOwners &owners, std::size_t hosts, Millis readAt)
+{
+    if (std::exchange(m_hosts, hosts) != hosts)
+        m_listChangedAt = now;
     // While the list was too old, another host may have been the owner.
     const bool wasValid = listIsValid(now);
     m_listReadAt = m_listReadAt ? std::max(*m_listReadAt, readAt) : readAt;
@@ -49,7 +62,14 @@
         || (request.start == sender.start && request.number > sender.number);
     if (!isNewest)
         return {};
-    sender = {.start = request.start, .number = request.number};
+    sender = {.start = request.start, .number = request.number, .startedAt = now - request.age};
+    if (!m_startedTogether && allStartedTogether(now)) {
+        m_startedTogether = true;
+        for (std::optional<Millis> &since : m_ownedSince) {
+            if (since)
+                since = now - m_options.takeOverTime;
+        }
+    }
     QuotaReply reply;
     for (const QuotaWant &want : request.wants) {
         const std::optional<Millis> since = m_ownedSince.at(quotaSetOf(want.tenant));
--- a/src/session/quotaowner.h
+++ b/src/session/quotaowner.h
@@ -25,20 +25,26 @@
     struct Options
     {
         std::string host; // This host.
+        Millis startedAt; // When this process started.
         // It hands out nothing while its list of hosts is older. Readers of the platform read the
         // list every 4 s, and others learn of it within 2 s.
         Millis listValidity = Millis(8000);
         // A new owner hands out only takeOverPart() for this long: until no other one can think
         // that it is the owner, and what that one granted has ended.
         Millis takeOverTime = Millis(12'000);
+        // It does not wait if all hosts started together: within jointStart of its own start, it
+        // has heard of at least nine tenths of those listed, none of them started more than
+        // jointStart before it, and the list has not grown or shrunk for settleTime.
+        Millis jointStart = Millis(6000);
+        Millis settleTime = Millis(2000);
     };
 
     explicit QuotaOwner(Options options);
 
     // The limits in force. Tenants without limits are left out.
     void setLimits(const std::map<std::string, TenantLimits> &limits) { m_limits = limits; }
-    // The list of hosts was confirmed: the platform had it at `readAt`.
-    void setOwners(Millis now, const QuotaOwners &owners, Millis readAt);
+    // The list of `hosts` hosts was confirmed: the platform had it at `readAt`.
+    void setOwners(Millis now, const QuotaOwners &owners, std::size_t hosts, Millis readAt);
     QuotaReply onRequest(Millis now, const QuotaRequest &request);
 
 private:
@@ -61,8 +67,10 @@
     {
         std::uint64_t start = 0;
         std::uint64_t number = 0;
+        Millis startedAt; // The process, on this host's clock, or a little later.
     };
 
+    bool allStartedTogether(Millis now) const;
     bool listIsValid(Millis now) const;
     QuotaGrant grant(Millis now, const std::string &host, const QuotaWant &want, Millis ownedSince);
 
@@ -72,6 +80,9 @@
     std::array<std::optional<Millis>, QuotaSets> m_ownedSince; // Nothing if another host owns it.
     std::map<std::string, Stock> m_stocks;                     // By tenant.
     std::map<std::string, Sender> m_senders;
+    std::size_t m_hosts = 0; // Listed.
+    Millis m_listChangedAt;
+    bool m_startedTogether = false; // It was found once that all hosts did.
 };
 
 } // namespace cicadagap
--- a/src/session/quotashares.h
+++ b/src/session/quotashares.h
@@ -55,6 +55,7 @@
     std::string host;
     std::uint64_t start = 0;  // Grows with each process of the host.
     std::uint64_t number = 0; // Grows with each request of a process.
+    Millis age;               // Of the process.
     std::vector<QuotaWant> wants;
 
     bool operator==(const QuotaRequest &) const = default;
--- a/src/session/tenantquota.cpp
+++ b/src/session/tenantquota.cpp
@@ -42,6 +42,9 @@
                            const QuotaOwners &owners)
 {
     m_owners = owners;
+    std::erase_if(m_ownerStates, [&](const auto &entry) {
+        return std::find(owners.begin(), owners.end(), entry.first) == owners.end();
+    });
     const bool listed = std::find(hosts.begin(), hosts.end(), m_options.host) != hosts.end();
     if (!listed)
         m_listedSince.reset();
@@ -141,6 +144,8 @@
 
 std::vector<OutgoingQuotaRequest> TenantQuota::takeRequests(Millis now)
 {
+    if (m_tenants.empty())
+        return {};
     std::map<std::string, std::vector<QuotaWant>> wants;
     std::map<std::string, bool> urgent; // Operations wait for an answer of the owner.
     for (auto &[tenant, state] : m_tenants) {
@@ -164,15 +169,23 @@
         urgent[owner] = urgent[owner] || waiting > 0 || runningOut;
         wants[owner].push_back({.tenant = tenant, .unused = state.held, .wanted = wanted});
     }
+    for (const std::string &owner : m_owners) {
+        const auto known = m_ownerStates.find(owner);
+        if (!owner.empty() && (known == m_ownerStates.end() || !known->second.answered))
+            wants[owner];
+    }
     std::vector<OutgoingQuotaRequest> due;
     for (auto &[owner, ownerWants] : wants) {
         if (!isDue(now, owner, urgent[owner]))
             continue;
-        m_ownerStates[owner] = {.number = ++m_lastNumber, .sentAt = now};
+        OwnerState &state = m_ownerStates[owner];
+        state.number = ++m_lastNumber;
+        state.sentAt = now;
         due.push_back({.owner = owner,
                        .request = {.host = m_options.host,
                                    .start = m_options.start,
                                    .number = m_lastNumber,
+                                   .age = now - m_options.startedAt,
                                    .wants = std::move(ownerWants)}});
         for (const QuotaWant &want : due.back().request.wants)
             m_tenants.at(want.tenant).reported = want.unused;
@@ -187,6 +200,7 @@
     if (sender == m_ownerStates.end() || sender->second.number != number)
         return;
     sender->second.number = 0;
+    sender->second.answered = true;
     const Millis until = sender->second.sentAt + QuotaGrantLife;
     for (const QuotaGrant &grant : reply.grants) {
         const auto found = m_tenants.find(grant.tenant);
--- a/src/session/tenantquota.h
+++ b/src/session/tenantquota.h
@@ -72,6 +72,7 @@
     {
         std::string host;              // This host.
         std::uint64_t start = 0;       // Grows with each process of the host.
+        Millis startedAt;              // When this process started.
         Millis patience = Millis(600); // An operation waits so long for a grant.
         // After an operation waited in vain, others are refused at once for this long.
         Millis refusalTime = Millis(300);
@@ -98,7 +99,8 @@
     // Asks to run an operation of the tenant, which has waited since `waitingSince` if it was not
     // admitted at once. Tenants without limits are always admitted.
     Admission admit(Millis now, const std::string &tenant, std::optional<Millis> waitingSince);
-    // The requests to send now, at most one to each owner. To be called after the waiting
+    // The requests to send now, at most one to each owner. An owner that never answered is sent one
+    // that asks for nothing, so that it knows of this host. To be called after the waiting
     // operations were admitted again.
     std::vector<OutgoingQuotaRequest> takeRequests(Millis now);
     void onReply(Millis now, const std::string &owner, std::uint64_t number,
@@ -134,6 +136,7 @@
     {
         std::uint64_t number = 0; // Of the request without a reply; 0 if there is none.
         Millis sentAt;
+        bool answered = false;
     };
 
     std::size_t sharingHosts(Millis now) const;
