No instance counts as failed while a transfer fills the own link

Cause: while the platform reader received a long version of the configuration, answers of the instances waited behind it. After 650 ms of silence the reader took all primaries for failed and had them replaced, although the other hosts were served by them.

Change: while a reading of the configuration has been arriving for 200 ms, up to the time in which a change has to be in force, silence is not held against instances, as is done after a suspension. Refused connections still count. The log says when that begins and ends (platform.link-full, platform.link-free).

Not covered: a host that receives the version from the reader, and a link that is full of statements.

The simulations of tst_session were not run.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -84,6 +84,13 @@
 {
     m_arrivalDelay.onTick(now());
     m_cache.onTick(now());
+    const std::optional<Millis> readingTime = m_platform->configurationTransferTime();
+    const bool fillsLink = mayFillLink(readingTime, m_ageLimits);
+    if (fillsLink != std::exchange(m_fillsLink, fillsLink))
+        logEvent(LogLevel::Info, fillsLink ? "platform.link-full" : "platform.link-free",
+                 {{"readingMs", readingTime.value_or(Millis(0)).count()}});
+    if (fillsLink)
+        m_engine->onOwnLinkFull(now());
     registerIfDue();
 }
 
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -109,6 +109,7 @@
     // Which data of the followed reader's last update was recent enough.
     bool m_configurationRecent = false;
     bool m_listsRecent = false;
+    bool m_fillsLink = false; // A transfer is taken to fill this host's link.
     // How many readings of each kind have failed since the last one that succeeded.
     int m_configurationFailures = 0;
     int m_instancesFailures = 0;
--- a/src/session/groupcontrol.cpp
+++ b/src/session/groupcontrol.cpp
@@ -71,6 +71,12 @@
         group->tracker.onReportedPrimary(now, instance);
 }
 
+void GroupControl::excuseSilence(Millis now)
+{
+    for (auto &row : m_groups)
+        row.second.tracker.excuseSilence(now);
+}
+
 void GroupControl::onTick(Millis now)
 {
     m_now = now;
--- a/src/session/groupcontrol.h
+++ b/src/session/groupcontrol.h
@@ -91,6 +91,8 @@
     // A gateway reported that the instance is the primary of its group.
     void onReportedPrimary(Millis now, const std::string &instance);
     void onTick(Millis now);
+    // See PrimaryTracker.
+    void excuseSilence(Millis now);
     void onLeaseResult(Millis now, const std::string &group, const LeaseResult &result);
     void onPromotion(Millis now, const std::string &group, PromotionResult verdict);
     void onCandidateRecorded(Millis now, const std::string &group, const std::string &candidate,
--- a/src/session/primarytracker.cpp
+++ b/src/session/primarytracker.cpp
@@ -58,7 +58,12 @@
         }
         return;
     }
-    // The instances may have answered while this process was suspended: start all periods anew.
+    excuseSilence(now);
+}
+
+// The instances may have answered: starts all periods anew.
+void PrimaryTracker::excuseSilence(Millis now)
+{
     for (auto &row : m_instances) {
         if (row.second.unansweredSince)
             row.second.unansweredSince = now;
--- a/src/session/primarytracker.h
+++ b/src/session/primarytracker.h
@@ -81,6 +81,9 @@
     void setInstances(Millis now, const std::vector<RegisteredInstance> &instances,
                       int syncReplicas = 1);
     void onTick(Millis now);
+    // Answers may be waiting behind other data on this host's own link, so that no silence before
+    // now is held against an instance. Refused connections still are.
+    void excuseSilence(Millis now);
     // The instance accepted or acknowledged something that only a primary does, as the answer to a
     // request that was sent at `sentAt`. `position` is the end of its log when it answered. A
     // proof from a lower term than the known one is ignored.
--- a/src/session/readingpolicy.cpp
+++ b/src/session/readingpolicy.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int MaxRetryDoublings = 4;
+// A shorter transfer delays answers by less than an instance may be silent for.
+constexpr Millis LinkFillTime(200);
 
 } // namespace
 
@@ -24,6 +26,11 @@
     return update.instancesAge < limits.instances;
 }
 
+bool mayFillLink(std::optional<Millis> readingTime, const ReaderAgeLimits &limits)
+{
+    return readingTime && *readingTime >= LinkFillTime && *readingTime < limits.configurationBound;
+}
+
 Millis readingRetryDelay(Millis first, int failures, bool isReader, Random *random)
 {
     if (isReader || failures == 0)
--- a/src/session/readingpolicy.h
+++ b/src/session/readingpolicy.h
@@ -8,6 +8,8 @@
 #include "base/millis.h"
 #include "session/platformcache.h"
 
+#include <optional>
+
 namespace cicadagap {
 
 // How old the data of the platform reader may be. A reader with older data is taken to be cut off
@@ -26,6 +28,11 @@
 // The same for the lists of instances and hosts.
 bool hasRecentLists(const PlatformUpdate &update, const ReaderAgeLimits &limits);
 
+// Whether a transfer that has been arriving for so long is taken to fill this host's link, so that
+// answers of instances wait behind it. Ends at the bound, so that an instance that failed meanwhile
+// is noticed.
+bool mayFillLink(std::optional<Millis> readingTime, const ReaderAgeLimits &limits);
+
 // The time until a reading is repeated that has failed so many times in a row. The platform reader
 // repeats it soon, and passes on what it gets. The other hosts double the delay and draw it from
 // its upper half, so that they neither burden a store that refuses all of them nor meet there.
--- a/src/session/tst_primarytracker.cpp
+++ b/src/session/tst_primarytracker.cpp
@@ -279,6 +279,30 @@
     EXPECT_TRUE(tracker.instancesToQuery(Millis(770)).empty());
 }
 
+// Guards against this failure: while a long version of the configuration arrived, all primaries
+// were taken for failed, since their answers waited behind it.
+TEST(PrimaryTracker, HoldsNoSilenceAgainstAnInstanceWhileTheOwnLinkIsFull)
+{
+    constexpr Millis Tick(50);
+    constexpr Millis FreeAt(2000);
+    PrimaryTracker tracker;
+    tracker.setInstances(Millis(0), {{.id = "a", .registeredAsPrimary = true}, {.id = "b"}});
+    tracker.onProvenPrimary(Millis(0), "a", Millis(0), {.term = 1});
+    tracker.onRequestSent(Millis(0), "a");
+    Millis now(0);
+    for (; now < FreeAt; now = now + Tick) {
+        tracker.excuseSilence(now);
+        tracker.onTick(now);
+        ASSERT_EQ(tracker.primary(), "a");
+    }
+    // An instance that failed meanwhile is noticed as soon afterwards as at any other time.
+    for (; now < FreeAt + Millis(650); now = now + Tick)
+        tracker.onTick(now);
+    EXPECT_EQ(tracker.cause(now - Tick), PrimaryChangeCause::None);
+    tracker.onTick(now + Tick);
+    EXPECT_EQ(tracker.cause(now + Tick), PrimaryChangeCause::Unreachable);
+}
+
 // Two instances may be registered as primary. If neither answers, the primary has to be replaced;
 // it must not be looked for at one and the other by turns.
 TEST(PrimaryTracker, DoesNotTurnFromOneSilentPrimaryToAnother)
--- a/src/session/tst_readingpolicy.cpp
+++ b/src/session/tst_readingpolicy.cpp
@@ -50,6 +50,16 @@
                     ReaderState{"beginsAgain", Millis(7400), Millis(10), false}),
     testing::PrintToStringParamName());
 
+// A transfer without end must not hide that an instance failed.
+TEST(ReadingPolicy, ALongTransferFillsTheLinkUpToTheBound)
+{
+    EXPECT_FALSE(mayFillLink(std::nullopt, Limits));
+    EXPECT_FALSE(mayFillLink(Millis(50), Limits));
+    EXPECT_TRUE(mayFillLink(Millis(200), Limits));
+    EXPECT_TRUE(mayFillLink(Millis(4999), Limits));
+    EXPECT_FALSE(mayFillLink(Millis(5000), Limits));
+}
+
 TEST(ReadingPolicy, CountsTheTimeOnTheWay)
 {
     PlatformUpdate update{.routingAge = Millis(3000), .readingTime = Millis(4000)};
