Soak: callers with the keys of tenants

Without the option the configuration and CONNECT are as before. Ruled out: withdrawals there; SimulatedTenants has them.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -53,6 +53,7 @@
     SoakOptions options{.hosts = arguments["hosts"].as<int>(),
                         .groups = arguments["groups"].as<int>(),
                         .callers = arguments["callers"].as<int>(),
+                        .tenants = arguments["tenants"].as<int>(),
                         .connections = arguments["connections"].as<int>(),
                         .fencedPromotions = arguments["fencing"].as<std::string>() != "off",
                         .restores = arguments["restores"].as<std::string>() == "on",
@@ -93,6 +94,8 @@
             cxxopts::value<int>()->default_value("2"));
         add("callers", "Number of callers, each with one session at a time",
             cxxopts::value<int>()->default_value("36"));
+        add("tenants", "Number of tenants whose keys callers show; 0 if they need none",
+            cxxopts::value<int>()->default_value("0"));
         add("connections", "Connections that an instance accepts",
             cxxopts::value<int>()->default_value("22"));
         add("fencing", "Whether the platform checks fencing tokens: on or off",
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -50,6 +50,7 @@
 StandinDeployment::Options deploymentOptions(const SoakOptions &options)
 {
     return {.groups = options.groups,
+            .tenants = options.tenants,
             .connections = static_cast<std::size_t>(options.connections),
             .fencedPromotions = options.fencedPromotions,
             .address = options.address};
@@ -175,12 +176,19 @@
     for (int i = 0; i < m_options.callers; ++i) {
         const StandinDatabase &database = databases[static_cast<std::size_t>(i) % databases.size()];
         GuaranteeChecker *checker = m_groupChecks.at(database.group).checker.get();
-        m_callers.push_back(std::make_unique<SoakCaller>(
-            &m_loop, SoakCaller::Options{.database = database.name, .seed = m_random.next()},
-            checker, checker->addCaller(database.consistency),
-            [this] { return m_hosts[m_random.below(m_hosts.size())]->callers; }));
-        SoakCaller *caller = m_callers.back().get();
-        m_loop.after(Millis(200 + 5 * i), [caller] { caller->start(); });
+        const std::size_t number = checker->addCaller(database.consistency);
+        SoakCaller::Options caller{.database = database.name, .seed = m_random.next()};
+        if (m_options.tenants > 0) {
+            const int tenant = i % m_options.tenants;
+            caller.key = StandinDeployment::tenantKey(tenant);
+            checker->setTenant(number, StandinDeployment::tenantName(tenant), Millis(0));
+        }
+        m_callers.push_back(
+            std::make_unique<SoakCaller>(&m_loop, std::move(caller), checker, number, [this] {
+                return m_hosts[m_random.below(m_hosts.size())]->callers;
+            }));
+        SoakCaller *started = m_callers.back().get();
+        m_loop.after(Millis(200 + 5 * i), [started] { started->start(); });
     }
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -92,6 +92,7 @@
     int hosts = 4;
     int groups = 2;
     int callers = 36;
+    int tenants = 0;      // Whose keys callers show by turns; 0 if they need none.
     int connections = 22; // That an instance accepts; with few, hosts relay through gateways.
     bool fencedPromotions = true; // See StandinDeployment::Options.
     // Besides the other faults, the store comes back from an older copy of itself, once to three
--- a/test/soak/soakcaller.cpp
+++ b/test/soak/soakcaller.cpp
@@ -39,9 +39,9 @@
     {
     }
 
-    void open(const Endpoint &host, const std::string &database)
+    void open(const Endpoint &host, const std::string &database, const std::string &key = "soak")
     {
-        m_output = "CONNECT " + database + " soak" + std::string(LineEnd);
+        m_output = "CONNECT " + database + " " + key + std::string(LineEnd);
         const tcp::endpoint endpoint(asio::ip::make_address(host.address), host.port);
         m_socket.async_connect(endpoint, [self = shared_from_this()](const error_code &error) {
             if (error) {
@@ -173,7 +173,7 @@
                               },
                           .answered = [this](const StatementAnswer &answer) { onAnswer(answer); },
                           .lost = [this] { onLost(); }});
-    m_session->open(m_chooseHost(), m_options.database);
+    m_session->open(m_chooseHost(), m_options.database, m_options.key);
 }
 
 void SoakCaller::sendNext()
--- a/test/soak/soakcaller.h
+++ b/test/soak/soakcaller.h
@@ -27,6 +27,7 @@
     struct Options
     {
         std::string database;
+        std::string key = "soak";
         std::uint64_t seed = 1;
         Millis answerTimeout = Millis(8000); // After it the caller abandons its session.
     };
