--- a/src/session/tst_tenantquota.cpp
+++ b/src/session/tst_tenantquota.cpp
@@ -12,9 +12,11 @@
 #include <cmath>
 #include <deque>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadagap {
@@ -418,6 +420,59 @@
     [](const auto &info) { return info.param.name; });
 // clang-format on
 
+// A host's messages stay below 2 KB a second with 71 tenants, most of which use little: a third of
+// them have high limits. 60 bytes are added for the frames of each message.
+TEST(QuotaMessages, AreFew)
+{
+    constexpr int Tenants = 71;
+    constexpr std::size_t FrameBytes = 60;
+    constexpr Millis Time(60'000);
+    constexpr double OperationsPerSecond = 7; // Of all tenants at one of 119 hosts.
+    std::vector<std::string> hosts;
+    for (int i = 0; i < 119; ++i)
+        hosts.push_back("host-" + std::to_string(i));
+    std::map<std::string, TenantLimits> limits;
+    for (int i = 0; i < Tenants; ++i) {
+        const std::int64_t limit = i % 3 == 0 ? 331 : 20;
+        limits["tenant-" + std::to_string(i)] = {.perSecond = limit, .burst = limit};
+    }
+    TenantQuota quota({.host = "host-0"});
+    quota.setLimits(Millis(0), limits);
+    Random random(7);
+    std::map<std::string, std::vector<Millis>> waiting;
+    std::size_t bytes = 0;
+    int refused = 0;
+    const auto ask = [&](Millis now, const std::string &tenant, std::optional<Millis> since) {
+        const Admission::Outcome outcome = quota.admit(now, tenant, since).outcome;
+        if (outcome == Admission::Outcome::Waiting)
+            waiting[tenant].push_back(since.value_or(now));
+        refused += outcome == Admission::Outcome::Refused ? 1 : 0;
+    };
+    for (Millis now; now < Time; now = now + Tick) {
+        if (now.count() % 1000 == 0)
+            quota.setHosts(now, hosts, quotaOwners(hosts));
+        for (const auto &[tenant, sinces] : std::exchange(waiting, {})) {
+            for (const Millis since : sinces)
+                ask(now, tenant, since);
+        }
+        if (double(random.below(1000)) < OperationsPerSecond * double(Tick.count()))
+            ask(now, "tenant-" + std::to_string(random.below(Tenants)), std::nullopt);
+        for (const OutgoingQuotaRequest &due : quota.takeRequests(now)) {
+            QuotaReply reply;
+            for (const QuotaWant &want : due.request.wants)
+                reply.grants.push_back(
+                    {.tenant = want.tenant, .kept = want.unused, .granted = want.wanted});
+            bytes += encodeQuotaRequest(due.request).size() + encodeQuotaReply(reply).size()
+                + 2 * FrameBytes;
+            quota.onReply(now, due.owner, due.request.number, reply);
+        }
+    }
+    const double perSecond = double(bytes) / (double(Time.count()) / 1000);
+    std::cout << perSecond << " B/s\n";
+    EXPECT_LT(perSecond, 2000);
+    EXPECT_EQ(refused, 0);
+}
+
 // Any request and reply survive the way, also with odd texts.
 TEST(QuotaCodec, PreservesMessages)
 {
