--- a/src/session/tst_tenantquota.cpp
+++ b/src/session/tst_tenantquota.cpp
@@ -69,9 +69,9 @@
     bool skipsTakeOver = false;
 };
 
-void PrintTo(const Schedule &schedule, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Schedule &schedule)
 {
-    *out << schedule.name;
+    return out << schedule.name;
 }
 
 class Fleet
@@ -428,8 +428,10 @@
     constexpr std::size_t FrameBytes = 60;
     constexpr Millis Time(60'000);
     constexpr double OperationsPerSecond = 7; // Of all tenants at one of 119 hosts.
+    constexpr int Hosts = 119;
     std::vector<std::string> hosts;
-    for (int i = 0; i < 119; ++i)
+    hosts.reserve(Hosts);
+    for (int i = 0; i < Hosts; ++i)
         hosts.push_back("host-" + std::to_string(i));
     std::map<std::string, TenantLimits> limits;
     for (int i = 0; i < Tenants; ++i) {
@@ -459,6 +461,7 @@
             ask(now, "tenant-" + std::to_string(random.below(Tenants)), std::nullopt);
         for (const OutgoingQuotaRequest &due : quota.takeRequests(now)) {
             QuotaReply reply;
+            reply.grants.reserve(due.request.wants.size());
             for (const QuotaWant &want : due.request.wants)
                 reply.grants.push_back(
                     {.tenant = want.tenant, .kept = want.unused, .granted = want.wanted});
