--- a/src/session/tst_outlierdetector.cpp
+++ b/src/session/tst_outlierdetector.cpp
@@ -1,5 +1,6 @@
 // Tests of the detection of instances that answer worse than their siblings.
 #include "session/outlierdetector.h"
+#include "sessionoutputs.h"
 
 #include <gtest/gtest.h>
 
@@ -109,5 +110,44 @@
     EXPECT_EQ(detector.share(now, "i1"), 1);
 }
 
+class EventOutput : public SendingOutput
+{
+public:
+    void logGroupEvent(const std::string &, std::string_view event, const std::string &instance,
+                       std::uint64_t, const std::string &) override
+    {
+        if (event.starts_with("instance."))
+            events.push_back(std::string(event) + " " + instance);
+    }
+
+    std::vector<std::string> events;
+};
+
+TEST(SessionEngineOutliers, AreLoggedWhenSetAsideAndReturning)
+{
+    EventOutput output;
+    SessionEngine engine({.host = "h"}, &output);
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 40};
+    engine.onHosts(Millis(0), {{.host = "h"}});
+    engine.onConfiguration(Millis(0), routing);
+    engine.onInstances(Millis(0),
+                       {{.id = "i1", .group = "g", .slots = 4},
+                        {.id = "i2", .group = "g", .slots = 4},
+                        {.id = "i3", .group = "g", .slots = 4}});
+    for (Millis now(200); now < Millis(6000); now = now + Millis(200)) {
+        for (const char *id : {"i1", "i3"})
+            engine.onTargetOpened(now, output.connections[id]);
+        if (now < Millis(3000))
+            engine.onTargetOpenFailed(now, output.connections["i2"], /*full=*/false);
+        else
+            engine.onTargetOpened(now, output.connections["i2"]);
+        engine.onTick(now);
+    }
+    ASSERT_FALSE(output.events.empty());
+    EXPECT_EQ(output.events.front(), "instance.set-aside i2");
+    EXPECT_EQ(output.events.back(), "instance.returned i2");
+}
+
 } // namespace
 } // namespace cicadagap
