The pool's look at tenants' connections is one pass for each decision

Change: Shares holds the connections by tenant, gathered once; WorkQueue::turns() looks tenants up. Ruled out: keeping the shares up to date at each change of a connection's state; one pass is enough.

--- a/src/session/targetpool.cpp
+++ b/src/session/targetpool.cpp
@@ -700,88 +700,73 @@
         return std::nullopt;
     const auto slots = static_cast<std::size_t>(std::max(1, instance->registered.slots));
     const std::size_t free = slots - std::min(slots, instance->slotsInUse);
-    std::vector<std::string> needConnection; // In the order of their turns.
+    const std::size_t room = roomIn(*instance);
+    const Shares shares = sharesOf(now, *instance);
+    std::set<std::string_view> needConnection;
     bool oneHasNone = false;
     std::size_t obtainable = 0; // Connections for them.
+    bool allFree = true;        // No free slot is left for them alone.
     const auto mayStart = [&](const std::string &tenant) {
-        if (!hasIdleOf(*instance, tenant)) {
-            if (now < instance->openAfter
-                || std::find(needConnection.begin(), needConnection.end(), tenant)
-                    != needConnection.end())
+        const Share share = shares.of(tenant);
+        if (share.idle == 0) {
+            if (now < instance->openAfter || !needConnection.insert(tenant).second)
                 return false;
-            needConnection.push_back(tenant);
-            oneHasNone = oneHasNone || !hasConnectionOf(*instance, tenant);
-            obtainable = std::max(obtainable, obtainableFor(now, *instance, tenant));
+            const bool hasNone = share.connections == 0;
+            oneHasNone = oneHasNone || hasNone;
+            obtainable = std::max(obtainable,
+                                  share.opening + room + shares.withoutWork
+                                      + (hasNone ? shares.pastTurn : 0));
+            allFree = std::min(needConnection.size(), obtainable) < free;
             return false;
         }
-        if (std::min(needConnection.size(), obtainable) >= free)
-            return false;
-        if (!oneHasNone || roomIn(*instance) > 0)
-            return true;
         // Otherwise the tenants with work would take each connection again as soon as it is idle.
-        const auto &ids = instance->connections;
-        return std::none_of(ids.begin(), ids.end(), [&](ConnectionId id) {
-            const Connection &connection = m_connections.at(id);
-            return connection.tenant == tenant && connection.state == State::Idle
-                && now - connection.openedAt >= m_options.tenantTurn;
-        });
+        const bool kept = !oneHasNone || room > 0 || !share.isPastTurn;
+        return allFree && kept;
     };
     const std::optional<QueuedEntry> entry = instance->queue.pop(mayStart);
     return entry ? std::optional(entry->id) : std::nullopt;
 }
 
-// How many connections to the instance may be opened besides those that exist.
-std::size_t TargetPool::roomIn(const Instance &instance)
+TargetPool::Share TargetPool::Shares::of(std::string_view tenant) const
 {
-    const auto limit = static_cast<std::size_t>(instance.maxConnections);
-    return limit - std::min(limit, instance.connections.size());
+    const auto found = byTenant.find(tenant);
+    return found == byTenant.end() ? Share{} : found->second;
 }
 
-// How many connections the tenant could get now: those being opened for it, and new ones.
-std::size_t TargetPool::obtainableFor(Millis now, const Instance &instance,
-                                      const std::string &tenant) const
+// Which tenants hold the connections to the instance, and which of these may be closed for others.
+TargetPool::Shares TargetPool::sharesOf(Millis now, const Instance &instance) const
 {
-    const auto replaceable = std::count_if(
-        instance.connections.begin(), instance.connections.end(),
-        [&](ConnectionId id) { return makesRoom(now, instance, m_connections.at(id), tenant); });
-    return openingFor(instance, tenant) + roomIn(instance) + static_cast<std::size_t>(replaceable);
-}
-
-bool TargetPool::hasConnectionOf(const Instance &instance, const std::string &tenant) const
-{
-    return std::any_of(instance.connections.begin(), instance.connections.end(),
-                       [&](ConnectionId id) { return m_connections.at(id).tenant == tenant; });
-}
-
-// Whether the connection may be closed so that one of the given tenant can be opened: it is idle,
-// and its tenant has no work for it or has had its time, while the other tenant has no connection.
-bool TargetPool::makesRoom(Millis now, const Instance &instance, const Connection &connection,
-                           const std::string &tenant) const
-{
-    if (connection.state != State::Idle || connection.tenant == tenant)
-        return false;
-    if (!instance.queue.hasWorkOf(connection.tenant))
-        return true;
-    return now - connection.openedAt >= m_options.tenantTurn && !hasConnectionOf(instance, tenant);
-}
-
-bool TargetPool::hasIdleOf(const Instance &instance, const std::string &tenant) const
-{
-    return std::any_of(instance.connections.begin(), instance.connections.end(),
-                       [&](ConnectionId id) {
-                           const Connection &connection = m_connections.at(id);
-                           return connection.state == State::Idle && connection.tenant == tenant;
-                       });
+    Shares shares;
+    for (const ConnectionId id : instance.connections) {
+        const Connection &connection = m_connections.at(id);
+        Share &share = shares.byTenant[connection.tenant];
+        ++share.connections;
+        share.opening += connection.state == State::Opening ? 1 : 0;
+        if (connection.state != State::Idle)
+            continue;
+        ++share.idle;
+        const auto keepLonger = [&](std::optional<ConnectionId> *longest) {
+            if (!*longest || connection.since < m_connections.at(**longest).since)
+                *longest = id;
+        };
+        if (!instance.queue.hasWorkOf(connection.tenant)) {
+            ++shares.withoutWork;
+            keepLonger(&shares.longestWithoutWork);
+            keepLonger(&shares.longestReplaceable);
+        } else if (now - connection.openedAt >= m_options.tenantTurn) {
+            ++shares.pastTurn;
+            share.isPastTurn = true;
+            keepLonger(&shares.longestReplaceable);
+        }
+    }
+    return shares;
 }
 
-// How many connections to the instance are being opened for the tenant.
-std::size_t TargetPool::openingFor(const Instance &instance, const std::string &tenant) const
+// How many connections to the instance may be opened besides those that exist.
+std::size_t TargetPool::roomIn(const Instance &instance)
 {
-    return static_cast<std::size_t>(std::count_if(
-        instance.connections.begin(), instance.connections.end(), [&](ConnectionId id) {
-            const Connection &connection = m_connections.at(id);
-            return connection.state == State::Opening && connection.tenant == tenant;
-        }));
+    const auto limit = static_cast<std::size_t>(instance.maxConnections);
+    return limit - std::min(limit, instance.connections.size());
 }
 
 // The idle connection that needs the fewest statements to fit the work's session state.
@@ -831,32 +816,27 @@
 std::optional<TargetPool::Opening> TargetPool::nextOpening(Millis now,
                                                            const Instance &instance) const
 {
+    if (instance.queue.size() == 0)
+        return std::nullopt;
+    const bool hasRoom = roomIn(instance) > 0;
+    const Shares shares = sharesOf(now, instance);
+    if (!hasRoom && !shares.longestReplaceable)
+        return std::nullopt;
     for (const WorkQueue::Turn &turn : instance.queue.turns()) {
-        if (hasIdleOf(instance, turn.tenant) || turn.entries <= openingFor(instance, turn.tenant))
+        const Share share = shares.of(turn.tenant);
+        if (share.idle > 0 || turn.entries <= share.opening)
             continue;
-        if (roomIn(instance) > 0)
+        if (hasRoom)
             return Opening{.tenant = turn.tenant, .replaced = {}};
-        if (const std::optional<ConnectionId> idle = longestIdle(now, instance, turn.tenant))
-            return Opening{.tenant = turn.tenant, .replaced = idle};
+        // A tenant that holds one already takes none from a tenant with work.
+        const std::optional<ConnectionId> replaced
+            = share.connections == 0 ? shares.longestReplaceable : shares.longestWithoutWork;
+        if (replaced)
+            return Opening{.tenant = turn.tenant, .replaced = replaced};
     }
     return std::nullopt;
 }
 
-// The connection to the instance that has been idle for longest among those that may make room for
-// one of the tenant; nothing if there is none.
-std::optional<ConnectionId> TargetPool::longestIdle(Millis now, const Instance &instance,
-                                                    const std::string &tenant) const
-{
-    std::optional<ConnectionId> longest;
-    for (const ConnectionId id : instance.connections) {
-        const Connection &connection = m_connections.at(id);
-        if (makesRoom(now, instance, connection, tenant)
-            && (!longest || connection.since < m_connections.at(*longest).since))
-            longest = id;
-    }
-    return longest;
-}
-
 Millis TargetPool::idleLimit(const Connection &connection) const
 {
     return connection.tenant.empty() ? m_options.idleClose : m_options.tenantIdleClose;
--- a/src/session/targetpool.h
+++ b/src/session/targetpool.h
@@ -322,6 +322,28 @@
         std::string instance;
     };
 
+    // A tenant's connections to an instance.
+    struct Share
+    {
+        std::size_t connections = 0; // In any state.
+        std::size_t opening = 0;
+        std::size_t idle = 0;
+        bool isPastTurn = false; // An idle one may be closed for a tenant without any.
+    };
+
+    // The connections to an instance by tenant, as of one moment.
+    struct Shares
+    {
+        Share of(std::string_view tenant) const;
+
+        std::map<std::string_view, Share> byTenant;
+        std::size_t withoutWork = 0; // Idle connections of tenants without queued work.
+        std::size_t pastTurn = 0;    // Idle ones that may be closed for a tenant without any.
+        // Those of them that have been idle for longest: without work, and of both.
+        std::optional<ConnectionId> longestWithoutWork;
+        std::optional<ConnectionId> longestReplaceable;
+    };
+
     // A connection to open.
     struct Opening
     {
@@ -343,17 +365,9 @@
     std::vector<WorkId> takeExpiredUrgent(Millis now, Instance *instance) const;
     std::optional<ConnectionId> cheapestIdle(const Instance &instance,
                                              const TargetWork &work) const;
-    bool hasIdleOf(const Instance &instance, const std::string &tenant) const;
-    std::size_t openingFor(const Instance &instance, const std::string &tenant) const;
-    bool hasConnectionOf(const Instance &instance, const std::string &tenant) const;
-    std::size_t obtainableFor(Millis now, const Instance &instance,
-                              const std::string &tenant) const;
     static std::size_t roomIn(const Instance &instance);
-    bool makesRoom(Millis now, const Instance &instance, const Connection &connection,
-                   const std::string &tenant) const;
+    Shares sharesOf(Millis now, const Instance &instance) const;
     std::optional<Opening> nextOpening(Millis now, const Instance &instance) const;
-    std::optional<ConnectionId> longestIdle(Millis now, const Instance &instance,
-                                            const std::string &tenant) const;
     Millis idleLimit(const Connection &connection) const;
     void openIfNeeded(Millis now, Instance *instance);
     void open(Millis now, Instance *instance, const std::string &tenant);
--- a/src/session/workqueue.cpp
+++ b/src/session/workqueue.cpp
@@ -1,6 +1,8 @@
 #include "session/workqueue.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace cicadagap {
@@ -54,15 +56,13 @@
 std::vector<WorkQueue::Turn> WorkQueue::turns() const
 {
     std::vector<Turn> turns;
+    std::map<std::string_view, std::size_t> indexes; // By tenant.
     for (const Level &level : m_levels) {
         for (const TenantWork &work : level.turns) {
-            const auto known = std::find_if(turns.begin(), turns.end(), [&](const Turn &turn) {
-                return turn.tenant == work.tenant;
-            });
-            if (known == turns.end())
-                turns.push_back({.tenant = work.tenant, .entries = work.entries.size()});
-            else
-                known->entries += work.entries.size();
+            const auto [known, isNew] = indexes.try_emplace(work.tenant, turns.size());
+            if (isNew)
+                turns.push_back({.tenant = work.tenant, .entries = 0});
+            turns[known->second].entries += work.entries.size();
         }
     }
     return turns;
