tst_workqueue multiplies in the type of Millis

Cause: the linter's bugprone-implicit-widening-of-multiplication-result. Change: the number is converted first. Result: tst_tenants, tst_workqueue, tst_targetpool: 66 tests pass.

--- a/src/session/tst_workqueue.cpp
+++ b/src/session/tst_workqueue.cpp
@@ -124,7 +124,7 @@
                 const QueuedEntry entry{.id = ++id,
                                         .priority = choice / 4,
                                         .tenant = tenant,
-                                        .deadline = now + Millis(choice * 3)};
+                                        .deadline = now + Millis(3) * std::int64_t(choice)};
                 if (queue.push(entry))
                     queued[entry.id] = entry;
                 for (const QueuedEntry &displaced : queue.takeDisplaced())
