Hosts send each other the difference between versions of the configuration

Cause: one changed entry of a large configuration was sent as the whole table to each host of a data centre, over the narrow link of one.

Change: a follower says that it takes differences. The platform reader remembers the names that changed in the last versions (bounded), and sends the changed and removed entries with the hash of the whole result, if the follower holds a version that is remembered and the difference is shorter. A follower applies it to a copy; if the version or the hash differs, the version in force and its age stay, one line says why, and the next request asks for the whole. Hosts of an earlier release do not ask for differences.

Ruled out: remembering whole tables, for their memory.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -277,6 +277,7 @@
             if (update && platformReader == m_followedReader) {
                 update->addAge(m_arrivalDelay.bound(now(), requestedAt));
                 judgeAges(*update);
+                resolveDelta(&*update);
                 update->addAge(reply.transferTime);
                 applyUpdate(*update);
                 m_loop->after(isRecent() ? Millis(0) : RoleCheckInterval,
@@ -318,6 +319,17 @@
     m_listsRecent = listsRecent;
 }
 
+// Logs why a difference does not fit to the configuration in force, which stays so.
+void PlatformFeed::resolveDelta(PlatformUpdate *update)
+{
+    Reason reason;
+    if (!m_cache.resolveDelta(update, &reason))
+        logEvent(LogLevel::Warning, "configuration.difference-refused",
+                 {{"reader", m_followedReader},
+                  {"version", static_cast<std::int64_t>(update->routingDelta->changed.version)},
+                  {"reason", reason.text()}});
+}
+
 void PlatformFeed::applyUpdate(const PlatformUpdate &update)
 {
     m_epoch.onAge(now(), update.storeEpoch, update.storeEpochAge);
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -61,6 +61,7 @@
     void followReader();
     void logRefusedEntry(const std::string &reason);
     void judgeAges(const PlatformUpdate &update);
+    void resolveDelta(PlatformUpdate *update);
     void applyUpdate(const PlatformUpdate &update);
     void applyInstances();
     void findEpochStart();
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -70,6 +70,19 @@
         write(row.second, out->add_tenants());
 }
 
+void write(const RoutingDelta &delta, relaywire::RoutingDelta *out)
+{
+    out->set_base(delta.base);
+    write(delta.changed, out->mutable_changed());
+    for (const std::string &name : delta.removedDatabases)
+        out->add_removed_databases(name);
+    for (const std::string &name : delta.removedGroups)
+        out->add_removed_groups(name);
+    for (const std::string &name : delta.removedTenants)
+        out->add_removed_tenants(name);
+    out->set_result_hash(delta.hash);
+}
+
 std::optional<RoutingTable> read(const relaywire::Routing &in)
 {
     RoutingTable routing{.version = in.version(),
@@ -100,6 +113,20 @@
     return routing;
 }
 
+std::optional<RoutingDelta> read(const relaywire::RoutingDelta &in)
+{
+    std::optional<RoutingTable> changed = read(in.changed());
+    if (!changed)
+        return std::nullopt;
+    return RoutingDelta{
+        .base = in.base(),
+        .changed = std::move(*changed),
+        .removedDatabases = {in.removed_databases().begin(), in.removed_databases().end()},
+        .removedGroups = {in.removed_groups().begin(), in.removed_groups().end()},
+        .removedTenants = {in.removed_tenants().begin(), in.removed_tenants().end()},
+        .hash = in.result_hash()};
+}
+
 void write(const RegisteredInstance &instance, relaywire::Instance *out)
 {
     out->set_id(instance.id);
@@ -196,11 +223,20 @@
 
 } // namespace
 
+std::uint64_t routingHash(const RoutingTable &routing)
+{
+    relaywire::Routing message;
+    write(routing, &message);
+    return hash64(message.SerializeAsString());
+}
+
 std::string encodePlatformUpdate(const PlatformUpdate &update)
 {
     relaywire::Bulletin out;
     if (update.routing)
         write(*update.routing, out.mutable_routing());
+    if (update.routingDelta)
+        write(*update.routingDelta, out.mutable_routing_delta());
     out.set_has_instances(update.instances.has_value());
     if (update.instances) {
         for (const RegisteredInstance &instance : *update.instances)
@@ -252,6 +288,13 @@
             return std::nullopt;
         }
     }
+    if (in.has_routing_delta()) {
+        update.routingDelta = read(in.routing_delta());
+        if (!update.routingDelta) {
+            setReason(reason, "an entry of the difference of the routing table is invalid");
+            return std::nullopt;
+        }
+    }
     if (in.has_instances())
         update.instances = readValid<RegisteredInstance>(in.instances(), reason);
     if (in.has_hosts())
@@ -267,6 +310,7 @@
     out.set_hosts_revision(request.hostsRevision);
     out.set_wait_ms(milliseconds(request.wait));
     out.set_host(request.host);
+    out.set_takes_delta(request.takesDelta);
     return out.SerializeAsString();
 }
 
@@ -282,7 +326,8 @@
                                  .instancesRevision = in.instances_revision(),
                                  .hostsRevision = in.hosts_revision(),
                                  .wait = Millis(in.wait_ms()),
-                                 .host = in.host()};
+                                 .host = in.host(),
+                                 .takesDelta = in.takes_delta()};
 }
 
 void PlatformCache::setRouting(Millis now, const RoutingTable &routing, Millis age)
@@ -290,7 +335,11 @@
     m_routingAt = std::max(m_routingAt, now - age);
     if (m_routing && routing.version <= m_routing->version)
         return;
+    if (m_routing)
+        m_history.add(*m_routing, routing);
     m_routing = routing;
+    m_wantsWhole = false;
+    m_delta.reset();
     answerWaiting(now, AnswerWhom::Updated);
 }
 
@@ -349,11 +398,26 @@
     answerWaiting(now, AnswerWhom::All);
 }
 
+bool PlatformCache::resolveDelta(PlatformUpdate *update, Reason *reason)
+{
+    if (!update->routingDelta)
+        return true;
+    const bool isOlder = m_routing && m_routing->version >= update->routingDelta->changed.version;
+    if (isOlder)
+        return true;
+    if (m_routing)
+        update->routing = applyDelta(*m_routing, *update->routingDelta, reason);
+    else
+        setReason(reason, "there is no version that the difference could apply to");
+    m_wantsWhole = !update->routing;
+    return !m_wantsWhole;
+}
+
 void PlatformCache::refresh(Millis now, const PlatformUpdate &update)
 {
     if (update.routing)
         setRouting(now, *update.routing, update.routingAge);
-    else
+    else if (!update.routingDelta)
         m_routingAt = std::max(m_routingAt, now - update.routingAge);
     const Origin instancesOrigin{.position = update.instancesPosition,
                                  .readAt = now - update.instancesAge};
@@ -381,7 +445,8 @@
     return {.routingVersion = m_routing ? m_routing->version : 0,
             .instancesRevision = m_instancesRevision,
             .hostsRevision = m_hostsRevision,
-            .wait = wait};
+            .wait = wait,
+            .takesDelta = m_routing && !m_wantsWhole};
 }
 
 void PlatformCache::requestUpdate(Millis now, const PlatformUpdateRequest &request, Reply reply)
@@ -404,7 +469,7 @@
         || (m_instances && m_instancesRevision != request.instancesRevision);
 }
 
-PlatformUpdate PlatformCache::updateFor(Millis now, const PlatformUpdateRequest &request) const
+PlatformUpdate PlatformCache::updateFor(Millis now, const PlatformUpdateRequest &request)
 {
     PlatformUpdate update{.instancesRevision = m_instancesRevision,
                           .hostsRevision = m_hostsRevision,
@@ -415,7 +480,7 @@
                           .hostsAge = now - m_hostsOrigin.readAt,
                           .reachesPlatform = m_reachesPlatform};
     if (m_routing && m_routing->version > request.routingVersion)
-        update.routing = m_routing;
+        addRouting(request, &update);
     if (m_instances && m_instancesRevision != request.instancesRevision)
         update.instances = m_instances;
     // Hosts renew their records all the time, so that a new list of hosts alone does not count as
@@ -425,6 +490,20 @@
     return update;
 }
 
+// Adds the difference to the version that the sender of the request has, if that is remembered and
+// shorter; otherwise the whole.
+void PlatformCache::addRouting(const PlatformUpdateRequest &request, PlatformUpdate *update)
+{
+    if (request.takesDelta) {
+        if (!m_delta || m_delta->base != request.routingVersion)
+            m_delta = m_history.differenceSince(request.routingVersion, *m_routing);
+        if (m_delta && m_delta->size() < entriesOf(*m_routing))
+            update->routingDelta = m_delta;
+    }
+    if (!update->routingDelta)
+        update->routing = m_routing;
+}
+
 void PlatformCache::answerWaiting(Millis now, AnswerWhom which)
 {
     std::vector<WaitingRequest> answered;
--- a/src/session/platformcache.h
+++ b/src/session/platformcache.h
@@ -14,6 +14,7 @@
 #include "session/hostdirectory.h"
 #include "session/registry.h"
 #include "session/routing.h"
+#include "session/routingdelta.h"
 #include "session/storeposition.h"
 
 #include <cstdint>
@@ -34,6 +35,8 @@
     std::uint64_t hostsRevision = 0;
     Millis wait;      // How long to wait for something newer.
     std::string host; // The sender.
+    // The sender applies a difference to its version of the routing table.
+    bool takesDelta = false;
 };
 
 // The answer to a PlatformUpdateRequest. Contains only what differs from what the sender of the
@@ -41,6 +44,7 @@
 struct PlatformUpdate
 {
     std::optional<RoutingTable> routing;
+    std::optional<RoutingDelta> routingDelta; // Instead of `routing`.
     std::optional<std::vector<RegisteredInstance>> instances;
     std::optional<std::vector<HostRecord>> hosts;
     std::uint64_t instancesRevision = 0;
@@ -69,6 +73,9 @@
     }
 };
 
+// A hash of the contents, equal on every host.
+std::uint64_t routingHash(const RoutingTable &routing);
+
 // Encode as the messages Bulletin and BulletinRequest of generated/relaywire/relay.proto, and back;
 // nothing, and a reason, for bytes that are not such a message. An entry of a list that is not
 // valid is left out, with a reason.
@@ -98,6 +105,9 @@
                   Millis age = Millis(0));
     // Sets whether this host's last readings succeeded. A change answers all waiting requests.
     void setReachesPlatform(Millis now, bool reaches);
+    // Replaces a difference by the routing table that it leads to. Returns false, with a reason, if
+    // it does not fit to the cached one; the next request then asks for the whole table.
+    bool resolveDelta(PlatformUpdate *update, Reason *reason);
     // Takes over an answer of the platform reader.
     void refresh(Millis now, const PlatformUpdate &update);
 
@@ -137,7 +147,8 @@
     void takeHosts(Millis now, const std::vector<HostRecord> &hosts, const Origin &origin,
                    std::uint64_t revision);
     bool hasUpdate(const PlatformUpdateRequest &request) const;
-    PlatformUpdate updateFor(Millis now, const PlatformUpdateRequest &request) const;
+    PlatformUpdate updateFor(Millis now, const PlatformUpdateRequest &request);
+    void addRouting(const PlatformUpdateRequest &request, PlatformUpdate *update);
     enum class AnswerWhom {
         Updated,          // Requests for which there is something newer.
         UpdatedOrExpired, // Those, and requests whose wait is over.
@@ -146,6 +157,9 @@
     void answerWaiting(Millis now, AnswerWhom which);
 
     std::optional<RoutingTable> m_routing;
+    RoutingHistory m_history;
+    std::optional<RoutingDelta> m_delta; // The last one that was sent; all followers get the same.
+    bool m_wantsWhole = false;           // The last difference did not fit.
     std::optional<std::vector<RegisteredInstance>> m_instances;
     std::optional<std::vector<HostRecord>> m_hosts;
     std::uint64_t m_instancesRevision = 0;
--- a/src/session/routing.h
+++ b/src/session/routing.h
@@ -31,6 +31,8 @@
     Millis latencyObjective; // For a whole operation, from the statement's arrival to its answer.
     int priority = 0;        // 0 goes first.
     bool isPublic = false;   // Callers need no key, also where there are tenants.
+
+    bool operator==(const DatabaseRoute &) const = default;
 };
 
 // A group: instances that replicate one log, of which one is primary.
@@ -39,6 +41,8 @@
     std::string name;
     int maxConnections = 0; // Connections that one instance accepts from all hosts together.
     int syncReplicas = 0;   // Replicas that must hold a commit before it is acknowledged.
+
+    bool operator==(const GroupSettings &) const = default;
 };
 
 // All databases and groups. Versions grow with each change.
--- a/src/session/tenant.h
+++ b/src/session/tenant.h
@@ -50,6 +50,8 @@
     std::string name; // One word, which instances are told.
     std::vector<ApiKey> keys;
     std::optional<TenantLimits> limits; // Nothing if its operations are not limited.
+
+    bool operator==(const Tenant &) const = default;
 };
 
 } // namespace cicadagap
--- a/src/session/tst_platformcache.cpp
+++ b/src/session/tst_platformcache.cpp
@@ -61,6 +61,73 @@
     EXPECT_EQ(follower.instancesReadAt(), Millis(6300));
 }
 
+// A table of many entries that the follower has already, and a version with one more.
+RoutingTable largeRouting(std::uint64_t version)
+{
+    constexpr int Databases = 500;
+    RoutingTable routing{.version = version};
+    for (int i = 0; i < Databases; ++i) {
+        const std::string name = "d" + std::to_string(i);
+        routing.databases[name] = {.database = name, .group = "g"};
+    }
+    return routing;
+}
+
+TEST_F(PlatformCacheTest, SendsTheDifferenceToTheVersionThatTheFollowerHas)
+{
+    RoutingTable newer = largeRouting(4);
+    newer.databases["new"] = {.database = "new", .group = "g"};
+    reader.setRouting(Millis(0), largeRouting(3));
+    follower.setRouting(Millis(0), largeRouting(3));
+    reader.setRouting(Millis(10), newer);
+    reader.requestUpdate(Millis(20), follower.request(Millis(0)), saveUpdate());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_LT(encodePlatformUpdate(answers.front()).size(), 200U);
+    const auto update = decodePlatformUpdate(encodePlatformUpdate(answers.front()), nullptr);
+    ASSERT_TRUE(update);
+    PlatformUpdate resolved = *update;
+    ASSERT_TRUE(follower.resolveDelta(&resolved, nullptr));
+    ASSERT_TRUE(resolved.routing);
+    EXPECT_EQ(routingHash(*resolved.routing), routingHash(newer));
+    follower.refresh(Millis(20), resolved);
+    EXPECT_EQ(follower.request(Millis(0)).routingVersion, 4U);
+}
+
+// The version in force stays, and its age does not pass for that of the refused one.
+TEST_F(PlatformCacheTest, RequestsTheWholeIfADifferenceDoesNotFit)
+{
+    RoutingTable other = largeRouting(3);
+    other.databases["other"] = {.database = "other"};
+    follower.setRouting(Millis(0), other);
+    RoutingTable newer = largeRouting(4);
+    newer.databases["new"] = {.database = "new"};
+    reader.setReachesPlatform(Millis(0), true);
+    reader.setRouting(Millis(0), largeRouting(3));
+    reader.setRouting(Millis(10), newer);
+    reader.requestUpdate(Millis(20), follower.request(Millis(0)), saveUpdate());
+    PlatformUpdate update = answers.at(0);
+    Reason reason;
+    EXPECT_FALSE(follower.resolveDelta(&update, &reason));
+    EXPECT_FALSE(reason.text().empty());
+    follower.refresh(Millis(20), update);
+    EXPECT_EQ(follower.request(Millis(0)).routingVersion, 3U);
+    reader.requestUpdate(Millis(30), follower.request(Millis(1000)), saveUpdate());
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_TRUE(answers.back().routing);
+    EXPECT_EQ(answers.back().routing->version, 4U);
+}
+
+TEST_F(PlatformCacheTest, SendsTheWholeToAFollowerWhoseVersionIsNotRemembered)
+{
+    reader.setRouting(Millis(0), largeRouting(4));
+    follower.setRouting(Millis(0), largeRouting(3));
+    reader.requestUpdate(Millis(10), follower.request(Millis(0)), saveUpdate());
+    reader.requestUpdate(Millis(10), {.routingVersion = 3}, saveUpdate());
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_TRUE(answers.front().routing);
+    EXPECT_TRUE(answers.back().routing);
+}
+
 TEST_F(PlatformCacheTest, IgnoresOlderVersions)
 {
     follower.setRouting(Millis(0), {.version = 5});
