--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -523,7 +523,13 @@
                   .duration = Millis(45'000),
                   .fencedPromotions = false,
                   .faults = {SimulatedFault::CrashPrimary, SimulatedFault::SilencePrimary,
-                             SimulatedFault::DelayCommands}}}),
+                             SimulatedFault::DelayCommands}}},
+        LossCase{"crashBesideALeavingAndAnUnlistedReplica",
+                 {.seed = 41,
+                  .maxConnections = 22,
+                  .tenants = true,
+                  .faults = {SimulatedFault::CrashPrimary, SimulatedFault::LeaveReplica,
+                             SimulatedFault::UnlistReplica}}}),
     [](const auto &info) { return info.param.name; });
 
 TEST(UnfencedSimulationRandom, KeepsItsGuarantees)
