Reads avoid replicas that are known to lag

Each read found the lag out anew. Log events replica.behind and replica.caught-up. Ruled out: asking for the lag; the outlier detector, which would keep the replica from reads that it can serve.

--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -199,6 +199,8 @@
     }
     if (required && !channel.statements.empty()) {
         std::optional<Position> &after = channel.statements.front().statement.requiredPosition;
+        if (!after || *after <= *required)
+            channel.acceptedAge = batch.maxAge;
         after = std::max(after.value_or(*required), *required);
     }
     if (!isNew) {
@@ -402,6 +404,12 @@
     return true;
 }
 
+std::optional<Millis> RelayGateway::acceptedAge(WorkId work) const
+{
+    const auto found = m_channelByWork.find(work);
+    return found == m_channelByWork.end() ? std::nullopt : m_channels.at(found->second).acceptedAge;
+}
+
 bool RelayGateway::onlyReads(WorkId work) const
 {
     const auto found = m_channelByWork.find(work);
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -127,6 +127,7 @@
             m_pool.removeInstance(now, id);
     }
     m_loadReports.keepOnly(ids);
+    m_lag.keepOnly(ids);
     std::map<std::string, std::set<std::string>> groups;
     for (const RegisteredInstance &instance : usable.instances) {
         if (!instance.leaving)
@@ -242,6 +243,10 @@
         reply({.ended = true, .cause = Cause::Leaving});
         return;
     }
+    if (!known && batch.maxAge && m_lag.isBehind(now, batch.instance, *batch.maxAge)) {
+        reply({.ended = true, .cause = Cause::Behind});
+        return;
+    }
     const RegisteredInstance *found = m_instances.find(batch.instance);
     const std::string group = found ? found->group : std::string();
     const bool all = m_loadReports.takeFullReport(now, batch.origin);
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -24,6 +24,7 @@
 #include "session/loadreports.h"
 #include "session/outlierdetector.h"
 #include "session/relaygateway.h"
+#include "session/replicalag.h"
 #include "session/routing.h"
 #include "session/sessionstate.h"
 #include "session/targetpool.h"
@@ -295,6 +296,8 @@
     std::vector<InstanceLoad> loadsToReport(const std::string &instance, bool all, int priority,
                                             const std::string &tenant) const;
     std::string usablePrimary(Millis now, const Session &session, const Operation &operation);
+    void recordLag(Millis now, const Session &session, const StatementAnswer &answer);
+    void noteLag(Millis now, const std::string &instance, Millis maxAge, Cause cause);
     void recordQuality(Millis now, const std::string &instance, SendPurpose purpose,
                        StatementKind kind, Millis sentAt, Cause cause);
     void recordEvidence(Millis now, ConnectionId connection, SendPurpose purpose, Millis sentAt,
@@ -349,6 +352,7 @@
     LoadReports m_loadReports;
     InstanceChoice m_choice;
     OutlierDetector m_outliers;
+    ReplicaLag m_lag{{}};
     bool m_instancesKnown = false;
     std::map<SessionId, Session> m_sessions;
     std::map<ConnectionId, RelayedCommand> m_relayedCommands; // By the channel of each.
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -308,7 +308,8 @@
                 && tracker->silentFor(now, member.id, operation->route.latencyObjective / 2);
             const bool usable = direct ? required.has_value()
                                        : !chooseGateway(now, member.id, operation->tenant).empty();
-            if (member.leaving || silent || !usable
+            const bool behind = m_lag.isBehind(now, member.id, operation->route.maxAge);
+            if (member.leaving || silent || !usable || behind
                 || operation->excludedInstances.contains(member.id))
                 continue;
             names.push_back(member.id);
@@ -458,6 +459,9 @@
         return;
     if (cause == Cause::NotPrimary)
         m_control.onNotPrimary(now, session->operation->instance, session->operation->startedAt);
+    // The gateway knows that the instance lags.
+    if (cause == Cause::Behind)
+        noteLag(now, session->operation->instance, session->operation->route.maxAge, cause);
     // The gateway had no room for it, or the instance refused it there.
     if (cause == Cause::Overloaded && !m_pool.isDirect(session->operation->instance))
         m_outliers.onAnswer(now, session->operation->instance, AnswerQuality::Refused);
@@ -476,6 +480,8 @@
 {
     recordEvidence(now, connection, purpose, sentAt, answer);
     recordQuality(now, m_pool.instanceOf(connection), purpose, kind, sentAt, answer.cause);
+    if (const std::optional<Millis> age = m_relayGateway.acceptedAge(work))
+        noteLag(now, m_pool.instanceOf(connection), *age, answer.cause);
     if (m_relayGateway.onWorkAnswer(now, work, purpose, kind, sentAt, answer))
         return;
     if (purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work) {
@@ -495,6 +501,36 @@
     }
 }
 
+// What the answer to a read, or to its transaction's opening, tells about the lag of the replica.
+void SessionEngine::recordLag(Millis now, const Session &session, const StatementAnswer &answer)
+{
+    const Operation &operation = *session.operation;
+    if (operation.needsPrimary || operation.inInternalTransaction)
+        return;
+    // A replica that lacks the session's own commit may be recent enough for other sessions.
+    const bool own = operation.route.consistency == Consistency::ReadYourWrites
+        && session.state.lastCommit.term > 0;
+    if (answer.cause == Cause::Behind && own
+        && (!answer.position || session.state.lastCommit > *answer.position))
+        return;
+    noteLag(now, operation.instance, operation.route.maxAge, answer.cause);
+}
+
+// Takes the result of a read that accepts data of the given age.
+void SessionEngine::noteLag(Millis now, const std::string &instance, Millis maxAge, Cause cause)
+{
+    std::string_view event;
+    if (cause == Cause::Behind && m_lag.onBehind(now, instance, maxAge))
+        event = "replica.behind";
+    else if (cause == Cause::None && m_lag.onServed(instance, maxAge))
+        event = "replica.caught-up";
+    const RegisteredInstance *known = m_instances.find(instance);
+    if (!event.empty() && known)
+        m_output->logGroupEvent(known->group, event, instance, 0,
+                                "reads of data up to " + std::to_string(maxAge.count())
+                                    + " ms old");
+}
+
 // What an answer to callers' work tells about the instance. Answers to the system's own commands
 // don't count, nor do those that depend on the caller's session or on the group's primary.
 void SessionEngine::recordQuality(Millis now, const std::string &instance, SendPurpose purpose,
@@ -526,6 +562,7 @@
 void SessionEngine::finishOpening(Millis now, SessionId id, Session *session, Millis sentAt,
                                   const StatementAnswer &answer)
 {
+    recordLag(now, *session, answer);
     Operation &operation = *session->operation;
     const bool mayWrite = operation.needsPrimary || operation.inInternalTransaction;
     // The time of an instance that leaves may have ended since the opening was sent. A gateway has
@@ -566,6 +603,8 @@
 void SessionEngine::finishWork(Millis now, SessionId id, Session *session, Millis sentAt,
                                const StatementAnswer &answer)
 {
+    if (!session->transaction)
+        recordLag(now, *session, answer);
     Operation &operation = *session->operation;
     const bool commit = operation.statement.kind == StatementKind::Commit;
     if (answer.succeeded() && operation.writes && answer.position
--- a/src/session/tst_relayedstatements.cpp
+++ b/src/session/tst_relayedstatements.cpp
@@ -5,8 +5,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadagap {
@@ -205,6 +208,53 @@
     EXPECT_EQ(output.relayed.size(), 1U);
 }
 
+// A replica that is known to lag gets no further reads for a while; those that it could serve go to
+// it.
+TEST(RelayedReads, AvoidAReplicaThatLags)
+{
+    DroppingOutput output;
+    SessionEngine engine({.host = OwnHost, .dataCentre = "d"}, &output);
+    std::vector<HostRecord> hosts{{.host = OwnHost, .dataCentre = "d"}};
+    for (int i = 0; i < 40; ++i)
+        hosts.push_back({.host = "g" + std::to_string(i), .dataCentre = "e"});
+    RoutingTable routing{.version = 1};
+    routing.groups["g"] = {.name = "g", .maxConnections = 4};
+    for (const auto &[name, age] :
+         {std::pair("recent", Millis(1000)), std::pair("old", Millis(9000))})
+        routing.databases[name] = {.database = name,
+                                   .group = "g",
+                                   .consistency = Consistency::BoundedStaleness,
+                                   .maxAge = age,
+                                   .statementTimeout = Millis(1500),
+                                   .latencyObjective = Millis(400)};
+    engine.onHosts(Millis(0), hosts);
+    engine.onConfiguration(Millis(0), routing);
+    engine.onInstances(Millis(0),
+                       {{.id = "i0", .group = "g", .dataCentre = "e", .registeredAsPrimary = true},
+                        {.id = "i1", .group = "g", .dataCentre = "e"}});
+    ASSERT_EQ(engine.onConnect(Millis(1), 1, "recent"), Cause::None);
+    ASSERT_EQ(engine.onConnect(Millis(1), 2, "old"), Cause::None);
+    std::map<SessionId, std::set<std::string>> instances;
+    for (int i = 0; i < 40; ++i) {
+        const Millis now(2 + i);
+        for (const SessionId session : {SessionId(1), SessionId(2)}) {
+            engine.onStatement(now, session, {.id = "r", .kind = StatementKind::Read, .text = "r"});
+            const std::string instance = output.relayed.back().instance;
+            instances[session].insert(instance);
+            const bool refuses = session == 1 && instance == "i1";
+            if (refuses)
+                engine.onRelayReply(now, output.channel, output.gateway,
+                                    {.ended = true, .cause = Cause::Behind});
+            engine.onRelayReply(now, output.channel, output.gateway,
+                                {.answers = {{.signature = "s"}}, .ended = true, .sent = true});
+            if (refuses)
+                instances[1].clear();
+        }
+    }
+    EXPECT_EQ(instances[1], (std::set<std::string>{"i0"}));
+    EXPECT_EQ(instances[2], (std::set<std::string>{"i0", "i1"}));
+}
+
 // A gateway's replies tell how loaded the batch's instance is, and now and then its other
 // instances.
 TEST(GatewayReplies, CarryTheLoadOfInstances)
