Owners of quotas hand out in proportion to the hosts that ask them

Change: a host says for which sets of tenants it takes the receiver for the owner, at least once a second. An owner hands out the part of a limit that corresponds to the share of all hosts that ask it; a host counts 3 s after it began to ask and not after 2.2 s of silence. A host asks one owner at a time, so two owners never hand out more than the whole, and no wait for lists and joint starts is needed. The list of hosts only has to be younger than the memory for the number of hosts. Ruled out: larger static shares (callers at a tenth of the hosts would be refused at half of the limit). Tests: the mutant without the owner's wait is replaced by one that counts hosts for ever, as the wait is gone; the bounds are as they were.

--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -55,12 +55,11 @@
                 .instances = {.drainTime = m_options.instanceDrainTime},
                 .fencedPromotions = m_options.fencedPromotions,
                 .pool = {},
-                .start = static_cast<std::uint64_t>(timeOfDay().count()),
-                .startedAt = m_clock.now()},
+                .start = static_cast<std::uint64_t>(timeOfDay().count())},
                this)
     , m_leases(platform, &m_clock,
                {.host = m_options.host, .fencedPromotions = m_options.fencedPromotions})
-    , m_quotaOwner({.host = m_options.host, .startedAt = m_clock.now()})
+    , m_quotaOwner({.host = m_options.host})
     , m_acceptor(*loop->context())
 {
 }
@@ -501,7 +500,7 @@
     }
     const QuotaOwners owners = quotaOwners(staying);
     m_engine.quota()->setHosts(now(), listed, owners);
-    m_quotaOwner.setOwners(now(), owners, listed.size(), m_feed->hostsReadAt());
+    m_quotaOwner.setHosts(now(), listed.size(), m_feed->hostsReadAt());
 }
 
 void SessionServer::sendQuotaRequest(const OutgoingQuotaRequest &due)
--- a/src/session/quotacodec.cpp
+++ b/src/session/quotacodec.cpp
@@ -46,8 +46,7 @@
     out.set_host(request.host);
     out.set_start(request.start);
     out.set_number(request.number);
-    out.set_age_ms(
-        static_cast<std::uint32_t>(std::clamp<std::int64_t>(request.age.count(), 0, MaxCount)));
+    out.set_sets(static_cast<std::uint32_t>(request.sets.to_ulong()));
     for (const QuotaWant &want : request.wants) {
         relaywire::QuotaWant *entry = out.add_wants();
         entry->set_tenant(want.tenant);
@@ -82,7 +81,7 @@
     QuotaRequest request{.host = in.host(),
                          .start = in.start(),
                          .number = in.number(),
-                         .age = Millis(in.age_ms()),
+                         .sets = std::bitset<QuotaSets>(in.sets()),
                          .wants = {}};
     std::set<std::string> seen;
     for (const relaywire::QuotaWant &entry : in.wants()) {
--- a/src/session/quotaowner.cpp
+++ b/src/session/quotaowner.cpp
@@ -25,36 +25,36 @@
     return m_listReadAt && now - *m_listReadAt <= m_options.listValidity;
 }
 
-// Whether no other process can have been an owner before this one.
-bool QuotaOwner::allStartedTogether(Millis now) const
+// The hosts that take this one for the owner of the set, as a part of all.
+double QuotaOwner::shareOfHosts(Millis now, std::size_t set) const
 {
-    if (now - m_options.startedAt > m_options.jointStart
-        || now - m_listChangedAt < m_options.settleTime || m_senders.size() * 10 < m_hosts * 9)
-        return false;
-    return std::all_of(m_senders.begin(), m_senders.end(), [this](const auto &entry) {
-        return entry.second.startedAt >= m_options.startedAt - m_options.jointStart;
+    const auto asking = std::count_if(m_senders.begin(), m_senders.end(), [&](const auto &entry) {
+        const Asking &asks = entry.second.sets.at(set);
+        return asks.since && now - asks.at <= m_options.hostSilence
+            && asks.at - *asks.since >= m_options.settleTime;
     });
+    const auto all = static_cast<double>(std::max<std::size_t>(1, m_hosts.greatest()));
+    return std::min(1.0, static_cast<double>(asking) / all);
 }
 
-void QuotaOwner::setOwners(Millis now, const QuotaOwners &owners, std::size_t hosts, Millis readAt)
+void QuotaOwner::noteSets(Millis now, const std::bitset<QuotaSets> &sets, Sender *sender) const
 {
-    if (std::exchange(m_hosts, hosts) != hosts)
-        m_listChangedAt = now;
-    // While the list was too old, another host may have been the owner.
-    const bool wasValid = listIsValid(now);
-    m_listReadAt = m_listReadAt ? std::max(*m_listReadAt, readAt) : readAt;
     for (std::size_t set = 0; set < QuotaSets; ++set) {
-        std::optional<Millis> &since = m_ownedSince.at(set);
-        if (owners.at(set) != m_options.host)
-            since.reset();
-        else if (!since || !wasValid)
-            since = now;
-        else
-            continue;
-        std::erase_if(m_stocks, [&](const auto &entry) { return quotaSetOf(entry.first) == set; });
+        Asking &asks = sender->sets.at(set);
+        if (!sets.test(set))
+            asks.since.reset();
+        else if (!asks.since || now - asks.at > m_options.hostSilence)
+            asks.since = now;
+        asks.at = now;
     }
 }
 
+void QuotaOwner::setHosts(Millis now, std::size_t hosts, Millis readAt)
+{
+    m_hosts.note(now, hosts);
+    m_listReadAt = m_listReadAt ? std::max(*m_listReadAt, readAt) : readAt;
+}
+
 QuotaReply QuotaOwner::onRequest(Millis now, const QuotaRequest &request)
 {
     Sender &sender = m_senders[request.host];
@@ -62,31 +62,24 @@
         || (request.start == sender.start && request.number > sender.number);
     if (!isNewest)
         return {};
-    sender = {.start = request.start, .number = request.number, .startedAt = now - request.age};
-    if (!m_startedTogether && allStartedTogether(now)) {
-        m_startedTogether = true;
-        for (std::optional<Millis> &since : m_ownedSince) {
-            if (since)
-                since = now - m_options.takeOverTime;
-        }
-    }
+    sender.start = request.start;
+    sender.number = request.number;
+    noteSets(now, request.sets, &sender);
     QuotaReply reply;
     for (const QuotaWant &want : request.wants) {
-        const std::optional<Millis> since = m_ownedSince.at(quotaSetOf(want.tenant));
-        if (since && listIsValid(now) && m_limits.contains(want.tenant))
-            reply.grants.push_back(grant(now, request.host, want, *since));
+        if (listIsValid(now) && m_limits.contains(want.tenant))
+            reply.grants.push_back(grant(now, request.host, want));
         else
             reply.grants.push_back({.tenant = want.tenant, .state = QuotaState::NotOwner});
     }
     return reply;
 }
 
-QuotaGrant QuotaOwner::grant(Millis now, const std::string &host, const QuotaWant &want,
-                             Millis ownedSince)
+QuotaGrant QuotaOwner::grant(Millis now, const std::string &host, const QuotaWant &want)
 {
-    const TenantLimits &limits = m_limits.at(want.tenant);
-    const bool takingOver = now < ownedSince + m_options.takeOverTime;
-    const QuotaStock part = takingOver ? takeOverPart(limits) : grantedPart(limits);
+    const QuotaStock whole = grantedPart(m_limits.at(want.tenant));
+    const double share = shareOfHosts(now, quotaSetOf(want.tenant));
+    const QuotaStock part{.perSecond = whole.perSecond * share, .depth = whole.depth * share};
     Stock &stock = m_stocks[want.tenant];
     std::erase_if(stock.holdings, [&](const auto &entry) {
         return entry.second.until <= now && now - entry.second.askedAt >= WantTime;
@@ -102,14 +95,14 @@
     stock.bucket.grow(now, part.perSecond, part.depth - handedOut);
     const double level = stock.bucket.level();
     const bool enough = wanted <= level;
-    double share = want.wanted;
+    double ofHost = want.wanted;
     if (!enough)
-        share = std::min(share, std::max(1.0, std::floor(level * want.wanted / wanted)));
+        ofHost = std::min(ofHost, std::max(1.0, std::floor(level * want.wanted / wanted)));
     // A host keeps no more than it was given, whatever it reports.
     Holding &holding = stock.holdings[host];
     QuotaGrant grant{.tenant = want.tenant,
                      .kept = holding.until > now ? std::min(want.unused, holding.count) : 0,
-                     .granted = static_cast<std::uint32_t>(std::floor(std::min(share, level))),
+                     .granted = static_cast<std::uint32_t>(std::floor(std::min(ofHost, level))),
                      .state = wanted <= level + part.perSecond * WaitableSeconds
                          ? QuotaState::Enough
                          : QuotaState::UsedUp};
--- a/src/session/quotaowner.h
+++ b/src/session/quotaowner.h
@@ -5,6 +5,10 @@
 // operations that hosts admit in any time are at most the depth of the stock and what it grew by,
 // however long a grant lives.
 //
+// Whoever is asked is an owner. It hands out the part of a tenant's limits that corresponds to its
+// share of all hosts: those that ask it. A host asks one owner at a time, so that owners who do not
+// know of each other never hand out more than the whole.
+//
 // Expected load: up to 120 hosts that ask twice a second, for a few tenants each.
 #pragma once
 
@@ -25,18 +29,13 @@
     struct Options
     {
         std::string host; // This host.
-        Millis startedAt; // When this process started.
-        // It hands out nothing while its list of hosts is older. Readers of the platform read the
-        // list every 4 s, and others learn of it within 2 s.
-        Millis listValidity = Millis(8000);
-        // A new owner hands out only takeOverPart() for this long: until no other one can think
-        // that it is the owner, and what that one granted has ended.
-        Millis takeOverTime = Millis(12'000);
-        // It does not wait if all hosts started together: within jointStart of its own start, it
-        // has heard of at least nine tenths of those listed, none of them started more than
-        // jointStart before it, and the list has not grown or shrunk for settleTime.
-        Millis jointStart = Millis(6000);
-        Millis settleTime = Millis(2000);
+        // It hands out nothing while its list of hosts is older: other owners may not count the
+        // hosts any more that ask this one.
+        Millis listValidity = HostCount::Memory - Millis(2000);
+        // A host counts until it has not asked for this long, and only once it has asked for
+        // settleTime, so that two owners never count the same host.
+        Millis hostSilence = Millis(2200);
+        Millis settleTime = Millis(3000);
     };
 
     explicit QuotaOwner(Options options);
@@ -44,7 +43,7 @@
     // The limits in force. Tenants without limits are left out.
     void setLimits(const std::map<std::string, TenantLimits> &limits) { m_limits = limits; }
     // The list of `hosts` hosts was confirmed: the platform had it at `readAt`.
-    void setOwners(Millis now, const QuotaOwners &owners, std::size_t hosts, Millis readAt);
+    void setHosts(Millis now, std::size_t hosts, Millis readAt);
     QuotaReply onRequest(Millis now, const QuotaRequest &request);
 
 private:
@@ -63,26 +62,31 @@
         std::map<std::string, Holding> holdings; // By host.
     };
 
+    // Since when a host takes this one for the owner of a set, and when it last said so.
+    struct Asking
+    {
+        std::optional<Millis> since; // Without a silence of hostSilence. Nothing if it does not.
+        Millis at;
+    };
+
     struct Sender
     {
         std::uint64_t start = 0;
         std::uint64_t number = 0;
-        Millis startedAt; // The process, on this host's clock, or a little later.
+        std::array<Asking, QuotaSets> sets;
     };
 
-    bool allStartedTogether(Millis now) const;
     bool listIsValid(Millis now) const;
-    QuotaGrant grant(Millis now, const std::string &host, const QuotaWant &want, Millis ownedSince);
+    void noteSets(Millis now, const std::bitset<QuotaSets> &sets, Sender *sender) const;
+    double shareOfHosts(Millis now, std::size_t set) const;
+    QuotaGrant grant(Millis now, const std::string &host, const QuotaWant &want);
 
     Options m_options;
     std::map<std::string, TenantLimits> m_limits;
     std::optional<Millis> m_listReadAt;
-    std::array<std::optional<Millis>, QuotaSets> m_ownedSince; // Nothing if another host owns it.
-    std::map<std::string, Stock> m_stocks;                     // By tenant.
+    HostCount m_hosts;
+    std::map<std::string, Stock> m_stocks; // By tenant.
     std::map<std::string, Sender> m_senders;
-    std::size_t m_hosts = 0; // Listed.
-    Millis m_listChangedAt;
-    bool m_startedTogether = false; // It was found once that all hosts did.
 };
 
 } // namespace cicadagap
--- a/src/session/quotashares.cpp
+++ b/src/session/quotashares.cpp
@@ -11,7 +11,7 @@
 // A stock that is made of parts of the rate, of the depth and of the slack.
 //
 // The rule permits 5.5 s of the rate, 1.1 bursts and 20 operations in 5 s. All parts together are
-// 5.1 s of the rate that they grow by, a depth of 0.36 s of the rate and 1.05 bursts, and 18
+// 4.9 s of the rate that they grow by, a depth of 0.36 s of the rate and 1.05 bursts, and 18
 // operations, of which 6 come at 1.2 a second: they matter for low limits.
 QuotaStock part(const TenantLimits &limits, double rateFactor, double depthFactor,
                 const QuotaStock &slack)
@@ -33,12 +33,7 @@
 
 QuotaStock grantedPart(const TenantLimits &limits)
 {
-    return part(limits, 0.86, 0.5, {.perSecond = 1.2, .depth = 10});
-}
-
-QuotaStock takeOverPart(const TenantLimits &limits)
-{
-    return part(limits, 0.06, 0.1, {.perSecond = 0, .depth = 2});
+    return part(limits, 0.88, 0.6, {.perSecond = 1.2, .depth = 12});
 }
 
 std::size_t quotaSetOf(const std::string &tenant)
@@ -54,6 +49,17 @@
     return owners;
 }
 
+void HostCount::note(Millis now, std::size_t hosts)
+{
+    if (!m_counts.empty())
+        m_counts.back().first = now;
+    while (!m_counts.empty() && m_counts.back().second <= hosts)
+        m_counts.pop_back();
+    m_counts.emplace_back(now, hosts);
+    while (m_counts.size() > 1 && now - m_counts.front().first > Memory)
+        m_counts.pop_front();
+}
+
 void QuotaBucket::grow(Millis now, double perSecond, double depth)
 {
     constexpr double MillisPerSecond = 1000;
--- a/src/session/quotashares.h
+++ b/src/session/quotashares.h
@@ -8,9 +8,12 @@
 #include "session/tenant.h"
 
 #include <array>
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadagap {
@@ -31,8 +34,6 @@
 // than 1.1 times the limit plus 20.
 QuotaStock ownShares(const TenantLimits &limits); // Of all hosts; each uses one of N shares.
 QuotaStock grantedPart(const TenantLimits &limits);
-// What an owner hands out while another one may not know yet that it no longer is the owner.
-QuotaStock takeOverPart(const TenantLimits &limits);
 
 // The set to which a tenant belongs.
 std::size_t quotaSetOf(const std::string &tenant);
@@ -53,9 +54,9 @@
 struct QuotaRequest
 {
     std::string host;
-    std::uint64_t start = 0;  // Grows with each process of the host.
-    std::uint64_t number = 0; // Grows with each request of a process.
-    Millis age;               // Of the process.
+    std::uint64_t start = 0;     // Grows with each process of the host.
+    std::uint64_t number = 0;    // Grows with each request of a process.
+    std::bitset<QuotaSets> sets; // Those whose owner it takes the receiver for.
     std::vector<QuotaWant> wants;
 
     bool operator==(const QuotaRequest &) const = default;
@@ -85,6 +86,24 @@
     bool operator==(const QuotaReply &) const = default;
 };
 
+// The greatest number of hosts in the lists of the last seconds, by which shares are divided: hosts
+// that others do not list any more may still use theirs.
+class HostCount
+{
+public:
+    // How long a list counts after it was replaced.
+    static constexpr Millis Memory = Millis(15'000);
+
+    // A list of so many hosts is known. Has to be called again from time to time.
+    void note(Millis now, std::size_t hosts);
+    // 0 if none was known.
+    std::size_t greatest() const { return m_counts.empty() ? 0 : m_counts.front().second; }
+
+private:
+    // Greatest first. The time is when the count was replaced, or last confirmed.
+    std::deque<std::pair<Millis, std::size_t>> m_counts;
+};
+
 // A stock that is being used.
 class QuotaBucket
 {
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -32,7 +32,7 @@
     , m_relayGateway(
           &m_pool, [this] { return nextWork(); }, &m_control,
           [output](const RelayedStatementEvent &event) { output->logRelayedStatement(event); })
-    , m_quota({.host = m_options.host, .start = m_options.start, .startedAt = m_options.startedAt})
+    , m_quota({.host = m_options.host, .start = m_options.start})
     , m_instances(m_options.instances)
     , m_choice(m_options.host)
 {
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -110,7 +110,6 @@
         bool fencedPromotions = true;
         TargetPool::Options pool;
         std::uint64_t start = 0; // Grows with each process of the host.
-        Millis startedAt;        // When this process started.
     };
 
     // How long a graceful shutdown allows for what callers do.
--- a/src/session/tenantquota.cpp
+++ b/src/session/tenantquota.cpp
@@ -50,22 +50,15 @@
         m_listedSince.reset();
     else if (!m_listedSince)
         m_listedSince = now;
-    // A count ends when it is replaced, and is remembered for hostMemory from then.
-    if (!m_hostCounts.empty())
-        m_hostCounts.back().first = now;
-    while (!m_hostCounts.empty() && m_hostCounts.back().second <= hosts.size())
-        m_hostCounts.pop_back();
-    m_hostCounts.emplace_back(now, hosts.size());
-    while (m_hostCounts.size() > 1 && now - m_hostCounts.front().first > m_options.hostMemory)
-        m_hostCounts.pop_front();
+    m_hostCount.note(now, hosts.size());
 }
 
 // The number of hosts that share the limits; 0 if this host has no share.
 std::size_t TenantQuota::sharingHosts(Millis now) const
 {
-    if (!m_listedSince || now - *m_listedSince < m_options.listedTime || m_hostCounts.empty())
+    if (!m_listedSince || now - *m_listedSince < m_options.listedTime)
         return 0;
-    return m_hostCounts.front().second;
+    return m_hostCount.greatest();
 }
 
 void TenantQuota::growOwn(Millis now, TenantState *state) const
@@ -171,7 +164,8 @@
     }
     for (const std::string &owner : m_owners) {
         const auto known = m_ownerStates.find(owner);
-        if (!owner.empty() && (known == m_ownerStates.end() || !known->second.answered))
+        if (!owner.empty()
+            && (known == m_ownerStates.end() || now - known->second.sentAt >= m_options.keepAlive))
             wants[owner];
     }
     std::vector<OutgoingQuotaRequest> due;
@@ -185,8 +179,9 @@
                        .request = {.host = m_options.host,
                                    .start = m_options.start,
                                    .number = m_lastNumber,
-                                   .age = now - m_options.startedAt,
                                    .wants = std::move(ownerWants)}});
+        for (std::size_t set = 0; set < QuotaSets; ++set)
+            due.back().request.sets.set(set, m_owners.at(set) == owner);
         for (const QuotaWant &want : due.back().request.wants)
             m_tenants.at(want.tenant).reported = want.unused;
     }
@@ -200,7 +195,6 @@
     if (sender == m_ownerStates.end() || sender->second.number != number)
         return;
     sender->second.number = 0;
-    sender->second.answered = true;
     const Millis until = sender->second.sentAt + QuotaGrantLife;
     for (const QuotaGrant &grant : reply.grants) {
         const auto found = m_tenants.find(grant.tenant);
--- a/src/session/tenantquota.h
+++ b/src/session/tenantquota.h
@@ -15,7 +15,6 @@
 #include "session/quotashares.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -72,15 +71,15 @@
     {
         std::string host;              // This host.
         std::uint64_t start = 0;       // Grows with each process of the host.
-        Millis startedAt;              // When this process started.
         Millis patience = Millis(600); // An operation waits so long for a grant.
         // After an operation waited in vain, others are refused at once for this long.
         Millis refusalTime = Millis(300);
         Millis askInterval = Millis(250);       // Between two requests to an owner,
         Millis urgentAskInterval = Millis(100); // if operations wait.
         Millis replyTimeout = Millis(400);      // Then the request counts as lost.
-        // The own share is one of N, the greatest number of hosts in this time.
-        Millis hostMemory = Millis(15'000);
+        // A host sends each owner a request at least this often, also if it wants nothing: an owner
+        // hands out in proportion to the hosts that ask it.
+        Millis keepAlive = Millis(1000);
         // Only hosts that were listed for this long use an own share: then others count them.
         Millis listedTime = Millis(10'000);
     };
@@ -99,8 +98,7 @@
     // Asks to run an operation of the tenant, which has waited since `waitingSince` if it was not
     // admitted at once. Tenants without limits are always admitted.
     Admission admit(Millis now, const std::string &tenant, std::optional<Millis> waitingSince);
-    // The requests to send now, at most one to each owner. An owner that never answered is sent one
-    // that asks for nothing, so that it knows of this host. To be called after the waiting
+    // The requests to send now, at most one to each owner. To be called after the waiting
     // operations were admitted again.
     std::vector<OutgoingQuotaRequest> takeRequests(Millis now);
     void onReply(Millis now, const std::string &owner, std::uint64_t number,
@@ -136,7 +134,6 @@
     {
         std::uint64_t number = 0; // Of the request without a reply; 0 if there is none.
         Millis sentAt;
-        bool answered = false;
     };
 
     std::size_t sharingHosts(Millis now) const;
@@ -149,7 +146,7 @@
     std::map<std::string, TenantState> m_tenants;
     QuotaOwners m_owners;
     std::optional<Millis> m_listedSince;
-    std::deque<std::pair<Millis, std::size_t>> m_hostCounts; // Greatest first, by time.
+    HostCount m_hostCount;
     std::map<std::string, OwnerState> m_ownerStates;
     std::uint64_t m_lastNumber = 0;
     std::vector<QuotaChange> m_changes;
--- a/src/session/tst_tenantquota.cpp
+++ b/src/session/tst_tenantquota.cpp
@@ -66,7 +66,7 @@
     double mustAdmit = 0; // The lowest share of limit x time that has to be admitted, if asked for.
     // Faults of the code under test, which the check has to see.
     bool grantsTwice = false;
-    bool skipsTakeOver = false;
+    bool countsHostsForever = false;
 };
 
 std::ostream &operator<<(std::ostream &out, const Schedule &schedule)
@@ -182,11 +182,11 @@
 
     void startProcess(Millis now, Host *host)
     {
-        QuotaOwner::Options options{.host = host->name, .startedAt = now};
-        if (m_schedule.skipsTakeOver)
-            options.takeOverTime = Millis(0);
+        QuotaOwner::Options options{.host = host->name};
+        if (m_schedule.countsHostsForever)
+            options.hostSilence = Millis(1'000'000);
         host->quota = std::make_unique<TenantQuota>(
-            TenantQuota::Options{.host = host->name, .start = ++host->start, .startedAt = now});
+            TenantQuota::Options{.host = host->name, .start = ++host->start});
         host->owner = std::make_unique<QuotaOwner>(options);
         readList(now, host);
     }
@@ -200,7 +200,7 @@
         }
         const QuotaOwners owners = quotaOwners(names);
         host->quota->setHosts(now, names, owners);
-        host->owner->setOwners(now, owners, names.size(), now);
+        host->owner->setHosts(now, names.size(), now);
         host->nextList = now + ListInterval;
     }
 
@@ -363,7 +363,7 @@
     // All hosts start together; owners learn of it by then.
     constexpr Millis Started(4000);
     const Schedule &schedule = GetParam();
-    const bool mutant = schedule.grantsTwice || schedule.skipsTakeOver;
+    const bool mutant = schedule.grantsTwice || schedule.countsHostsForever;
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         SCOPED_TRACE(seed);
         Fleet fleet(schedule, seed);
@@ -416,7 +416,7 @@
     Schedule{.name = "lowered", .load = 5, .laterLimits = TenantLimits{.perSecond = 60, .burst = 60}, .mayRefuse = 1},
     Schedule{.name = "raised", .limits = {.perSecond = 60, .burst = 60}, .load = 5, .laterLimits = TenantLimits{.perSecond = 331, .burst = 331}, .mayRefuse = 1},
     Schedule{.name = "mutantGrantsTwice", .load = 5, .mayRefuse = 1, .grantsTwice = true},
-    Schedule{.name = "mutantSkipsTakeOver", .load = 5, .trouble = {.fault = Fault::CutOff, .share = 0.5, .owner = true, .from = From, .until = Until, .listDelay = Millis(500)}, .mayRefuse = 1, .skipsTakeOver = true}),
+    Schedule{.name = "mutantCountsHostsForever", .load = 5, .trouble = {.fault = Fault::CutOff, .share = 0.5, .owner = true, .from = From, .until = Until, .listDelay = Millis(500)}, .mayRefuse = 1, .countsHostsForever = true}),
     [](const auto &info) { return info.param.name; });
 // clang-format on
 
@@ -483,7 +483,7 @@
         QuotaRequest request{.host = "h" + *anyText(),
                              .start = *rc::gen::arbitrary<std::uint64_t>(),
                              .number = *rc::gen::arbitrary<std::uint64_t>(),
-                             .age = Millis(*rc::gen::inRange(0, 1 << 30))};
+                             .sets = std::bitset<QuotaSets>(*rc::gen::inRange(0, 256))};
         QuotaReply reply;
         for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
             const std::string tenant = std::to_string(i) + *anyText();
