--- a/src/session/tst_sessionsimulation.cpp
+++ b/src/session/tst_sessionsimulation.cpp
@@ -330,6 +330,9 @@
         options.hostsIgnoreMissingFence = true;
         violations += runSimulation(options).violations.size();
     }
+    // Few schedules bring the failure about.
+    for (; violations == 0 && options.seed <= 400; ++options.seed)
+        violations += runSimulation(options).violations.size();
     EXPECT_GT(violations, 0U);
 }
 
