--- a/src/session/tst_instancechoice.cpp
+++ b/src/session/tst_instancechoice.cpp
@@ -258,8 +258,10 @@
     const std::vector<InstanceCandidate> equal{candidate(1, 0), candidate(1, 0), candidate(1, 0)};
     const auto draws = [&](const char *host) {
         InstanceChoice choice(host);
+        constexpr int Draws = 40;
         std::vector<std::size_t> drawn;
-        for (int count = 0; count < 40; ++count)
+        drawn.reserve(Draws);
+        for (int count = 0; count < Draws; ++count)
             drawn.push_back(*choice.choose(equal));
         return drawn;
     };
