--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -24,9 +24,13 @@
 constexpr const char *DropPath = "/drop";
 constexpr const char *PlatformUpdatePath = "/bulletin";
 constexpr const char *QuotaPath = "/quota";
-constexpr Millis QuotaTimeout(400); // Later replies are of no use.
+// Between two updates of the hosts that share quotas, and between two reports.
 constexpr Millis QuotaReportInterval(1000);
 constexpr std::size_t QuotaLinesPerReport = 20;
+// An owner of quotas that left so many requests in a row without a reply is replaced for
+// QuotaOwnerBackoff.
+constexpr int MaxQuotaFailures = 3;
+constexpr Millis QuotaOwnerBackoff(10'000);
 // Callers that connect before the configuration is known wait for it this long; then they are
 // refused.
 constexpr Millis MaxEarlyWait(1200);
@@ -59,7 +63,7 @@
                this)
     , m_leases(platform, &m_clock,
                {.host = m_options.host, .fencedPromotions = m_options.fencedPromotions})
-    , m_quotaOwner({.host = m_options.host})
+    , m_quotaOwner({})
     , m_acceptor(*loop->context())
 {
 }
@@ -495,7 +499,10 @@
     std::vector<std::string> staying;
     for (const HostRecord &record : *m_feed->storedHosts()) {
         listed.push_back(record.host);
-        if (!record.leaving && m_engine.peerEndpoint(record.host))
+        const auto failed = m_quotaOwnersFailed.find(record.host);
+        const bool answers = failed == m_quotaOwnersFailed.end()
+            || failed->second.inARow < MaxQuotaFailures || now() >= failed->second.retryAt;
+        if (!record.leaving && answers && m_engine.peerEndpoint(record.host))
             staying.push_back(record.host);
     }
     const QuotaOwners owners = quotaOwners(staying);
@@ -515,19 +522,34 @@
     if (!client)
         return;
     m_metrics.add("quota.requests");
-    client->call({.path = QuotaPath, .body = encodeQuotaRequest(due.request)}, QuotaTimeout,
+    client->call({.path = QuotaPath, .body = encodeQuotaRequest(due.request)}, QuotaReplyTimeout,
                  [this, owner, number](const PeerReply &answer) {
                      Reason reason;
                      const std::optional<QuotaReply> reply = answer.verdict == Verdict::Ran
                          ? decodeQuotaReply(answer.body, &reason)
                          : std::nullopt;
-                     if (reply)
-                         m_engine.quota()->onReply(now(), owner, number, *reply);
-                     else
-                         m_metrics.add("quota.requests-failed");
+                     if (!reply) {
+                         noteQuotaFailure(owner);
+                         return;
+                     }
+                     m_quotaOwnersFailed.erase(owner);
+                     m_engine.quota()->onReply(now(), owner, number, *reply);
                  });
 }
 
+// An owner did not reply. The next owner is chosen without it once it has failed several times.
+void SessionServer::noteQuotaFailure(const std::string &owner)
+{
+    m_metrics.add("quota.requests-failed");
+    QuotaFailures &failures = m_quotaOwnersFailed[owner];
+    failures.retryAt = now() + QuotaOwnerBackoff;
+    if (++failures.inARow != MaxQuotaFailures)
+        return;
+    logEvent(LogLevel::Warning, "quota.owner-failed",
+             {{"owner", owner}, {"failures", static_cast<std::int64_t>(failures.inARow)}});
+    updateQuotaHosts();
+}
+
 // Writes what was admitted and refused to the metrics, and which tenants began or ceased to be
 // refused to the log.
 void SessionServer::reportQuotas()
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -105,6 +105,7 @@
     void shareQuotas();
     void updateQuotaHosts();
     void sendQuotaRequest(const OutgoingQuotaRequest &due);
+    void noteQuotaFailure(const std::string &owner);
     void reportQuotas();
     void onTick();
     Millis now() const { return m_clock.now(); }
@@ -124,6 +125,13 @@
         Millis since;
     };
 
+    // Requests to an owner of quotas without a reply.
+    struct QuotaFailures
+    {
+        int inARow = 0;
+        Millis retryAt; // It may be an owner again from then on.
+    };
+
     EventLoop *m_loop;
     Options m_options;
     const SessionCodec *m_codec;
@@ -136,6 +144,7 @@
     QuotaOwner m_quotaOwner;
     std::uint64_t m_quotaVersion = 0; // Of the configuration whose limits the owner uses.
     Millis m_quotaReportedAt;
+    std::map<std::string, QuotaFailures> m_quotaOwnersFailed; // By host.
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<PeerServer> m_peerServer;
--- a/src/session/quotacodec.cpp
+++ b/src/session/quotacodec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr auto LastState = static_cast<std::uint32_t>(QuotaState::NotOwner);
+constexpr auto LastState = static_cast<std::uint32_t>(QuotaState::CannotGrant);
 // Higher counts would overflow when they are added up.
 constexpr std::uint32_t MaxCount = 1U << 30U;
 
--- a/src/session/quotaowner.cpp
+++ b/src/session/quotaowner.cpp
@@ -53,6 +53,10 @@
 {
     m_hosts.note(now, hosts);
     m_listReadAt = m_listReadAt ? std::max(*m_listReadAt, readAt) : readAt;
+    std::erase_if(m_senders, [now](const auto &entry) {
+        return now - entry.second.sets.front().at > HostCount::Memory;
+    });
+    std::erase_if(m_stocks, [this](const auto &entry) { return !m_limits.contains(entry.first); });
 }
 
 QuotaReply QuotaOwner::onRequest(Millis now, const QuotaRequest &request)
@@ -70,7 +74,7 @@
         if (listIsValid(now) && m_limits.contains(want.tenant))
             reply.grants.push_back(grant(now, request.host, want));
         else
-            reply.grants.push_back({.tenant = want.tenant, .state = QuotaState::NotOwner});
+            reply.grants.push_back({.tenant = want.tenant, .state = QuotaState::CannotGrant});
     }
     return reply;
 }
--- a/src/session/quotaowner.h
+++ b/src/session/quotaowner.h
@@ -9,7 +9,7 @@
 // share of all hosts: those that ask it. A host asks one owner at a time, so that owners who do not
 // know of each other never hand out more than the whole.
 //
-// Expected load: up to 120 hosts that ask twice a second, for a few tenants each.
+// Expected load: up to 120 hosts that ask once to four times a second, for a few tenants each.
 #pragma once
 
 #include "session/quotashares.h"
@@ -28,14 +28,13 @@
 public:
     struct Options
     {
-        std::string host; // This host.
         // It hands out nothing while its list of hosts is older: other owners may not count the
         // hosts any more that ask this one.
         Millis listValidity = HostCount::Memory - Millis(2000);
         // A host counts until it has not asked for this long, and only once it has asked for
         // settleTime, so that two owners never count the same host.
-        Millis hostSilence = Millis(2200);
-        Millis settleTime = Millis(3000);
+        Millis hostSilence = Millis(1800);
+        Millis settleTime = Millis(2300);
     };
 
     explicit QuotaOwner(Options options);
@@ -85,8 +84,8 @@
     std::map<std::string, TenantLimits> m_limits;
     std::optional<Millis> m_listReadAt;
     HostCount m_hosts;
-    std::map<std::string, Stock> m_stocks; // By tenant.
-    std::map<std::string, Sender> m_senders;
+    std::map<std::string, Stock> m_stocks;   // By tenant.
+    std::map<std::string, Sender> m_senders; // By host.
 };
 
 } // namespace cicadagap
--- a/src/session/quotashares.h
+++ b/src/session/quotashares.h
@@ -22,6 +22,8 @@
 inline constexpr std::size_t QuotaSets = 8;
 // Counted by the host from before it asked, and by the owner from its answer.
 inline constexpr Millis QuotaGrantLife(600);
+// A request without a reply for longer counts as lost.
+inline constexpr Millis QuotaReplyTimeout(400);
 
 // A stock of operations that grows with time up to its depth.
 struct QuotaStock
@@ -64,9 +66,9 @@
 
 // Hosts send the values to each other by number.
 enum class QuotaState {
-    Enough,   // More comes soon, if not all that was wanted is granted.
-    UsedUp,   // The hosts want more than there is.
-    NotOwner, // The sender is not the tenant's owner, or not yet.
+    Enough,      // More comes soon, if not all that was wanted is granted.
+    UsedUp,      // The hosts want more than there is.
+    CannotGrant, // The sender's list of hosts is too old, or it knows no limits of the tenant.
 };
 
 struct QuotaGrant
--- a/src/session/relaygateway.cpp
+++ b/src/session/relaygateway.cpp
@@ -213,12 +213,12 @@
     m_channelByWork[channel.work] = key;
     channel.onlyReads = batch.maxAge.has_value();
     // Only commands may run on the connections of any tenant.
-    const bool callers
+    const bool hasCallersStatement
         = std::any_of(channel.statements.begin(), channel.statements.end(), isCallers);
     TargetWork work{.id = channel.work,
                     .priority = batch.priority,
                     .deadline = now + batch.maxWait,
-                    .needsSlot = batch.needsSlot || callers,
+                    .needsSlot = batch.needsSlot || hasCallersStatement,
                     .tenant = batch.tenant,
                     .values = &channel.values};
     if (const PreparedStatement *executed = executedByBatch(channel.statements, channel.prepared))
@@ -404,10 +404,13 @@
     return true;
 }
 
-std::optional<Millis> RelayGateway::acceptedAge(WorkId work) const
+std::optional<Millis> RelayGateway::takeAcceptedAge(WorkId work, SendPurpose purpose)
 {
     const auto found = m_channelByWork.find(work);
-    return found == m_channelByWork.end() ? std::nullopt : m_channels.at(found->second).acceptedAge;
+    const bool concerned = purpose == SendPurpose::OpenTransaction || purpose == SendPurpose::Work;
+    if (!concerned || found == m_channelByWork.end())
+        return std::nullopt;
+    return std::exchange(m_channels.at(found->second).acceptedAge, std::nullopt);
 }
 
 bool RelayGateway::onlyReads(WorkId work) const
--- a/src/session/relaygateway.h
+++ b/src/session/relaygateway.h
@@ -79,8 +79,9 @@
     // For each primary with an unanswered write, when the oldest one was sent.
     std::map<std::string, Millis> oldestWrites() const;
     // The age that the data of a read may have, if the read does not need more recent data because
-    // of its session's own commits; nothing for other work.
-    std::optional<Millis> acceptedAge(WorkId work) const;
+    // of its session's own commits. Returned once, for the answer to the statement that the age
+    // concerns; nothing for others.
+    std::optional<Millis> takeAcceptedAge(WorkId work, SendPurpose purpose);
     // Whether the work only reads, so that it may be tried on another instance.
     bool onlyReads(WorkId work) const;
 
@@ -101,7 +102,7 @@
         Reply respond; // Set only while a batch is in progress.
         Millis lastUsed;
         bool onlyReads = false;
-        std::optional<Millis> acceptedAge; // See acceptedAge().
+        std::optional<Millis> acceptedAge; // See takeAcceptedAge().
         bool sendsWrite = false;           // The batch in progress has a write.
         bool wrote = false;                // A write succeeded on it.
         std::optional<Millis> writeSentAt; // Of an unanswered write or commit.
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -250,7 +250,7 @@
     const RegisteredInstance *found = m_instances.find(batch.instance);
     const std::string group = found ? found->group : std::string();
     const bool all = m_loadReports.takeFullReport(now, batch.origin);
-    const auto replyWithPrimary
+    const auto completeReply
         = [this, group, requested = batch.instance, priority = batch.priority,
            tenant = batch.tenant, all, reply = std::move(reply)](RelayReply answer) {
               const std::string primary = m_control.primary(group);
@@ -259,7 +259,7 @@
               answer.loads = loadsToReport(requested, all, priority, tenant);
               reply(std::move(answer));
           };
-    m_relayGateway.onBatch(now, std::move(batch), replyWithPrimary);
+    m_relayGateway.onBatch(now, std::move(batch), completeReply);
     finishEvent(now);
 }
 
--- a/src/session/sessionstatements.cpp
+++ b/src/session/sessionstatements.cpp
@@ -480,7 +480,7 @@
 {
     recordEvidence(now, connection, purpose, sentAt, answer);
     recordQuality(now, m_pool.instanceOf(connection), purpose, kind, sentAt, answer.cause);
-    if (const std::optional<Millis> age = m_relayGateway.acceptedAge(work))
+    if (const std::optional<Millis> age = m_relayGateway.takeAcceptedAge(work, purpose))
         noteLag(now, m_pool.instanceOf(connection), *age, answer.cause);
     if (m_relayGateway.onWorkAnswer(now, work, purpose, kind, sentAt, answer))
         return;
@@ -675,8 +675,10 @@
     operation.gateway.clear();
     operation.preparedName.clear();
     operation.work = 0;
-    if (cause == Cause::ConnectionLost || cause == Cause::Failed) {
-        // It may have run, and counts again.
+    const bool mayHaveRun = cause == Cause::Failed
+        || (cause == Cause::ConnectionLost && operation.stage == Stage::Running);
+    if (mayHaveRun) {
+        // It counts again.
         (session->transaction ? session->transaction->admitted : operation.admitted) = false;
         operation.quotaWaiting.reset();
     }
--- a/src/session/tenantquota.cpp
+++ b/src/session/tenantquota.cpp
@@ -130,7 +130,7 @@
     if (found == m_ownerStates.end())
         return true;
     const Millis since = now - found->second.sentAt;
-    if (found->second.number != 0 && since < m_options.replyTimeout)
+    if (found->second.number != 0 && since < QuotaReplyTimeout)
         return false;
     return since >= (urgent ? m_options.urgentAskInterval : m_options.askInterval);
 }
@@ -140,7 +140,7 @@
     if (m_tenants.empty())
         return {};
     std::map<std::string, std::vector<QuotaWant>> wants;
-    std::map<std::string, bool> urgent; // Operations wait for an answer of the owner.
+    std::map<std::string, bool> urgent; // Operations wait, or grants run out.
     for (auto &[tenant, state] : m_tenants) {
         const std::uint32_t waiting = std::exchange(state.waiting, 0);
         if (now - state.countedAt >= m_options.askInterval) {
@@ -198,7 +198,7 @@
     const Millis until = sender->second.sentAt + QuotaGrantLife;
     for (const QuotaGrant &grant : reply.grants) {
         const auto found = m_tenants.find(grant.tenant);
-        if (found == m_tenants.end() || grant.state == QuotaState::NotOwner
+        if (found == m_tenants.end() || grant.state == QuotaState::CannotGrant
             || m_owners.at(quotaSetOf(grant.tenant)) != owner)
             continue;
         TenantState &state = found->second;
--- a/src/session/tenantquota.h
+++ b/src/session/tenantquota.h
@@ -76,12 +76,12 @@
         Millis refusalTime = Millis(300);
         Millis askInterval = Millis(250);       // Between two requests to an owner,
         Millis urgentAskInterval = Millis(100); // if operations wait.
-        Millis replyTimeout = Millis(400);      // Then the request counts as lost.
         // A host sends each owner a request at least this often, also if it wants nothing: an owner
         // hands out in proportion to the hosts that ask it.
-        Millis keepAlive = Millis(1000);
-        // Only hosts that were listed for this long use an own share: then others count them.
-        Millis listedTime = Millis(10'000);
+        Millis keepAlive = Millis(850);
+        // Only hosts that were listed for this long use an own share. By then the lists of a fleet
+        // that starts together are whole.
+        Millis listedTime = Millis(2000);
     };
 
     // So many tenants of a version are counted by name.
@@ -117,7 +117,7 @@
         std::uint32_t held = 0;
         Millis heldUntil;
         std::uint32_t reported = 0;  // Of what it held, in the newest request.
-        std::uint32_t uncovered = 0; // Operations beyond the own share since the last request.
+        std::uint32_t uncovered = 0; // Operations beyond the own share in this askInterval.
         std::uint32_t waiting = 0;   // That were admitted again since the last call.
         double demand = 0;           // Uncovered operations in an interval, smoothed.
         Millis countedAt;            // When `uncovered` was last taken into `demand`.
--- a/src/session/tst_tenantquota.cpp
+++ b/src/session/tst_tenantquota.cpp
@@ -182,7 +182,7 @@
 
     void startProcess(Millis now, Host *host)
     {
-        QuotaOwner::Options options{.host = host->name};
+        QuotaOwner::Options options;
         if (m_schedule.countsHostsForever)
             options.hostSilence = Millis(1'000'000);
         host->quota = std::make_unique<TenantQuota>(
--- a/src/session/workqueue.h
+++ b/src/session/workqueue.h
@@ -41,7 +41,7 @@
 public:
     struct Options
     {
-        int priorities = 8;         // Higher priorities than the last count as the last.
+        int priorities = 8;         // Work with a greater number goes with the last.
         std::size_t capacity = 400; // The greatest number of entries of each priority.
     };
 
