--- a/src/session/quotaowner.cpp
+++ b/src/session/quotaowner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace cicadagap {
 
@@ -16,7 +15,7 @@
 } // namespace
 
 QuotaOwner::QuotaOwner(Options options)
-    : m_options(std::move(options))
+    : m_options(options)
 {
 }
 
