One parser of messages between hosts; a table is hashed once a version

Cause: reading the whole change again. The same parsing of a message stood in relaycodec, platformcache (twice) and anew in quotacodec; RoutingHistory::add() encoded and hashed the whole routing table on each host for each version and dropped the hash; a reported wait did not say that it is that of the batch's tenant and priority. Change: parseRelayMessage() serves all six decoders, with the same reasons; the comparison of two tables is apart from the difference with its hash.

--- a/src/session/loadreports.h
+++ b/src/session/loadreports.h
@@ -20,7 +20,8 @@
 struct InstanceLoad
 {
     std::string instance;
-    Millis wait;               // Until work that is submitted now would be answered.
+    // Until work of the batch's tenant and priority that is submitted now would be answered.
+    Millis wait;
     std::uint32_t queued = 0;  // Work at the gateway that waits for a connection or a slot.
     std::uint32_t running = 0; // Statements that the gateway has sent and are not answered.
     Millis serviceTime;        // From sending a statement to its answer; a moving average.
--- a/src/session/platformcache.cpp
+++ b/src/session/platformcache.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "relaywire/relay.pb.h"
+#include "session/relaymessage.h"
 
 #include <algorithm>
 #include <limits>
@@ -265,10 +266,8 @@
 std::optional<PlatformUpdate> decodePlatformUpdate(std::string_view bytes, Reason *reason)
 {
     relaywire::Bulletin in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        setReason(reason, "not an encoded platform update");
+    if (!parseRelayMessage(bytes, "platform update", &in, reason))
         return std::nullopt;
-    }
     PlatformUpdate update{.instancesRevision = in.instances_revision(),
                           .hostsRevision = in.hosts_revision(),
                           .instancesPosition = read(in.instances_position()),
@@ -318,10 +317,8 @@
                                                                  Reason *reason)
 {
     relaywire::BulletinRequest in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        setReason(reason, "not an encoded platform update request");
+    if (!parseRelayMessage(bytes, "platform update request", &in, reason))
         return std::nullopt;
-    }
     return PlatformUpdateRequest{.routingVersion = in.routing_version(),
                                  .instancesRevision = in.instances_revision(),
                                  .hostsRevision = in.hosts_revision(),
--- a/src/session/quotacodec.cpp
+++ b/src/session/quotacodec.cpp
@@ -1,6 +1,7 @@
 #include "session/quotacodec.h"
 
 #include "relaywire/relay.pb.h"
+#include "session/relaymessage.h"
 
 #include <algorithm>
 #include <set>
@@ -13,14 +14,6 @@
 // Higher counts would overflow when they are added up.
 constexpr std::uint32_t MaxCount = 1U << 30U;
 
-template <typename Message> bool parse(std::string_view bytes, Message *message, Reason *reason)
-{
-    if (message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        return true;
-    setReason(reason, "not an encoded quota message");
-    return false;
-}
-
 // Whether the entry names a tenant that none of the `seen` ones does; adds it to them.
 bool isNewTenant(const std::string &tenant, std::set<std::string> *seen, Reason *reason)
 {
@@ -72,7 +65,7 @@
 std::optional<QuotaRequest> decodeQuotaRequest(std::string_view bytes, Reason *reason)
 {
     relaywire::QuotaRequest in;
-    if (!parse(bytes, &in, reason))
+    if (!parseRelayMessage(bytes, "quota message", &in, reason))
         return std::nullopt;
     if (in.host().empty()) {
         setReason(reason, "the host has no name");
@@ -97,7 +90,7 @@
 std::optional<QuotaReply> decodeQuotaReply(std::string_view bytes, Reason *reason)
 {
     relaywire::QuotaReply in;
-    if (!parse(bytes, &in, reason))
+    if (!parseRelayMessage(bytes, "quota message", &in, reason))
         return std::nullopt;
     QuotaReply reply;
     std::set<std::string> seen;
--- a/src/session/relaycodec.cpp
+++ b/src/session/relaycodec.cpp
@@ -1,6 +1,7 @@
 #include "session/relaycodec.h"
 
 #include "relaywire/relay.pb.h"
+#include "session/relaymessage.h"
 
 #include <algorithm>
 
@@ -164,14 +165,6 @@
             .serviceTime = Millis(in.service_ms())};
 }
 
-template <typename Message> bool parse(std::string_view bytes, Message *message, Reason *reason)
-{
-    if (message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        return true;
-    setReason(reason, "not an encoded relay message");
-    return false;
-}
-
 } // namespace
 
 std::string encodeRelayBatch(const RelayBatch &batch)
@@ -234,7 +227,7 @@
 std::optional<RelayBatch> decodeRelayBatch(std::string_view bytes, Reason *reason)
 {
     relaywire::Batch in;
-    if (!parse(bytes, &in, reason))
+    if (!parseRelayMessage(bytes, "relay message", &in, reason))
         return std::nullopt;
     RelayBatch batch{.origin = in.origin(),
                      .channel = in.channel(),
@@ -270,7 +263,7 @@
 std::optional<RelayReply> decodeRelayReply(std::string_view bytes, Reason *reason)
 {
     relaywire::Reply in;
-    if (!parse(bytes, &in, reason))
+    if (!parseRelayMessage(bytes, "relay message", &in, reason))
         return std::nullopt;
     if (in.cause() > LastCause) {
         setReason(reason, "the cause of the reply is unknown");
--- a/src/session/routingdelta.cpp
+++ b/src/session/routingdelta.cpp
@@ -57,7 +57,16 @@
     }
 }
 
-// A difference without entries.
+// Adds all entries that differ.
+void compareTables(const RoutingTable &base, const RoutingTable &newer, RoutingDelta *delta)
+{
+    compareEntries(base.databases, newer.databases, &delta->changed.databases,
+                   &delta->removedDatabases);
+    compareEntries(base.groups, newer.groups, &delta->changed.groups, &delta->removedGroups);
+    compareEntries(base.tenants, newer.tenants, &delta->changed.tenants, &delta->removedTenants);
+}
+
+// A difference without entries. Its hash is that of the whole newer version.
 RoutingDelta emptyDelta(std::uint64_t base, const RoutingTable &newer)
 {
     return {.base = base,
@@ -83,10 +92,7 @@
 RoutingDelta routingDifference(const RoutingTable &base, const RoutingTable &newer)
 {
     RoutingDelta delta = emptyDelta(base.version, newer);
-    compareEntries(base.databases, newer.databases, &delta.changed.databases,
-                   &delta.removedDatabases);
-    compareEntries(base.groups, newer.groups, &delta.changed.groups, &delta.removedGroups);
-    compareEntries(base.tenants, newer.tenants, &delta.changed.tenants, &delta.removedTenants);
+    compareTables(base, newer, &delta);
     return delta;
 }
 
@@ -118,7 +124,8 @@
 
 void RoutingHistory::add(const RoutingTable &base, const RoutingTable &newer)
 {
-    RoutingDelta delta = routingDifference(base, newer);
+    RoutingDelta delta;
+    compareTables(base, newer, &delta);
     m_changes.push_back({.base = base.version,
                          .databases = namesOf(delta.changed.databases, delta.removedDatabases),
                          .groups = namesOf(delta.changed.groups, delta.removedGroups),
