--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -9,6 +9,8 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <string>
+#include <vector>
 
 using namespace cicadagap;
 
@@ -20,8 +22,26 @@
 // The boot file is read again at this interval, and when SIGHUP asks for it.
 constexpr Millis ReloadInterval(5000);
 
+std::string joined(const std::vector<std::string> &texts)
+{
+    std::string all;
+    for (const std::string &text : texts)
+        all += (all.empty() ? "" : ", ") + text;
+    return all;
+}
+
+// Reports the fields that another value is used for than the file's.
+void reportDefaulted(const BootSettings &boot, SessionServer *server)
+{
+    if (boot.defaulted.empty())
+        return;
+    logEvent(LogLevel::Warning, "settings.defaulted", {{"fields", joined(boot.defaulted)}});
+    server->metrics()->add("settings.defaulted");
+}
+
 // Reads the boot file and applies the settings that may change while the process runs: the
-// platform's endpoints and the grace period. The others take effect with a restart of the process.
+// platform's endpoints and the grace period. The others take effect with a restart of the process,
+// which fails while the file is refused: the metric gives warning of that.
 void reload(const std::string &file, BootSettings *current, StoreClient *platform,
             SessionServer *server)
 {
@@ -29,6 +49,7 @@
     const std::optional<BootSettings> boot = loadBootFile(file, &reason);
     if (!boot) {
         logEvent(LogLevel::Error, "settings.refused", {{"reason", reason.text()}});
+        server->metrics()->add("settings.refused");
         return;
     }
     if (*boot == *current)
@@ -36,6 +57,7 @@
     *current = *boot;
     platform->setAddresses(*boot);
     server->setGracePeriod(boot->gracePeriod);
+    reportDefaulted(*boot, server);
     logEvent(LogLevel::Info, "settings.reloaded",
              {{"store", boot->storeEndpoint.text()}, {"graceMs", boot->gracePeriod.count()}});
 }
@@ -50,6 +72,8 @@
     }
     if (checkOnly) {
         std::cout << file << ": valid; host " << boot->host << " in " << boot->dataCentre << '\n';
+        for (const std::string &field : boot->defaulted)
+            std::cout << file << ": " << field << " has no usable value; a default is used\n";
         return 0;
     }
     startLog({.program = "cicadagap-sessiond", .host = boot->host, .toStandardOutput = true});
@@ -73,6 +97,7 @@
         return ExitFailed;
     }
     loop.onStopSignal([&server] { server.stop(); });
+    reportDefaulted(*boot, &server);
     BootSettings current = *boot;
     const auto reloadNow = [&] { reload(file, &current, &platform, &server); };
     loop.onReloadSignal([reloadNow] {
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -56,6 +56,7 @@
     // Changes the grace period. A stop in progress keeps the time that it gave to transactions, and
     // ends according to the new period.
     void setGracePeriod(Millis gracePeriod) { m_options.gracePeriod = gracePeriod; }
+    Metrics *metrics() { return &m_metrics; }
     // Shuts down gracefully and stops the event loop when done. A second call stops the loop at
     // once.
     void stop();
--- a/src/session/promotionlease.cpp
+++ b/src/session/promotionlease.cpp
@@ -18,23 +18,27 @@
 // readers, and what is added to them does not overflow.
 constexpr std::int64_t MaxStoredNumber = std::int64_t(1) << 53;
 
-// A whole number from 0 to MaxStoredNumber; nothing if the value is none.
-std::optional<std::uint64_t> storedNumber(const json::value &value)
+// A whole number from `least` to MaxStoredNumber, in any form of a JSON number; nothing if the
+// value is none.
+std::optional<std::int64_t> storedWhole(const json::value &value, std::int64_t least)
 {
     boost::system::error_code error;
-    const auto number = value.is_number() ? value.to_number<std::int64_t>(error) : -1;
-    if (error || number < 0 || number > MaxStoredNumber)
+    const auto number = value.is_number() ? value.to_number<std::int64_t>(error) : 0;
+    if (!value.is_number() || error || number < least || number > MaxStoredNumber)
         return std::nullopt;
-    return static_cast<std::uint64_t>(number);
+    return number;
+}
+
+std::optional<std::uint64_t> storedNumber(const json::value &value)
+{
+    const std::optional<std::int64_t> number = storedWhole(value, 0);
+    return number ? std::optional(static_cast<std::uint64_t>(*number)) : std::nullopt;
 }
 
-// An instant from -MaxStoredNumber to MaxStoredNumber; nothing if the value is none.
 std::optional<Millis> storedInstant(const json::value &value)
 {
-    const std::int64_t *count = value.if_int64();
-    if (!count || *count < -MaxStoredNumber || *count > MaxStoredNumber)
-        return std::nullopt;
-    return Millis(*count);
+    const std::optional<std::int64_t> count = storedWhole(value, -MaxStoredNumber);
+    return count ? std::optional(Millis(*count)) : std::nullopt;
 }
 
 bool isLeaseOf(const std::optional<PromotionLease> &lease, const std::string &host,
--- a/src/session/tst_storerecords.cpp
+++ b/src/session/tst_storerecords.cpp
@@ -61,6 +61,20 @@
     }));
 }
 
+// Guards against this failure: a time in another form of the same number hid the lease, so that no
+// primary of the group could be replaced.
+TEST(LeaseRows, MayHoldTimesInAnyFormOfANumber)
+{
+    const auto lease = parseLease(R"({"holder":"a","fencingToken":2e0,"untilMs":1.5e3,)"
+                                  R"("candidate":"i","candidateUntilMs":2500.0,)"
+                                  R"("openResumes":{"j":3e3}})",
+                                  nullptr);
+    ASSERT_TRUE(lease);
+    EXPECT_EQ(lease->until, Millis(1500));
+    EXPECT_EQ(lease->candidateUntil, Millis(2500));
+    EXPECT_EQ(lease->openResumes.at("j"), Millis(3000));
+}
+
 TEST(HostRecords, SurviveARoundTrip)
 {
     EXPECT_TRUE(rc::check([] {
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -1,12 +1,13 @@
 #include "soak.h"
 
 #include "base64.h"
+#include "portreservation.h"
 #include "session/hostdirectory.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <iterator>
 
@@ -23,30 +24,6 @@
 constexpr Millis RecoveryLimit(60'000);
 constexpr int AnswersToRecover = 30; // Of each group.
 
-// Reserves ports for processes that do not listen yet, so that no other socket gets them.
-class PortReservation
-{
-public:
-    PortReservation(EventLoop *loop, const std::string &address)
-        : m_loop(loop)
-        , m_address(boost::asio::ip::make_address(address))
-    {
-    }
-
-    Endpoint take()
-    {
-        m_held.emplace_back(*m_loop->context(), tcp::endpoint(m_address, 0));
-        return {.address = m_address.to_string(), .port = m_held.back().local_endpoint().port()};
-    }
-
-private:
-    using tcp = boost::asio::ip::tcp;
-
-    EventLoop *m_loop;
-    boost::asio::ip::address m_address;
-    std::vector<tcp::acceptor> m_held;
-};
-
 StandinDeployment::Options deploymentOptions(const SoakOptions &options)
 {
     return {.groups = options.groups,
@@ -147,7 +124,6 @@
     PortReservation ports(&m_loop, m_options.address);
     for (int i = 0; i < m_options.hosts; ++i) {
         const std::string name = "h" + std::to_string(i);
-        const std::string bootFile = m_options.work + "/" + name + ".conf";
         const Endpoint peers = ports.take();
         Host &host = *m_hosts.emplace_back(std::make_unique<Host>());
         host.callers = ports.take();
@@ -155,16 +131,17 @@
         host.peers = std::make_unique<FaultProxy>(&m_loop, peers);
         if (!host.store->start(reason) || !host.peers->start(reason))
             return false;
-        std::ofstream(bootFile) << m_deployment.bootFileText(
-            {.name = name,
-             .dataCentre = i % 3,
-             .callerEndpoint = host.callers,
-             .readinessEndpoint = ports.take(),
-             .peerPort = peers.port,
-             .storeEndpoint = host.store->endpoint()});
+        host.bootFile = m_options.work + "/" + name + ".conf";
+        host.settings = m_deployment.bootFileText({.name = name,
+                                                   .dataCentre = i % 3,
+                                                   .callerEndpoint = host.callers,
+                                                   .readinessEndpoint = ports.take(),
+                                                   .peerPort = peers.port,
+                                                   .storeEndpoint = host.store->endpoint()});
+        writeSettings(&host);
         host.process = std::make_unique<HostProcess>(
             HostProcess::Options{.program = m_options.program,
-                                 .bootFile = bootFile,
+                                 .bootFile = host.bootFile,
                                  .log = m_options.work + "/" + name + ".log"});
     }
     return true;
@@ -281,11 +258,24 @@
         process->signal(SIGTERM);
         return;
     default:
+        writeSettings(host);
         process->signal(SIGHUP);
         return;
     }
 }
 
+// Replaces the host's settings file as a whole. The grace period stays the same or gets shorter, in
+// every form that the platform may use.
+void Soak::writeSettings(Host *host)
+{
+    constexpr std::array GraceForms{"6", "5.5", "6.0", "0.6e1", ""};
+    const std::string next = host->bootFile + ".next";
+    std::ofstream(next) << host->settings << "bounds.grace_period_s="
+                        << GraceForms[host->settingsWritten % GraceForms.size()] << '\n';
+    ++host->settingsWritten;
+    std::rename(next.c_str(), host->bootFile.c_str());
+}
+
 void Soak::applyToInstance(SoakFault fault, Millis length)
 {
     const std::string id = randomInstance();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -138,6 +138,9 @@
         std::unique_ptr<FaultProxy> peers; // Through which other hosts reach it.
         std::unique_ptr<HostProcess> process;
         Endpoint callers;
+        std::string bootFile;            // The path of its settings file,
+        std::string settings;            // what it holds but for the grace period,
+        std::size_t settingsWritten = 0; // and how often it was written.
         bool mayRestart = true; // False while it is to stay down, or a restart is scheduled.
         // The highest configuration version whose database the process accepted, and the process's
         // incarnation.
@@ -170,6 +173,7 @@
     void refuseRestores();
     void restoreStore(Millis age);
     void apply(SoakFault fault, Millis length);
+    static void writeSettings(Host *host);
     void applyToHost(SoakFault fault, Millis length);
     void applyToInstance(SoakFault fault, Millis length);
     void applyToLinks(SoakFault fault, Millis length);
