--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -51,6 +51,9 @@
     , m_onConfiguration(std::move(onConfiguration))
     , m_epoch({})
     , m_registration(m_self.host, {})
+    , m_configurationBackoff(ConfigurationRetryDelay)
+    , m_instancesBackoff(InstanceRetryDelay)
+    , m_hostsBackoff(HostRetryDelay)
 {
 }
 
@@ -141,40 +144,49 @@
     }
 }
 
+// Repeats `read` later if this host need not read now: it follows a recent reader, which also ends
+// the wait after failures, or that wait is not over.
+bool PlatformFeed::postpones(Reading what, ReadingBackoff *backoff, void (PlatformFeed::*read)())
+{
+    Millis wait = RoleCheckInterval;
+    if (mustRead(what))
+        wait = std::min(backoff->remaining(now()), RoleCheckInterval);
+    else
+        backoff->onFollowing();
+    if (wait > Millis(0))
+        m_loop->after(wait, [this, read] { (this->*read)(); });
+    return wait > Millis(0);
+}
+
 void PlatformFeed::readConfiguration()
 {
-    if (!mustRead(Reading::Configuration)) {
-        m_loop->after(RoleCheckInterval, [this] { readConfiguration(); });
+    if (postpones(Reading::Configuration, &m_configurationBackoff,
+                  &PlatformFeed::readConfiguration))
         return;
-    }
-    const bool waitForChange = m_configurationFailures == 0 && m_engine->configurationVersion() > 0;
+    const bool waitForChange
+        = !m_configurationBackoff.lastFailed() && m_engine->configurationVersion() > 0;
     m_platform->configuration(
         waitForChange ? m_configurationWait : Millis(0),
         [this, requestedAt = now()](const std::optional<ConfigurationReading> &reading) {
             const bool usable = isUsable("configuration", reading);
             findEpochStart();
-            recordReading("configuration", &m_configurationFailures, usable);
+            recordReading("configuration", &m_configurationBackoff, usable);
             if (usable) {
                 m_cache.setRouting(now(), reading->value, m_arrivalDelay.bound(now(), requestedAt));
                 applyRouting(reading->value);
             }
-            m_loop->after(usable ? Millis(0)
-                                 : retryDelay(ConfigurationRetryDelay, m_configurationFailures),
-                          [this] { readConfiguration(); });
+            m_loop->after(Millis(0), [this] { readConfiguration(); });
         });
 }
 
 void PlatformFeed::readInstances()
 {
-    if (!mustRead(Reading::Lists)) {
-        m_loop->after(RoleCheckInterval, [this] { readInstances(); });
+    if (postpones(Reading::Lists, &m_instancesBackoff, &PlatformFeed::readInstances))
         return;
-    }
     requestInstances([this](bool succeeded) {
-        const bool complete = succeeded && !m_engine->needsInstances(now());
-        m_loop->after(complete ? InstanceInterval
-                               : retryDelay(InstanceRetryDelay, m_instancesFailures),
-                      [this] { readInstances(); });
+        const bool complete = !m_engine->needsInstances(now());
+        const Millis next = complete ? InstanceInterval : InstanceRetryDelay;
+        m_loop->after(succeeded ? next : Millis(0), [this] { readInstances(); });
     });
 }
 
@@ -194,7 +206,7 @@
             usable = false;
         }
         findEpochStart();
-        recordReading("instances", &m_instancesFailures, usable);
+        recordReading("instances", &m_instancesBackoff, usable);
         if (usable)
             applyInstances();
         done(usable);
@@ -203,13 +215,11 @@
 
 void PlatformFeed::readHosts()
 {
-    if (!mustRead(Reading::Lists) && m_reading) {
-        m_loop->after(RoleCheckInterval, [this] { readHosts(); });
+    if (m_reading && postpones(Reading::Lists, &m_hostsBackoff, &PlatformFeed::readHosts))
         return;
-    }
     m_platform->hosts([this, requestedAt = now()](const std::optional<HostReading> &reading) {
         const bool usable = isUsable("hosts", reading);
-        recordReading("hosts", &m_hostsFailures, usable);
+        recordReading("hosts", &m_hostsBackoff, usable);
         if (usable) {
             m_cache.setHosts(now(), reading->value, reading->position, now() - requestedAt);
             applyHosts(reading->value);
@@ -219,16 +229,10 @@
         // soon.
         const bool starting = now() < m_startedAt + StartupTime;
         const Millis next = starting ? StartupTime : HostInterval;
-        m_loop->after(usable ? next : retryDelay(HostRetryDelay, m_hostsFailures),
-                      [this] { readHosts(); });
+        m_loop->after(usable ? next : Millis(0), [this] { readHosts(); });
     });
 }
 
-Millis PlatformFeed::retryDelay(Millis first, int failures)
-{
-    return readingRetryDelay(first, failures, m_followedReader.empty(), &m_random);
-}
-
 // Passes the list to the engine. This host's own record is always part of it, also while the stored
 // one is missing or was written by this host's previous process.
 void PlatformFeed::applyHosts(std::vector<HostRecord> hosts)
@@ -409,7 +413,8 @@
 // they are not chosen as gateways any more.
 void PlatformFeed::withdrawStoppedHosts()
 {
-    const bool isReader = m_reading && m_followedReader.empty() && m_configurationFailures == 0;
+    const bool isReader
+        = m_reading && m_followedReader.empty() && !m_configurationBackoff.lastFailed();
     if (!isReader || !m_cache.hosts())
         return;
     std::vector<HostRecord> followers;
@@ -460,14 +465,16 @@
               {"version", static_cast<std::int64_t>(position.version)}});
 }
 
-void PlatformFeed::recordReading(std::string_view what, int *failures, bool succeeded)
+void PlatformFeed::recordReading(std::string_view what, ReadingBackoff *backoff, bool succeeded)
 {
-    if (succeeded != (*failures == 0)) {
+    if (succeeded == backoff->lastFailed()) {
         logEvent(succeeded ? LogLevel::Info : LogLevel::Warning,
                  succeeded ? "platform.regained" : "platform.lost", {{"what", what}});
     }
-    *failures = succeeded ? 0 : *failures + 1;
-    m_cache.setReachesPlatform(now(), m_configurationFailures == 0 && m_instancesFailures == 0);
+    const bool isReader = m_followedReader.empty();
+    backoff->onReading(now(), {.succeeded = succeeded, .isReader = isReader}, &m_random);
+    m_cache.setReachesPlatform(
+        now(), !m_configurationBackoff.lastFailed() && !m_instancesBackoff.lastFailed());
 }
 
 } // namespace cicadagap
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -74,16 +74,16 @@
     void registerIfDue();
     void registerSelf();
     void withdrawStoppedHosts();
-    Millis retryDelay(Millis first, int failures);
     // What a host reads from the platform: the lists are those of instances and of hosts.
     enum class Reading {
         Configuration,
         Lists
     };
     bool mustRead(Reading what);
+    bool postpones(Reading what, ReadingBackoff *backoff, void (PlatformFeed::*read)());
     void updateRole();
     void loseReader();
-    void recordReading(std::string_view what, int *failures, bool succeeded);
+    void recordReading(std::string_view what, ReadingBackoff *backoff, bool succeeded);
     template <typename Value>
     bool isUsable(std::string_view what, const std::optional<StoreReading<Value>> &reading);
     void logOutdated(std::string_view what, StorePosition position);
@@ -114,10 +114,10 @@
     bool m_configurationRecent = false;
     bool m_listsRecent = false;
     bool m_fillsLink = false; // A transfer is taken to fill this host's link.
-    // How many readings of each kind have failed since the last one that succeeded.
-    int m_configurationFailures = 0;
-    int m_instancesFailures = 0;
-    int m_hostsFailures = 0;
+    // When each kind of reading may be repeated after failures.
+    ReadingBackoff m_configurationBackoff;
+    ReadingBackoff m_instancesBackoff;
+    ReadingBackoff m_hostsBackoff;
 };
 
 } // namespace cicadagap
--- a/src/session/readingpolicy.cpp
+++ b/src/session/readingpolicy.cpp
@@ -41,4 +41,24 @@
     return half + Millis(static_cast<std::int64_t>(random->below(choices)));
 }
 
+void ReadingBackoff::onReading(Millis now, const Result &result, Random *random)
+{
+    m_lastFailed = !result.succeeded;
+    m_failures = result.succeeded ? 0 : m_failures + 1;
+    m_due = result.succeeded
+        ? now
+        : now + readingRetryDelay(m_first, m_failures, result.isReader, random);
+}
+
+void ReadingBackoff::onFollowing()
+{
+    m_failures = 0;
+    m_due = Millis(0);
+}
+
+Millis ReadingBackoff::remaining(Millis now) const
+{
+    return std::max(m_due - now, Millis(0));
+}
+
 } // namespace cicadagap
--- a/src/session/readingpolicy.h
+++ b/src/session/readingpolicy.h
@@ -38,4 +38,42 @@
 // its upper half, so that they neither burden a store that refuses all of them nor meet there.
 Millis readingRetryDelay(Millis first, int failures, bool isReader, Random *random);
 
+// When a host that reads the store itself may repeat one kind of reading. Load pattern: a store
+// that refuses all hosts, or some of them, several times in a row.
+//
+//     ReadingBackoff backoff(Millis(250));
+//     backoff.onReading(now, {.succeeded = false, .isReader = false}, &random);
+//     Millis wait = backoff.remaining(now); // 125 to 250 ms
+class ReadingBackoff
+{
+public:
+    struct Result
+    {
+        bool succeeded = false;
+        bool isReader = false; // Whether this host is the platform reader.
+    };
+
+    // `first` is the longest delay after a single failure.
+    explicit ReadingBackoff(Millis first)
+        : m_first(first)
+    {
+    }
+
+    void onReading(Millis now, const Result &result, Random *random);
+    // A platform reader has recent data, so that the store answers again: earlier failures do not
+    // delay this host's next reading, which is urgent when that reader is lost.
+    void onFollowing();
+
+    // Whether the latest reading failed, however long ago.
+    bool lastFailed() const { return m_lastFailed; }
+    // The time until the next reading may begin.
+    Millis remaining(Millis now) const;
+
+private:
+    Millis m_first;
+    Millis m_due = Millis(0);
+    int m_failures = 0; // In a row, and since this host last followed.
+    bool m_lastFailed = false;
+};
+
 } // namespace cicadagap
--- a/src/session/tst_readingpolicy.cpp
+++ b/src/session/tst_readingpolicy.cpp
@@ -99,5 +99,58 @@
     EXPECT_EQ(readingRetryDelay(Millis(250), 0, false, &random), Millis(250));
 }
 
+constexpr Millis FirstDelay(250);
+constexpr Millis LongestDelay = FirstDelay * 16;
+
+class BackoffOfAHost : public testing::Test
+{
+protected:
+    void fail(int times, bool isReader = false)
+    {
+        for (int i = 0; i < times; ++i)
+            backoff.onReading(now, {.succeeded = false, .isReader = isReader}, &m_random);
+    }
+
+    Millis now = Millis(100'000);
+    ReadingBackoff backoff = ReadingBackoff(FirstDelay);
+
+private:
+    Random m_random = Random(7);
+};
+
+TEST_F(BackoffOfAHost, GrowsWithFailuresInARow)
+{
+    EXPECT_EQ(backoff.remaining(now), Millis(0));
+    fail(1);
+    EXPECT_LE(backoff.remaining(now), FirstDelay);
+    fail(9);
+    EXPECT_GE(backoff.remaining(now), LongestDelay / 2);
+    EXPECT_LE(backoff.remaining(now), LongestDelay);
+    EXPECT_EQ(backoff.remaining(now + LongestDelay), Millis(0));
+    fail(1, true);
+    EXPECT_EQ(backoff.remaining(now), FirstDelay);
+}
+
+// Guards against this failure: a host that had read in vain while the store was down followed a
+// reader again, and when that one was lost much later, its first failure made it wait for seconds.
+TEST_F(BackoffOfAHost, EndsWhenItFollowsARecentReader)
+{
+    fail(10);
+    backoff.onFollowing();
+    EXPECT_EQ(backoff.remaining(now), Millis(0));
+    EXPECT_TRUE(backoff.lastFailed());
+    fail(1);
+    EXPECT_LE(backoff.remaining(now), FirstDelay);
+}
+
+TEST_F(BackoffOfAHost, EndsWithASuccess)
+{
+    fail(10);
+    Random random(7);
+    backoff.onReading(now, {.succeeded = true}, &random);
+    EXPECT_EQ(backoff.remaining(now), Millis(0));
+    EXPECT_FALSE(backoff.lastFailed());
+}
+
 } // namespace
 } // namespace cicadagap
