Bounds that change while a host runs are taken over

What could be seen: bounds.drain_ms and bounds.configuration_apply_ms changed in the settings file. Hosts that restarted afterwards kept to the new figures, the others to the old ones until their next restart, and no line said so. A shorter drain time would have been broken by the hosts that had not restarted.

Cause: reload() applied the platform's endpoints and the grace period alone. DEPLOY.md gives the settings file to a process "at every start and whenever the settings change".

Change: SessionServer::setBounds() takes over the three times. An instance that leaves already may keep to the earlier drain time, so that its time is only shortened: promotions rely on it as a lower bound of how long it runs. fencing_enforced and the fields of the process's identity wait for a restart, with the event and metric settings.restart-needed that names them: leases that are held and requests that are open were judged by the old value.

--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace cicadagap;
@@ -30,36 +31,50 @@
     return all;
 }
 
-// Reports the fields that another value is used for than the file's.
-void reportDefaulted(const BootSettings &boot, SessionServer *server)
+// Logs and counts an event about fields of the boot file, if there are any.
+void reportFields(std::string_view event, const std::vector<std::string> &fields,
+                  SessionServer *server)
 {
-    if (boot.defaulted.empty())
+    if (fields.empty())
         return;
-    logEvent(LogLevel::Warning, "settings.defaulted", {{"fields", joined(boot.defaulted)}});
-    server->metrics()->add("settings.defaulted");
+    logEvent(LogLevel::Warning, event, {{"fields", joined(fields)}});
+    server->metrics()->add(event);
 }
 
+// The boot file of a process that runs.
+struct BootFile
+{
+    std::string path;
+    BootSettings atStart;
+    BootSettings current; // The last one that could be read.
+};
+
 // Reads the boot file and applies the settings that may change while the process runs: the
-// platform's endpoints and the grace period. The others take effect with a restart of the process,
-// which fails while the file is refused: the metric gives warning of that.
-void reload(const std::string &file, BootSettings *current, StoreClient *platform,
-            SessionServer *server)
+// platform's endpoints and the bounds. The others take effect with a restart of the process, which
+// fails while the file is refused: the metric gives warning of that.
+void reload(BootFile *file, StoreClient *platform, SessionServer *server)
 {
     Reason reason;
-    const std::optional<BootSettings> boot = loadBootFile(file, &reason);
+    const std::optional<BootSettings> boot = loadBootFile(file->path, &reason);
     if (!boot) {
         logEvent(LogLevel::Error, "settings.refused", {{"reason", reason.text()}});
         server->metrics()->add("settings.refused");
         return;
     }
-    if (*boot == *current)
+    if (*boot == file->current)
         return;
-    *current = *boot;
+    file->current = *boot;
     platform->setAddresses(*boot);
-    server->setGracePeriod(boot->gracePeriod);
-    reportDefaulted(*boot, server);
+    server->setBounds({.gracePeriod = boot->gracePeriod,
+                       .configurationBound = boot->configurationBound,
+                       .instanceDrainTime = boot->instanceDrainTime});
     logEvent(LogLevel::Info, "settings.reloaded",
-             {{"store", boot->storeEndpoint.text()}, {"graceMs", boot->gracePeriod.count()}});
+             {{"store", boot->storeEndpoint.text()},
+              {"graceMs", boot->gracePeriod.count()},
+              {"drainMs", boot->instanceDrainTime.count()},
+              {"configurationMs", boot->configurationBound.count()}});
+    reportFields("settings.defaulted", boot->defaulted, server);
+    reportFields("settings.restart-needed", fieldsThatNeedARestart(file->atStart, *boot), server);
 }
 
 int run(const std::string &file, bool checkOnly)
@@ -97,9 +112,9 @@
         return ExitFailed;
     }
     loop.onStopSignal([&server] { server.stop(); });
-    reportDefaulted(*boot, &server);
-    BootSettings current = *boot;
-    const auto reloadNow = [&] { reload(file, &current, &platform, &server); };
+    reportFields("settings.defaulted", boot->defaulted, &server);
+    BootFile bootFile{.path = file, .atStart = *boot, .current = *boot};
+    const auto reloadNow = [&] { reload(&bootFile, &platform, &server); };
     loop.onReloadSignal([reloadNow] {
         logEvent(LogLevel::Info, "settings.reload-requested", {});
         reloadNow();
--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -41,11 +41,6 @@
     , m_engine(engine)
     , m_platform(platform)
     , m_self(std::move(options.self))
-    , m_configurationWait(
-          std::clamp(options.configurationBound / 3, MinConfigurationWait, MaxConfigurationWait))
-    , m_ageLimits({.configuration = m_configurationWait + ConfigurationAgeMargin,
-                   .instances = MaxInstancesAge,
-                   .configurationBound = options.configurationBound})
     , m_random(hash64(m_self.host))
     , m_findPeer(std::move(findPeer))
     , m_onConfiguration(std::move(onConfiguration))
@@ -55,6 +50,15 @@
     , m_instancesBackoff(InstanceRetryDelay)
     , m_hostsBackoff(HostRetryDelay)
 {
+    setConfigurationBound(options.configurationBound);
+}
+
+void PlatformFeed::setConfigurationBound(Millis bound)
+{
+    m_configurationWait = std::clamp(bound / 3, MinConfigurationWait, MaxConfigurationWait);
+    m_ageLimits = {.configuration = m_configurationWait + ConfigurationAgeMargin,
+                   .instances = MaxInstancesAge,
+                   .configurationBound = bound};
 }
 
 void PlatformFeed::start()
--- a/src/programs/cicadagap-sessiond/platformfeed.h
+++ b/src/programs/cicadagap-sessiond/platformfeed.h
@@ -43,6 +43,8 @@
                  FindPeer findPeer, std::function<void()> onConfiguration);
 
     void start();
+    // Changes Options::configurationBound; it holds from the next reading on.
+    void setConfigurationBound(Millis bound);
     // Answers another host's request for an update.
     void answerPeer(const PeerRequest &request, const PeerRespond &respond);
     // Reads the list of instances once, besides the regular readings.
--- a/src/programs/cicadagap-sessiond/sessionserver.cpp
+++ b/src/programs/cicadagap-sessiond/sessionserver.cpp
@@ -118,6 +118,17 @@
     return true;
 }
 
+void SessionServer::setBounds(const Bounds &bounds)
+{
+    m_options.gracePeriod = bounds.gracePeriod;
+    if (bounds.configurationBound != m_options.configurationBound)
+        m_feed->setConfigurationBound(bounds.configurationBound);
+    if (bounds.instanceDrainTime != m_options.instanceDrainTime)
+        m_engine.setInstanceDrainTime(now(), bounds.instanceDrainTime);
+    m_options.configurationBound = bounds.configurationBound;
+    m_options.instanceDrainTime = bounds.instanceDrainTime;
+}
+
 void SessionServer::stop()
 {
     if (m_stoppingSince) {
--- a/src/programs/cicadagap-sessiond/sessionserver.h
+++ b/src/programs/cicadagap-sessiond/sessionserver.h
@@ -53,9 +53,17 @@
     // Listens on all endpoints and starts to read the platform; false and a reason if an endpoint
     // cannot be listened on.
     bool start(Reason *reason);
-    // Changes the grace period. A stop in progress keeps the time that it gave to transactions, and
-    // ends according to the new period.
-    void setGracePeriod(Millis gracePeriod) { m_options.gracePeriod = gracePeriod; }
+    // The bounds that may change while the server runs; see Options.
+    struct Bounds
+    {
+        Millis gracePeriod;
+        Millis configurationBound;
+        Millis instanceDrainTime;
+    };
+
+    // Changes the bounds after start(). A stop in progress keeps the time that it gave to
+    // transactions, and ends according to the new grace period.
+    void setBounds(const Bounds &bounds);
     Metrics *metrics() { return &m_metrics; }
     // Shuts down gracefully and stops the event loop when done. A second call stops the loop at
     // once.
--- a/src/session/instancelist.cpp
+++ b/src/session/instancelist.cpp
@@ -104,7 +104,7 @@
         const auto ready = m_lastReady.find(id);
         if (ready != m_lastReady.end()) {
             departure.lastReady = ready->second;
-            departure.newWorkUntil = ready->second + m_options.drainTime - m_options.drainMargin;
+            departure.newWorkUntil = newWorkEnd(ready->second);
         }
         m_newWorkUntil[id] = departure.newWorkUntil;
         departures.push_back(std::move(departure));
@@ -112,6 +112,20 @@
     return departures;
 }
 
+Millis InstanceList::newWorkEnd(Millis lastReady) const
+{
+    return lastReady + m_options.drainTime - m_options.drainMargin;
+}
+
+void InstanceList::setDrainTime(Millis drainTime)
+{
+    m_options.drainTime = drainTime;
+    for (auto &[id, until] : m_newWorkUntil) {
+        if (const auto ready = m_lastReady.find(id); ready != m_lastReady.end())
+            until = std::min(until, newWorkEnd(ready->second));
+    }
+}
+
 const RegisteredInstance *InstanceList::find(const std::string &id) const
 {
     const auto found = m_instances.find(id);
--- a/src/session/instancelist.h
+++ b/src/session/instancelist.h
@@ -65,6 +65,10 @@
     std::vector<Departure> update(Millis now, const std::vector<RegisteredInstance> &registered,
                                   Millis readAt, bool settled = true);
 
+    // Changes Options::drainTime. An instance that leaves already may keep to the earlier one, so
+    // that its time is only shortened.
+    void setDrainTime(Millis drainTime);
+
     const std::map<std::string, RegisteredInstance> &instances() const { return m_instances; }
     // Null if the instance is unknown.
     const RegisteredInstance *find(const std::string &id) const;
@@ -75,6 +79,8 @@
     Millis readAt() const { return m_readAt; }
 
 private:
+    // Until when an instance that was last ready at `lastReady` may get new work.
+    Millis newWorkEnd(Millis lastReady) const;
     // An instance that is no longer registered.
     struct Missing
     {
--- a/src/session/sessionengine.cpp
+++ b/src/session/sessionengine.cpp
@@ -81,6 +81,13 @@
     finishEvent(now);
 }
 
+void SessionEngine::setInstanceDrainTime(Millis now, Millis drainTime)
+{
+    m_instances.setDrainTime(drainTime);
+    applyInstances(now);
+    finishEvent(now);
+}
+
 void SessionEngine::logDeparture(Millis now, const InstanceList::Departure &departure)
 {
     std::string detail = departure.announced ? "announced" : "no longer registered";
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -159,6 +159,7 @@
 
     void onTick(Millis now);
     // This host's own link is full; called before each onTick() while it is.
+    void setInstanceDrainTime(Millis now, Millis drainTime);
     void onOwnLinkFull(Millis now) { m_control.excuseSilence(now); }
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
     // idle, and one that is always in use after an answer.
--- a/src/session/tst_instancelist.cpp
+++ b/src/session/tst_instancelist.cpp
@@ -58,6 +58,24 @@
     EXPECT_EQ(list.find("i"), nullptr);
 }
 
+// Guards against this failure: a shorter drain time in the settings file was taken over by hosts
+// that restarted, and the others went on sending work to leaving instances.
+TEST(InstanceList, ShortensTheTimeOfLeavingInstances)
+{
+    const Millis margin(500);
+    InstanceList list({.drainTime = Millis(7000), .drainMargin = margin});
+    list.update(Millis(0), {instance(false)}, Millis(0));
+    list.update(Millis(1000), {instance(true)}, Millis(1000));
+    EXPECT_EQ(list.newWorkUntil().at("i"), Millis(7000) - margin);
+    list.setDrainTime(Millis(4000));
+    EXPECT_EQ(list.newWorkUntil().at("i"), Millis(4000) - margin);
+    list.setDrainTime(Millis(9000));
+    EXPECT_EQ(list.newWorkUntil().at("i"), Millis(4000) - margin);
+    list.update(Millis(2000), {instance(false)}, Millis(2000));
+    list.update(Millis(3000), {instance(true)}, Millis(3000));
+    EXPECT_EQ(list.newWorkUntil().at("i"), Millis(11'000) - margin);
+}
+
 // Its process was started again under the same id.
 TEST(InstanceList, ForgetsADepartureOfAnInstanceThatIsReadyAgain)
 {
