--- a/src/programs/cicadagap-sessiond/main.cpp
+++ b/src/programs/cicadagap-sessiond/main.cpp
@@ -1,4 +1,5 @@
 // cicadagap-sessiond: the session server, which serves callers' sessions on one host.
+#include "base/joined.h"
 #include "bootfile.h"
 #include "process/log.h"
 #include "sessionserver.h"
@@ -23,21 +24,13 @@
 // The boot file is read again at this interval, and when SIGHUP asks for it.
 constexpr Millis ReloadInterval(5000);
 
-std::string joined(const std::vector<std::string> &texts)
-{
-    std::string all;
-    for (const std::string &text : texts)
-        all += (all.empty() ? "" : ", ") + text;
-    return all;
-}
-
 // Logs and counts an event about fields of the boot file, if there are any.
 void reportFields(std::string_view event, const std::vector<std::string> &fields,
                   SessionServer *server)
 {
     if (fields.empty())
         return;
-    logEvent(LogLevel::Warning, event, {{"fields", joined(fields)}});
+    logEvent(LogLevel::Warning, event, {{"fields", joined(fields, ", ")}});
     server->metrics()->add(event);
 }
 
--- a/src/session/hostdirectory.cpp
+++ b/src/session/hostdirectory.cpp
@@ -26,7 +26,7 @@
 {
     constexpr double Range = 18446744073709551616.0; // 2^64
     const double uniform = (static_cast<double>(hash64(host.host + "/" + instance)) + 0.5) / Range;
-    return -std::max(host.weight, 0.01) / std::log(uniform);
+    return -std::max(host.weight, MinHostWeight) / std::log(uniform);
 }
 
 } // namespace
--- a/src/session/hostdirectory.h
+++ b/src/session/hostdirectory.h
@@ -26,6 +26,9 @@
 
 namespace cicadagap {
 
+// Hosts with less computing power are chosen as if they had this much.
+inline constexpr double MinHostWeight = 0.01;
+
 // What a host registers about itself.
 struct HostRecord
 {
--- a/src/session/leaseclient.cpp
+++ b/src/session/leaseclient.cpp
@@ -1,5 +1,6 @@
 #include "session/leaseclient.h"
 
+#include "base/joined.h"
 #include "process/log.h"
 #include "session/epochstart.h"
 
@@ -17,14 +18,6 @@
     return parseLease(record->text, reason);
 }
 
-std::string joined(const std::set<std::string> &names)
-{
-    std::string text;
-    for (const std::string &name : names)
-        text += (text.empty() ? "" : ",") + name;
-    return text;
-}
-
 } // namespace
 
 struct LeaseClient::Attempt
@@ -160,7 +153,7 @@
     replace(group, next, [=](bool recorded, const std::string &reason) {
         logEvent(recorded ? LogLevel::Info : LogLevel::Warning, "duty.resumes",
                  {{"group", group},
-                  {"instances", joined(instances)},
+                  {"instances", joined(instances, ",")},
                   {"fencingToken", static_cast<std::int64_t>(fencingToken)},
                   {"recorded", recorded},
                   {"reason", reason}});
--- a/src/session/sessionengine.h
+++ b/src/session/sessionengine.h
@@ -158,8 +158,9 @@
                            std::uint64_t fencingToken, bool recorded);
 
     void onTick(Millis now);
-    // This host's own link is full; called before each onTick() while it is.
+    // Changes how long a leaving instance may get new work; see InstanceList::setDrainTime().
     void setInstanceDrainTime(Millis now, Millis drainTime);
+    // This host's own link is full; called before each onTick() while it is.
     void onOwnLinkFull(Millis now) { m_control.excuseSilence(now); }
     // Starts a graceful shutdown: after Options::drainDelay, ends each session as soon as it is
     // idle, and one that is always in use after an answer.
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -273,7 +273,7 @@
     std::ofstream(next) << host->settings << "bounds.grace_period_s="
                         << GraceForms[host->settingsWritten % GraceForms.size()] << '\n';
     ++host->settingsWritten;
-    std::rename(next.c_str(), host->bootFile.c_str());
+    std::filesystem::rename(next, host->bootFile);
 }
 
 void Soak::applyToInstance(SoakFault fault, Millis length)
