The soak checks on real processes that configurations are in force in time

Cause: the rule for a change of the configuration (in force everywhere within a bound, at hosts that are in touch) had no test with real processes. The soak checked only that a host does not go back, and that it has the newest version in the end; its store turned away all hosts or none, and its history had no end.

StoreStorms turns two hosts away (503, 429, resets or silence, at times just as a host begins to wait) while versions follow each other every 330 ms. Drawn storms come beside the other faults. The stand-in store listens for each host, forgets its history by time, and proxies reset new connections or silence idle ones.

--- a/test/soak/faultproxy.cpp
+++ b/test/soak/faultproxy.cpp
@@ -67,6 +67,7 @@
     }
 
     void silence() { m_silent = true; }
+    Millis lastDataAt() const { return m_lastDataAt; }
 
 private:
     using Buffer = std::array<char, 8192>;
@@ -77,10 +78,12 @@
         from->async_read_some(
             asio::buffer(*buffer),
             [=, self = shared_from_this()](const error_code &error, std::size_t length) {
-                if (error)
+                if (error) {
                     self->close();
-                else
-                    self->forward(from, to, buffer, length, pause, self->m_proxy->m_faults.delay);
+                    return;
+                }
+                self->m_lastDataAt = self->m_proxy->m_clock.now();
+                self->forward(from, to, buffer, length, pause, self->m_proxy->m_faults.delay);
             });
     }
 
@@ -110,6 +113,7 @@
     FaultProxy *m_proxy;
     Buffer m_toServer{};
     Buffer m_toClient{};
+    Millis m_lastDataAt;
     bool m_silent = false;
     bool m_closed = false;
 };
@@ -149,7 +153,10 @@
             return;
         const auto connection = std::make_shared<ProxiedConnection>(std::move(socket), this);
         m_connections.insert(connection);
-        connection->start(m_server);
+        if (m_faults.resetNew)
+            connection->close();
+        else
+            connection->start(m_server);
         accept();
     });
 }
@@ -160,10 +167,12 @@
         connection->close();
 }
 
-void FaultProxy::silenceOpen()
+void FaultProxy::silenceIdle(Millis idleTime)
 {
-    for (const std::shared_ptr<ProxiedConnection> &connection : m_connections)
-        connection->silence();
+    for (const std::shared_ptr<ProxiedConnection> &connection : m_connections) {
+        if (m_clock.now() - connection->lastDataAt() >= idleTime)
+            connection->silence();
+    }
 }
 
 } // namespace cicadagap
--- a/test/soak/faultproxy.h
+++ b/test/soak/faultproxy.h
@@ -21,6 +21,7 @@
         Millis delay;               // Added to all data, in each direction.
         bool pauseToServer = false; // Data is kept back until this is false again.
         bool pauseToClient = false;
+        bool resetNew = false; // New connections are reset.
     };
 
     FaultProxy(EventLoop *loop, Endpoint server);
@@ -33,7 +34,9 @@
     // Resets all connections that are open now.
     void resetAll();
     // Connections that are open now transfer no more data, but stay open; new ones work.
-    void silenceOpen();
+    void silenceOpen() { silenceIdle(Millis(0)); }
+    // The same, only for connections without data for at least this time.
+    void silenceIdle(Millis idleTime);
 
 private:
     class ProxiedConnection;
@@ -42,6 +45,7 @@
     void accept();
 
     EventLoop *m_loop;
+    SteadyClock m_clock;
     Endpoint m_server;
     Endpoint m_endpoint;
     Faults m_faults;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -30,6 +30,14 @@
     return found == report.broken.end() ? 0 : found->second;
 }
 
+boost::json::object delays(const SoakReport &report)
+{
+    boost::json::object object;
+    for (const auto &[during, delay] : report.configurationDelays)
+        object[during] = delay.count();
+    return object;
+}
+
 void print(const SoakOptions &options, const SoakReport &report)
 {
     std::cout << boost::json::serialize(
@@ -43,6 +51,8 @@
                             {"replicaReads", report.replicaReads},
                             {"promotions", report.promotions},
                             {"configurations", report.configurations},
+                            {"configurationAnswersJudged", report.configurationAnswersJudged},
+                            {"configurationDelaysMs", delays(report)},
                             {"longestWriteGapMs", report.longestWriteGap.count()},
                             {"faults", textList(report.faults)}})
               << std::endl;
@@ -50,6 +60,12 @@
 
 int run(const cxxopts::ParseResult &arguments)
 {
+    const std::optional<StormSchedule> storms
+        = StormScheduleNames.value(arguments["storms"].as<std::string>());
+    if (!storms) {
+        std::cerr << "--storms is off, drawn or rounds\n";
+        return ExitUsage;
+    }
     SoakOptions options{.hosts = arguments["hosts"].as<int>(),
                         .groups = arguments["groups"].as<int>(),
                         .callers = arguments["callers"].as<int>(),
@@ -58,6 +74,7 @@
                         .fencedPromotions = arguments["fencing"].as<std::string>() != "off",
                         .restores = arguments["restores"].as<std::string>() == "on",
                         .refusals = arguments["refusals"].as<std::string>() == "on",
+                        .storms = *storms,
                         .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
@@ -105,6 +122,12 @@
         add("refusals",
             "Whether instances refuse statements that restore sessions' state: on or off",
             cxxopts::value<std::string>()->default_value("off"));
+        add("storms",
+            "Whether the store turns hosts away while the configuration changes quickly: off, "
+            "drawn "
+            "(besides the other faults), or in their place: rounds (after outages of the store) or "
+            "idle (beside idle connections that were forgotten)",
+            cxxopts::value<std::string>()->default_value("off"));
         add("program", "Path of the session server",
             cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
         add("address", "Loopback address of all listeners",
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -19,17 +19,55 @@
 constexpr Millis StoreAbsence(600); // Before it comes back from a copy.
 constexpr Millis RestartDelay(300);
 constexpr Millis CheckInterval(50);
-constexpr Millis ProbeInterval(150);
+constexpr Millis ProbeInterval(40);
+// Longer than a process that was told to stop may take; its successor's start counts anew.
+constexpr Millis LongestStop(10'000);
 // A deployment that has not recovered this long after the faults ended is taken never to recover.
 constexpr Millis RecoveryLimit(60'000);
 constexpr int AnswersToRecover = 30; // Of each group.
 
+// How the customers' deployments bound a change of the configuration.
+struct ConfigurationBounds
+{
+    Millis bound;
+    Millis stableTime;
+};
+
+ConfigurationBounds configurationBounds(const SoakOptions &options)
+{
+    constexpr std::array Deployments{
+        ConfigurationBounds{.bound = Millis(3000), .stableTime = Millis(5000)},
+        ConfigurationBounds{.bound = Millis(3000), .stableTime = Millis(4000)},
+        ConfigurationBounds{.bound = Millis(5000), .stableTime = Millis(6000)}};
+    return Deployments[options.seed % Deployments.size()];
+}
+
+std::string hostName(std::size_t index)
+{
+    return "h" + std::to_string(index);
+}
+
+int dataCentreOf(std::size_t host)
+{
+    constexpr std::size_t DataCentres = 3;
+    return static_cast<int>(host % DataCentres);
+}
+
+ConfigurationCheck::Options checkOptions(const SoakOptions &options)
+{
+    const ConfigurationBounds bounds = configurationBounds(options);
+    return {.hosts = static_cast<std::size_t>(options.hosts),
+            .bound = bounds.bound,
+            .stableTime = bounds.stableTime};
+}
+
 StandinDeployment::Options deploymentOptions(const SoakOptions &options)
 {
     return {.groups = options.groups,
             .tenants = options.tenants,
             .connections = static_cast<std::size_t>(options.connections),
             .fencedPromotions = options.fencedPromotions,
+            .configurationBound = configurationBounds(options).bound,
             .address = options.address};
 }
 
@@ -40,6 +78,7 @@
     , m_random(m_options.seed)
     , m_loop({.threads = 1})
     , m_deployment(&m_loop, deploymentOptions(m_options), this)
+    , m_configurationCheck(checkOptions(m_options))
 {
 }
 
@@ -64,6 +103,8 @@
         m_report.longestWriteGap = std::max(m_report.longestWriteGap, groupReport.longestWriteGap);
     }
     m_report.configurations = static_cast<int>(m_deployment.configurationVersion());
+    m_report.configurationAnswersJudged = m_configurationCheck.judged();
+    m_report.configurationDelays = m_configurationCheck.longestDelays();
     *report = m_report;
     return true;
 }
@@ -83,12 +124,17 @@
     });
     if (!prepareHosts(reason))
         return false;
-    for (const std::unique_ptr<Host> &host : m_hosts) {
-        if (!host->process->start(reason))
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        if (!startHost(i, reason))
             return false;
     }
     startCallers();
-    scheduleFaults();
+    startStorms();
+    const bool storms
+        = m_options.storms == StormSchedule::Rounds || m_options.storms == StormSchedule::Idle;
+    if (!storms)
+        scheduleFaults();
+    m_loop.after(m_options.duration, [this] { endFaults(); });
     if (m_options.restores)
         scheduleRestores();
     if (m_options.refusals)
@@ -123,21 +169,26 @@
 {
     PortReservation ports(&m_loop, m_options.address);
     for (int i = 0; i < m_options.hosts; ++i) {
-        const std::string name = "h" + std::to_string(i);
+        const std::string name = hostName(static_cast<std::size_t>(i));
         const Endpoint peers = ports.take();
+        const std::optional<Endpoint> store = m_deployment.storeServer().listenFor(
+            name, {.address = m_options.address, .port = 0}, reason);
+        if (!store)
+            return false;
         Host &host = *m_hosts.emplace_back(std::make_unique<Host>());
         host.callers = ports.take();
-        host.store = std::make_unique<FaultProxy>(&m_loop, m_deployment.store());
+        host.store = std::make_unique<FaultProxy>(&m_loop, *store);
         host.peers = std::make_unique<FaultProxy>(&m_loop, peers);
         if (!host.store->start(reason) || !host.peers->start(reason))
             return false;
         host.bootFile = m_options.work + "/" + name + ".conf";
-        host.settings = m_deployment.bootFileText({.name = name,
-                                                   .dataCentre = i % 3,
-                                                   .callerEndpoint = host.callers,
-                                                   .readinessEndpoint = ports.take(),
-                                                   .peerPort = peers.port,
-                                                   .storeEndpoint = host.store->endpoint()});
+        host.settings
+            = m_deployment.bootFileText({.name = name,
+                                         .dataCentre = dataCentreOf(static_cast<std::size_t>(i)),
+                                         .callerEndpoint = host.callers,
+                                         .readinessEndpoint = ports.take(),
+                                         .peerPort = peers.port,
+                                         .storeEndpoint = host.store->endpoint()});
         writeSettings(&host);
         host.process = std::make_unique<HostProcess>(
             HostProcess::Options{.program = m_options.program,
@@ -175,14 +226,38 @@
 {
     const auto span = static_cast<std::uint64_t>(m_options.duration.count());
     constexpr auto Kinds = static_cast<std::uint64_t>(SoakFault::StoreRestored);
-    const std::uint64_t count = 3 + m_random.below(1 + span / 1000);
+    // Beside storms there are fewer, as hosts are judged only while they are in touch.
+    const Millis interval(m_options.storms == StormSchedule::None ? 1000 : 5000);
+    const std::uint64_t count
+        = 3 + m_random.below(1 + span / static_cast<std::uint64_t>(interval.count()));
     for (std::uint64_t i = 0; i < count; ++i) {
         const auto fault = static_cast<SoakFault>(m_random.below(Kinds));
         const Millis when(1500 + static_cast<std::int64_t>(m_random.below(span * 2 / 3)));
         const Millis length(200 + static_cast<std::int64_t>(m_random.below(span / 4)));
         m_loop.after(when, [this, fault, length] { apply(fault, length); });
     }
-    m_loop.after(m_options.duration, [this] { endFaults(); });
+}
+
+void Soak::startStorms()
+{
+    std::vector<StoreStorms::Host> hosts;
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+        hosts.push_back({.name = hostName(i),
+                         .dataCentre = StandinDeployment::dataCentreName(dataCentreOf(i)),
+                         .store = m_hosts[i]->store.get()});
+    m_storms = std::make_unique<StoreStorms>(
+        &m_loop, &m_deployment, &m_configurationCheck, std::move(hosts),
+        StoreStorms::Options{
+            .schedule = m_options.storms, .seed = m_options.seed, .duration = m_options.duration},
+        [this](const std::string &text) { reportFault(text); });
+    m_configurationCheck.onAcknowledged(now(), m_deployment.configurationVersion(),
+                                        m_storms->label());
+    m_storms->start();
+}
+
+void Soak::reportFault(const std::string &text)
+{
+    m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " " + text);
 }
 
 // From a source of its own, so that a seed has the same other faults with and without restores.
@@ -211,9 +286,9 @@
 
 void Soak::restoreStore(Millis age)
 {
-    m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
-                              + std::string(SoakFaultNames.name(SoakFault::StoreRestored)) + " "
-                              + std::to_string(age.count()));
+    reportFault(std::string(SoakFaultNames.name(SoakFault::StoreRestored)) + " "
+                + std::to_string(age.count()));
+    m_configurationCheck.disruptAll(now(), now() + StoreAbsence + StandinDeployment::RefillTime);
     m_deployment.storeServer().faults().down = true;
     m_loop.after(StoreAbsence, [this, age] {
         m_deployment.storeServer().faults().down = false;
@@ -223,9 +298,7 @@
 
 void Soak::apply(SoakFault fault, Millis length)
 {
-    m_report.faults.push_back(std::to_string((now() - m_startedAt).count()) + " "
-                              + std::string(SoakFaultNames.name(fault)) + " "
-                              + std::to_string(length.count()));
+    reportFault(std::string(SoakFaultNames.name(fault)) + " " + std::to_string(length.count()));
     if (fault <= SoakFault::ReloadHost || fault == SoakFault::AllHostsKilled)
         applyToHost(fault, length);
     else if (fault <= SoakFault::DelayedCommands)
@@ -238,7 +311,8 @@
 
 void Soak::applyToHost(SoakFault fault, Millis length)
 {
-    Host *host = m_hosts[m_random.below(m_hosts.size())].get();
+    const std::size_t index = m_random.below(m_hosts.size());
+    Host *host = m_hosts[index].get();
     HostProcess *process = host->process.get();
     switch (fault) {
     case SoakFault::KillHost:
@@ -251,10 +325,12 @@
             entry->process->signal(SIGKILL);
         return;
     case SoakFault::FreezeHost:
+        m_configurationCheck.disrupt(index, now(), now() + length);
         process->signal(SIGSTOP);
         m_loop.after(length, [process] { process->signal(SIGCONT); });
         return;
     case SoakFault::StopHost:
+        m_configurationCheck.disrupt(index, now(), now() + LongestStop);
         process->signal(SIGTERM);
         return;
     default:
@@ -317,13 +393,16 @@
 
 void Soak::applyToLinks(SoakFault fault, Millis length)
 {
-    const Host &host = *m_hosts[m_random.below(m_hosts.size())];
+    const std::size_t index = m_random.below(m_hosts.size());
+    const Host &host = *m_hosts[index];
     const bool peers = fault == SoakFault::PausedPeers || fault == SoakFault::ResetPeers;
     FaultProxy *proxy = instanceProxy(randomInstance());
     if (peers)
         proxy = host.peers.get();
     else if (fault == SoakFault::PausedStore)
         proxy = host.store.get();
+    if (peers || fault == SoakFault::PausedStore)
+        m_configurationCheck.disrupt(index, now(), now() + length);
     FaultProxy::Faults &faults = proxy->faults();
     switch (fault) {
     case SoakFault::ResetLinks:
@@ -350,6 +429,9 @@
 void Soak::applyToStore(SoakFault fault, Millis length)
 {
     StoreFaults &faults = m_deployment.storeServer().faults();
+    const bool disrupts = fault >= SoakFault::StoreDown && fault <= SoakFault::StoreLosesAnswers;
+    if (disrupts)
+        m_configurationCheck.disruptAll(now(), now() + length);
     switch (fault) {
     case SoakFault::DelayedPromotions:
         faults.promotionDelay = Millis(2500);
@@ -370,7 +452,7 @@
         m_deployment.storeServer().dropHistory();
         return;
     default:
-        m_deployment.changeConfiguration();
+        m_storms->changeConfiguration();
         return;
     }
     m_loop.after(length, [this] { m_deployment.storeServer().faults() = {}; });
@@ -379,50 +461,61 @@
 // Restarts processes that have ended, as the platform does.
 void Soak::restartHosts()
 {
-    for (const std::unique_ptr<Host> &host : m_hosts) {
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        Host *host = m_hosts[i].get();
         if (!host->mayRestart || host->process->running())
             continue;
         host->mayRestart = false;
-        m_loop.after(RestartDelay, [this, host = host.get()] {
+        m_loop.after(RestartDelay, [this, host, i] {
             Reason reason;
             host->mayRestart = true;
             // The end of another fault may have allowed a restart meanwhile.
-            if (!host->process->running() && !host->process->start(&reason))
+            if (!host->process->running() && !startHost(i, &reason))
                 addViolation("a host cannot be restarted: " + reason.text());
         });
     }
 }
 
-// Checks that a host never goes back to an older configuration. Each version has a database of its
-// own: a process that accepted a session for the database of one version must not accept one for
-// that of an earlier version afterwards.
+bool Soak::startHost(std::size_t index, Reason *reason)
+{
+    m_configurationCheck.disrupt(index, now(), now());
+    return m_hosts[index]->process->start(reason);
+}
+
+// Asks each host for the database of the newest configuration, and for that of the one which it is
+// known to use.
 void Soak::probeConfiguration()
 {
     const std::uint64_t newest = m_deployment.configurationVersion();
-    const std::size_t index = m_random.below(m_hosts.size());
-    const Host &host = *m_hosts[index];
-    const std::uint64_t version = newest > 1 && m_random.below(2) == 0 ? newest - 1 : newest;
-    const std::uint64_t servedBefore
-        = host.servedIncarnation == host.process->incarnation() ? host.servedVersion : 0;
-    probeDatabase(
-        &m_loop, host.callers, StandinDeployment::versionDatabase(version),
-        [=, this, incarnation = host.process->incarnation()](const std::optional<bool> &accepted) {
-            onProbe(index, incarnation, servedBefore, version, accepted);
-        });
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        const std::uint64_t served
+            = m_configurationCheck.servedVersion(i, m_hosts[i]->process->incarnation());
+        probe(i, newest);
+        if (served > 0 && served < newest)
+            probe(i, served);
+    }
 }
 
-void Soak::onProbe(std::size_t index, int incarnation, std::uint64_t servedBefore,
-                   std::uint64_t version, std::optional<bool> accepted)
+void Soak::probe(std::size_t index, std::uint64_t version)
 {
-    Host &host = *m_hosts[index];
-    if (!accepted.value_or(false) || incarnation != host.process->incarnation())
-        return;
-    if (version < servedBefore)
-        addViolation("host " + std::to_string(index) + " went back from version "
-                     + std::to_string(servedBefore) + " to " + std::to_string(version));
-    const bool same = host.servedIncarnation == incarnation;
-    host.servedVersion = same ? std::max(host.servedVersion, version) : version;
-    host.servedIncarnation = incarnation;
+    const Host &host = *m_hosts[index];
+    const int incarnation = host.process->incarnation();
+    const ConfigurationCheck::Probe sent{.host = index,
+                                         .incarnation = incarnation,
+                                         .version = version,
+                                         .sentAt = now(),
+                                         .servedBefore
+                                         = m_configurationCheck.servedVersion(index, incarnation)};
+    probeDatabase(&m_loop, host.callers, StandinDeployment::versionDatabase(version),
+                  [this, sent](const std::optional<bool> &accepted) {
+                      if (!accepted
+                          || sent.incarnation != m_hosts[sent.host]->process->incarnation())
+                          return;
+                      const std::optional<std::string> violation
+                          = m_configurationCheck.onAnswer(now(), sent, *accepted);
+                      if (violation)
+                          addViolation(*violation);
+                  });
 }
 
 // Ends the faults; those whose timers still run end by them.
@@ -450,10 +543,11 @@
               return groupReport.answered >= m_answeredBefore[row.first] + AnswersToRecover
                   && groupReport.lastWrite && *groupReport.lastWrite > m_faultsEndedAt;
           });
-    const bool hostsServe = std::all_of(m_hosts.begin(), m_hosts.end(), [this](const auto &host) {
-        return host->servedIncarnation == host->process->incarnation()
-            && host->servedVersion == m_deployment.configurationVersion();
-    });
+    bool hostsServe = true;
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+        hostsServe = hostsServe
+            && m_configurationCheck.servedVersion(i, m_hosts[i]->process->incarnation())
+                == m_deployment.configurationVersion();
     const bool timedOut = now() - m_faultsEndedAt > RecoveryLimit;
     if (timedOut && !groupsAnswer)
         addViolation("a group has not recovered");
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -3,11 +3,13 @@
 // GuaranteeChecker for each group checks what callers were told against what the instances ran.
 #pragma once
 
+#include "configurationcheck.h"
 #include "faultproxy.h"
 #include "guaranteechecker.h"
 #include "hostprocess.h"
 #include "soakcaller.h"
 #include "standindeployment.h"
+#include "storestorms.h"
 
 #include <array>
 #include <map>
@@ -101,6 +103,9 @@
     // Besides the other faults, all instances refuse some of the statements that restore a
     // session's state, from the start until the faults end.
     bool refusals = false;
+    // Besides the other faults if drawn, otherwise in their place: the store turns hosts away while
+    // the configuration changes quickly.
+    StormSchedule storms = StormSchedule::None;
     // Faults begin 1.5 s after the start at the earliest, spread over two thirds of this time.
     Millis duration = Millis(15'000);
     std::string address = "127.0.0.1"; // Of all listeners; simultaneous runs need different ones.
@@ -119,6 +124,8 @@
     int replicaReads = 0;
     int promotions = 0;
     int configurations = 0;
+    int configurationAnswersJudged = 0;
+    std::map<std::string, Millis> configurationDelays; // See ConfigurationCheck::longestDelays().
     Millis longestWriteGap; // Longest time without an acknowledged write, in any group.
 };
 
@@ -142,10 +149,6 @@
         std::string settings;            // what it holds but for the grace period,
         std::size_t settingsWritten = 0; // and how often it was written.
         bool mayRestart = true; // False while it is to stay down, or a restart is scheduled.
-        // The highest configuration version whose database the process accepted, and the process's
-        // incarnation.
-        std::uint64_t servedVersion = 0;
-        int servedIncarnation = 0;
     };
 
     // The checks of one group.
@@ -171,6 +174,7 @@
     void scheduleFaults();
     void scheduleRestores();
     void refuseRestores();
+    void startStorms();
     void restoreStore(Millis age);
     void apply(SoakFault fault, Millis length);
     static void writeSettings(Host *host);
@@ -179,9 +183,10 @@
     void applyToLinks(SoakFault fault, Millis length);
     void applyToStore(SoakFault fault, Millis length);
     void restartHosts();
+    bool startHost(std::size_t index, Reason *reason);
     void probeConfiguration();
-    void onProbe(std::size_t host, int incarnation, std::uint64_t servedBefore,
-                 std::uint64_t version, std::optional<bool> accepted);
+    void probe(std::size_t index, std::uint64_t version);
+    void reportFault(const std::string &text);
     void endFaults();
     void checkRecovery();
     void finishWhenStopped();
@@ -195,6 +200,8 @@
     SteadyClock m_clock;
     EventLoop m_loop;
     StandinDeployment m_deployment;
+    ConfigurationCheck m_configurationCheck;
+    std::unique_ptr<StoreStorms> m_storms;
     std::vector<std::unique_ptr<Host>> m_hosts;
     // By the id of the first instance at the address.
     std::map<std::string, std::unique_ptr<FaultProxy>> m_instanceProxies;
