A host that begins to read the store does not trust a connection that was idle

What callers saw (soak, real processes): while the store turned the platform reader of their data centre away and versions followed each other, hosts that were in touch accepted dropped databases and refused new ones for up to 3.8 s after the acknowledgement; the bound is 3 s.

Cause: a follower's connection to the store is idle for as long as it follows. If something in between forgets it without a word, which new connections do not notice, the follower's first reading of its own went out on it, and as a waiting call: 1.8 s until the reader's data counts as outdated, up to 0.2 s until that is checked, and 1.9 s until the call failed. Besides, connecting and the call each had the whole limit, one after the other.

--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -16,12 +16,16 @@
 class HttpChannel
 {
 public:
-    HttpChannel(EventLoop *loop, Endpoint endpoint);
+    // A connection that was idle for longer than `maxIdle` is replaced, as something in between may
+    // have dropped it without a word.
+    HttpChannel(EventLoop *loop, Endpoint endpoint, Millis maxIdle = Millis(5000));
 
     // Changes the server for later connections. The current connection is closed before the next
     // call that starts after this.
     void setEndpoint(const Endpoint &endpoint);
-    // Queues a call. It waits for the calls before it; `timeout` starts when it is sent.
+    // Whether the next call is sent on a connection that is open already.
+    bool isOpen() const;
+    // Queues a call. It waits for the calls before it; `timeout` then covers connecting too.
     void call(HttpRequest request, Millis timeout, CallDone done);
     // As call(), within other limits than a time for the whole.
     void callWithin(HttpRequest request, CallLimits limits, CallDone done);
@@ -35,11 +39,14 @@
     };
 
     void startNext();
-    void send();
+    void send(Millis connectTime);
     void finish(std::optional<HttpResponse> response, const CallFailure &failure);
 
     EventLoop *m_loop;
     Endpoint m_endpoint;
+    Millis m_maxIdle;
+    SteadyClock m_clock;
+    Millis m_idleSince; // While not `m_busy`.
     std::shared_ptr<HttpConnection> m_connection;
     std::deque<Call> m_calls; // While `m_busy`, the first one is in progress.
     bool m_busy = false;
--- a/test/narrowlink.h
+++ b/test/narrowlink.h
@@ -40,6 +40,9 @@
     }
     // Passes on nothing more once this many bytes of an answer have passed.
     void stopAfter(std::size_t bytes) { m_state->stopAfter = bytes; }
+    // Passes on nothing that clients send on connections that are open now, or on any.
+    void stopOpen() { m_state->stopped = m_state->connections; }
+    void stopAll() { m_state->stopped = std::numeric_limits<int>::max(); }
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -60,6 +63,8 @@
         tcp::endpoint server;
         std::size_t bytesPerSecond;
         std::size_t stopAfter = std::numeric_limits<std::size_t>::max();
+        int connections = 0; // So many were accepted,
+        int stopped = 0;     // and the first ones of them pass on nothing more.
     };
 
     // One connection: what is read from either side goes to the other one.
@@ -70,6 +75,7 @@
             , client(std::move(accepted))
             , server(*state->context)
             , timer(*state->context)
+            , number(++state->connections)
         {
         }
 
@@ -80,6 +86,7 @@
         std::array<char, 4096> up{};
         std::array<char, 4096> down{};
         std::size_t passed = 0;
+        int number; // In the order of their acceptance.
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -105,6 +112,8 @@
             boost::asio::buffer(connection->up),
             [connection](const Error &error, std::size_t count) {
                 Error failure = error;
+                if (!failure && connection->number <= connection->state->stopped)
+                    return;
                 if (!failure)
                     boost::asio::write(connection->server,
                                        boost::asio::buffer(connection->up.data(), count), failure);
