A host that failed to read the store waits no longer than the bound of configurations

A host that could not read the store for a while, and had no reader to follow, waited up to 4 s for its next reading, then up to 1.9 s for its answer. A version that was written at the moment at which the store answered again could thus take longer than the bound of 3 s. On the sites in force, a host counts as in touch only some seconds after it reaches the platform again, which covers it there.

Cause: the longest delay was the first one, doubled four times, whatever the bound in force.

Ruled out: fewer doublings for all, which would cost a store that refuses all hosts more calls where the bound is longer.

Evidence: BackoffOfAHost.IsBoundedByTheTimeForAChange failed before (4 s against 3 s), and passes.

--- a/src/session/readingpolicy.cpp
+++ b/src/session/readingpolicy.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr int MaxRetryDoublings = 4;
-constexpr Millis UpdateWait(1500);          // How long the platform reader may wait for a change.
+constexpr int MaxRetryDoublings = 16; // Against overflow; the longest delay is a bound of its own.
+constexpr Millis UpdateWait(1500);    // How long the platform reader may wait for a change.
 constexpr Millis PauseBetweenRequests(200); // To a reader whose answers are of no use now.
 // A shorter transfer delays answers by less than an instance may be silent for.
 constexpr Millis LinkFillTime(200);
@@ -48,12 +48,12 @@
     return readingTime && *readingTime >= LinkFillTime && *readingTime < limits.configurationBound;
 }
 
-Millis readingRetryDelay(Millis first, int failures, bool isReader, Random *random)
+Millis readingRetryDelay(Millis first, Millis longest, int failures, bool isReader, Random *random)
 {
     if (isReader || failures == 0)
         return first;
-    const Millis longest = first * (std::int64_t(1) << std::min(failures - 1, MaxRetryDoublings));
-    const Millis half = longest / 2;
+    const Millis doubled = first * (std::int64_t(1) << std::min(failures - 1, MaxRetryDoublings));
+    const Millis half = std::min(doubled, longest) / 2;
     const auto choices = static_cast<std::uint64_t>(half.count() + 1);
     return half + Millis(static_cast<std::int64_t>(random->below(choices)));
 }
@@ -64,7 +64,7 @@
     m_failures = result.succeeded ? 0 : m_failures + 1;
     m_due = result.succeeded
         ? now
-        : now + readingRetryDelay(m_first, m_failures, result.isReader, random);
+        : now + readingRetryDelay(m_first, m_longest, m_failures, result.isReader, random);
 }
 
 void ReadingBackoff::onFollowing()
--- a/src/session/readingpolicy.h
+++ b/src/session/readingpolicy.h
@@ -54,7 +54,8 @@
 // The time until a reading is repeated that has failed so many times in a row. The platform reader
 // repeats it soon, and passes on what it gets. The other hosts double the delay and draw it from
 // its upper half, so that they neither burden a store that refuses all of them nor meet there.
-Millis readingRetryDelay(Millis first, int failures, bool isReader, Random *random);
+// `longest` bounds it.
+Millis readingRetryDelay(Millis first, Millis longest, int failures, bool isReader, Random *random);
 
 // When a host that reads the store itself may repeat one kind of reading. Load pattern: a store
 // that refuses all hosts, or some of them, several times in a row.
@@ -65,6 +66,9 @@
 class ReadingBackoff
 {
 public:
+    // The longest delay, if it is not set, in terms of the first one.
+    static constexpr std::int64_t MaxDelayFactor = 16;
+
     struct Result
     {
         bool succeeded = false;
@@ -77,6 +81,9 @@
     {
     }
 
+    // Bounds the delay after many failures.
+    void setLongest(Millis longest) { m_longest = longest; }
+
     void onReading(Millis now, const Result &result, Random *random);
     // A platform reader has recent data, so that the store answers again: earlier failures do not
     // delay this host's next reading, which is urgent when that reader is lost.
@@ -89,6 +96,7 @@
 
 private:
     Millis m_first;
+    Millis m_longest = m_first * MaxDelayFactor;
     Millis m_due = Millis(0);
     int m_failures = 0; // In a row, and since this host last followed.
     bool m_lastFailed = false;
--- a/src/session/tst_readingpolicy.cpp
+++ b/src/session/tst_readingpolicy.cpp
@@ -143,7 +143,7 @@
     std::multiset<std::int64_t> tenths;
     for (int host = 0; host < Hosts; ++host) {
         Random random(hash64(std::to_string(host)));
-        const Millis delay = readingRetryDelay(First, Failures, false, &random);
+        const Millis delay = readingRetryDelay(First, Longest, Failures, false, &random);
         EXPECT_GE(delay, Longest / 2);
         EXPECT_LE(delay, Longest);
         tenths.insert(delay.count() * 10 / Longest.count());
@@ -155,8 +155,8 @@
 TEST(ReadingPolicy, TheReaderRepeatsSoon)
 {
     Random random(1);
-    EXPECT_EQ(readingRetryDelay(Millis(250), 10, true, &random), Millis(250));
-    EXPECT_EQ(readingRetryDelay(Millis(250), 0, false, &random), Millis(250));
+    EXPECT_EQ(readingRetryDelay(Millis(250), Millis(4000), 10, true, &random), Millis(250));
+    EXPECT_EQ(readingRetryDelay(Millis(250), Millis(4000), 0, false, &random), Millis(250));
 }
 
 constexpr Millis FirstDelay(250);
@@ -203,6 +203,19 @@
     EXPECT_LE(backoff.remaining(now), FirstDelay);
 }
 
+// Guards against this failure: the delay was longer than the time in which a host that reaches the
+// store again has to have the newest version.
+TEST_F(BackoffOfAHost, IsBoundedByTheTimeForAChange)
+{
+    constexpr Millis Bound(3000);
+    backoff.setLongest(Bound);
+    for (int i = 0; i < 100; ++i) {
+        fail(1);
+        EXPECT_LE(backoff.remaining(now), Bound);
+    }
+    EXPECT_GE(backoff.remaining(now), Bound / 2);
+}
+
 TEST_F(BackoffOfAHost, EndsWithASuccess)
 {
     fail(10);
