The holder of a lease for a stalled primary lets its replicas receive, whichever host sealed them

Cause: only the host that sealed a replica knew that it had to be resumed. While others held the lease, for a primary that stalled just because of that replica, it could not; and their attempts ended when the primary worked again for a moment.

Ruled out: a relay of the resume through other hosts (the lease was what was missing, not a way to the replica); a resume without the lease (it could undo the pause of a later holder).

Change: such a holder asks the replicas whether they are paused, and resumes those that are, under the same conditions as its own: under the lease, named in its row, and not while another candidate may still be promoted. ResumesTheReplicasOfAStalledPrimary now expects that the replicas are asked as well, and nothing else.

ReplicasThatAnotherHostSealed failed before.

--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -445,6 +445,7 @@
     case PrimaryChangeCause::Stalled:
         ensureStalledRecorded(now);
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
+        queryReplicas();
         return;
     case PrimaryChangeCause::Leaving:
     case PrimaryChangeCause::LeftSealed:
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -34,7 +34,9 @@
 //
 // An attempt that ends without an answer to its promotion request leaves the instances sealed. Its
 // host lets them receive once the promotion is seen to have worked, or cannot be carried out any
-// more. For that it needs the lease again, since others may have sealed them meanwhile.
+// more. For that it needs the lease again, since others may have sealed them meanwhile. A primary
+// that stalls because of them has other hosts seek the lease too; the holder of one for a stalled
+// primary lets its replicas receive, whichever host sealed them.
 //
 // While a request of an earlier holder may be carried out, the lease's row names its candidate, and
 // a holder chooses no other one unless all others are sealed: what the late primary acknowledged
@@ -314,6 +316,7 @@
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
     void resumeSealed(Millis now);
+    void queryReplicas();
     void forgetSentResumes();
     void noteWhetherPaused(const std::string &instance, StatementKind command,
                            const InstanceStatus &status);
--- a/src/session/primaryresumes.cpp
+++ b/src/session/primaryresumes.cpp
@@ -68,7 +68,18 @@
     }
 }
 
-// Between two attempts, an instance that is not paused does not have to be told to receive.
+// Asks the replicas of a stalled primary whether they are paused. The host that sealed them may be
+// waiting for the lease.
+void PrimaryChange::queryReplicas()
+{
+    for (const auto &row : m_registered) {
+        if (row.first != m_oldPrimary)
+            m_output->sendCommand(row.first, {.kind = StatementKind::Status});
+    }
+}
+
+// Between two attempts, an instance that is not paused does not have to be told to receive. One
+// that is, and may keep the primary from working, has to be under a lease for a stalled primary.
 void PrimaryChange::noteWhetherPaused(const std::string &instance, StatementKind command,
                                       const InstanceStatus &status)
 {
@@ -76,6 +87,8 @@
     if (!resumed && status.pausedTerm > 0) {
         if (m_paused.insert(instance).second)
             m_nextResumeAt = m_now;
+        if (m_cause == PrimaryChangeCause::Stalled && m_now < m_actUntil)
+            m_toResume.insert(instance);
         return;
     }
     // The answer to an older status query may arrive after that to the pause.
--- a/src/session/tst_primarychange.cpp
+++ b/src/session/tst_primarychange.cpp
@@ -847,8 +847,9 @@
 TEST_F(PrimaryChangeTest, ResumesTheReplicasOfAStalledPrimary)
 {
     begin(PrimaryChangeCause::Stalled);
-    // The instance itself must confirm that it is still the primary.
-    EXPECT_EQ(recorder.take(), Actions{"status a"});
+    // The instance itself must confirm that it is still the primary. Its replicas are asked whether
+    // they are paused.
+    EXPECT_EQ(recorder.take(), (Actions{"status a", "status b", "status c"}));
     change.onStatus(Start, "a", StatementKind::Status, {.primary = true, .term = 4});
     // The present primary is promoted again first, so that no earlier promotion can still take
     // effect.
@@ -865,6 +866,75 @@
     EXPECT_EQ(recorder.take(), Actions{"resume b"});
 }
 
+// Guards against this failure: a replica that another host had sealed stayed so. The primary
+// stalled again and again without it, and the attempts for that held the lease that the other host
+// needed.
+class ReplicasThatAnotherHostSealed : public PrimaryChangeTest
+{
+protected:
+    void beginForStalled(const LeaseResult &lease)
+    {
+        change.onTick(Start, PrimaryChangeCause::Stalled, groupState());
+        change.onLeaseResult(Start, lease);
+        EXPECT_TRUE(recorder.has("status b") && recorder.has("status c"));
+        recorder.take();
+    }
+
+    void reportSealed(const std::string &instance)
+    {
+        change.onStatus(Start, instance, StatementKind::Status, {.term = 4, .pausedTerm = 5});
+    }
+
+    void tick(Millis after)
+    {
+        change.onTick(Start + after, PrimaryChangeCause::None, groupState());
+    }
+};
+
+TEST_F(ReplicasThatAnotherHostSealed, ReceiveOnceTheStalledPrimaryWorksAgain)
+{
+    beginForStalled({.fencingToken = 7, .actUntil = ActUntil});
+    reportSealed("b");
+    change.onStatus(Start, "c", StatementKind::Status, {.term = 4});
+    tick(Millis(20));
+    EXPECT_EQ(change.stage(), PrimaryChangeStage::Idle);
+    EXPECT_EQ(recorder.recordedResumes, (std::vector<std::set<std::string>>{{"b"}}));
+    EXPECT_EQ(recorder.take(), Actions{"resume b"});
+}
+
+TEST_F(ReplicasThatAnotherHostSealed, ReceiveAlsoIfTheyAnswerLater)
+{
+    beginForStalled({.fencingToken = 7, .actUntil = ActUntil});
+    tick(Millis(20));
+    EXPECT_EQ(recorder.take(), Actions{});
+    reportSealed("b");
+    tick(Millis(40));
+    EXPECT_EQ(recorder.take(), Actions{"resume b"});
+}
+
+// The candidate of a request that may still be carried out would lack what the primary acknowledges
+// with the replica.
+TEST_F(ReplicasThatAnotherHostSealed, StaySealedWhileAnotherMayBePromoted)
+{
+    beginForStalled({.fencingToken = 7,
+                     .actUntil = ActUntil,
+                     .openCandidate = "c",
+                     .openUntil = Start + Millis(9000)});
+    reportSealed("b");
+    tick(Millis(20));
+    tick(Millis(400));
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
+TEST_F(ReplicasThatAnotherHostSealed, StaySealedAfterTheLease)
+{
+    beginForStalled({.fencingToken = 7, .actUntil = ActUntil});
+    tick(Millis(20));
+    change.onStatus(Start + LeaseDuration, "b", StatementKind::Status,
+                    {.term = 4, .pausedTerm = 5});
+    EXPECT_EQ(recorder.take(), Actions{});
+}
+
 // Promoting an instance that was replaced in the meantime would undo commits that its successor
 // acknowledged.
 TEST_F(PrimaryChangeTest, DoesNotPromoteAStalledPrimaryThatWasReplaced)
