Soak: one judgement of a probe's answer, and no storm schedule that nothing happens in

Cause: onAnswer() had the same comparison twice, once for accepted and once for refused databases.

No check, bound or expectation changed.

--- a/test/soak/configurationcheck.cpp
+++ b/test/soak/configurationcheck.cpp
@@ -49,57 +49,58 @@
     return next == m_versions.end() ? nullptr : &*next;
 }
 
+// The version that the answer shows to be late, if its time is over: the one that removed the
+// accepted database, or the newest one, whose database was refused. Null if it shows nothing.
+const ConfigurationCheck::Version *ConfigurationCheck::shownByAnswer(const Probe &probe,
+                                                                     bool accepted) const
+{
+    const Version *next = following(probe.version);
+    if (accepted)
+        return next;
+    const bool isNewest = !next && !m_versions.empty() && m_versions.back().number == probe.version;
+    return isNewest ? &m_versions.back() : nullptr;
+}
+
 std::optional<std::string> ConfigurationCheck::onAnswer(Millis now, const Probe &probe,
                                                         bool accepted)
 {
-    Host &host = m_hosts[probe.host];
     const std::string name = "host " + std::to_string(probe.host);
     const std::string version = std::to_string(probe.version);
     if (accepted && probe.version < probe.servedBefore)
         return name + " went back from version " + std::to_string(probe.servedBefore) + " to "
             + version;
-    const bool inTouch = isInTouch(probe.host, probe.sentAt, now);
-    const Version *next = following(probe.version);
-    const auto isDue = [&](const Version &entry) {
-        return probe.sentAt - entry.acknowledgedAt > m_options.bound;
-    };
-    if (accepted) {
-        if (host.incarnation != probe.incarnation)
-            host.served = 0;
-        host.incarnation = probe.incarnation;
-        host.served = std::max(host.served, probe.version);
-        noteInForce(now, &host, probe.host, probe.version);
-        if (!next || !inTouch)
-            return std::nullopt;
-        ++m_judged;
-        return isDue(*next)
-            ? std::optional(name + " still accepts version " + version + ", "
-                            + std::to_string((probe.sentAt - next->acknowledgedAt).count())
-                            + " ms after the next one was acknowledged")
-            : std::nullopt;
-    }
-    const auto self
-        = std::find_if(m_versions.begin(), m_versions.end(),
-                       [&probe](const Version &entry) { return entry.number == probe.version; });
-    if (next || !inTouch || self == m_versions.end())
+    if (accepted)
+        noteAccepted(now, probe);
+    const Version *shown = shownByAnswer(probe, accepted);
+    if (!shown || !isInTouch(probe.host, probe.sentAt, now))
         return std::nullopt;
     ++m_judged;
-    return isDue(*self)
-        ? std::optional(name + " refuses version " + version + ", "
-                        + std::to_string((probe.sentAt - self->acknowledgedAt).count())
-                        + " ms after it was acknowledged")
-        : std::nullopt;
+    const Millis after = probe.sentAt - shown->acknowledgedAt;
+    if (after <= m_options.bound)
+        return std::nullopt;
+    return name + (accepted ? " still accepts version " : " refuses version ") + version + ", "
+        + std::to_string(after.count()) + " ms after " + (accepted ? "the next one" : "it")
+        + " was acknowledged";
+}
+
+void ConfigurationCheck::noteAccepted(Millis now, const Probe &probe)
+{
+    Host &host = m_hosts[probe.host];
+    if (host.incarnation != probe.incarnation)
+        host.served = 0;
+    host.incarnation = probe.incarnation;
+    host.served = std::max(host.served, probe.version);
+    noteInForce(now, probe.host, probe.version);
 }
 
 // All versions up to this one are in force at the host by now.
-void ConfigurationCheck::noteInForce(Millis now, Host *host, std::size_t index,
-                                     std::uint64_t version)
+void ConfigurationCheck::noteInForce(Millis now, std::size_t host, std::uint64_t version)
 {
-    for (; host->inForce < m_versions.size(); ++host->inForce) {
-        const Version &entry = m_versions[host->inForce];
+    for (std::size_t &seen = m_hosts[host].inForce; seen < m_versions.size(); ++seen) {
+        const Version &entry = m_versions[seen];
         if (entry.number > version)
             return;
-        if (!isInTouch(index, entry.acknowledgedAt, now))
+        if (!isInTouch(host, entry.acknowledgedAt, now))
             continue;
         Millis &longest = m_longestDelays[entry.during];
         longest = std::max(longest, now - entry.acknowledgedAt);
--- a/test/soak/configurationcheck.h
+++ b/test/soak/configurationcheck.h
@@ -50,8 +50,6 @@
 
     // The highest version whose database the process accepted; 0 if there is none.
     std::uint64_t servedVersion(std::size_t host, int incarnation) const;
-    // Whether the host was in touch from `from` to `to`.
-    bool isInTouch(std::size_t host, Millis from, Millis to) const;
     // The longest time from an acknowledgement until the version, or a later one, was in force at a
     // host that was in touch all the while; by what happened at the acknowledgement.
     const std::map<std::string, Millis> &longestDelays() const { return m_longestDelays; }
@@ -81,7 +79,11 @@
     };
 
     const Version *following(std::uint64_t version) const;
-    void noteInForce(Millis now, Host *host, std::size_t index, std::uint64_t version);
+    const Version *shownByAnswer(const Probe &probe, bool accepted) const;
+    // Whether the host was in touch from `from` to `to`.
+    bool isInTouch(std::size_t host, Millis from, Millis to) const;
+    void noteAccepted(Millis now, const Probe &probe);
+    void noteInForce(Millis now, std::size_t host, std::uint64_t version);
 
     Options m_options;
     std::vector<Version> m_versions;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -63,7 +63,12 @@
     const std::optional<StormSchedule> storms
         = StormScheduleNames.value(arguments["storms"].as<std::string>());
     if (!storms) {
-        std::cerr << "--storms is off, drawn or rounds\n";
+        std::cerr << "--storms is off, drawn, rounds or idle\n";
+        return ExitUsage;
+    }
+    const Millis duration(arguments["seconds"].as<std::int64_t>() * 1000);
+    if (duration < StoreStorms::leastDuration(*storms)) {
+        std::cerr << "no storm happens within --seconds\n";
         return ExitUsage;
     }
     SoakOptions options{.hosts = arguments["hosts"].as<int>(),
@@ -75,7 +80,7 @@
                         .restores = arguments["restores"].as<std::string>() == "on",
                         .refusals = arguments["refusals"].as<std::string>() == "on",
                         .storms = *storms,
-                        .duration = Millis(arguments["seconds"].as<std::int64_t>() * 1000),
+                        .duration = duration,
                         .address = arguments["address"].as<std::string>(),
                         .program = arguments["program"].as<std::string>(),
                         .work = arguments["work"].as<std::string>()};
@@ -125,8 +130,8 @@
         add("storms",
             "Whether the store turns hosts away while the configuration changes quickly: off, "
             "drawn "
-            "(besides the other faults), or in their place: rounds (after outages of the store) or "
-            "idle (beside idle connections that were forgotten)",
+            "(besides the other faults), or in their place: rounds (after outages of the store) "
+            "or idle (beside idle connections that were forgotten)",
             cxxopts::value<std::string>()->default_value("off"));
         add("program", "Path of the session server",
             cxxopts::value<std::string>()->default_value("build/cicadagap-sessiond"));
--- a/test/soak/storestorms.cpp
+++ b/test/soak/storestorms.cpp
@@ -3,6 +3,7 @@
 #include "session/hostdirectory.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace cicadagap {
@@ -44,6 +45,21 @@
 {
 }
 
+Millis StoreStorms::leastDuration(StormSchedule schedule)
+{
+    switch (schedule) {
+    case StormSchedule::None:
+        return Millis(0);
+    case StormSchedule::Drawn:
+        return FirstRound * 3; // The last one may begin two thirds of the time after the first.
+    case StormSchedule::Rounds:
+        return FirstRound + StormAfterOutage + CutTime;
+    case StormSchedule::Idle:
+        return FirstIdleStorm + CutTime;
+    }
+    return Millis(0);
+}
+
 void StoreStorms::start()
 {
     m_deployment->storeServer().setOnWaiting(
@@ -159,11 +175,12 @@
 std::vector<std::size_t> StoreStorms::chooseHosts()
 {
     std::vector<std::size_t> candidates;
-    if (m_options.schedule == StormSchedule::Idle || m_random.below(2) == 0)
+    if (m_options.schedule == StormSchedule::Idle || m_random.below(2) == 0) {
         candidates = platformReaders();
-    else
-        for (std::size_t i = 0; i < m_hosts.size(); ++i)
-            candidates.push_back(i);
+    } else {
+        candidates.resize(m_hosts.size());
+        std::iota(candidates.begin(), candidates.end(), std::size_t(0));
+    }
     std::vector<std::size_t> chosen;
     while (!candidates.empty() && chosen.size() < HostsInStorm) {
         const auto index = static_cast<std::ptrdiff_t>(m_random.below(candidates.size()));
--- a/test/soak/storestorms.h
+++ b/test/soak/storestorms.h
@@ -10,7 +10,7 @@
 
 #include <cstddef>
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -62,7 +62,7 @@
     {
         StormSchedule schedule = StormSchedule::None;
         std::uint64_t seed = 1;
-        Millis duration; // No storm begins later.
+        Millis duration; // All storms begin within it, the rounds' ones end within it.
     };
 
     // `report` is told of each fault.
@@ -70,6 +70,9 @@
                 std::vector<Host> hosts, Options options,
                 std::function<void(const std::string &)> report);
 
+    // What `duration` has to be at least, for a storm to happen.
+    static Millis leastDuration(StormSchedule schedule);
+
     void start();
     // What happens now, for the check's delays.
     const std::string &label() const { return m_label; }
