One list of replicas, one way to query instances, and a backoff that bounds itself

PlatformFeed worked out a bound that ReadingBackoff knows better.

Change: replicas(), query(), ReadingBackoff::setBound(); MaxDelayFactor is private. Behaviour is as before.

--- a/src/programs/cicadagap-sessiond/platformfeed.cpp
+++ b/src/programs/cicadagap-sessiond/platformfeed.cpp
@@ -59,8 +59,7 @@
     m_configurationWait
         = std::clamp(bound / WaitsInBound, MinConfigurationWait, MaxConfigurationWait);
     // A host that reaches the store again has to have the newest version within the bound.
-    m_configurationBackoff.setLongest(
-        std::min(bound, ConfigurationRetryDelay * ReadingBackoff::MaxDelayFactor));
+    m_configurationBackoff.setBound(bound);
     m_ageLimits = {.configuration = m_configurationWait + ConfigurationAgeMargin,
                    .instances = MaxInstancesAge,
                    .configurationBound = bound};
--- a/src/session/primarychange.cpp
+++ b/src/session/primarychange.cpp
@@ -445,7 +445,8 @@
     case PrimaryChangeCause::Stalled:
         ensureStalledRecorded(now);
         m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
-        queryReplicas();
+        // The host that paused them may be waiting for the lease.
+        query(replicas());
         return;
     case PrimaryChangeCause::Leaving:
     case PrimaryChangeCause::LeftSealed:
@@ -467,10 +468,8 @@
 // would undo what its successor has acknowledged.
 void PrimaryChange::promoteStalledAgain(Millis now)
 {
-    for (const auto &row : m_registered) {
-        if (row.first != m_oldPrimary)
-            m_toResume.insert(row.first);
-    }
+    for (const std::string &id : replicas())
+        m_toResume.insert(id);
     m_candidate = m_oldPrimary;
     enter(now, PrimaryChangeStage::RequestingPromotion, m_candidate);
     sendPromotionRequest(now);
--- a/src/session/primarychange.h
+++ b/src/session/primarychange.h
@@ -266,7 +266,7 @@
     void beginHandover(Millis now);
     void tickHandover(Millis now, PrimaryChangeCause cause);
     void queryFollowers(Millis now);
-    void queryCandidates();
+    void query(const std::vector<std::string> &instances);
     void onHandoverStatus(Millis now, const std::string &instance, StatementKind command,
                           const InstanceStatus &status);
     std::string bestReplicaAt(Position end) const;
@@ -292,6 +292,7 @@
     bool ensureStalledRecorded(Millis now);
     void promoteStalledAgain(Millis now);
     void onFenced(Millis now, const std::string &detail);
+    std::vector<std::string> replicas() const;
     std::vector<std::string> possibleCandidates() const;
     bool listIsRecent() const;
     std::string sealingText() const;
@@ -316,7 +317,6 @@
     void sendPromotionRequest(Millis now);
     void allowResuming(Millis now);
     void resumeSealed(Millis now);
-    void queryReplicas();
     void forgetSentResumes();
     void noteWhetherPaused(const std::string &instance, StatementKind command,
                            const InstanceStatus &status);
--- a/src/session/primaryhandover.cpp
+++ b/src/session/primaryhandover.cpp
@@ -108,12 +108,12 @@
     m_followerTarget = m_oldPrimaryEnd;
     m_followers.clear();
     m_output->sendCommand(m_oldPrimary, {.kind = StatementKind::Status});
-    queryCandidates();
+    query(possibleCandidates());
 }
 
-void PrimaryChange::queryCandidates()
+void PrimaryChange::query(const std::vector<std::string> &instances)
 {
-    for (const std::string &id : possibleCandidates())
+    for (const std::string &id : instances)
         m_output->sendCommand(id, {.kind = StatementKind::Status});
 }
 
@@ -282,7 +282,7 @@
         if (now < m_nextSendAt)
             return;
         m_nextSendAt = now + CoverQueryInterval;
-        queryCandidates();
+        query(possibleCandidates());
         return;
     }
     if (covering.empty() && !oldPrimaryMayReturn()) {
--- a/src/session/primaryresumes.cpp
+++ b/src/session/primaryresumes.cpp
@@ -68,18 +68,8 @@
     }
 }
 
-// Asks the replicas of a stalled primary whether they are paused. The host that sealed them may be
-// waiting for the lease.
-void PrimaryChange::queryReplicas()
-{
-    for (const auto &row : m_registered) {
-        if (row.first != m_oldPrimary)
-            m_output->sendCommand(row.first, {.kind = StatementKind::Status});
-    }
-}
-
-// Between two attempts, an instance that is not paused does not have to be told to receive. One
-// that is, and may keep the primary from working, has to be under a lease for a stalled primary.
+// Between two attempts, an instance that is not paused does not have to be told to receive. Under a
+// lease for a stalled primary, each one that is paused has to be, whichever host paused it.
 void PrimaryChange::noteWhetherPaused(const std::string &instance, StatementKind command,
                                       const InstanceStatus &status)
 {
--- a/src/session/primaryseals.cpp
+++ b/src/session/primaryseals.cpp
@@ -160,17 +160,25 @@
     }
 }
 
-// The replicas that may replace the old primary.
-std::vector<std::string> PrimaryChange::possibleCandidates() const
+// The registered instances but the old primary.
+std::vector<std::string> PrimaryChange::replicas() const
 {
     std::vector<std::string> ids;
     for (const auto &row : m_registered) {
-        if (row.first != m_oldPrimary && mayBeCandidate(row.first))
+        if (row.first != m_oldPrimary)
             ids.push_back(row.first);
     }
     return ids;
 }
 
+// The replicas that may replace the old primary.
+std::vector<std::string> PrimaryChange::possibleCandidates() const
+{
+    std::vector<std::string> ids = replicas();
+    std::erase_if(ids, [this](const std::string &id) { return !mayBeCandidate(id); });
+    return ids;
+}
+
 // Whether the instance is registered and not leaving.
 bool PrimaryChange::mayBeCandidate(const std::string &instance) const
 {
--- a/src/session/readingpolicy.h
+++ b/src/session/readingpolicy.h
@@ -8,6 +8,8 @@
 #include "base/millis.h"
 #include "session/platformcache.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 
 namespace cicadagap {
@@ -66,9 +68,6 @@
 class ReadingBackoff
 {
 public:
-    // The longest delay, if it is not set, in terms of the first one.
-    static constexpr std::int64_t MaxDelayFactor = 16;
-
     struct Result
     {
         bool succeeded = false;
@@ -81,8 +80,8 @@
     {
     }
 
-    // Bounds the delay after many failures.
-    void setLongest(Millis longest) { m_longest = longest; }
+    // Bounds the delay after many failures further than to a multiple of the first one.
+    void setBound(Millis bound) { m_longest = std::min(bound, m_first * MaxDelayFactor); }
 
     void onReading(Millis now, const Result &result, Random *random);
     // A platform reader has recent data, so that the store answers again: earlier failures do not
@@ -95,6 +94,8 @@
     Millis remaining(Millis now) const;
 
 private:
+    static constexpr std::int64_t MaxDelayFactor = 16;
+
     Millis m_first;
     Millis m_longest = m_first * MaxDelayFactor;
     Millis m_due = Millis(0);
--- a/src/session/tst_readingpolicy.cpp
+++ b/src/session/tst_readingpolicy.cpp
@@ -208,7 +208,7 @@
 TEST_F(BackoffOfAHost, IsBoundedByTheTimeForAChange)
 {
     constexpr Millis Bound(3000);
-    backoff.setLongest(Bound);
+    backoff.setBound(Bound);
     for (int i = 0; i < 100; ++i) {
         fail(1);
         EXPECT_LE(backoff.remaining(now), Bound);
